--- /dev/null
+++ b/lichenquay/__init__.py
@@ -0,0 +1,1 @@
+"""lichenquay: an admission controller for queries on a pool of engines."""
--- /dev/null
+++ b/lichenquay/simwire/__main__.py
@@ -0,0 +1,21 @@
+"""`sim`: reads the bench's batches on standard input, answers on standard output, ends with the input."""
+import sys
+
+from lichenquay.simwire.adapter import Adapter
+from lichenquay.simwire.codec import Malformed
+
+
+def main():
+    sys.stdin.reconfigure(encoding="utf-8", errors="replace", newline="\n")
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")
+    try:
+        Adapter(sys.stdin, sys.stdout).run()
+    except Malformed as bad:
+        print(bad, file=sys.stderr)
+        return 1
+    except BrokenPipeError:
+        return 1
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/lichenquay/simwire/adapter.py
@@ -0,0 +1,304 @@
+"""Turns the bench's lines into calls on the controller, and its answers into lines. No choice is made here."""
+import math
+import sys
+import traceback
+
+from lichenquay.admission.controller import Controller
+from lichenquay.admission import interface as io
+from lichenquay.simwire.codec import Fields, Malformed, plain, us
+
+ENDINGS = {"S": io.FINISHED, "E": io.ERROR, "F": io.FULL, "T": io.TIMED_OUT, "C": io.NOT_CONNECTED,
+           "R": io.RESET, "X": io.CANCELLED, "N": io.NEVER_SENT}
+NOTES = {1: io.PROGRESS, 2: io.SPILLS, 3: io.WAITS}
+STATES = {"IN": io.LISTED, "LAME": io.DRAINING, "OUT": io.WITHDRAWN}
+EFFECTS = {"safe": io.READ_ONLY, "keyed": io.TOKENED, "unsafe": io.MUTATING}
+
+
+def at(values, i, otherwise):
+    return values[i] if i < len(values) else otherwise
+
+
+class Instance:
+    """One front: the door of one controller, and its ids."""
+
+    def __init__(self, name, f, now_ms):
+        self.name, self.now_ms, self.out = name, now_ms, []
+        self.queries, self.engines, self.calls, self.cookies = {}, {}, {}, 0
+        threads = f.numbers("family_info.width_by_class")
+        loads, yields = f.flags("family_info.loads"), f.flags("family_info.yields_to_loads")
+        self.groups = {}
+        for i in range(f.integer("classes.count", 0)):
+            p = f"classes.{i}."
+            effect = f.text(p + "effect", "unsafe")
+            if effect not in EFFECTS:
+                raise f.bad(p + "effect", f"unknown: {effect!r}")
+            places, kinds = f.words(p + "failure_domains_only"), f.words(p + "runs_on")
+            group = io.ResourceGroup(
+                f.text(p + "name"), EFFECTS[effect], f.ms(p + "aim_us"), f.number(p + "aim_stretch", 0.0),
+                f.ms(p + "deadline_us"), f.number(p + "worth", 1.0), f.number(p + "late_worth", 0.0),
+                max(1, int(at(threads, i, 1))), at(loads, i, False), at(yields, i, False),
+                f.flag(p + "serial_by_key", "0"), f.text(p + "group", "all"), f.ms(p + "key_ttl_us", 0),
+                frozenset(places) if places else None, frozenset(kinds) if kinds else None)
+            self.groups[group.name] = group
+        self.tenants = {}
+        for i in range(f.integer("tenants.count", 0)):
+            p = f"tenants.{i}."
+            tenant = io.Tenant(f.text(p + "name"), f.number(p + "share", 0.0),
+                               f.number(p + "allowance_per_s", 0.0), f.number("over_share_worth", 1.0))
+            self.tenants[tenant.name] = tenant
+        kinds = f.words("kinds")
+        cores, memory = f.numbers("family_info.size_cores"), f.numbers("family_info.memory_by_kind_mb")
+        self.makes = {k: (at(cores, i, 0.0), at(memory, i, 0.0)) for i, k in enumerate(kinds)}
+        free = "rules.extra_free" in f.parts or "rules.further_ratio" in f.parts
+        self.controller = Controller(
+            self,
+            io.Gateway(f.text("my_zone", ""), f.integer("replicas_of_me", 1), f.integer("seed"),
+                       f.ms("resolution_us", 0), f.text("registry_mode", "pushed") == "on_request"),
+            list(self.groups.values()),
+            list(self.tenants.values()),
+            io.Licence(f.integer("limits.most_tries", 1), f.flag("limits.cancel", "0"),
+                       f.flag("limits.may_probe", "0"), f.flag("limits.second_copies", "0"),
+                       f.ms("limits.max_retry_after_us", 0) if f.flag("limits.retry_after", "0") else 0.0),
+            io.Safeguards(f.ms("rules.answer_slack_us", 0), f.ms("rules.stop_sending_within_us", 0),
+                          f.number("rules.start_capacity", 0.0), f.ms("rules.ramp_time_us", 0),
+                          f.number("rules.overload_factor", 0.0), f.ms("rules.fall_us", 0),
+                          f.ms("rules.order_pause_us", 0),
+                          f.number("rules.extra_free", 0.0) if free else None,
+                          f.number("rules.further_ratio", 0.0), f.ms("rules.counted_over_us", 0),
+                          f.ms("rules.must_ask_in_us", 0)),
+            io.EngineMake(f.flag("family_info.takes_grants", "0"), f.flag("family_info.ranks_heeded", "0"),
+                          f.number("family_info.most_grant", 1.0), f.text("family_info.out_of_memory", "queue"),
+                          f.ms("family_info.progress_pace_us", 0), f.flag("family_info.says_cost", "0"),
+                          tuple(f.words("report.columns")), f.text("report.how", "none"),
+                          f.ms("limits.connect_timeout_us", 0)))
+
+    # the wire's events, as calls on the controller
+
+    def on_arrival(self, f):
+        group = self.groups.get(f.text("lane"))
+        if group is None:
+            raise f.bad("lane", f"never given: {f.text('lane')!r}")
+        project = f.text("project", "0")
+        if project != "0" and project not in self.tenants:
+            raise f.bad("project", f"never given: {project!r}")
+        q = io.Query(f.integer("req"), group, self.now_ms, self.now_ms + f.ms("ttl_us"), self.tenants.get(project),
+                     f.text("target", ""), f.ms("est_cost_us", 0), f.number("ram_mb", 0.0),
+                     f.text("tables", "") or None)
+        self.queries[q.id] = q
+        self.controller.take(q)
+
+    def on_response(self, f):
+        ending = f.text("ending")
+        if ending not in ENDINGS:
+            raise f.bad("ending", f"unknown: {ending!r}")
+        sub = self.submission(f, wanted=True)
+        took, note, report = f.ms("wait_time_us"), f.integer("note", 0), f.report("telemetry")
+        if sub is None or sub.ending is not None:
+            return
+        q = sub.query
+        sub.ending = ENDINGS[ending]
+        q.over = q.over or f.flag("terminal", "0")
+        cost = (float(note // 4096), (note % 4096) * 4.0) if note else None
+        self.controller.answered(sub, took, cost, report)
+        self.forget(q)
+
+    def on_change(self, f):
+        sort, value = f.integer("sort"), f.number("value")
+        sub = self.submission(f, wanted=False)
+        if sub is not None and sub.ending is None and sort in NOTES:
+            self.controller.noted(sub, NOTES[sort], value)
+
+    def on_first(self, f):
+        self.submission(f, wanted=False)
+
+    def on_abandoned(self, f):
+        q = self.queries.get(f.integer("req"))
+        if q is not None and not q.over:
+            q.over = True
+            self.controller.left(q)
+            self.forget(q)
+
+    def on_probe_done(self, f):
+        ending, took, report = f.text("ending"), f.ms("wait_time_us"), f.report("telemetry")
+        self.controller.probed(self.engine(f), ending == "S", took, report)
+
+    def on_wakeup(self, f):
+        call = self.calls.pop(f.text("cookie"), None)
+        if call is not None:
+            call()
+
+    def on_targets(self, f, sheets):
+        mode = f.text("mode")
+        if mode == "unavailable":
+            return self.controller.list_failed()
+        if mode not in ("update", "replace", "restored"):
+            raise f.bad("mode", f"unknown: {mode!r}")
+        rows = sheets.get(f.integer("table"))
+        if rows is None:
+            raise f.bad("table", f"never given: {f.text('table')!r}")
+        named = []
+        for row in rows:
+            name = row.text("engine")
+            e = self.engines.get(name)
+            if e is None:
+                e = self.engines[name] = io.Engine(name)
+            state = row.text("status")
+            if state not in STATES:
+                raise row.bad("status", f"unknown: {state!r}")
+            e.place, e.kind = row.text("zone", ""), row.text("class_of_host", "")
+            e.cell, e.state, e.units = row.integer("pack", 0), STATES[state], row.number("units", 1.0)
+            started = row.ms("ready_at_us", 0)
+            e.started_ms = started if started else None
+            e.cores, e.memory_mb = self.makes.get(e.kind, (0.0, 0.0))
+            named.append(e)
+        self.controller.list_news(named, mode != "update")
+
+    def on_note_from(self, f):
+        """Gateways share nothing with each other: a peer's message has no use."""
+
+    def engine(self, f):
+        e = self.engines.get(f.text("engine"))
+        if e is None:
+            raise f.bad("engine", f"never given: {f.text('engine')!r}")
+        return e
+
+    def submission(self, f, wanted):
+        """The submission named; None where its query is over and was let go."""
+        q, leg = self.queries.get(f.integer("req")), f.integer("leg")
+        self.engine(f)
+        if q is None:
+            return None
+        if not 0 <= leg < len(q.submissions):
+            if wanted:
+                raise f.bad("leg", f"never given: {leg}")
+            return None
+        return q.submissions[leg]
+
+    def forget(self, q):
+        if q.over and all(s.ending is not None for s in q.submissions):
+            self.queries.pop(q.id, None)
+
+    # the door: the controller's answers, as lines
+
+    def submit(self, q, engine, patience_ms):
+        sub = io.Submission(q, len(q.submissions), engine, self.now_ms)
+        q.submissions.append(sub)
+        self.out.append(f"send\treq={q.id}\tengine={engine.id}\tpatience_us={us(patience_ms)}")
+        return sub
+
+    def allot(self, q, memory_mb, priority):
+        self.out.append(f"allot\treq={q.id}\tgrant_mb={memory_mb:.1f}\tpriority={priority}")
+
+    def cancel(self, sub):
+        self.out.append(f"abandon\treq={sub.query.id}\tleg={sub.number}")
+
+    def defer(self, q, pause_ms):
+        q.over = True
+        self.out.append(f"reject\treq={q.id}\tpause_us={us(pause_ms)}")
+        self.forget(q)
+
+    def kill(self, q):
+        q.over = True
+        self.out.append(f"finish_error\treq={q.id}")
+        self.forget(q)
+
+    def wake(self, at_ms, call):
+        self.cookies += 1
+        self.calls[str(self.cookies)] = call
+        self.out.append(f"after\tcookie={self.cookies}\twhen_us={math.ceil(at_ms * 1000)}")
+
+    def probe(self, engine):
+        self.out.append(f"touch\tengine={engine.id}")
+
+    def watch_list(self):
+        self.out.append("observe\ton=1")
+
+    def log(self, text):
+        self.out.append(f"emit\twhat={plain(text)}")
+
+
+class Adapter:
+    """All instances of this process. Lists are the process's and are resolved in the order they come."""
+
+    EVENTS = {name: getattr(Instance, "on_" + name) for name in (
+        "arrival", "response", "change", "first", "abandoned", "probe_done", "wakeup", "note_from")}
+
+    def __init__(self, read, write):
+        self.read, self.write = read, write
+        self.instances, self.sheets, self.line = {}, {}, 0
+
+    def next(self):
+        text = self.read.readline()
+        if not text:
+            return None
+        self.line += 1
+        return Fields(self.line, text.rstrip("\r\n"))
+
+    def run(self):
+        while (f := self.next()) is not None:
+            if f.tag != "clock":
+                raise f.bad("clock", "missing at the start of a batch")
+            reply = self.batch(f.integer("moment_us") / 1000)
+            self.write.write(reply)
+            self.write.flush()
+
+    def batch(self, now_ms):
+        name, replies = None, []
+        for instance in self.instances.values():
+            instance.now_ms = now_ms
+        while True:
+            f = self.next()
+            if f is None:
+                raise Malformed(f"line {self.line + 1}: go: missing, input ended inside a batch")
+            if f.tag == "go":
+                break
+            if f.tag == "about":
+                name = f.text("who")
+            elif f.tag == "sheet":
+                self.sheets[f.integer("table")] = self.rows(f)
+            elif name is None:
+                raise f.bad("about", "no instance named")
+            elif f.tag == "hello":
+                self.guarded(name, replies, lambda: self.hello(name, f, now_ms))
+            elif name not in self.instances and f.tag != "detach":
+                if f.tag not in self.EVENTS and f.tag != "targets":
+                    raise f.bad(f.tag, "unknown message")
+                raise f.bad("who", f"no such instance now: {name!r}")
+            elif f.tag == "detach":
+                self.instances.pop(name, None)
+            elif f.tag == "targets":
+                self.guarded(name, replies, lambda: self.instances[name].on_targets(f, self.sheets))
+            elif f.tag in self.EVENTS:
+                self.guarded(name, replies, lambda: self.EVENTS[f.tag](self.instances[name], f))
+            else:
+                raise f.bad(f.tag, "unknown message")
+        return "".join(replies) + "ok\n"
+
+    def hello(self, name, f, now_ms):
+        self.instances.pop(name, None)
+        self.instances[name] = Instance(name, f, now_ms)
+
+    def rows(self, f):
+        rows = []
+        for _ in range(f.integer("rows_in")):
+            row = self.next()
+            if row is None:
+                raise Malformed(f"line {self.line + 1}: engine: missing, input ended inside a batch")
+            if row.tag != "engine":
+                raise row.bad("engine", "expected a row of the list")
+            rows.append(row)
+        return rows
+
+    def guarded(self, name, replies, call):
+        """One event; a fault of the controller is told for its instance, and its text goes to standard error."""
+        try:
+            call()
+        except Malformed:
+            raise
+        except Exception as fault:
+            traceback.print_exc(file=sys.stderr)
+            replies.append(f"on_behalf\twho={name}\nexception\twhat={plain(type(fault).__name__)}: {plain(fault)}\n")
+        instance = self.instances.get(name)
+        if instance is not None and instance.out:
+            replies.append(f"on_behalf\twho={name}\n" + "\n".join(instance.out) + "\n")
+            instance.out.clear()
