--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -7,6 +7,7 @@
 A query goes down the chain Duty -> Order -> Slots -> Picker -> Guards -> send; what comes back goes up through
 Guards (rule books), Slots (feedback) and Order to Duty (a final answer, or down again).
 """
+from bisect import insort
 from math import sqrt
 from zlib import crc32
 
@@ -69,6 +70,7 @@
         self.trial_ms = self.trial_gap = 0.0
         self.full_ms = now - 1e9            # last full refusal
         self.stretch = Ring(bucket_ms, 8)   # runtime over work per thread, of finished queries
+        self.pace = None                    # its mean, read once a beat
         self.cold_sent = Ring(fall_bucket_ms, 9)
         self.held = {}                      # tables held by a load there, until when we believe it
 
@@ -153,7 +155,7 @@
 
     def __init__(self, seed, guards):
         self.seed, self.drawn, self.guards, self.threads = seed, 0, guards, 1.0
-        self.ranks = {}
+        self.ranks, self.usual = {}, None
 
     def chance(self):
         self.drawn += 1
@@ -170,23 +172,18 @@
             return r["active"] * self.threads / cores
         return r.get("x1", r.get("x0", 0.0)) * 2 + 2 * r.get("waiting", 0.0) / cores
 
-    def rank(self, tables, seen, fleet):
+    def rank(self, tables, fleet):
         """Departure: every gateway ranks the engines for a set of tables alike, by hash, so that its readers meet
         on few engines, which keep it warm, and its loads on the others."""
-        key = (tables, seen.engine.id)
-        if key not in self.ranks:
-            self.ranks[key] = crc32(f"{tables}:{seen.engine.id}".encode())
-        mine = self.ranks[key]
-        return sum(1 for s in fleet if self.ranks.get((tables, s.engine.id), 0) > mine)
+        if tables not in self.ranks:
+            order = sorted(fleet, key=lambda e: crc32(f"{tables}:{e.id}".encode()))
+            self.ranks[tables] = {e: i for i, e in enumerate(order)}
+        return self.ranks[tables]
 
     def pick(self, q, choices, fleet, now):
         heard = [x for x in (self.reported(s) for s in choices) if x is not None]
         average = sum(heard) / len(heard) if heard else 0.0
-        paces = sorted(p for p in (s.stretch.mean(now) for s in fleet) if p)
-        usual = paces[len(paces) // 2] if paces else None
-        if q.tables:
-            for s in fleet:
-                self.rank(q.tables, s, ())
+        ranks = self.rank(q.tables, fleet) if q.tables else None
         weights = []
         for s in choices:
             load = self.reported(s)
@@ -194,13 +191,10 @@
             warmth = self.guards.warmth(s.engine, now)
             load = (load + s.threads() / (s.engine.cores or 1.0)) / warmth
             w = warmth / (0.3 + load) ** 3
-            pace = s.stretch.mean(now)
-            if usual and pace:          # an engine slower than its peers; a slowdown of all blames none
-                w *= min(1.0, max(0.1, usual / pace))
-            if q.tables:
-                rank = self.rank(q.tables, s, fleet)
-                if q.group.is_load:
-                    rank = len(fleet) - 1 - rank
+            if self.usual and s.pace:   # an engine slower than its peers; a slowdown of all blames none
+                w *= min(1.0, max(0.1, self.usual / s.pace))
+            if ranks:
+                rank = ranks[s.engine] if not q.group.is_load else len(ranks) - 1 - ranks[s.engine]
                 w *= 4.0 if rank < 2 else 1.0
                 if s.held.get(q.tables, 0.0) > now and (q.group.is_load or q.group.yields):
                     w *= 0.02           # it would stand still until that load ends
@@ -212,6 +206,13 @@
                 return s
         return choices[-1]
 
+    def look(self, fleet, now):
+        """Once a beat: each engine's pace, and the usual one among its peers."""
+        for s in fleet.values():
+            s.pace = s.stretch.mean(now)
+        paces = sorted(s.pace for s in fleet.values() if s.pace)
+        self.usual = paces[len(paces) // 2] if paces else None
+
 
 class Slots:
     """M&M: a query takes a free maximum slot, else a minimum slot, else it is held at most a tenth of its time."""
@@ -219,12 +220,11 @@
     def __init__(self, door, guards, picker, make, groups, fronts, fleet):
         self.door, self.guards, self.picker, self.make, self.fleet = door, guards, picker, make, fleet
         self.share = 1.0 / max(1, fronts)
-        self.waiting = {g: [] for g in groups}
+        self.waiting = {g: [] for g in groups}      # best value for work first
         self.margin = {g: 1.0 for g in groups}      # memory granted over its estimate, learned from spills and costs
         self.needed = {g: 0.0 for g in groups}      # learned mean need, MB
-        self.best = {g: None for g in groups}       # best pace seen of each group
+        self.best = None                            # best pace seen of an engine
         self.quick = self.dashboards(groups)
-        self.armed = False
 
     @staticmethod
     def dashboards(groups):
@@ -254,8 +254,7 @@
         """Slots bind only under engine pressure: latency well above best, a busy report or a full refusal."""
         if self.full_use(seen) or now - seen.full_ms < g.target_ms:
             return True
-        pace, best = seen.stretch.mean(now), min((b for b in self.best.values() if b), default=None)
-        return bool(pace and best and pace > 2 * best)
+        return bool(seen.pace and self.best and seen.pace > 2 * self.best)
 
     def grant(self, q, seen):
         if not self.make.grants or q.group in self.quick:
@@ -290,7 +289,7 @@
         now = self.door.now_ms
         if self.place(q, now):
             return
-        self.waiting[q.group].append(q)
+        insort(self.waiting[q.group], q, key=self.turn)
         q.held_until = min(now + (q.ends_ms - q.arrived_ms) / 10, q.ends_ms)
         self.door.wake(q.held_until, lambda: self.held_enough(q))
 
@@ -314,7 +313,7 @@
             if doubtful and any(not s.silent for s in allowed):
                 continue
             choices = best[doubtful, again, small]
-            self.submit(q, self.picker.pick(q, choices, list(self.fleet.values()), now), MIN if small else MAX, now)
+            self.submit(q, self.picker.pick(q, choices, self.fleet, now), MIN if small else MAX, now)
             return True
         return False
 
@@ -374,11 +373,10 @@
         if ending != FINISHED:
             late = max(late, target_of(q))
         elif q.work_ms:
-            pace = took / (q.work_ms / g.threads)
-            seen.stretch.add(now, pace)
+            seen.stretch.add(now, took / (q.work_ms / g.threads))
             mean = seen.stretch.mean(now)
-            if seen.stretch.count(now) >= 5 and (self.best[g] is None or mean < self.best[g]):
-                self.best[g] = mean
+            if seen.stretch.count(now) >= 5:
+                self.best = min(self.best or mean, mean)
             slot.latency += (took - slot.latency) / 10 if slot.latency else took
             if cost and q.memory_mb:
                 self.learn(g, cost[1] > run.grant, cost[1])
@@ -429,17 +427,21 @@
                 slot.pool = max(mean, (slot.pool or 0.0) - mean)
         slot.open(now)
 
+    @staticmethod
+    def turn(q):
+        return q.over_share, work_of(q) / max(q.group.value, 1e-9), q.id
+
     def stir(self, now):
-        """Something may have become free: the waiting, best value for work first."""
-        for g, queue in self.waiting.items():
-            if not queue:
-                continue
-            queue.sort(key=lambda q: (q.over_share, work_of(q) / max(q.group.value, 1e-9), q.id))
-            for q in list(queue):
-                if q.over:
-                    queue.remove(q)
-                elif self.place(q, now):
+        """Something may have become free: the waiting, best value for work first, until a few find nothing."""
+        for queue in self.waiting.values():
+            missed = 0
+            for q in list(queue[:20]):
+                if self.place(q, now):
                     queue.remove(q)
+                else:
+                    missed += 1
+                    if missed == 3:
+                        break
 
 
 class Order:
@@ -510,6 +512,7 @@
                     e.state = WITHDRAWN
         for e in [e for e, s in self.fleet.items() if e.state == WITHDRAWN and not s.runs]:
             del self.fleet[e]
+        self.picker.ranks.clear()
         self.slots.stir(now)
 
     def list_failed(self):
@@ -555,7 +558,7 @@
                     run.q.rank = rank
                     self.door.allot(run.q, run.grant, rank)
             pace = (now - sub.sent_ms - run.waited_ms) / max(amount, 0.002) / (run.q.work_ms / run.group.threads)
-            usual = run.seen.stretch.mean(now, 1.0)
+            usual = run.seen.pace or 1.0
             if pace > 4 * max(1.0, usual):          # far behind the estimate: a bad plan
                 self.move(run)
 
@@ -603,8 +606,7 @@
     def let_go(self, run, now):
         """Where a time-out stops nothing, the work runs on: its slot and memory stay counted."""
         if run.sub.ending in (TIMED_OUT, CANCELLED) and not self.licence.cancel:
-            pace = run.seen.stretch.mean(now, 1.0)
-            left = pace * work_of(run.q) / run.group.threads - (now - run.sub.sent_ms)
+            left = (run.seen.pace or 1.0) * work_of(run.q) / run.group.threads - (now - run.sub.sent_ms)
             if left > 0:
                 return self.door.wake(now + left, lambda: self.slots.release(run))
         self.slots.release(run)
@@ -658,6 +660,7 @@
 
     def tick(self):
         now = self.door.now_ms
+        self.picker.look(self.fleet, now)
         for seen in self.fleet.values():
             if seen.runs and now - seen.heard_ms > self.quiet_ms and any(
                     now - r.sub.sent_ms > self.quiet_ms for r in seen.runs.values()):
