--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -225,6 +225,7 @@
         self.needed = {g: 0.0 for g in groups}      # learned mean need, MB
         self.best = None                            # best pace seen of an engine
         self.quick = self.dashboards(groups)
+        self.rest_ms = min((g.target_ms for g in groups), default=0.0) / 4  # what a full refusal keeps an engine free
 
     @staticmethod
     def dashboards(groups):
@@ -252,7 +253,7 @@
 
     def pressed(self, seen, g, now):
         """Slots bind only under engine pressure: latency well above best, a busy report or a full refusal."""
-        if self.full_use(seen) or now - seen.full_ms < g.target_ms:
+        if self.full_use(seen) or now - seen.full_ms < g.target_ms or seen.threads() > THREADS_A_CORE * seen.engine.cores:
             return True
         return bool(seen.pace and self.best and seen.pace > 2 * self.best)
 
@@ -264,10 +265,15 @@
 
     def free(self, q, seen, now):
         """The kind of slot that is free for the query there, if any."""
-        g = q.group
-        if g in self.quick or not self.pressed(seen, g, now):
+        g, grant = q.group, self.grant(q, seen)
+        if now - seen.full_ms < self.rest_ms:
+            return None
+        pressed = self.pressed(seen, g, now)
+        if pressed and seen.runs and not self.room(q, seen, grant or q.memory_mb):
+            return None
+        if g in self.quick or not pressed:
             return MAX
-        slot, grant = self.slot(seen, g, now), self.grant(q, seen)
+        slot = self.slot(seen, g, now)
         if self.spacing(slot, seen, g) > now - slot.admitted_ms:
             return None
         if slot.used[MAX] < slot.maximum and (not slot.used[MAX] or slot.pool is None
@@ -275,6 +281,13 @@
             return MAX
         return MIN if slot.used[MIN] < slot.minimum else None
 
+    def room(self, q, seen, grant):
+        """Departure: under pressure all groups together, dashboards too, stay within our share of the engine's
+        threads and memory. Risk: once sessions and memory are full, nothing ends in time and all retry (a jam)."""
+        part = self.share * (1.0 if q.group in self.quick else 0.75)
+        return (seen.threads() + q.group.threads <= THREADS_A_CORE * seen.engine.cores * part
+                and seen.memory() + grant <= 0.9 * seen.engine.memory_mb * part)
+
     def spacing(self, slot, seen, g):
         """Below one query, admissions are spaced to match; and the admission delay, never with free cores."""
         gap = slot.latency / slot.limit - slot.latency if slot.limit < 1 and slot.maximum == 1 else 0.0
