--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -156,6 +156,7 @@
     def __init__(self, seed, guards):
         self.seed, self.drawn, self.guards, self.threads = seed, 0, guards, 1.0
         self.ranks, self.usual = {}, None
+        self.home, self.away = Ring(2000.0, 10), Ring(2000.0, 10)
 
     def chance(self):
         self.drawn += 1
@@ -184,6 +185,8 @@
         heard = [x for x in (self.reported(s) for s in choices) if x is not None]
         average = sum(heard) / len(heard) if heard else 0.0
         ranks = self.rank(q.tables, fleet) if q.tables else None
+        home, away = self.home.mean(now), self.away.mean(now)
+        bonus = min(6.0, max(1.0, away / home) ** 8) if home and away else 1.5
         weights = []
         for s in choices:
             load = self.reported(s)
@@ -195,7 +198,7 @@
                 w *= min(1.0, max(0.1, self.usual / s.pace))
             if ranks:
                 rank = ranks[s.engine] if not q.group.is_load else len(ranks) - 1 - ranks[s.engine]
-                w *= 4.0 if rank < 2 else 1.0
+                w *= bonus if rank < 2 else 1.0
                 if s.held.get(q.tables, 0.0) > now and (q.group.is_load or q.group.yields):
                     w *= 0.02           # it would stand still until that load ends
             weights.append(w)
@@ -206,10 +209,16 @@
                 return s
         return choices[-1]
 
+    def learn(self, q, seen, pace, now):
+        """Whether readers run faster where others of their tables run decides how much that draws them."""
+        if not q.group.is_load and self.usual and seen.engine in self.ranks.get(q.tables, ()):
+            ring = self.home if self.ranks[q.tables][seen.engine] < 2 else self.away
+            ring.add(now, min(pace, 4 * self.usual))
+
     def look(self, fleet, now):
         """Once a beat: each engine's pace, and the usual one among its peers."""
         for s in fleet.values():
-            s.pace = s.stretch.mean(now)
+            s.pace = s.stretch.mean(now, s.pace)
         paces = sorted(s.pace for s in fleet.values() if s.pace)
         self.usual = paces[len(paces) // 2] if paces else None
 
@@ -269,7 +278,7 @@
         if now - seen.full_ms < self.rest_ms:
             return None
         pressed = self.pressed(seen, g, now)
-        if pressed and seen.runs and not self.room(q, seen, grant or q.memory_mb):
+        if pressed and not self.room(q, seen, grant or q.memory_mb):
             return None
         if g in self.quick or not pressed:
             return MAX
@@ -284,9 +293,12 @@
     def room(self, q, seen, grant):
         """Departure: under pressure all groups together, dashboards too, stay within our share of the engine's
         threads and memory. Risk: once sessions and memory are full, nothing ends in time and all retry (a jam)."""
-        part = self.share * (1.0 if q.group in self.quick else 0.75)
-        return (seen.threads() + q.group.threads <= THREADS_A_CORE * seen.engine.cores * part
-                and seen.memory() + grant <= 0.9 * seen.engine.memory_mb * part)
+        runs, part = seen.runs.values(), self.share
+        if q.group not in self.quick:
+            runs, part = [r for r in runs if r.group not in self.quick], 0.75 * self.share
+        return not runs or (
+            sum(r.threads for r in runs) + q.group.threads <= THREADS_A_CORE * seen.engine.cores * part
+            and sum(r.grant for r in runs) + grant <= 0.9 * seen.engine.memory_mb * part)
 
     def spacing(self, slot, seen, g):
         """Below one query, admissions are spaced to match; and the admission delay, never with free cores."""
@@ -383,10 +395,13 @@
                 seen.full_ms = now
             return
         late = now - q.arrived_ms - target_of(q)
+        if q.work_ms and ending in (FINISHED, TIMED_OUT):
+            seen.stretch.add(now, took / (q.work_ms / g.threads))
         if ending != FINISHED:
             late = max(late, target_of(q))
         elif q.work_ms:
-            seen.stretch.add(now, took / (q.work_ms / g.threads))
+            if q.tables:
+                self.picker.learn(q, seen, took / (q.work_ms / g.threads), now)
             mean = seen.stretch.mean(now)
             if seen.stretch.count(now) >= 5:
                 self.best = min(self.best or mean, mean)
@@ -619,9 +634,9 @@
     def let_go(self, run, now):
         """Where a time-out stops nothing, the work runs on: its slot and memory stay counted."""
         if run.sub.ending in (TIMED_OUT, CANCELLED) and not self.licence.cancel:
-            left = (run.seen.pace or 1.0) * work_of(run.q) / run.group.threads - (now - run.sub.sent_ms)
-            if left > 0:
-                return self.door.wake(now + left, lambda: self.slots.release(run))
+            ran = now - run.sub.sent_ms
+            left = max((run.seen.pace or 1.0) * work_of(run.q) / run.group.threads - ran, ran)
+            return self.door.wake(now + left, lambda: self.slots.release(run))
         self.slots.release(run)
 
     def decide(self, q, sub):
