--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -247,7 +247,7 @@
 
     def slot(self, seen, g, now):
         if g not in seen.slots:
-            seen.slots[g] = Slot(seen.engine.cores * THREADS_A_CORE * self.share / g.threads, now)
+            seen.slots[g] = Slot(seen.engine.cores * THREADS_A_CORE * self.share / g.threads or 1.0, now)
         return seen.slots[g]
 
     def full_use(self, seen):
@@ -473,33 +473,38 @@
 
 
 class Order:
-    """Where a resource group keeps order, the queries of one key go one at a time, as taken."""
+    """Where a resource group keeps order, the queries of one key go one at a time, as taken, and the key rests after
+    a submission that may still be running."""
 
     def __init__(self, door, rest_ms, below):
-        self.door, self.rest_ms, self.below, self.lines = door, rest_ms, below, {}
+        self.door, self.rest_ms, self.below, self.lines, self.free_ms = door, rest_ms, below, {}, {}
 
     def down(self, q):
         if not (q.group.in_order and q.key):
             return self.below(q)
-        line = self.lines.setdefault(q.key, [])
-        line.append(q)
-        if len(line) == 1:
-            self.below(q)
-
-    def back(self, q):
-        """A query whose every submission has ended leaves the line once it is over; its key may rest."""
-        line = self.lines.get(q.key, ()) if q.group.in_order and q.key else ()
-        if q not in line or not q.over or any(s.ending is None for s in q.submissions):
+        self.lines.setdefault(q.key, []).append(q)
+        self.advance(q.key)
+
+    def back(self, q, sub=None):
+        """A query leaves its line once it is over and every submission of it has ended."""
+        if not (q.group.in_order and q.key):
             return
-        if any(s.ending in (TIMED_OUT, RESET, CANCELLED) for s in q.submissions) and not getattr(q, "rested", 0):
-            q.rested = True
-            return self.door.wake(self.door.now_ms + self.rest_ms + 1, lambda: self.back(q))
-        head = line[0] is q
-        line.remove(q)
-        if not line:
-            del self.lines[q.key]
-        elif head:
-            self.below(line[0]) if not line[0].over else self.back(line[0])
+        if sub and sub.ending in (TIMED_OUT, RESET, CANCELLED):
+            self.free_ms[q.key] = self.door.now_ms + self.rest_ms
+        if q.over and all(s.ending is not None for s in q.submissions) and q in self.lines.get(q.key, ()):
+            self.lines[q.key].remove(q)
+            self.advance(q.key)
+
+    def advance(self, key):
+        line, free_ms = self.lines.get(key), self.free_ms.get(key, 0.0)
+        if line and not line[0].passed:
+            if self.door.now_ms < free_ms:
+                return self.door.wake(free_ms, lambda: self.advance(key))
+            line[0].passed = True
+            self.below(line[0])
+        elif not line and self.door.now_ms >= free_ms:
+            self.lines.pop(key, None)
+            self.free_ms.pop(key, None)
 
 
 class Controller:
@@ -549,7 +554,7 @@
 
     def take(self, q):
         now = self.door.now_ms
-        q.over_share = self.beyond_share(q, now)
+        q.passed, q.over_share = False, self.beyond_share(q, now)
         self.guards.take(q, now)
         self.picker.threads += (q.group.threads - self.picker.threads) / 100
         self.door.wake(q.ends_ms, lambda: self.ends(q))
@@ -611,7 +616,7 @@
         if run is not None:
             self.slots.back(run, took, sub.ending, cost, now)
             self.let_go(run, now)
-        self.order.back(q)
+        self.order.back(q, sub)
         if not q.over:
             self.decide(q, sub)
         self.slots.stir(now)
--- /dev/null
+++ b/tests/test_controller.py
@@ -0,0 +1,252 @@
+"""Plain cases of the design and of each failure found, and seeded random runs that check the rules at every step."""
+import random
+
+import pytest
+
+from fake_door import FakeDoor, engine, group
+from lichenquay.admission import interface as io
+from lichenquay.admission.controller import MAX, MIN
+
+REPORT = {"active": 60.0}       # a busy report: more threads than cores hold
+
+
+def quick(**more):
+    return group("status", threads=1, target_ms=500.0, timeout_ms=2500.0, value=1.0, **more)
+
+
+def closed(late, waiters, running=1.0, report=None, maximum=3, minimum=0, pool=1000.0):
+    """One interval of 20 completions on a slot, as it stood."""
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1")])
+    slots, seen = door.c.slots, door.c.fleet[door.engines[0]]
+    slot = slots.slot(seen, g, door.now_ms)
+    slot.maximum, slot.minimum, slot.pool, slot.n, slot.samples = maximum, minimum, pool, 20, 20
+    slot.late, slot.late_sq, slot.grants = 20 * late, 20 * late * late, 20 * 500.0
+    slot.waiters, slot.running, slot.delay = 20 * waiters, 20 * running, 7.0
+    seen.report = report
+    slots.close(slot, seen, g, door.now_ms)
+    return slot
+
+
+def test_figure_3_few_waiters_grow_the_pool():
+    slot = closed(late=100, waiters=0.2)
+    assert slot.maximum == 3 and slot.pool == pytest.approx(1000 + 0.05 * 8000) and slot.delay == 0
+
+
+def test_figure_3_a_maximum_that_fits_is_added_for_a_minimum():
+    slot = closed(late=100, waiters=2, minimum=1)
+    assert (slot.maximum, slot.minimum, slot.pool) == (4, 0, 1500)
+
+
+def test_figure_3_a_minimum_is_added_below_two_maximum_slots():
+    slot = closed(late=100, waiters=2, maximum=1, pool=7000.0)
+    assert (slot.maximum, slot.minimum) == (1, 1)
+
+
+def test_figure_3_else_the_pool_grows():
+    slot = closed(late=100, waiters=2, pool=6900.0)
+    assert slot.maximum == 3 and slot.minimum == 0 and 6900 < slot.pool <= 7200
+
+
+def test_no_slot_is_added_to_a_full_engine():
+    slot = closed(late=100, waiters=2, report=REPORT)
+    assert slot.maximum == 3 and slot.minimum == 0
+
+
+def test_a_beaten_target_keeps_the_delay_and_lowers_an_unused_limit():
+    slot = closed(late=-100, waiters=0, running=1.0)
+    assert slot.delay > 0 and slot.maximum == 2
+
+
+def test_slots_bind_only_under_pressure_and_the_held_are_deferred_after_a_tenth():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1")])
+    for _ in range(6):
+        door.take(g)
+    assert len(door.out()) == 6
+    door.answer(door.subs[0], io.FINISHED, REPORT)
+    held = door.take(g)
+    assert not held.submissions
+    door.until(held.arrived_ms + 999)
+    assert not held.over
+    door.until(held.arrived_ms + 1010)
+    assert door.done[held.id] == "deferred"
+
+
+def test_a_minimum_slot_gets_a_quarter():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1")])
+    seen = door.c.fleet[door.engines[0]]
+    slot = door.c.slots.slot(seen, g, door.now_ms)
+    slot.maximum, slot.minimum, seen.report = 1, 1, REPORT
+    door.take(g, memory=400.0)
+    door.until(door.now_ms + 10)
+    seen.report = REPORT
+    door.take(g, memory=400.0)
+    assert [(s.kind, s.grant) for s in seen.runs.values()] == [(MAX, 400.0), (MIN, 100.0)]
+
+
+def test_dashboards_have_no_slots_and_the_engines_own_grant():
+    q = quick()
+    door = FakeDoor([q, group()], [engine("e1")])
+    door.take(q)
+    assert door.ranks[-1][1:] == (0.0, 3)
+
+
+def test_a_bad_plan_is_cancelled_and_submitted_again():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    q = door.take(g, work=2000.0)
+    door.until(door.now_ms + 500)
+    door.c.noted(q.submissions[0], io.PROGRESS, 0.02)
+    assert door.cancelled == [q.submissions[0]]
+    door.answer(q.submissions[0], io.CANCELLED)
+    assert len(q.submissions) == 2 and not q.over
+
+
+def test_a_mutating_query_that_may_have_run_is_killed_never_sent_again():
+    g = group("load", io.MUTATING, is_load=True)
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    q = door.take(g)
+    door.c.noted(q.submissions[0], io.PROGRESS, 0.0001)
+    assert not door.cancelled
+    door.answer(q.submissions[0], io.RESET)
+    assert door.done[q.id] == "killed" and len(q.submissions) == 1
+
+
+def test_a_mutating_query_refused_unseen_is_sent_elsewhere():
+    g = group("load", io.MUTATING)
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    q = door.take(g)
+    door.answer(q.submissions[0], io.NOT_CONNECTED)
+    assert len(q.submissions) == 2 and q.submissions[1].engine is not q.submissions[0].engine
+
+
+def test_an_engine_not_heard_from_gets_nothing_new_and_its_readers_move():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    q = door.take(g)
+    first = q.submissions[0].engine
+    door.until(door.now_ms + 900)
+    assert door.c.fleet[first].silent and door.cancelled == [q.submissions[0]]
+    door.answer(q.submissions[0], io.CANCELLED)
+    assert q.submissions[1].engine is not first
+    assert all(door.take(g).submissions[0].engine is not first for _ in range(5))
+
+
+def test_where_a_time_out_stops_nothing_the_slot_stays_counted():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1")], cancel=False)
+    q = door.take(g, work=8000.0, ttl=1000.0)
+    door.until(1999)
+    door.answer(q.submissions[0], io.TIMED_OUT)
+    seen = door.c.fleet[door.engines[0]]
+    assert len(seen.runs) == 1
+    door.until(20000)
+    assert not seen.runs
+
+
+def test_a_jam_ends_all_groups_keep_to_our_share_of_a_pressed_engine():
+    q, g = quick(), group()
+    door = FakeDoor([q, g], [engine("e1")], fronts=4)
+    door.c.fleet[door.engines[0]].report = REPORT
+    for _ in range(30):
+        door.take(q)
+    assert len(door.out()) == 4     # two threads a core, of which a quarter is ours
+
+
+def test_table_homes_draw_only_where_they_pay():
+    door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(6)])
+    picker = door.c.picker
+    picker.usual, now = 1.0, door.now_ms
+    ranks = picker.rank("t1", door.c.fleet)
+    seen = {ranks[e]: s for e, s in door.c.fleet.items()}
+    for pace_home, least, most in ((1.0, 0, 120), (0.8, 120, 300)):
+        for _ in range(50):
+            q = io.Query(1, group(), now, now + 1000, work_ms=100, tables="t1")
+            picker.learn(q, seen[0], pace_home, now)
+            picker.learn(q, seen[4], 1.0, now)
+        picks = [picker.pick(q, list(seen.values()), door.c.fleet, now) for _ in range(300)]
+        assert least < sum(ranks[s.engine] < 2 for s in picks) < most
+        now += 60000
+
+
+def test_a_failed_call_to_the_list_is_made_again():
+    door = FakeDoor([quick()], [], on_request=True)
+    door.c.list_failed()
+    door.until(door.now_ms + 5000)
+    assert door.watched >= 2
+
+
+def world(seed):
+    """Settings of a random but legal deployment, extremes among them."""
+    r = random.Random(seed)
+    groups = [quick()]
+    for i in range(r.randint(0, 4)):
+        effect = r.choice((io.READ_ONLY, io.TOKENED, io.MUTATING))
+        groups.append(group(f"g{i}", effect, threads=r.randint(1, 4), is_load=r.random() < 0.3,
+                            yields=r.random() < 0.3, in_order=r.random() < 0.4, dedup=r.choice(("all", "zone", "cell")),
+                            memory_window_ms=r.choice((0.0, 500.0, 4000.0)), timeout_ms=r.choice((800.0, 4000.0)),
+                            target_ms=r.choice((0.0, 500.0, 2000.0)), value=r.choice((0.0, 1.0, 20.0)),
+                            places=r.choice((None, frozenset("a"))), kinds=r.choice((None, frozenset("k")))))
+    bare = r.random() < 0.3
+    make = io.EngineMake(r.random() < 0.7, r.random() < 0.7, 0.4, r.choice(("queue", "swap", "trim")),
+                         r.choice((0.0, 500.0)), r.random() < 0.5, *r.choice(
+                             ((("active",), "answers"), (("cpu", "waiting", "x1"), "answers"), (("waiting", "x0"), "probe"),
+                              ((), "none"))))
+    engines = [engine(f"e{i}", r.choice("ab"), r.choice(("k", "m")), r.randint(0, 2), None, 0.0 if bare else 8.0,
+                      0.0 if bare else 16000.0) for i in range(r.choice((0, 1, 2, 6)))]
+    tenants = [io.Tenant("t", 0.5, 10.0, 0.1), io.Tenant("u", 0.5, 10.0, 0.1)][:r.choice((0, 2))]
+    return r, groups, tenants, FakeDoor(
+        groups, engines, tenants, fronts=r.choice((1, 3)), seed=seed, make=make, most=r.randint(1, 5),
+        cancel=r.random() < 0.6, probe=r.random() < 0.5, on_request=r.random() < 0.2,
+        **(dict(free=2.0, share=0.1, window=2000.0) if r.random() < 0.5 else {}))
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_the_rules_hold_at_every_step(seed):
+    r, groups, tenants, door = world(seed)
+    endings = [io.ERROR, io.FULL, io.NOT_CONNECTED, io.RESET, io.TIMED_OUT]
+    for step in range(500):
+        door.until(door.now_ms + r.choice((1, 5, 20, 90)))
+        for _ in range(r.choice((0, 1, 1, 6))):
+            door.take(r.choice(groups), work=r.choice((0.0, 100.0, 900.0)), memory=r.choice((0.0, 200.0, 9e5)),
+                      ttl=r.choice((60.0, 400.0, 4000.0)), key=r.choice(("", "x", "y")), tables=r.choice((None, "1")),
+                      tenant=r.choice(tenants) if tenants else None)
+        report = {c: r.choice((0.0, 0.5, 1.0, 40.0)) for c in door.make.columns} or None
+        for sub in door.out():
+            late = door.now_ms >= sub.query.ends_ms
+            if late and not sub.query.over:
+                door.answer(sub, io.TIMED_OUT, report)
+            elif sub in door.cancelled and r.random() < 0.5:
+                door.answer(sub, r.choice((io.CANCELLED, io.FINISHED)), report)
+            elif r.random() < 0.25:
+                door.answer(sub, r.choice([io.FINISHED] * 6 + endings), report, r.choice((None, (150.0, 300.0))))
+            elif r.random() < 0.2 and not sub.query.over:
+                door.c.noted(sub, *r.choice(((io.PROGRESS, r.random()), (io.SPILLS, 90.0), (io.WAITS, 2), (io.WAITS, 1))))
+        for q in [q for q in door.queries if not q.over]:
+            if r.random() < 0.003:
+                q.over = True
+                door.done[q.id] = "left"
+                door.c.left(q)
+        for e in list(door.c.fleet):
+            if door.licence.probe and r.random() < 0.05:
+                door.c.probed(e, r.random() < 0.5, 3.0, report)
+        if r.random() < 0.05 and door.engines:
+            e = r.choice(door.engines)
+            e.state = r.choice((io.LISTED, io.LISTED, io.DRAINING, io.WITHDRAWN))
+            if e.state == io.LISTED and r.random() < 0.5:
+                e.started_ms, door.told[e] = door.now_ms - r.choice((0.0, 2000.0)), door.now_ms
+            door.c.list_news([e], False)
+        if r.random() < 0.02:
+            door.c.list_news([e for e in door.engines if e.state == io.LISTED], True)
+        if r.random() < 0.02:
+            door.c.list_failed()
+    end = door.now_ms + 15000
+    while door.now_ms < end:
+        door.until(door.now_ms + 50)
+        for sub in door.out():
+            if door.now_ms >= sub.query.ends_ms or sub in door.cancelled:
+                door.answer(sub, io.TIMED_OUT)
+        door.overdue()
+    assert all(q.over for q in door.queries)
