--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -37,7 +37,7 @@
         self.sub, self.seen, self.kind, self.grant = sub, seen, kind, grant
         self.q, self.group, self.threads = sub.query, sub.query.group, sub.query.group.threads
         self.waited_ms = 0.0    # told to wait for memory or a load; not the plan's fault
-        self.called_off = False
+        self.heard_ms, self.called_off = sub.sent_ms, False
 
 
 class Slot:
@@ -524,6 +524,7 @@
         self.bucket = quickest / 2
         self.quiet_ms = 1.5 * make.note_every_ms or quickest
         self.traffic = {t: Ring(1000.0, 5) for t in tenants}
+        self.ticked_ms = door.now_ms
         door.wake(door.now_ms + self.beat, self.tick)
         if self.on_request:
             door.watch_list()
@@ -577,6 +578,7 @@
         if run is None:
             return
         self.heard(run.seen, now)
+        run.heard_ms = now
         if what == SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == WAITS:
@@ -691,13 +693,28 @@
         for run in list(seen.runs.values()):
             self.move(run)
 
+    def lost(self, run, now):
+        """Risk: the query or its answer is lost on the way while the engine is heard. No note in a note's time and
+        a half, or far past its expected runtime: not heard from."""
+        limit = max(4 * (run.seen.pace or 1.0) * work_of(run.q) / run.group.threads, run.group.target_ms / 2)
+        return now - run.heard_ms > (min(limit, self.quiet_ms) if self.make.note_every_ms else limit)
+
     def tick(self):
-        now = self.door.now_ms
+        now, stood = self.door.now_ms, self.door.now_ms - self.ticked_ms - 2 * self.beat
+        self.ticked_ms = now
+        if stood > 0:       # risk: a gateway that stood still itself takes every engine for silent
+            for seen in self.fleet.values():
+                seen.heard_ms += stood
+                for run in seen.runs.values():
+                    run.heard_ms += stood
         self.picker.look(self.fleet, now)
         for seen in self.fleet.values():
             if seen.runs and now - seen.heard_ms > self.quiet_ms and any(
-                    now - r.sub.sent_ms > self.quiet_ms for r in seen.runs.values()):
+                    now - r.heard_ms > self.quiet_ms for r in seen.runs.values()):
                 self.unheard(seen, now)
+            for run in list(seen.runs.values()):
+                if self.lost(run, now):
+                    self.move(run)
             wants = (self.make.reports == "probe" and now - seen.report_ms > self.bucket) or (
                 seen.silent and now >= seen.trial_ms)
             if self.licence.probe and wants and seen.engine.state == LISTED:
