--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -357,7 +357,7 @@
         if kind == MIN:
             grant /= 4
         if self.make.grants or self.make.ranks:
-            q.rank = self.rank(q)
+            q.rank = self.rank(q, 0.0, seen.pace)
             self.door.allot(q, grant, q.rank)
         sub = self.door.submit(q, seen.engine, q.ends_ms - now)
         run = seen.runs[sub] = Run(sub, seen, kind, grant or q.memory_mb)
@@ -371,11 +371,16 @@
             seen.held[q.tables] = q.ends_ms
         self.guards.sent(q, seen, now)
 
-    def rank(self, q):
-        """Priority: dashboards, whose work is small, go first; what is past its target goes last."""
-        if self.door.now_ms - q.arrived_ms > target_of(q):
+    def rank(self, q, done=0.0, pace=None):
+        """Priority: dashboards, whose work is small, first; then what makes its time only if helped; the late last."""
+        now = self.door.now_ms
+        left = min(q.arrived_ms + target_of(q), q.ends_ms) - now
+        if left <= 0:
             return 0
-        return 3 if q.group in self.quick else 1
+        if q.group in self.quick:
+            return 3
+        need = (1 - done) * work_of(q) / q.group.threads
+        return 2 if need < left < 1.2 * (pace or 1.0) * need else 1
 
     def release(self, run):
         if run.seen.runs.pop(run.sub, None) is None:
@@ -588,7 +593,7 @@
                 self.move(run)
         elif what == PROGRESS and run.q.work_ms:
             if run.q.submissions[-1] is sub and self.make.ranks and not run.q.over and run.q.rank:
-                rank = self.slots.rank(run.q)
+                rank = self.slots.rank(run.q, min(1.0, amount), run.seen.pace)
                 if rank != run.q.rank:
                     run.q.rank = rank
                     self.door.allot(run.q, run.grant, rank)
