--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -20,9 +20,10 @@
     door = FakeDoor([quick(), g], [engine("e1")])
     slots, seen = door.c.slots, door.c.fleet[door.engines[0]]
     slot = slots.slot(seen, g, door.now_ms)
-    slot.maximum, slot.minimum, slot.pool, slot.n, slot.samples = maximum, minimum, pool, 20, 20
+    slot.maximum, slot.minimum, slot.pool, slot.n = maximum, minimum, pool, 20
     slot.late, slot.late_sq, slot.grants = 20 * late, 20 * late * late, 20 * 500.0
     slot.waiters, slot.running, slot.delay = 20 * waiters, 20 * running, 7.0
+    slot.home = True
     seen.report = report
     slots.close(slot, seen, g, door.now_ms)
     return slot
@@ -55,7 +56,7 @@
 
 def test_a_beaten_target_keeps_the_delay_and_lowers_an_unused_limit():
     slot = closed(late=-100, waiters=0, running=1.0)
-    assert slot.delay > 0 and slot.maximum == 2
+    assert slot.home and slot.delay > 0 and slot.maximum == 2
 
 
 def test_slots_bind_only_under_pressure_and_the_held_are_deferred_after_a_tenth():
@@ -159,14 +160,14 @@
     door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(6)])
     picker = door.c.picker
     picker.usual, now = 1.0, door.now_ms
-    ranks = picker.rank("t1", door.c.fleet)
+    ranks = picker.rank("t1")
     seen = {ranks[e]: s for e, s in door.c.fleet.items()}
     for pace_home, least, most in ((1.0, 0, 120), (0.8, 120, 300)):
         for _ in range(50):
             q = io.Query(1, group(), now, now + 1000, work_ms=100, tables="t1")
             picker.learn(q, seen[0], pace_home, now)
             picker.learn(q, seen[4], 1.0, now)
-        picks = [picker.pick(q, list(seen.values()), door.c.fleet, now) for _ in range(300)]
+        picks = [picker.pick(q, list(seen.values()), now) for _ in range(300)]
         assert least < sum(ranks[s.engine] < 2 for s in picks) < most
         now += 60000
 
