--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -67,13 +67,13 @@
         self.cold_sent = Ring(fall_bucket_ms, 9)
         self.cores, self.memory_mb = engine.cores or 1.0, engine.memory_mb or 1.0
 
-    def threads(self):
-        return sum(r.threads for r in self.runs.values())
-
     def own(self):
         """Our own load on it, in threads a core; granted memory counts like the threads that it serves."""
-        return max(self.threads() / self.cores,
-                   THREADS_A_CORE * sum(r.grant for r in self.runs.values()) / self.memory_mb)
+        threads = sum(r.threads for r in self.runs.values())
+        return max(threads / self.cores, THREADS_A_CORE * self.memory() / self.memory_mb)
+
+    def memory(self):
+        return sum(r.grant for r in self.runs.values())
 
     def use(self, threads):
         """Reported utilisation, lacking that held queries, disks, memory-waiting queries; None: unheard."""
@@ -193,7 +193,7 @@
             warmth = self.warmth(s.engine, now)
             w = warmth / (0.3 + ((average if load is None else load) + s.own()) / warmth) ** 3
             if self.usual and s.pace:   # an engine slower than its peers; a slowdown of all blames none
-                w *= min(1.0, max(0.1, self.usual / s.pace))
+                w *= min(1.0, max(0.02, self.usual / s.pace))
             if ranks:
                 rank = ranks[s.engine] if not q.group.is_load else len(ranks) - 1 - ranks[s.engine]
                 w *= bonus if rank < 2 else 1.0
@@ -244,13 +244,15 @@
         return (self.full_use(seen) or now - seen.full_ms < g.target_ms or seen.own() > THREADS_A_CORE
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
-    def room(self, q, seen, grant):
-        """Departure: under pressure all groups together, dashboards too, keep to our share of threads and
-        memory. Risk: once sessions and memory are full, nothing ends in time and all retry (a jam)."""
-        runs, part = seen.runs.values(), self.share
+    def room(self, q, seen, grant, pressed):
+        """Departure: all groups together, dashboards too, keep to our share, under pressure of the threads, and
+        of the memory also where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
+        runs, part, own = seen.runs.values(), self.share, seen.memory()
+        if own and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * part:
+            return False
         if q.group not in self.quick:
             runs, part = [r for r in runs if r.group not in self.quick], 0.75 * self.share
-        return not runs or (
+        return not runs or not pressed or (
             sum(r.threads for r in runs) + q.group.threads <= THREADS_A_CORE * seen.cores * part
             and sum(r.grant for r in runs) + grant <= 0.9 * seen.memory_mb * part)
 
@@ -271,7 +273,7 @@
         """The kind of slot that is free for the query there, if any."""
         g, grant = q.group, self.grant(q, seen)
         pressed = self.pressed(seen, g, now)
-        if now - seen.full_ms < self.rest_ms or pressed and not self.room(q, seen, grant or q.memory_mb):
+        if now - seen.full_ms < self.rest_ms or not self.room(q, seen, grant or q.memory_mb, pressed):
             return None
         if g in self.quick or not pressed:
             return MAX
@@ -327,9 +329,8 @@
         """Priority: dashboards first; then what makes its time only if helped; what is late last."""
         now = self.door.now_ms
         left, need = min(q.arrived_ms + target_of(q), q.ends_ms) - now, (1 - done) * ideal_of(q)
-        if left <= 0:
-            return 0
-        return 3 if q.group in self.quick else 2 if need < left < 1.2 * (pace or 1.0) * need else 1
+        tight = need < left < 1.2 * (pace or 1.0) * need
+        return 0 if left <= 0 else 3 if q.group in self.quick else 2 if tight else 1
 
     def down(self, q):
         now = self.door.now_ms
@@ -383,9 +384,7 @@
             slot.latency += (took - slot.latency) / 10 if slot.latency else took
             if cost and q.memory_mb:
                 self.learn(g, cost[1] > run.grant, cost[1])
-        slot.n += 1
-        slot.late += late
-        slot.late_sq += late * late
+        slot.n, slot.late, slot.late_sq = slot.n + 1, slot.late + late, slot.late_sq + late * late
         slot.grants += run.grant
         slot.delay = max(0.0, -late) if slot.home else 0.0      # paper, 4.3.3
         slot.waiters += len(self.waiting[g]) / max(1, len(self.fleet))
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -156,6 +156,15 @@
     assert len(door.out()) == 4     # two threads a core, of which a quarter is ours
 
 
+def test_where_memory_swaps_our_share_of_it_binds_always():
+    g = group(target_ms=100000.0)
+    swap = io.EngineMake(True, True, 0.4, "swap", 500.0, False, ("cpu",), "answers")
+    door = FakeDoor([quick(), g], [engine("e1")], make=swap)
+    for _ in range(20):
+        door.take(g, memory=1600.0)
+    assert len(door.out()) == 4     # of 16000 MB half is ours, less the set-aside
+
+
 def test_table_homes_draw_only_where_they_pay():
     door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(6)])
     picker = door.c.picker
