--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -250,9 +250,9 @@
         runs, part, own = seen.runs.values(), self.share, seen.memory()
         if own and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * part:
             return False
-        limit = THREADS_A_CORE * seen.cores * part
-        if q.group not in self.quick:
-            runs = [r for r in runs if r.group not in self.quick]
+        limit, quick = THREADS_A_CORE * seen.cores * part, q.group in self.quick
+        runs = [r for r in runs if (r.group in self.quick) == quick]
+        if not quick:
             limit = max(0.75 * limit, sum(s.maximum * g.threads for g, s in seen.slots.items()
                                           if g not in self.quick))
         return not runs or not pressed or sum(r.threads for r in runs) + q.group.threads <= limit
