--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -62,15 +62,15 @@
     def __init__(self, engine, now, bucket_ms, fall_bucket_ms):
         self.engine, self.runs, self.slots, self.held = engine, {}, {}, {}
         self.report, self.report_ms, self.heard_ms, self.full_ms = None, now, now, now - 1e9
-        self.silent, self.trial_ms = False, 0.0
+        self.silent, self.trial_ms, self.short_ms = False, 0.0, now - 1e9 
         self.stretch, self.pace = Ring(bucket_ms, 8), None  # runtime over work per thread; its mean
         self.cold_sent = Ring(fall_bucket_ms, 9)
         self.cores, self.memory_mb = engine.cores or 1.0, engine.memory_mb or 1.0
 
     def own(self):
         """Our own load on it, in threads a core; granted memory counts like the threads that it serves."""
-        threads = sum(r.threads for r in self.runs.values())
-        return max(threads / self.cores, THREADS_A_CORE * self.memory() / self.memory_mb)
+        return max(sum(r.threads for r in self.runs.values()) / self.cores,
+                   THREADS_A_CORE * self.memory() / self.memory_mb)
 
     def memory(self):
         return sum(r.grant for r in self.runs.values())
@@ -211,8 +211,8 @@
         """Once a beat: each engine's pace, and the usual one among its peers."""
         for s in self.fleet.values():
             s.pace = s.stretch.mean(now, s.pace)
-        paces = sorted(s.pace for s in self.fleet.values() if s.pace)
-        self.usual = paces[len(paces) // 2] if paces else None
+        paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
+        self.usual = paces[len(paces) // 2]
 
 
 class Slots:
@@ -245,13 +245,13 @@
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
     def room(self, q, seen, grant, pressed):
-        """Departure: all groups together, dashboards too, keep to our share, under pressure of the threads, and
-        of the memory also where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
-        runs, part, own = seen.runs.values(), self.share, seen.memory()
-        if own and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * part:
+        """Departure: all groups together keep to our share, under pressure of the threads, and always of the
+        memory where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
+        own, grant, quick = seen.memory(), grant or q.memory_mb, q.group in self.quick
+        if own and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * self.share:
             return False
-        limit, quick = THREADS_A_CORE * seen.cores * part, q.group in self.quick
-        runs = [r for r in runs if (r.group in self.quick) == quick]
+        limit = THREADS_A_CORE * seen.cores * self.share
+        runs = [r for r in seen.runs.values() if (r.group in self.quick) == quick]
         if not quick:
             limit = max(0.75 * limit, sum(s.maximum * g.threads for g, s in seen.slots.items()
                                           if g not in self.quick))
@@ -274,7 +274,8 @@
         """The kind of slot that is free for the query there, if any."""
         g, grant = q.group, self.grant(q, seen)
         pressed = self.pressed(seen, g, now)
-        if now - seen.full_ms < self.rest_ms or not self.room(q, seen, grant or q.memory_mb, pressed):
+        short = now - seen.short_ms < self.make.note_every_ms and g not in self.quick
+        if short or now - seen.full_ms < self.rest_ms or not self.room(q, seen, grant, pressed):
             return None
         if g in self.quick or not pressed:
             return MAX
@@ -328,8 +329,7 @@
 
     def rank(self, q, done=0.0, pace=None):
         """Priority: dashboards first; then what makes its time only if helped; what is late last."""
-        now = self.door.now_ms
-        left, need = min(q.arrived_ms + target_of(q), q.ends_ms) - now, (1 - done) * ideal_of(q)
+        left, need = min(q.arrived_ms + target_of(q), q.ends_ms) - self.door.now_ms, (1 - done) * ideal_of(q)
         tight = need < left < 1.2 * (pace or 1.0) * need
         return 0 if left <= 0 else 3 if q.group in self.quick else 2 if tight else 1
 
@@ -517,6 +517,7 @@
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == io.WAITS:
             run.waited_ms += self.make.note_every_ms
+            run.seen.short_ms = now if amount == 1 else run.seen.short_ms
             if amount == 2 and q.tables:        # a load of another gateway holds its tables there
                 run.seen.held[q.tables] = now + 2 * self.make.note_every_ms
                 self.move(run)
@@ -624,19 +625,18 @@
 
     def tick(self):
         now = self.door.now_ms
-        stood, self.ticked_ms = now - self.ticked_ms - 2 * self.beat, now
+        # Risk: a gateway that stood still itself takes every engine for silent.
+        stood, self.ticked_ms = max(0.0, now - self.ticked_ms - 2 * self.beat), now
         self.picker.look(now)
         for seen in self.fleet.values():
             runs = list(seen.runs.values())
-            if stood > 0:       # risk: a gateway that stood still itself takes every engine for silent
-                seen.heard_ms += stood
-                for run in runs:
-                    run.heard_ms += stood
-            if now - seen.heard_ms > self.quiet_ms and any(now - r.heard_ms > self.quiet_ms for r in runs):
-                self.unheard(seen, now)
+            seen.heard_ms += stood
             for run in runs:
+                run.heard_ms += stood
                 if self.lost(run, now):
                     self.move(run)
+            if now - seen.heard_ms > self.quiet_ms and any(now - r.heard_ms > self.quiet_ms for r in runs):
+                self.unheard(seen, now)
             wants = (self.make.reports == "probe" and now - seen.report_ms > self.bucket) or (
                 seen.silent and now >= seen.trial_ms)
             if self.licence.probe and wants and seen.engine.state == io.LISTED:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -165,6 +165,35 @@
     assert len(door.out()) == 4     # of 16000 MB half is ours, less the set-aside
 
 
+def test_an_engine_told_to_be_short_of_memory_gets_only_dashboards_for_a_note():
+    q, g = quick(), group()
+    door = FakeDoor([q, g], [engine("e1"), engine("e2")])
+    first = door.take(g).submissions[0]
+    door.c.noted(first, io.WAITS, 1)
+    assert all(door.take(g).submissions[0].engine is not first.engine for _ in range(3))
+    assert {door.take(q).submissions[0].engine for _ in range(6)} == set(door.engines)
+
+
+def test_a_gateway_that_stood_still_blames_no_engine():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    door.take(g)
+    door.until(door.now_ms + 100)
+    door.now_ms += 5000.0
+    door.until(door.now_ms)
+    assert not any(s.silent for s in door.c.fleet.values()) and not door.cancelled
+
+
+def test_a_lost_submission_moves_though_its_engine_is_heard():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1")])
+    lost, other = door.take(g, work=900.0), door.take(g, work=90000.0)
+    for _ in range(20):
+        door.until(door.now_ms + 100)
+        door.c.noted(other.submissions[0], io.PROGRESS, 0.5)
+    assert lost.submissions[0] in door.cancelled and other.submissions[0] not in door.cancelled
+
+
 def test_table_homes_draw_only_where_they_pay():
     door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(6)])
     picker = door.c.picker
