--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -97,8 +97,7 @@
 
     def take(self, q, now):
         self.taken.add(now, 1)
-        mean = self.usual.get(q.group, work_of(q))
-        self.usual[q.group] = mean + (work_of(q) - mean) / 50
+        self.usual[q.group] = (49 * self.usual.get(q.group, work_of(q)) + work_of(q)) / 50
 
     def weight(self, q):
         return max(self.usual.get(q.group, 0.0), work_of(q))
@@ -298,14 +297,15 @@
     def place(self, q, now):
         if not self.guards.may_submit(q, now):
             return False
-        allowed = [s for s in self.fleet.values() if self.guards.allows(q, s, now)]
-        tried, best = {s.engine for s in q.submissions}, {}
+        allowed, best = [s for s in self.fleet.values() if self.guards.allows(q, s, now)], {}
+        tried = {s.engine for s in q.submissions}
         hope = any(not s.silent for s in allowed)
         for s in allowed:
             kind = self.free(q, s, now)
             doubt = kind and not self.usable(s, q, now)
             if kind and not (doubt and (hope or q.group.effect == io.MUTATING)):
-                best.setdefault((doubt, s.engine in tried, kind == MIN), []).append(s)
+                tight = s.memory() + (self.grant(q, s) or q.memory_mb) > 0.9 * s.memory_mb * self.share
+                best.setdefault((doubt, s.engine in tried, kind == MIN, tight), []).append(s)
         if best:
             at = min(best)
             self.submit(q, self.picker.pick(q, best[at], now), MIN if at[2] else MAX, now)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -123,6 +123,21 @@
     assert len(q.submissions) == 2 and q.submissions[1].engine is not q.submissions[0].engine
 
 
+@pytest.mark.parametrize("dedup, wanted", (("all", "e2"), ("zone", "e3"), ("cell", "e4")))
+def test_a_tokened_query_that_may_have_run_goes_only_where_its_repeat_is_dropped(dedup, wanted):
+    g = group("post", io.TOKENED, dedup=dedup, memory_window_ms=5000.0)
+    door = FakeDoor([quick(), g], [engine("e1", "a", cell=1)])
+    q = door.take(g)
+    others = [engine("e2", "b", cell=2), engine("e3", "a", cell=2), engine("e4", "b", cell=1)]
+    door.c.list_news([e for e in others if dedup == "all" or e.id != wanted], False)
+    door.engines[0].state = io.DRAINING
+    door.answer(q.submissions[0], io.ERROR)
+    assert (len(q.submissions) == 2) == (dedup == "all")
+    door.c.list_news(others, False)
+    door.until(door.now_ms + 50)
+    assert len(q.submissions) == 2 and (dedup == "all" or q.submissions[1].engine.id == wanted)
+
+
 def test_an_engine_not_heard_from_gets_nothing_new_and_its_readers_move():
     g = group()
     door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
