--- a/lichenquay/simwire/adapter.py
+++ b/lichenquay/simwire/adapter.py
@@ -109,7 +109,10 @@
             self.controller.noted(sub, NOTES[sort], value)
 
     def on_first(self, f):
-        self.submission(f, wanted=False)
+        """A stream began: its answer is the client's now, and no deadline runs; only its outcome is to come."""
+        sub = self.submission(f, wanted=True)
+        if sub is not None:
+            sub.query.over = True
 
     def on_abandoned(self, f):
         q = self.queries.get(f.integer("req"))
@@ -210,8 +213,17 @@
     def probe(self, engine):
         self.out.append(f"touch\tengine={engine.id}")
 
-    def watch_list(self):
-        self.out.append("observe\ton=1")
+    def watch_list(self, on=True):
+        self.out.append(f"observe\ton={int(on)}")
+
+    def fetch_list(self):
+        self.out.append("pull")
+
+    def close_idle(self, engine):
+        self.out.append(f"let_go\tengine={engine.id}")
+
+    def tell(self, whom, content):
+        self.out.append(f"publish\twhom={whom}\tcontent={content.hex() or '-'}")
 
     def log(self, text):
         self.out.append(f"emit\twhat={plain(text)}")
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,11 +1,14 @@
 """Plain cases of the design and of each failure found, and seeded random runs that check the rules at every step."""
 import random
+from io import StringIO
 
 import pytest
 
 from fake_door import FakeDoor, engine, group
 from lichenquay.admission import interface as io
 from lichenquay.admission.controller import MAX, MIN
+from lichenquay.simwire.adapter import Adapter
+from lichenquay.simwire.codec import Malformed
 
 REPORT = {"active": 60.0}       # a busy report: more threads than cores hold
 
@@ -232,6 +235,21 @@
     assert door.watched >= 2
 
 
+def test_the_adapter_reads_a_batch_and_answers_it():
+    hello = ("hello\tseed=5\tclasses.count=1\tclasses.0.aim_us=1000000\tclasses.0.deadline_us=6000000"
+             "\tclasses.0.effect=safe\tclasses.0.name=lookup\tlimits.most_tries=3\tkinds=k\tnew_key=1\n")
+    rows = "sheet\ttable=3\trows_in=1\nengine\tengine=e1\tclass_of_host=k\tstatus=IN\n"
+    text = ("clock\tmoment_us=1000\n" + rows + "about\twho=front_2\n" + hello + "targets\ttable=3\tstamp=1\t"
+            "mode=restored\narrival\treq=7\tlane=lookup\tttl_us=90000\ngo\nclock\tmoment_us=2500\nabout\twho=front_2\n"
+            "response\treq=7\tleg=0\tengine=e1\tending=E\twait_time_us=1500\tterminal=0\ngo\n")
+    out = StringIO()
+    Adapter(StringIO(text), out).run()
+    assert out.getvalue().count("send\treq=7\tengine=e1\tpatience_us=90000\n") == 1
+    assert "send\treq=7\tengine=e1\tpatience_us=88500\n" in out.getvalue() and out.getvalue().endswith("ok\n")
+    with pytest.raises(Malformed, match="line 3: arrival: who"):
+        Adapter(StringIO("clock\tmoment_us=1\nabout\twho=front_1\narrival\treq=1\ngo\n"), out).run()
+
+
 def world(seed):
     """Settings of a random but legal deployment, extremes among them."""
     r = random.Random(seed)
