--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -65,15 +65,12 @@
         self.silent, self.trial_ms, self.short_ms = False, 0.0, now - 1e9 
         self.stretch, self.pace = Ring(bucket_ms, 8), None  # runtime over work per thread; its mean
         self.cold_sent = Ring(fall_bucket_ms, 9)
+        self.threads, self.granted = {True: 0, False: 0}, 0.0   # of our runs: threads (dashboards or not), MB
         self.cores, self.memory_mb = engine.cores or 1.0, engine.memory_mb or 1.0
 
     def own(self):
         """Our own load on it, in threads a core; granted memory counts like the threads that it serves."""
-        return max(sum(r.threads for r in self.runs.values()) / self.cores,
-                   THREADS_A_CORE * self.memory() / self.memory_mb)
-
-    def memory(self):
-        return sum(r.grant for r in self.runs.values())
+        return max(sum(self.threads.values()) / self.cores, THREADS_A_CORE * self.granted / self.memory_mb)
 
     def use(self, threads):
         """Reported utilisation, lacking that held queries, disks, memory-waiting queries; None: unheard."""
@@ -246,15 +243,14 @@
     def room(self, q, seen, grant, pressed):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
         memory where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
-        own, grant, quick = seen.memory(), grant or q.memory_mb, q.group in self.quick
-        if own and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * self.share:
+        own, grant, quick = seen.granted, grant or q.memory_mb, q.group in self.quick
+        if seen.runs and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * self.share:
             return False
         limit = THREADS_A_CORE * seen.cores * self.share
-        runs = [r for r in seen.runs.values() if (r.group in self.quick) == quick]
         if not quick:
             limit = max(0.75 * limit, sum(s.maximum * g.threads for g, s in seen.slots.items()
                                           if g not in self.quick))
-        return not runs or not pressed or sum(r.threads for r in runs) + q.group.threads <= limit
+        return not pressed or not seen.threads[quick] or seen.threads[quick] + q.group.threads <= limit
 
     def spacing(self, slot, seen, g):
         """Below one query, admissions are spaced to match; and the admission delay, never with free cores."""
@@ -304,7 +300,7 @@
             kind = self.free(q, s, now)
             doubt = kind and not self.usable(s, q, now)
             if kind and not (doubt and (hope or q.group.effect == io.MUTATING)):
-                tight = s.memory() + (self.grant(q, s) or q.memory_mb) > 0.9 * s.memory_mb * self.share
+                tight = s.granted + (self.grant(q, s) or q.memory_mb) > 0.9 * s.memory_mb * self.share
                 best.setdefault((doubt, s.engine in tried, kind == MIN, tight), []).append(s)
         if best:
             at = min(best)
@@ -319,10 +315,11 @@
         sub = self.door.submit(q, seen.engine, q.ends_ms - now)
         run = seen.runs[sub] = Run(sub, seen, kind, grant or q.memory_mb)
         slot.used[kind] += 1
+        seen.threads[q.group in self.quick] += run.threads
+        seen.granted, slot.admitted_ms = seen.granted + run.grant, now
         if slot.pool is None and grant:
             slot.pool = grant * slot.maximum
         slot.pool_used += run.grant if kind == MAX else 0.0
-        slot.admitted_ms = now
         if q.group.is_load and q.tables:
             seen.held[q.tables] = q.ends_ms
         self.guards.sent(q, seen, now)
@@ -361,6 +358,8 @@
         if run.seen.runs.pop(run.sub, None) is not None:
             slot = run.seen.slots[run.group]
             slot.used[run.kind] -= 1
+            run.seen.threads[run.group in self.quick] -= run.threads
+            run.seen.granted -= run.grant
             slot.pool_used -= run.grant if run.kind == MAX else 0.0
             if run.group.is_load and run.q.tables:
                 run.seen.held.pop(run.q.tables, None)
