Fold the memory-share check and the codec's missing-field check into one each

Slots.overdrawn serves room and the draw's order, where the same sum stood twice; number and integer read by text.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -62,7 +62,7 @@
     def __init__(self, engine, now, bucket_ms, fall_bucket_ms):
         self.engine, self.runs, self.slots, self.held = engine, {}, {}, {}
         self.report, self.report_ms, self.heard_ms, self.full_ms = None, now, now, now - 1e9
-        self.silent, self.trial_ms, self.short_ms = False, 0.0, now - 1e9 
+        self.silent, self.trial_ms, self.short_ms = False, 0.0, now - 1e9
         self.stretch, self.pace = Ring(bucket_ms, 8), None  # runtime over work per thread; its mean
         self.cold_sent = Ring(fall_bucket_ms, 9)
         self.threads, self.granted = {True: 0, False: 0}, 0.0   # of our runs: threads (dashboards or not), MB
@@ -240,13 +240,16 @@
         return (self.full_use(seen) or now - seen.full_ms < g.target_ms or seen.own() > THREADS_A_CORE
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
-    def room(self, q, seen, grant, pressed):
+    def overdrawn(self, q, seen):
+        """The query's memory would pass our share of the engine's, less the set-aside of a tenth."""
+        return seen.granted + (self.grant(q, seen) or q.memory_mb) > 0.9 * seen.memory_mb * self.share
+
+    def room(self, q, seen, pressed):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
         memory where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
-        own, grant, quick = seen.granted, grant or q.memory_mb, q.group in self.quick
-        if seen.runs and self.make.when_short == "swap" and own + grant > 0.9 * seen.memory_mb * self.share:
+        if seen.runs and self.make.when_short == "swap" and self.overdrawn(q, seen):
             return False
-        limit = THREADS_A_CORE * seen.cores * self.share
+        limit, quick = THREADS_A_CORE * seen.cores * self.share, q.group in self.quick
         if not quick:
             limit = max(0.75 * limit, sum(s.maximum * g.threads for g, s in seen.slots.items()
                                           if g not in self.quick))
@@ -267,17 +270,16 @@
 
     def free(self, q, seen, now):
         """The kind of slot that is free for the query there, if any."""
-        g, grant = q.group, self.grant(q, seen)
-        pressed = self.pressed(seen, g, now)
+        g, pressed = q.group, self.pressed(seen, q.group, now)
         short = now - seen.short_ms < self.make.note_every_ms and g not in self.quick
-        if short or now - seen.full_ms < self.rest_ms or not self.room(q, seen, grant, pressed):
+        if short or now - seen.full_ms < self.rest_ms or not self.room(q, seen, pressed):
             return None
         if g in self.quick or not pressed:
             return MAX
         slot = self.slot(seen, g, now)
         if self.spacing(slot, seen, g) > now - slot.admitted_ms:
             return None
-        fits = not slot.used[MAX] or slot.pool is None or slot.pool_used + grant <= slot.pool
+        fits = not slot.used[MAX] or slot.pool is None or slot.pool_used + self.grant(q, seen) <= slot.pool
         if fits and slot.used[MAX] < slot.maximum:
             return MAX
         return MIN if slot.used[MIN] < slot.minimum else None
@@ -300,8 +302,7 @@
             kind = self.free(q, s, now)
             doubt = kind and not self.usable(s, q, now)
             if kind and not (doubt and (hope or q.group.effect == io.MUTATING)):
-                tight = s.granted + (self.grant(q, s) or q.memory_mb) > 0.9 * s.memory_mb * self.share
-                best.setdefault((doubt, s.engine in tried, kind == MIN, tight), []).append(s)
+                best.setdefault((doubt, s.engine in tried, kind == MIN, self.overdrawn(q, s)), []).append(s)
         if best:
             at = min(best)
             self.submit(q, self.picker.pick(q, best[at], now), MIN if at[2] else MAX, now)
--- a/lichenquay/simwire/codec.py
+++ b/lichenquay/simwire/codec.py
@@ -27,11 +27,7 @@
         return value
 
     def number(self, name, otherwise=None):
-        value = self.parts.get(name)
-        if value is None:
-            if otherwise is None:
-                raise self.bad(name, "missing")
-            return otherwise
+        value = self.text(name, otherwise)
         try:
             got = float(value)
         except ValueError:
@@ -41,11 +37,7 @@
         return got
 
     def integer(self, name, otherwise=None):
-        value = self.parts.get(name)
-        if value is None:
-            if otherwise is None:
-                raise self.bad(name, "missing")
-            return otherwise
+        value = self.text(name, otherwise)
         try:
             return int(value)
         except ValueError:
