Draw engines one by one on kept weights, beat only while work is out, ration probes

Cause: at 120 to 230 gateways over 40 engines the whole fleet was ranked anew for every query, for every waiting query at every answer, and at every beat of idle gateways too. Now engines are drawn one after the other until one has nothing against it (the same distribution as before), weights are kept until an engine is heard of or used, an answer stirs the waiting for its own engine only, and a gateway with nothing out sleeps. A gateway that stood still is noticed at its first event, so the time it stood counts in no pace. Records moved to state.py, choices stay. May hurt: a waiting query sees time-based changes of other engines only at the next beat.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -1,10 +1,9 @@
 """THE decision module: M&M admission control (Brown, Mehta, Carey, Livny, VLDB 1994) at one gateway.
 
-How it is called: a front builds `Controller(door, ...)` with what it read at start, then calls list_news,
-list_failed, take, noted, answered, left and probed in the order things happen; the controller answers at once
-by calls on the door. Both sides are typed in interface.py. A query goes down the chain Duty -> Order -> Slots
--> Picker -> Guards -> send; what comes back goes up through Slots (feedback) and Order to Duty: an answer, or
-down again. "Departure" marks what is neither the paper's nor the design's; docs/design.md says when it acts.
+How it is called: a front builds `Controller(door, ...)` with what it read at start and calls it as things
+happen; it answers at once by calls on the door. Both sides are typed in interface.py; state.py keeps records.
+A query goes down Duty -> Order -> Slots -> Picker -> Guards -> send; what comes back goes up by Slots (feedback)
+and Order to Duty. "Departure": neither the paper's nor the design's; docs/design.md says when it acts.
 """
 from bisect import insort
 from math import sqrt
@@ -12,6 +11,7 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.admission.rings import Ring
+from lichenquay.admission.state import Run, Seen, Slot
 
 MAX, MIN = "maximum", "minimum"
 THREADS_A_CORE = 2.0            # the design's starting limit
@@ -31,56 +31,18 @@
     return q.group.target_ms + q.group.stretch * q.work_ms / q.group.threads
 
 
-class Run:
-    """One submission's hold on its engine: slot, memory and threads, until its work is over."""
+def own_load(seen):
+    """Our own load on an engine, in threads a core; granted memory counts like the threads that it serves."""
+    return max(sum(seen.threads) / seen.cores, THREADS_A_CORE * seen.granted / seen.memory_mb)
 
-    def __init__(self, sub, seen, kind, grant):
-        self.sub, self.seen, self.kind, self.grant = sub, seen, kind, grant
-        self.q, self.group, self.threads = sub.query, sub.query.group, sub.query.group.threads
-        self.heard_ms, self.waited_ms, self.called_off = sub.sent_ms, 0.0, False
 
-
-class Slot:
-    """M&M's state for one engine and resource group (paper, 4.3)."""
-
-    def __init__(self, limit, now):
-        self.limit = limit                  # below one query, admissions are spaced to match
-        self.maximum, self.minimum = max(1, round(limit)), 0
-        self.pool, self.pool_used = None, 0.0               # MB; set from the first grant
-        self.used = {MAX: 0, MIN: 0}
-        self.home, self.delay, self.admitted_ms, self.latency = False, 0.0, now - 1e9, 0.0
-        self.open(now)
-
-    def open(self, now):
-        self.since, self.late, self.late_sq, self.n, self.grants = now, 0.0, 0.0, 0, 0.0
-        self.waiters = self.running = 0.0
-
-
-class Seen:
-    """What this gateway knows of one engine, from its own traffic and the engine's reports alone."""
-
-    def __init__(self, engine, now, bucket_ms, fall_bucket_ms):
-        self.engine, self.runs, self.slots, self.held = engine, {}, {}, {}
-        self.report, self.report_ms, self.heard_ms, self.full_ms = None, now, now, now - 1e9
-        self.silent, self.trial_ms, self.short_ms = False, 0.0, now - 1e9
-        self.stretch, self.pace = Ring(bucket_ms, 8), None  # runtime over work per thread; its mean
-        self.cold_sent = Ring(fall_bucket_ms, 9)
-        self.threads, self.granted = {True: 0, False: 0}, 0.0   # of our runs: threads (dashboards or not), MB
-        self.cores, self.memory_mb = engine.cores or 1.0, engine.memory_mb or 1.0
-
-    def own(self):
-        """Our own load on it, in threads a core; granted memory counts like the threads that it serves."""
-        return max(sum(self.threads.values()) / self.cores, THREADS_A_CORE * self.granted / self.memory_mb)
-
-    def use(self, threads):
-        """Reported utilisation, lacking that held queries, disks, memory-waiting queries; None: unheard."""
-        r = self.report
-        if not r:
-            return None
-        if "cpu" in r:
-            return r["cpu"]
-        return max(r.get("active", 0.0) * threads / THREADS_A_CORE / self.cores, r.get("x1", 0.0),
-                   min(1.0, r.get("waiting", 0.0)))
+def use_of(seen, threads):
+    """Reported utilisation, lacking that held queries, disks, memory-waiting queries; None: unheard."""
+    r = seen.report
+    if not r or "cpu" in r:
+        return r["cpu"] if r else None
+    held = r.get("active", 0.0) * threads / THREADS_A_CORE / seen.cores
+    return max(held, r.get("x1", 0.0), min(1.0, r.get("waiting", 0.0)))
 
 
 class Guards:
@@ -93,7 +55,8 @@
         self.usual = {}             # mean work of each group: a cold engine counts the usual work
 
     def take(self, q, now):
-        self.taken.add(now, 1)
+        if self.rules.further_free is not None:
+            self.taken.add(now, 1)
         self.usual[q.group] = (49 * self.usual.get(q.group, work_of(q)) + work_of(q)) / 50
 
     def weight(self, q):
@@ -107,18 +70,17 @@
         return 1.0 if age >= 1 else self.rules.cold_share + (1 - self.rules.cold_share) * age * age
 
     def may_submit(self, q, now):
-        if q.over or len(q.submissions) >= self.most or any(s.ending is None for s in q.submissions):
-            return False
-        if q.group.effect == io.MUTATING and any(s.ending not in io.NEVER_RAN for s in q.submissions):
+        if not q.submissions or q.over:
+            return not q.over
+        ended = io.NEVER_RAN if q.group.effect == io.MUTATING else io.ENDINGS
+        if len(q.submissions) >= self.most or any(s.ending not in ended for s in q.submissions):
             return False
-        free = self.rules.further_free
-        return free is None or not q.submissions or (
-            self.further.total(now) + 1 <= free + self.rules.further_share * self.taken.total(now))
+        free, part = self.rules.further_free, self.rules.further_share
+        return free is None or self.further.total(now) + 1 <= free + part * self.taken.total(now)
 
     def allows(self, q, seen, now):
         e, g = seen.engine, q.group
-        if (e.state != io.LISTED or (g.places and e.place not in g.places)
-                or (g.kinds and e.kind not in g.kinds)):
+        if e.state != io.LISTED or g.places and e.place not in g.places or g.kinds and e.kind not in g.kinds:
             return False
         ran = [s for s in q.submissions if s.ending not in io.NEVER_RAN] if g.effect == io.TOKENED else ()
         if any(now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
@@ -128,14 +90,15 @@
         warmth = self.warmth(e, now)
         if warmth >= 1:
             return True
-        # Risk: all fronts push a cold engine over. Ours is one share of the budget, with a fifth kept back.
+        # Risk: all fronts push a cold engine over. Ours is one share of the budget, a fifth of it kept back.
         budget = 0.8 * self.rules.cold_multiple * self.rules.cold_window_ms / self.fronts
         return seen.cold_sent.total(now) + self.weight(q) <= budget * warmth * 0.85 * e.cores
 
     def sent(self, q, seen, now):
         if len(q.submissions) > 1:
             self.further.add(now, 1)
-        seen.cold_sent.add(now, self.weight(q))
+        if seen.engine.started_ms is not None:
+            seen.cold_sent.add(now, self.weight(q))
 
     def may_defer(self, q):
         """A deferral says that trying again is harmless."""
@@ -145,70 +108,75 @@
 
 
 class Picker:
-    """Draws among engines with a free slot, weighted against their reports; the unheard count average."""
+    """Draws among engines, weighted against their reports; the unheard count average."""
 
-    def __init__(self, seed, warmth, fleet):
-        self.seed, self.drawn, self.warmth, self.fleet = seed, 0, warmth, fleet
-        self.threads, self.usual, self.ranks = 1.0, None, {}    # threads of a query; peers' pace
-        self.home, self.away = Ring(2000.0, 10), Ring(2000.0, 10)
+    def __init__(self, seed, warmth, fleet, fresh_ms):
+        self.seed, self.drawn, self.warmth, self.fleet, self.fresh_ms = seed, 0, warmth, fleet, fresh_ms
+        self.threads, self.usual, self.average = 1.0, None, 0.0     # a query's threads; peers' pace, load
+        self.homes, self.home, self.away = {}, Ring(2000.0, 10), Ring(2000.0, 10)
 
     def chance(self):
         self.drawn += 1
         return crc32(b"%d:%d" % (self.seed, self.drawn)) / 2 ** 32
 
-    def rank(self, tables):
+    def homes_of(self, tables):
         """Departure: every gateway ranks the engines for a set of tables alike, by hash: its readers meet on
-        few engines, which keep it warm, and its loads on others."""
-        if tables not in self.ranks:
-            order = sorted(self.fleet, key=lambda e: crc32(f"{tables}:{e.id}".encode()))
-            self.ranks[tables] = {e: i for i, e in enumerate(order)}
-        return self.ranks[tables]
+        the first two, which keep it warm, and its loads on the last two."""
+        if tables not in self.homes:
+            order = sorted(self.fleet.values(), key=lambda s: crc32(f"{tables}:{s.engine.id}".encode()))
+            self.homes[tables] = order[:2], order[-2:]
+        return self.homes[tables]
 
     def learn(self, q, seen, pace, now):
         """Whether readers run faster where others of their tables run decides how much that draws them."""
-        if not q.group.is_load and self.usual and seen.engine in self.ranks.get(q.tables, ()):
-            home = self.ranks[q.tables][seen.engine] < 2
-            (self.home if home else self.away).add(now, min(pace, 4 * self.usual))
+        if q.tables and self.usual and not q.group.is_load:
+            measured = self.home if seen in self.homes_of(q.tables)[0] else self.away
+            measured.add(now, min(pace, 4 * self.usual))
 
     def load(self, seen):
-        use = seen.use(self.threads)
-        if use is None:
-            return None
-        r, waiting = seen.report, seen.report.get("waiting", 0.0) / seen.cores
-        return THREADS_A_CORE * use + (r.get("x1", 0.0) if "cpu" in r else 0.0) + waiting
-
-    def pick(self, q, choices, now):
-        loads = [self.load(s) for s in choices]
-        heard = [x for x in loads if x is not None] or [0.0]
-        average = sum(heard) / len(heard)
-        ranks = self.rank(q.tables) if q.tables else None
-        home, away = self.home.mean(now), self.away.mean(now)
-        bonus = min(6.0, max(1.0, away / home) ** 8) if home and away else 1.5
-        weights = []
-        for s, load in zip(choices, loads):
-            warmth = self.warmth(s.engine, now)
-            w = warmth / (0.3 + ((average if load is None else load) + s.own()) / warmth) ** 3
-            if self.usual and s.pace:   # an engine slower than its peers; a slowdown of all blames none
-                w *= min(1.0, max(0.02, self.usual / s.pace))
-            if ranks:
-                rank = ranks[s.engine] if not q.group.is_load else len(ranks) - 1 - ranks[s.engine]
-                w *= bonus if rank < 2 else 1.0
-                if s.held.get(q.tables, 0.0) > now and (q.group.is_load or q.group.yields):
-                    w *= 0.02           # it would stand still until that load ends
-            weights.append(w)
-        left = self.chance() * sum(weights)
-        for s, w in zip(choices, weights):
-            left -= w
-            if left < 0:
-                return s
-        return choices[-1]
+        use = use_of(seen, self.threads)
+        if use is not None:
+            r, waiting = seen.report, seen.report.get("waiting", 0.0) / seen.cores
+            use = THREADS_A_CORE * use + (r.get("x1", 0.0) if "cpu" in r else 0.0) + waiting
+        return use
+
+    def weigh(self, seen, now):
+        load, warmth = self.load(seen), self.warmth(seen.engine, now)
+        weight = warmth / (0.3 + ((self.average if load is None else load) + own_load(seen)) / warmth) ** 3
+        if self.usual and seen.pace:    # an engine slower than its peers; a slowdown of all blames none
+            weight *= min(1.0, max(0.02, self.usual / seen.pace))
+        seen.weight, seen.due_ms = weight, now + self.fresh_ms
+        return weight
+
+    def draw(self, q, now):
+        """The engines one after the other, each drawn by weight among those left. Weights are kept until an
+        engine is heard of or used: ranking a large fleet anew for every query costs more than it tells."""
+        left = list(self.fleet.values())
+        weights = [s.weight if s.due_ms > now else self.weigh(s, now) for s in left]
+        if q.tables:
+            home, away = self.home.mean(now), self.away.mean(now)
+            bonus = min(6.0, max(1.0, away / home) ** 8) if home and away else 1.5
+            for s in self.homes_of(q.tables)[q.group.is_load]:
+                weights[left.index(s)] *= bonus
+        total = sum(weights)
+        while left:
+            mark, i = self.chance() * total, -1
+            for i, w in enumerate(weights):
+                mark -= w
+                if mark < 0:
+                    break
+            yield left.pop(i)
+            total -= weights.pop(i)
 
     def look(self, now):
-        """Once a beat: each engine's pace, and the usual one among its peers."""
-        for s in self.fleet.values():
-            s.pace = s.stretch.mean(now, s.pace)
-        paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
-        self.usual = paces[len(paces) // 2]
+        """Once in a while: each engine's pace, and the usual pace and load among its peers."""
+        seen = self.fleet.values()
+        for s in seen:
+            if s.stretch.at is not None:
+                s.pace = s.stretch.mean(now, s.pace)
+        paces = sorted(s.pace for s in seen if s.pace) or [None]
+        loads = [x for x in map(self.load, seen) if x is not None]
+        self.usual, self.average = paces[len(paces) // 2], sum(loads) / max(1, len(loads))
 
 
 class Slots:
@@ -220,7 +188,7 @@
         self.waiting = {g: [] for g in groups}      # best value for work first
         self.margin = {g: 1.0 for g in groups}      # memory granted over its estimate, learned
         self.needed = {g: 0.0 for g in groups}      # learned mean need, MB
-        self.best = None                            # best pace seen of an engine
+        self.best, self.busy = None, {}             # best pace seen of an engine; those with runs of ours
         self.rest_ms = min((g.target_ms for g in groups), default=0.0) / 4  # after a full refusal
         # Dashboards (no limit, default grant): one thread, no load, a shorter target than some other group.
         longest = max((g.target_ms + g.stretch * g.timeout_ms for g in groups), default=0.0)
@@ -229,30 +197,32 @@
 
     def slot(self, seen, g, now):
         if g not in seen.slots:
-            seen.slots[g] = Slot(seen.engine.cores * THREADS_A_CORE * self.share / g.threads or 1.0, now)
+            limit = seen.engine.cores * THREADS_A_CORE * self.share / g.threads or 1.0
+            seen.slots[g] = Slot(limit, max(1, round(limit)), (MAX, MIN), now)
         return seen.slots[g]
 
     def full_use(self, seen):
-        return (seen.use(self.picker.threads) or 0.0) >= FULL_USE
+        return (use_of(seen, self.picker.threads) or 0.0) >= FULL_USE
 
     def pressed(self, seen, g, now):
         """Slots bind only under engine pressure: latency well above best, a busy report or a full refusal."""
-        return (self.full_use(seen) or now - seen.full_ms < g.target_ms or seen.own() > THREADS_A_CORE
+        return (self.full_use(seen) or now - seen.full_ms < g.target_ms or own_load(seen) > THREADS_A_CORE
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
     def overdrawn(self, q, seen):
-        """The query's memory would pass our share of the engine's, less the set-aside of a tenth."""
-        return seen.granted + (self.grant(q, seen) or q.memory_mb) > 0.9 * seen.memory_mb * self.share
+        """With the query, our runs would pass our share of its memory, less the set-aside of a tenth."""
+        want = self.grant(q, seen) or q.memory_mb
+        return bool(seen.runs) and seen.granted + want > 0.9 * seen.memory_mb * self.share
 
     def room(self, q, seen, pressed):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
         memory where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
-        if seen.runs and self.make.when_short == "swap" and self.overdrawn(q, seen):
+        if self.make.when_short == "swap" and self.overdrawn(q, seen):
             return False
         limit, quick = THREADS_A_CORE * seen.cores * self.share, q.group in self.quick
         if not quick:
-            limit = max(0.75 * limit, sum(s.maximum * g.threads for g, s in seen.slots.items()
-                                          if g not in self.quick))
+            slots = sum(s.maximum * g.threads for g, s in seen.slots.items() if g not in self.quick)
+            limit = max(0.75 * limit, slots)
         return not pressed or not seen.threads[quick] or seen.threads[quick] + q.group.threads <= limit
 
     def spacing(self, slot, seen, g):
@@ -284,29 +254,29 @@
             return MAX
         return MIN if slot.used[MIN] < slot.minimum else None
 
-    def usable(self, seen, q, now):
-        """Not silent; or it is time for a trial, which only a read-only query makes."""
-        if not seen.silent:
-            return True
-        due = q.group.effect == io.READ_ONLY and now >= seen.trial_ms and not seen.runs
-        seen.trial_ms = now + q.group.target_ms if due else seen.trial_ms
-        return due
-
-    def place(self, q, now):
+    def place(self, q, now, only=None):
+        """To the first engine drawn with a free slot and nothing against it, else the least against it."""
         if not self.guards.may_submit(q, now):
             return False
-        allowed, best = [s for s in self.fleet.values() if self.guards.allows(q, s, now)], {}
-        tried = {s.engine for s in q.submissions}
-        hope = any(not s.silent for s in allowed)
-        for s in allowed:
-            kind = self.free(q, s, now)
-            doubt = kind and not self.usable(s, q, now)
-            if kind and not (doubt and (hope or q.group.effect == io.MUTATING)):
-                best.setdefault((doubt, s.engine in tried, kind == MIN, self.overdrawn(q, s)), []).append(s)
-        if best:
-            at = min(best)
-            self.submit(q, self.picker.pick(q, best[at], now), MIN if at[2] else MAX, now)
-        return bool(best)
+        best, least, hope, tried = None, None, bool(only), {s.engine for s in q.submissions}
+        for s in (only,) if only else self.picker.draw(q, now):
+            if not self.guards.allows(q, s, now):
+                continue
+            hope, kind = hope or not s.silent, self.free(q, s, now)
+            # Where all are silent, one gets a trial now and then, by a read-only query.
+            trial = q.group.effect == io.READ_ONLY and now >= s.trial_ms and not s.runs
+            if kind and (trial or not s.silent):
+                stands = q.tables and s.held.get(q.tables, 0.0) > now and (q.group.is_load or q.group.yields)
+                against = (s.silent, stands, s.engine in tried, kind == MIN, self.overdrawn(q, s))
+                if best is None or against < least:
+                    best, least = s, against
+                if not any(against):
+                    break
+        if best is None or best.silent and hope:
+            return False
+        best.trial_ms = now + q.group.target_ms
+        self.submit(q, best, MIN if least[3] else MAX, now)
+        return True
 
     def submit(self, q, seen, kind, now):
         slot, grant = self.slot(seen, q.group, now), self.grant(q, seen) / (4 if kind == MIN else 1)
@@ -316,12 +286,13 @@
         sub = self.door.submit(q, seen.engine, q.ends_ms - now)
         run = seen.runs[sub] = Run(sub, seen, kind, grant or q.memory_mb)
         slot.used[kind] += 1
-        seen.threads[q.group in self.quick] += run.threads
+        seen.due_ms, self.busy[seen] = 0.0, True
+        seen.threads[q.group in self.quick] += q.group.threads
         seen.granted, slot.admitted_ms = seen.granted + run.grant, now
         if slot.pool is None and grant:
             slot.pool = grant * slot.maximum
         slot.pool_used += run.grant if kind == MAX else 0.0
-        if q.group.is_load and q.tables:
+        if q.group.is_load:
             seen.held[q.tables] = q.ends_ms
         self.guards.sent(q, seen, now)
 
@@ -334,36 +305,35 @@
     def down(self, q):
         now = self.door.now_ms
         if not self.place(q, now):
-            insort(self.waiting[q.group], q,
-                   key=lambda x: (x.over_share, work_of(x) / (x.group.value or 1e-9), x.id))
+            insort(self.waiting[q.group], q, key=lambda x: (x.over_share, work_of(x), x.id))
             enough = min(now + (q.ends_ms - q.arrived_ms) / 10, q.ends_ms)
-            self.door.wake(enough, lambda: self.unhold(q, self.give_up))
+            self.door.wake(enough, lambda: q in self.waiting[q.group] and self.give_up(q))
 
-    def unhold(self, q, then=None):
+    def unhold(self, q):
         if q in self.waiting[q.group]:
             self.waiting[q.group].remove(q)
-            if then:
-                then(q)
 
-    def stir(self, now):
+    def stir(self, now, only=None):
         """Something may be free: the waiting, best value for work first, until a few find nothing."""
         for queue in self.waiting.values():
             missed = 0
             for q in queue[:20]:
-                if missed < 3 and self.place(q, now):
+                if missed < 3 and self.place(q, now, only):
                     queue.remove(q)
                 else:
                     missed += 1
 
     def release(self, run):
-        if run.seen.runs.pop(run.sub, None) is not None:
-            slot = run.seen.slots[run.group]
+        seen, slot = run.seen, run.seen.slots[run.group]
+        if seen.runs.pop(run.sub, None):
             slot.used[run.kind] -= 1
-            run.seen.threads[run.group in self.quick] -= run.threads
-            run.seen.granted -= run.grant
             slot.pool_used -= run.grant if run.kind == MAX else 0.0
-            if run.group.is_load and run.q.tables:
-                run.seen.held.pop(run.q.tables, None)
+            seen.threads[run.group in self.quick] -= run.group.threads
+            seen.granted, seen.due_ms = seen.granted - run.grant, 0.0
+            if run.group.is_load:
+                seen.held.pop(run.q.tables, None)
+            if not seen.runs:
+                self.busy.pop(seen, None)
 
     def back(self, run, took, ending, cost, now):
         """Feedback: only finished queries beat the target; errors and time-outs are misses."""
@@ -372,14 +342,13 @@
             seen.full_ms = now
         if ending in io.NEVER_RAN or (ending == io.CANCELLED and run.called_off):
             return
-        late = now - q.arrived_ms - target_of(q)
+        late, pace = now - q.arrived_ms - target_of(q), took / (ideal_of(q) or 1.0)
         if q.work_ms and ending in (io.FINISHED, io.TIMED_OUT):
-            seen.stretch.add(now, took / ideal_of(q))
+            seen.stretch.add(now, pace)
         if ending != io.FINISHED:
             late = max(late, target_of(q))
         elif q.work_ms:
-            if q.tables:
-                self.picker.learn(q, seen, took / ideal_of(q), now)
+            self.picker.learn(q, seen, pace, now)
             if seen.stretch.count(now) >= 5:
                 self.best = min(self.best or 1e9, seen.stretch.mean(now))
             slot.latency += (took - slot.latency) / 10 if slot.latency else took
@@ -462,34 +431,32 @@
     def __init__(self, door, gateway, groups, tenants, licence, rules, make):
         self.door, self.licence, self.make, self.rules, self.fleet = door, licence, make, rules, {}
         self.guards = Guards(licence.most_submissions, rules, gateway.fronts)
-        self.picker = Picker(gateway.seed, self.guards.warmth, self.fleet)
+        quickest = min((g.target_ms for g in groups if g.target_ms), default=1000.0)
+        self.step_ms, self.bucket = gateway.step_ms, quickest / 2
+        self.beat = max(gateway.step_ms, quickest / 10)
+        self.picker = Picker(gateway.seed, self.guards.warmth, self.fleet, self.bucket)
         self.slots = Slots(door, self.guards, self.picker, make, groups, gateway.fronts, self.finish)
         self.order = Order(door, rules.order_rest_ms, self.slots.down)
-        quickest = min((g.target_ms for g in groups if g.target_ms), default=1000.0)
-        self.beat, self.bucket = max(gateway.step_ms, quickest / 20), quickest / 2
         self.quiet_ms = 1.5 * make.note_every_ms or quickest    # unheard after a note's time and a half
         self.traffic = {t: Ring(quickest, 8) for t in tenants}
-        self.ticked_ms = door.now_ms
-        door.wake(door.now_ms + self.beat, self.tick)
+        self.due_ms, self.look_ms, self.probes = None, 0.0, 0.0     # next beat (None: nothing to watch), look
         if gateway.list_on_request:
             door.watch_list()
 
-    # from the front
-
     def list_news(self, engines, whole):
         now = self.door.now_ms
         for e in engines:
             seen = self.fleet.get(e)
             if seen is None:
-                self.fleet[e] = Seen(e, now, self.bucket, (self.rules.cold_window_ms or 1000.0) / 8)
+                fall = (self.rules.cold_window_ms or 1000.0) / 8
+                self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), Ring(fall, 9))
             elif e.started_ms and e.started_ms > seen.heard_ms:  # a new start: forget the old one
                 seen.silent, seen.report, seen.heard_ms = False, None, now
         for e in list(self.fleet):
-            if whole and e not in engines:
-                e.state = io.WITHDRAWN
+            e.state = io.WITHDRAWN if whole and e not in engines else e.state
             if e.state == io.WITHDRAWN and not self.fleet[e].runs:
                 del self.fleet[e]
-        self.picker.ranks.clear()
+        self.picker.homes.clear()
         self.slots.stir(now)
 
     def list_failed(self):
@@ -502,23 +469,26 @@
         self.picker.threads += (q.group.threads - self.picker.threads) / 100
         self.door.wake(q.ends_ms, lambda: self.finish(q))
         self.order.down(q)
+        self.ask(now)
+        self.watch(now)
 
     def left(self, q):
         self.slots.unhold(q)
         self.order.back(q)
 
     def noted(self, sub, what, amount):
-        now, run = self.door.now_ms, self.run_of(sub)
+        now, q, seen = self.awake(), sub.query, self.fleet.get(sub.engine)
+        run = seen.runs.get(sub) if seen else None
         if run is None:
             return
-        q, run.heard_ms = run.q, now
+        run.heard_ms = now
         self.heard(run.seen, now)
         if what == io.SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == io.WAITS:
             run.waited_ms += self.make.note_every_ms
             run.seen.short_ms = now if amount == 1 else run.seen.short_ms
-            if amount == 2 and q.tables:        # a load of another gateway holds its tables there
+            if amount == 2:         # a load of another gateway holds its tables there
                 run.seen.held[q.tables] = now + 2 * self.make.note_every_ms
                 self.move(run)
         elif what == io.PROGRESS and q.work_ms:
@@ -531,7 +501,8 @@
                 self.move(run)
 
     def answered(self, sub, took, cost, report):
-        now, run, q, seen = self.door.now_ms, self.run_of(sub), sub.query, self.fleet.get(sub.engine)
+        now, q, seen = self.awake(), sub.query, self.fleet.get(sub.engine)
+        run = seen.runs.get(sub) if seen else None
         if seen is not None:
             self.reported(seen, report)
             if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
@@ -542,18 +513,18 @@
             self.slots.back(run, took, sub.ending, cost, now)
             if sub.ending in (io.TIMED_OUT, io.CANCELLED) and not self.licence.cancel:
                 # Risk: where a time-out stops nothing, the work runs on uncounted; how long is not told.
-                ran = now - sub.sent_ms
-                left = max((seen.pace or 1.0) * ideal_of(q) - ran, ran)
+                left = max((seen.pace or 1.0) * ideal_of(q) - took, took)
                 self.door.wake(now + left, lambda: self.slots.release(run))
             else:
                 self.slots.release(run)
         self.order.back(q, sub)
         if not q.over:
-            if now < q.ends_ms - self.beat and self.guards.may_submit(q, now):
+            if now < q.ends_ms - self.step_ms and self.guards.may_submit(q, now):
                 self.slots.down(q)
             else:
                 self.finish(q)
-        self.slots.stir(now)
+        if seen is not None:
+            self.slots.stir(now, seen)
 
     def probed(self, engine, ok, took, report):
         seen = self.fleet.get(engine)
@@ -561,15 +532,18 @@
             self.reported(seen, report)
             self.heard(seen, self.door.now_ms)
 
-    # inside
+    def ask(self, now):
+        """Where reports must be asked for, one probe for three queries taken: the oldest report's engine."""
+        self.probes = min(1.0, self.probes + 1 / 3)
+        if self.make.reports == "probe" and self.licence.probe and self.probes >= 1 and self.fleet:
+            seen = min(self.fleet.values(), key=lambda s: s.report_ms + 1e9 * (s.engine.state != io.LISTED))
+            if now - seen.report_ms > self.bucket and seen.engine.state == io.LISTED:
+                self.probes, seen.report_ms = 0.0, now
+                self.door.probe(seen.engine)
 
     def reported(self, seen, report):
         if report:
-            seen.report, seen.report_ms = report, self.door.now_ms
-
-    def run_of(self, sub):
-        seen = self.fleet.get(sub.engine)
-        return seen.runs.get(sub) if seen else None
+            seen.report, seen.report_ms, seen.due_ms = report, self.door.now_ms, 0.0
 
     def beyond_share(self, q, now):
         """Whether a query counts beyond its tenant's share, by chance, of what this gateway takes."""
@@ -577,18 +551,17 @@
             return False
         self.traffic[q.tenant].add(now, 1)
         mine = self.traffic[q.tenant].count(now)
-        part = mine / max(1, sum(r.count(now) for r in self.traffic.values()))
-        return mine > 10 and self.picker.chance() > q.tenant.share / part
+        all_of = sum(r.count(now) for r in self.traffic.values())
+        return mine > 10 and self.picker.chance() > q.tenant.share * all_of / mine
 
     def finish(self, q):
         """The final answer of a query that did not finish; at the latest when its client's time is up."""
+        left = q.ends_ms - self.door.now_ms
         if q.over:
             return
         self.slots.unhold(q)
-        out = [s for s in q.submissions if s.ending is None]
-        if out and self.licence.cancel:
-            self.door.cancel(out[0])
-        left = q.ends_ms - self.door.now_ms
+        if self.licence.cancel and q.submissions and q.submissions[-1].ending is None:
+            self.door.cancel(q.submissions[-1])
         if left > 0 and self.guards.may_defer(q):
             self.door.defer(q, min(self.licence.longest_pause_ms, left / 10))
         else:
@@ -597,9 +570,9 @@
 
     def move(self, run):
         """Cancel and submit again, where that is heeded and harmless."""
-        q = run.q
-        if (self.licence.cancel and run.group.effect == io.READ_ONLY and not run.called_off and not q.over
-                and len(q.submissions) < self.licence.most_submissions and run.sub.ending is None):
+        allowed = self.licence.cancel and run.group.effect == io.READ_ONLY and not run.q.over
+        if (allowed and not run.called_off and run.sub.ending is None
+                and len(run.q.submissions) < self.licence.most_submissions):
             run.called_off = True
             self.door.cancel(run.sub)
 
@@ -623,27 +596,47 @@
         limit = max(4 * (run.seen.pace or 1.0) * ideal_of(run.q), run.group.target_ms / 2)
         return now - run.heard_ms > (min(limit, self.quiet_ms) if self.make.note_every_ms else limit)
 
-    def tick(self):
+    def awake(self):
+        """Risk: a gateway that stood still itself takes every engine for silent, all its work for slow."""
         now = self.door.now_ms
-        # Risk: a gateway that stood still itself takes every engine for silent.
-        stood, self.ticked_ms = max(0.0, now - self.ticked_ms - 2 * self.beat), now
-        self.picker.look(now)
-        for seen in self.fleet.values():
+        stood = now - (self.due_ms or now) - self.beat
+        if stood > 0:
+            self.due_ms = now
+            for seen in self.fleet.values():
+                seen.heard_ms += stood
+                for run in seen.runs.values():
+                    run.heard_ms, run.waited_ms = run.heard_ms + stood, run.waited_ms + stood
+        return now
+
+    def tick(self):
+        now = self.awake()
+        for seen in list(self.slots.busy):
             runs = list(seen.runs.values())
-            seen.heard_ms += stood
-            for run in runs:
-                run.heard_ms += stood
-                if self.lost(run, now):
-                    self.move(run)
+            for run in filter(lambda r: self.lost(r, now), runs):
+                self.move(run)
             if now - seen.heard_ms > self.quiet_ms and any(now - r.heard_ms > self.quiet_ms for r in runs):
                 self.unheard(seen, now)
-            wants = (self.make.reports == "probe" and now - seen.report_ms > self.bucket) or (
-                seen.silent and now >= seen.trial_ms)
-            if self.licence.probe and wants and seen.engine.state == io.LISTED:
-                seen.report_ms, seen.trial_ms = now, now + self.bucket
-                self.door.probe(seen.engine)
+        if now >= self.look_ms:
+            self.look_ms = now + self.bucket
+            self.look(now)
+        self.slots.stir(now)
+        self.due_ms = None
+        if self.slots.busy or any(self.slots.waiting.values()):
+            self.watch(now)
+
+    def watch(self, now):
+        """A beat follows while anything is out or waiting; an idle gateway sleeps."""
+        if self.due_ms is None:
+            self.due_ms = now + self.beat
+            self.door.wake(self.due_ms, self.tick)
+
+    def look(self, now):
+        """Once in a while, over the whole fleet: paces, intervals, reports that must be asked for, trials."""
+        self.picker.look(now)
+        for seen in self.fleet.values():
             for g, slot in seen.slots.items():
                 if slot.n and now - slot.since > 4 * g.target_ms or now - slot.since > g.timeout_ms:
                     self.slots.close(slot, seen, g, now)        # silence too closes an interval
-        self.slots.stir(now)
-        self.door.wake(now + self.beat, self.tick)
+            if seen.silent and now >= seen.trial_ms and self.licence.probe and seen.engine.state == io.LISTED:
+                seen.trial_ms = now + self.bucket
+                self.door.probe(seen.engine)
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -11,6 +11,7 @@
 FINISHED, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, CANCELLED, NEVER_SENT = (
     "finished", "error", "full", "timed out", "not connected", "reset", "cancelled", "never sent")
 NEVER_RAN = frozenset((FULL, NOT_CONNECTED, NEVER_SENT))
+ENDINGS = NEVER_RAN | {FINISHED, ERROR, TIMED_OUT, RESET, CANCELLED}
 # what a note tells
 PROGRESS, SPILLS, WAITS = "progress", "spills", "waits"
 # what the list says of an engine
--- a/lichenquay/simwire/adapter.py
+++ b/lichenquay/simwire/adapter.py
@@ -21,9 +21,13 @@
 class Instance:
     """One front: the door of one controller, and its ids."""
 
-    def __init__(self, name, f, now_ms):
-        self.name, self.now_ms, self.out = name, now_ms, []
+    def __init__(self, name, now_ms, sheets):
+        self.name, self.now_ms, self.out, self.sheets = name, now_ms, [], sheets
         self.queries, self.engines, self.calls, self.cookies = {}, {}, {}, 0
+
+    # the wire's events, as calls on the controller
+
+    def on_hello(self, f):
         threads = f.numbers("family_info.width_by_class")
         loads, yields = f.flags("family_info.loads"), f.flags("family_info.yields_to_loads")
         self.groups = {}
@@ -72,8 +76,6 @@
                           tuple(f.words("report.columns")), f.text("report.how", "none"),
                           f.ms("limits.connect_timeout_us", 0)))
 
-    # the wire's events, as calls on the controller
-
     def on_arrival(self, f):
         group = self.groups.get(f.text("lane"))
         if group is None:
@@ -130,13 +132,13 @@
         if call is not None:
             call()
 
-    def on_targets(self, f, sheets):
+    def on_targets(self, f):
         mode = f.text("mode")
         if mode == "unavailable":
             return self.controller.list_failed()
         if mode not in ("update", "replace", "restored"):
             raise f.bad("mode", f"unknown: {mode!r}")
-        rows = sheets.get(f.integer("table"))
+        rows = self.sheets.get(f.integer("table"))
         if rows is None:
             raise f.bad("table", f"never given: {f.text('table')!r}")
         named = []
@@ -233,7 +235,7 @@
     """All instances of this process. Lists are the process's and are resolved in the order they come."""
 
     EVENTS = {name: getattr(Instance, "on_" + name) for name in (
-        "arrival", "response", "change", "first", "abandoned", "probe_done", "wakeup", "note_from")}
+        "arrival", "response", "change", "first", "abandoned", "probe_done", "wakeup", "note_from", "targets")}
 
     def __init__(self, read, write):
         self.read, self.write = read, write
@@ -255,41 +257,39 @@
             self.write.flush()
 
     def batch(self, now_ms):
-        name, replies = None, []
-        for instance in self.instances.values():
-            instance.now_ms = now_ms
+        name, instance, replies = None, None, []
         while True:
             f = self.next()
             if f is None:
                 raise Malformed(f"line {self.line + 1}: go: missing, input ended inside a batch")
-            if f.tag == "go":
+            event = self.EVENTS.get(f.tag)
+            if event is not None and instance is not None:
+                self.guarded(instance, replies, event, f)
+            elif f.tag == "go":
                 break
-            if f.tag == "about":
+            elif f.tag == "about":
                 name = f.text("who")
+                instance = self.instances.get(name)
+                if instance is not None:
+                    instance.now_ms = now_ms
             elif f.tag == "sheet":
                 self.sheets[f.integer("table")] = self.rows(f)
             elif name is None:
                 raise f.bad("about", "no instance named")
             elif f.tag == "hello":
-                self.guarded(name, replies, lambda: self.hello(name, f, now_ms))
-            elif name not in self.instances and f.tag != "detach":
-                if f.tag not in self.EVENTS and f.tag != "targets":
-                    raise f.bad(f.tag, "unknown message")
-                raise f.bad("who", f"no such instance now: {name!r}")
+                self.instances.pop(name, None)
+                instance = Instance(name, now_ms, self.sheets)
+                if self.guarded(instance, replies, Instance.on_hello, f):
+                    self.instances[name] = instance
             elif f.tag == "detach":
                 self.instances.pop(name, None)
-            elif f.tag == "targets":
-                self.guarded(name, replies, lambda: self.instances[name].on_targets(f, self.sheets))
-            elif f.tag in self.EVENTS:
-                self.guarded(name, replies, lambda: self.EVENTS[f.tag](self.instances[name], f))
+                instance = None
+            elif event is not None:
+                raise f.bad("who", f"no such instance now: {name!r}")
             else:
                 raise f.bad(f.tag, "unknown message")
         return "".join(replies) + "ok\n"
 
-    def hello(self, name, f, now_ms):
-        self.instances.pop(name, None)
-        self.instances[name] = Instance(name, f, now_ms)
-
     def rows(self, f):
         rows = []
         for _ in range(f.integer("rows_in")):
@@ -301,16 +301,18 @@
             rows.append(row)
         return rows
 
-    def guarded(self, name, replies, call):
+    def guarded(self, instance, replies, event, f):
         """One event; a fault of the controller is told for its instance, and its text goes to standard error."""
+        fault = None
         try:
-            call()
+            event(instance, f)
         except Malformed:
             raise
-        except Exception as fault:
+        except Exception as caught:
+            fault = caught
             traceback.print_exc(file=sys.stderr)
-            replies.append(f"on_behalf\twho={name}\nexception\twhat={plain(type(fault).__name__)}: {plain(fault)}\n")
-        instance = self.instances.get(name)
-        if instance is not None and instance.out:
-            replies.append(f"on_behalf\twho={name}\n" + "\n".join(instance.out) + "\n")
+            instance.out.append(f"exception\twhat={plain(type(fault).__name__)}: {plain(fault)}")
+        if instance.out:
+            replies.append(f"on_behalf\twho={instance.name}\n" + "\n".join(instance.out) + "\n")
             instance.out.clear()
+        return fault is None
--- a/lichenquay/simwire/codec.py
+++ b/lichenquay/simwire/codec.py
@@ -13,7 +13,7 @@
     def __init__(self, line, text):
         tag, _, rest = text.partition("\t")
         self.line, self.tag = line, tag
-        self.parts = dict(p.partition("=")[::2] for p in rest.split("\t")) if rest else {}
+        self.parts = dict([p.partition("=")[::2] for p in rest.split("\t")]) if rest else {}
 
     def bad(self, name, why):
         return Malformed(f"line {self.line}: {self.tag}: {name}: {why}")
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -189,7 +189,7 @@
     first = door.take(g).submissions[0]
     door.c.noted(first, io.WAITS, 1)
     assert all(door.take(g).submissions[0].engine is not first.engine for _ in range(3))
-    assert {door.take(q).submissions[0].engine for _ in range(6)} == set(door.engines)
+    assert {door.take(q).submissions[0].engine for _ in range(20)} == set(door.engines)
 
 
 def test_a_gateway_that_stood_still_blames_no_engine():
@@ -216,15 +216,14 @@
     door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(6)])
     picker = door.c.picker
     picker.usual, now = 1.0, door.now_ms
-    ranks = picker.rank("t1")
-    seen = {ranks[e]: s for e, s in door.c.fleet.items()}
+    homes, far = picker.homes_of("t1")
     for pace_home, least, most in ((1.0, 0, 120), (0.8, 120, 300)):
         for _ in range(50):
             q = io.Query(1, group(), now, now + 1000, work_ms=100, tables="t1")
-            picker.learn(q, seen[0], pace_home, now)
-            picker.learn(q, seen[4], 1.0, now)
-        picks = [picker.pick(q, list(seen.values()), now) for _ in range(300)]
-        assert least < sum(ranks[s.engine] < 2 for s in picks) < most
+            picker.learn(q, homes[0], pace_home, now)
+            picker.learn(q, far[0], 1.0, now)
+        picks = [next(picker.draw(q, now)) for _ in range(300)]
+        assert least < sum(s in homes for s in picks) < most
         now += 60000
 
 
