What waits in an engine's line says so once: it is neither lost nor slow

Time waited is now measured from the note to the first progress, and a bad plan is judged after one note's time of running only. May hurt: a query on an engine that hangs while it waits is missed until four times its expected runtime.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -2,8 +2,8 @@
 
 How it is called: a front builds `Controller(door, ...)` with what it read at start and calls it as things
 happen; it answers at once by calls on the door. Both sides are typed in interface.py; state.py keeps records.
-A query goes down Duty -> Order -> Slots -> Picker -> Guards -> send; what comes back goes up by Slots (feedback)
-and Order to Duty. "Departure": neither the paper's nor the design's; docs/design.md says when it acts.
+A query goes down Duty -> Order -> Slots -> Picker -> Guards -> send, and what comes back goes up by Slots and
+Order to Duty. "Departure": neither the paper's nor the design's; docs/design.md says when it acts.
 """
 from bisect import insort
 from math import sqrt
@@ -170,12 +170,10 @@
 
     def look(self, now):
         """Once in a while: each engine's pace, and the usual pace and load among its peers."""
-        seen = self.fleet.values()
-        for s in seen:
-            if s.stretch.at is not None:
-                s.pace = s.stretch.mean(now, s.pace)
-        paces = sorted(s.pace for s in seen if s.pace) or [None]
-        loads = [x for x in map(self.load, seen) if x is not None]
+        for s in self.fleet.values():
+            s.pace = s.stretch.mean(now, s.pace) if s.stretch.at is not None else None
+        paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
+        loads = [x for x in map(self.load, self.fleet.values()) if x is not None]
         self.usual, self.average = paces[len(paces) // 2], sum(loads) / max(1, len(loads))
 
 
@@ -211,8 +209,8 @@
 
     def overdrawn(self, q, seen):
         """With the query, our runs would pass our share of its memory, less the set-aside of a tenth."""
-        want = self.grant(q, seen) or q.memory_mb
-        return bool(seen.runs) and seen.granted + want > 0.9 * seen.memory_mb * self.share
+        want = seen.granted + (self.grant(q, seen) or q.memory_mb)
+        return bool(seen.runs) and want > 0.9 * seen.memory_mb * self.share
 
     def room(self, q, seen, pressed):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
@@ -306,7 +304,7 @@
         now = self.door.now_ms
         if not self.place(q, now):
             insort(self.waiting[q.group], q, key=lambda x: (x.over_share, work_of(x), x.id))
-            enough = min(now + (q.ends_ms - q.arrived_ms) / 10, q.ends_ms)
+            enough = now + (q.ends_ms - q.arrived_ms) / 10
             self.door.wake(enough, lambda: q in self.waiting[q.group] and self.give_up(q))
 
     def unhold(self, q):
@@ -482,23 +480,26 @@
         if run is None:
             return
         run.heard_ms = now
-        self.heard(run.seen, now)
+        self.heard(seen, now)
         if what == io.SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == io.WAITS:
-            run.waited_ms += self.make.note_every_ms
-            run.seen.short_ms = now if amount == 1 else run.seen.short_ms
+            run.waits_ms = run.waits_ms or now
+            seen.short_ms = now if amount == 1 else seen.short_ms
             if amount == 2:         # a load of another gateway holds its tables there
-                run.seen.held[q.tables] = now + 2 * self.make.note_every_ms
+                seen.held[q.tables] = now + 2 * self.make.note_every_ms
                 self.move(run)
-        elif what == io.PROGRESS and q.work_ms:
-            rank = self.slots.rank(q, min(1.0, amount), run.seen.pace)
+        elif what == io.PROGRESS and q.work_ms and amount > 0:
+            if run.waits_ms:
+                run.waited_ms, run.waits_ms = run.waited_ms + now - run.waits_ms, None
+            rank = self.slots.rank(q, min(1.0, amount), seen.pace)
             if self.make.ranks and not q.over and rank != q.rank:
                 q.rank = rank
                 self.door.allot(q, run.grant, rank)
-            pace = (now - sub.sent_ms - run.waited_ms) / max(amount, 0.002) / ideal_of(q)
-            if pace > 4 * max(1.0, run.seen.pace or 1.0):       # far behind the estimate: a bad plan
-                self.move(run)
+            ran = now - sub.sent_ms - run.waited_ms
+            pace = ran / max(amount, 0.002) / ideal_of(q)
+            if ran >= self.make.note_every_ms and pace > 4 * max(1.0, seen.pace or 1.0):
+                self.move(run)      # far behind the estimate: a bad plan
 
     def answered(self, sub, took, cost, report):
         now, q, seen = self.awake(), sub.query, self.fleet.get(sub.engine)
@@ -527,10 +528,9 @@
             self.slots.stir(now, seen)
 
     def probed(self, engine, ok, took, report):
-        seen = self.fleet.get(engine)
-        if seen and ok:
-            self.reported(seen, report)
-            self.heard(seen, self.door.now_ms)
+        if ok and engine in self.fleet:
+            self.reported(self.fleet[engine], report)
+            self.heard(self.fleet[engine], self.door.now_ms)
 
     def ask(self, now):
         """Where reports must be asked for, one probe for three queries taken: the oldest report's engine."""
@@ -577,10 +577,9 @@
             self.door.cancel(run.sub)
 
     def heard(self, seen, now):
-        seen.heard_ms = now
         if seen.silent:
-            seen.silent = False
             self.door.log(f"engine {seen.engine.id} heard again")
+        seen.heard_ms, seen.silent = now, False
 
     def unheard(self, seen, now):
         """No notes, time-outs, failed connects: one symptom. Nothing new goes there but trials."""
@@ -591,10 +590,10 @@
             self.move(run)
 
     def lost(self, run, now):
-        """Risk: a query or its answer is lost on the way while its engine is heard. Not heard from: no note
-        in a note's time and a half, or far past its expected runtime."""
+        """Risk: a query or its answer is lost while its engine is heard. What waits gives no further note."""
         limit = max(4 * (run.seen.pace or 1.0) * ideal_of(run.q), run.group.target_ms / 2)
-        return now - run.heard_ms > (min(limit, self.quiet_ms) if self.make.note_every_ms else limit)
+        noted = self.make.note_every_ms and not run.waits_ms
+        return now - run.heard_ms > (min(limit, self.quiet_ms) if noted else limit)
 
     def awake(self):
         """Risk: a gateway that stood still itself takes every engine for silent, all its work for slow."""
@@ -614,7 +613,8 @@
             runs = list(seen.runs.values())
             for run in filter(lambda r: self.lost(r, now), runs):
                 self.move(run)
-            if now - seen.heard_ms > self.quiet_ms and any(now - r.heard_ms > self.quiet_ms for r in runs):
+            quiet = now - self.quiet_ms
+            if seen.heard_ms < quiet and any(r.heard_ms < quiet and not r.waits_ms for r in runs):
                 self.unheard(seen, now)
         if now >= self.look_ms:
             self.look_ms = now + self.bucket
@@ -625,8 +625,7 @@
             self.watch(now)
 
     def watch(self, now):
-        """A beat follows while anything is out or waiting; an idle gateway sleeps."""
-        if self.due_ms is None:
+        if self.due_ms is None:     # a beat follows while anything is out or waiting
             self.due_ms = now + self.beat
             self.door.wake(self.due_ms, self.tick)
 
--- a/lichenquay/admission/state.py
+++ b/lichenquay/admission/state.py
@@ -8,7 +8,8 @@
     def __init__(self, sub, seen, kind, grant):
         self.sub, self.seen, self.kind, self.grant = sub, seen, kind, grant     # kind of slot; MB
         self.q, self.group = sub.query, sub.query.group
-        self.heard_ms, self.waited_ms, self.called_off = sub.sent_ms, 0.0, False
+        self.heard_ms, self.called_off = sub.sent_ms, False
+        self.waits_ms, self.waited_ms = None, 0.0           # waiting since; waited before
 
 
 class Slot:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -183,6 +183,19 @@
     assert len(door.out()) == 4     # of 16000 MB half is ours, less the set-aside
 
 
+def test_a_submission_that_waits_in_the_engines_line_is_neither_lost_nor_slow():
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    sub = door.take(g, work=2000.0).submissions[0]
+    door.c.noted(sub, io.WAITS, 1)          # one note, then silence until it runs
+    door.until(door.now_ms + 1500)
+    assert not door.cancelled and not any(s.silent for s in door.c.fleet.values())
+    for done in (0.001, 0.3):
+        door.c.noted(sub, io.PROGRESS, done)
+        door.until(door.now_ms + 500)
+    assert not door.cancelled
+
+
 def test_an_engine_told_to_be_short_of_memory_gets_only_dashboards_for_a_note():
     q, g = quick(), group()
     door = FakeDoor([q, g], [engine("e1"), engine("e2")])
