--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -15,7 +15,6 @@
 
 MAX, MIN = "maximum", "minimum"
 THREADS_A_CORE = 2.0            # the design's starting limit
-FULL_USE = 0.95                 # a report of this share is full utilisation
 
 
 def work_of(q):
@@ -36,15 +35,6 @@
     return max(sum(seen.threads) / seen.cores, THREADS_A_CORE * seen.granted / seen.memory_mb)
 
 
-def use_of(seen, threads):
-    """Reported utilisation, lacking that held queries, disks, memory-waiting queries; None: unheard."""
-    r = seen.report
-    if not r or "cpu" in r:
-        return r["cpu"] if r else None
-    held = r.get("active", 0.0) * threads / THREADS_A_CORE / seen.cores
-    return max(held, r.get("x1", 0.0), min(1.0, r.get("waiting", 0.0)))
-
-
 class Guards:
     """What every submission passes: placement, drain, cold budget, submission budget, no duplicate effect."""
 
@@ -110,9 +100,10 @@
 class Picker:
     """Draws among engines, weighted against their reports; the unheard count average."""
 
-    def __init__(self, seed, warmth, fleet, fresh_ms):
-        self.seed, self.drawn, self.warmth, self.fleet, self.fresh_ms = seed, 0, warmth, fleet, fresh_ms
-        self.threads, self.usual, self.average = 1.0, None, 0.0     # a query's threads; peers' pace, load
+    def __init__(self, seed, warmth, fleet, bucket):
+        self.seed, self.drawn, self.warmth, self.fleet, self.bucket = seed, 0, warmth, fleet, bucket
+        self.threads, self.usual = 1.0, None                        # a query's threads; the peers' usual pace
+        self.used = self.average = self.fresh_ms = 0.0              # the peers' mean use and load; since when
         self.homes, self.home, self.away = {}, Ring(2000.0, 10), Ring(2000.0, 10)
 
     def chance(self):
@@ -133,19 +124,27 @@
             measured = self.home if seen in self.homes_of(q.tables)[0] else self.away
             measured.add(now, min(pace, 4 * self.usual))
 
+    def use(self, seen):
+        """Reported utilisation, else held queries, disks, waiting ones. Departure: an old report tells nothing."""
+        r = seen.report if seen.report_ms >= self.fresh_ms else None
+        if not r or "cpu" in r:
+            return r["cpu"] if r else None
+        held = r.get("active", 0.0) * self.threads / THREADS_A_CORE / seen.cores
+        return max(held, r.get("x1", 0.0), min(1.0, r.get("waiting", 0.0)))
+
     def load(self, seen):
-        use = use_of(seen, self.threads)
-        if use is not None:
-            r, waiting = seen.report, seen.report.get("waiting", 0.0) / seen.cores
-            use = THREADS_A_CORE * use + (r.get("x1", 0.0) if "cpu" in r else 0.0) + waiting
-        return use
+        use = self.use(seen)
+        if use is None:
+            return self.average
+        r, waiting = seen.report, seen.report.get("waiting", 0.0) / seen.cores
+        return THREADS_A_CORE * use + (r.get("x1", 0.0) if "cpu" in r else 0.0) + waiting
 
     def weigh(self, seen, now):
-        load, warmth = self.load(seen), self.warmth(seen.engine, now)
-        weight = warmth / (0.3 + ((self.average if load is None else load) + own_load(seen)) / warmth) ** 3
+        warmth = self.warmth(seen.engine, now)
+        weight = warmth / (0.3 + (self.load(seen) + own_load(seen)) / warmth) ** 3
         if self.usual and seen.pace:    # an engine slower than its peers; a slowdown of all blames none
             weight *= min(1.0, max(0.02, self.usual / seen.pace))
-        seen.weight, seen.due_ms = weight, now + self.fresh_ms
+        seen.weight, seen.due_ms = weight, now + self.bucket
         return weight
 
     def draw(self, q, now):
@@ -173,8 +172,10 @@
         for s in self.fleet.values():
             s.pace = s.stretch.mean(now, s.pace) if s.stretch.at is not None else None
         paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
-        loads = [x for x in map(self.load, self.fleet.values()) if x is not None]
-        self.usual, self.average = paces[len(paces) // 2], sum(loads) / max(1, len(loads))
+        self.usual, self.fresh_ms = paces[len(paces) // 2], now - 8 * self.bucket
+        heard = [(self.use(s), self.load(s)) for s in self.fleet.values() if self.use(s) is not None]
+        if heard:
+            self.used, self.average = (sum(x) / len(heard) for x in zip(*heard))
 
 
 class Slots:
@@ -186,21 +187,25 @@
         self.waiting = {g: [] for g in groups}      # best value for work first
         self.margin = {g: 1.0 for g in groups}      # memory granted over its estimate, learned
         self.needed = {g: 0.0 for g in groups}      # learned mean need, MB
-        self.best, self.busy = None, {}             # best pace seen of an engine; those with runs of ours
+        self.best, self.busy, self.pooled = None, {}, {}    # best pace of an engine; those with runs of ours
         self.rest_ms = min((g.target_ms for g in groups), default=0.0) / 4  # after a full refusal
         # Dashboards (no limit, default grant): one thread, no load, a shorter target than some other group.
-        longest = max((g.target_ms + g.stretch * g.timeout_ms for g in groups), default=0.0)
-        self.quick = {g for g in groups if g.threads == 1 and not g.is_load
-                      and g.target_ms + g.stretch * g.timeout_ms < longest}
+        far = {g: g.target_ms + g.stretch * g.timeout_ms for g in groups}
+        self.quick = {g for g in groups if g.threads == 1 and not g.is_load and far[g] < max(far.values())}
 
     def slot(self, seen, g, now):
-        if g not in seen.slots:
-            limit = seen.engine.cores * THREADS_A_CORE * self.share / g.threads or 1.0
-            seen.slots[g] = Slot(limit, max(1, round(limit)), (MAX, MIN), now)
-        return seen.slots[g]
+        """Departure: where our share of an engine is below one query, the shares of all are pooled.
+        Risk: each of many gateways sends every engine a query of every group."""
+        slots, limit = seen.slots, seen.engine.cores * THREADS_A_CORE * self.share / g.threads or 1.0
+        if limit < 1:
+            slots, limit = self.pooled, limit * len(self.fleet)
+        if g not in slots:
+            slots[g] = Slot(limit, max(1, round(limit)), (MAX, MIN), slots, now)
+        return slots[g]
 
     def full_use(self, seen):
-        return (use_of(seen, self.picker.threads) or 0.0) >= FULL_USE
+        use = self.picker.use(seen)
+        return (self.picker.used if use is None else use) >= 0.95
 
     def pressed(self, seen, g, now):
         """Slots bind only under engine pressure: latency well above best, a busy report or a full refusal."""
@@ -219,16 +224,15 @@
             return False
         limit, quick = THREADS_A_CORE * seen.cores * self.share, q.group in self.quick
         if not quick:
-            slots = sum(s.maximum * g.threads for g, s in seen.slots.items() if g not in self.quick)
-            limit = max(0.75 * limit, slots)
+            slots = (s.maximum * g.threads for g, s in seen.slots.items() if g not in self.quick)
+            limit = max(0.75 * limit, sum(slots))
         return not pressed or not seen.threads[quick] or seen.threads[quick] + q.group.threads <= limit
 
     def spacing(self, slot, seen, g):
         """Below one query, admissions are spaced to match; and the admission delay, never with free cores."""
         gap = slot.latency / slot.limit - slot.latency if slot.limit < 1 and slot.maximum == 1 else 0.0
-        if slot.delay and self.full_use(seen) and (seen.report.get("x0", 0.0) > 0.5 or self.waiting[g]):
-            gap = max(gap, slot.delay)
-        return gap
+        acts = self.waiting[g] or (seen.report or {}).get("x0", 0.0) > 0.5
+        return max(gap, slot.delay) if acts and self.full_use(seen) else gap
 
     def grant(self, q, seen):
         if not self.make.grants or q.group in self.quick:
@@ -282,7 +286,7 @@
             q.rank = self.rank(q, 0.0, seen.pace)
             self.door.allot(q, grant, q.rank)
         sub = self.door.submit(q, seen.engine, q.ends_ms - now)
-        run = seen.runs[sub] = Run(sub, seen, kind, grant or q.memory_mb)
+        run = seen.runs[sub] = Run(sub, seen, slot, kind, grant or q.memory_mb)
         slot.used[kind] += 1
         seen.due_ms, self.busy[seen] = 0.0, True
         seen.threads[q.group in self.quick] += q.group.threads
@@ -312,17 +316,14 @@
             self.waiting[q.group].remove(q)
 
     def stir(self, now, only=None):
-        """Something may be free: the waiting, best value for work first, until a few find nothing."""
+        """Something may be free: a few of the waiting are tried, best value for work first."""
         for queue in self.waiting.values():
-            missed = 0
-            for q in queue[:20]:
-                if missed < 3 and self.place(q, now, only):
+            for q in queue[:5]:
+                if self.place(q, now, only):
                     queue.remove(q)
-                else:
-                    missed += 1
 
     def release(self, run):
-        seen, slot = run.seen, run.seen.slots[run.group]
+        seen, slot = run.seen, run.slot
         if seen.runs.pop(run.sub, None):
             slot.used[run.kind] -= 1
             slot.pool_used -= run.grant if run.kind == MAX else 0.0
@@ -335,9 +336,8 @@
 
     def back(self, run, took, ending, cost, now):
         """Feedback: only finished queries beat the target; errors and time-outs are misses."""
-        g, seen, slot, q = run.group, run.seen, run.seen.slots[run.group], run.q
-        if ending == io.FULL:
-            seen.full_ms = now
+        g, seen, slot, q = run.group, run.seen, run.slot, run.q
+        seen.full_ms = now if ending == io.FULL else seen.full_ms
         if ending in io.NEVER_RAN or (ending == io.CANCELLED and run.called_off):
             return
         late, pace = now - q.arrived_ms - target_of(q), took / (ideal_of(q) or 1.0)
@@ -355,7 +355,7 @@
         slot.n, slot.late, slot.late_sq = slot.n + 1, slot.late + late, slot.late_sq + late * late
         slot.grants += run.grant
         slot.delay = max(0.0, -late) if slot.home else 0.0      # paper, 4.3.3
-        slot.waiters += len(self.waiting[g]) / max(1, len(self.fleet))
+        slot.waiters += len(self.waiting[g]) / (1 if slot.peers is self.pooled else max(1, len(self.fleet)))
         slot.running += slot.used[MAX] + slot.used[MIN]
         if slot.n >= 20:
             self.close(slot, seen, g, now)
@@ -371,8 +371,9 @@
         late, mean = slot.late / n, slot.grants / n
         band = sqrt(max(0.0, slot.late_sq / n - late * late))
         waiters, running = slot.waiters / n, slot.running / n
-        pool, ours, full = slot.pool or 0.0, self.share * seen.engine.memory_mb, self.full_use(seen)
-        unreserved = 0.9 * ours - sum(s.pool or 0.0 for s in seen.slots.values())       # a tenth is set aside
+        engines = len(self.fleet) if slot.peers is self.pooled else 1
+        pool, ours, full = slot.pool or 0.0, self.share * seen.memory_mb * engines, self.full_use(seen)
+        unreserved = 0.9 * ours - sum(s.pool or 0.0 for s in slot.peers.values())       # a tenth is set aside
         if late > band:
             slot.home, slot.delay = False, 0.0
             if waiters >= 0.5 and mean < unreserved and not full:
@@ -446,8 +447,8 @@
         for e in engines:
             seen = self.fleet.get(e)
             if seen is None:
-                fall = (self.rules.cold_window_ms or 1000.0) / 8
-                self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), Ring(fall, 9))
+                cold = Ring(self.rules.cold_window_ms / 8 or 1.0, 9)
+                self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), cold)
             elif e.started_ms and e.started_ms > seen.heard_ms:  # a new start: forget the old one
                 seen.silent, seen.report, seen.heard_ms = False, None, now
         for e in list(self.fleet):
@@ -536,9 +537,9 @@
         """Where reports must be asked for, one probe for three queries taken: the oldest report's engine."""
         self.probes = min(1.0, self.probes + 1 / 3)
         if self.make.reports == "probe" and self.licence.probe and self.probes >= 1 and self.fleet:
-            seen = min(self.fleet.values(), key=lambda s: s.report_ms + 1e9 * (s.engine.state != io.LISTED))
-            if now - seen.report_ms > self.bucket and seen.engine.state == io.LISTED:
-                self.probes, seen.report_ms = 0.0, now
+            seen = min(self.fleet.values(), key=lambda s: s.asked_ms + 1e9 * (s.engine.state != io.LISTED))
+            if now - seen.asked_ms > self.bucket and seen.engine.state == io.LISTED:
+                self.probes, seen.asked_ms = 0.0, now
                 self.door.probe(seen.engine)
 
     def reported(self, seen, report):
@@ -570,9 +571,8 @@
 
     def move(self, run):
         """Cancel and submit again, where that is heeded and harmless."""
-        allowed = self.licence.cancel and run.group.effect == io.READ_ONLY and not run.q.over
-        if (allowed and not run.called_off and run.sub.ending is None
-                and len(run.q.submissions) < self.licence.most_submissions):
+        moves = run.group.effect == io.READ_ONLY and len(run.q.submissions) < self.licence.most_submissions
+        if moves and self.licence.cancel and not (run.called_off or run.q.over or run.sub.ending):
             run.called_off = True
             self.door.cancel(run.sub)
 
@@ -633,7 +633,7 @@
         """Once in a while, over the whole fleet: paces, intervals, reports that must be asked for, trials."""
         self.picker.look(now)
         for seen in self.fleet.values():
-            for g, slot in seen.slots.items():
+            for g, slot in (*seen.slots.items(), *self.slots.pooled.items()):
                 if slot.n and now - slot.since > 4 * g.target_ms or now - slot.since > g.timeout_ms:
                     self.slots.close(slot, seen, g, now)        # silence too closes an interval
             if seen.silent and now >= seen.trial_ms and self.licence.probe and seen.engine.state == io.LISTED:
--- a/lichenquay/admission/state.py
+++ b/lichenquay/admission/state.py
@@ -5,18 +5,18 @@
 class Run:
     """One submission's hold on its engine: slot, memory and threads, until its work is over."""
 
-    def __init__(self, sub, seen, kind, grant):
-        self.sub, self.seen, self.kind, self.grant = sub, seen, kind, grant     # kind of slot; MB
+    def __init__(self, sub, seen, slot, kind, grant):
+        self.sub, self.seen, self.slot, self.kind, self.grant = sub, seen, slot, kind, grant     # grant in MB
         self.q, self.group = sub.query, sub.query.group
         self.heard_ms, self.called_off = sub.sent_ms, False
         self.waits_ms, self.waited_ms = None, 0.0           # waiting since; waited before
 
 
 class Slot:
-    """M&M's state for one engine and resource group (paper, 4.3)."""
+    """M&M's state for one engine (or for all, pooled) and resource group (paper, 4.3)."""
 
-    def __init__(self, limit, maximum, kinds, now):
-        self.limit, self.maximum, self.minimum = limit, maximum, 0
+    def __init__(self, limit, maximum, kinds, peers, now):
+        self.limit, self.maximum, self.minimum, self.peers = limit, maximum, 0, peers   # peers: by group
         self.pool, self.pool_used = None, 0.0               # MB; set from the first grant
         self.used = dict.fromkeys(kinds, 0)
         self.home, self.delay, self.admitted_ms, self.latency = False, 0.0, -inf, 0.0
@@ -34,7 +34,7 @@
     def __init__(self, engine, now, stretch, cold_sent):
         self.engine, self.cores, self.memory_mb = engine, engine.cores or 1.0, engine.memory_mb or 1.0
         self.runs, self.slots, self.held = {}, {}, {}       # held: tables that a load holds there, until when
-        self.report, self.report_ms, self.heard_ms = None, now, now
+        self.report, self.report_ms, self.asked_ms, self.heard_ms = None, -inf, -inf, now
         self.silent, self.trial_ms = False, -inf            # not heard from; when it may be tried again
         self.full_ms, self.short_ms = -inf, -inf            # it last refused; it was last short of memory
         self.stretch, self.pace = stretch, None             # ring of runtime over work per thread; its mean
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -27,7 +27,7 @@
     slot.late, slot.late_sq, slot.grants = 20 * late, 20 * late * late, 20 * 500.0
     slot.waiters, slot.running, slot.delay = 20 * waiters, 20 * running, 7.0
     slot.home = True
-    seen.report = report
+    door.c.reported(seen, report)
     slots.close(slot, seen, g, door.now_ms)
     return slot
 
@@ -82,10 +82,11 @@
     door = FakeDoor([quick(), g], [engine("e1")])
     seen = door.c.fleet[door.engines[0]]
     slot = door.c.slots.slot(seen, g, door.now_ms)
-    slot.maximum, slot.minimum, seen.report = 1, 1, REPORT
+    slot.maximum, slot.minimum = 1, 1
+    door.c.reported(seen, REPORT)
     door.take(g, memory=400.0)
     door.until(door.now_ms + 10)
-    seen.report = REPORT
+    door.c.reported(seen, REPORT)
     door.take(g, memory=400.0)
     assert [(s.kind, s.grant) for s in seen.runs.values()] == [(MAX, 400.0), (MIN, 100.0)]
 
@@ -168,12 +169,33 @@
 def test_a_jam_ends_all_groups_keep_to_our_share_of_a_pressed_engine():
     q, g = quick(), group()
     door = FakeDoor([q, g], [engine("e1")], fronts=4)
-    door.c.fleet[door.engines[0]].report = REPORT
+    door.c.reported(door.c.fleet[door.engines[0]], REPORT)
     for _ in range(30):
         door.take(q)
     assert len(door.out()) == 4     # two threads a core, of which a quarter is ours
 
 
+def test_where_our_share_of_an_engine_is_below_one_query_the_fleets_shares_are_pooled():
+    g = group()         # of 6 engines x 16 threads a fiftieth is ours: one query of two threads
+    door = FakeDoor([quick(), g], [engine(f"e{i}") for i in range(6)], fronts=50)
+    for seen in door.c.fleet.values():
+        door.c.reported(seen, REPORT)
+    held = [door.take(g) for _ in range(5)][1:]
+    assert len(door.out()) == 1
+    door.until(door.now_ms + 1100)
+    assert all(door.done[q.id] == "deferred" for q in held)
+
+
+def test_an_old_report_counts_as_the_average_of_the_fresh():
+    door = FakeDoor([quick(), group()], [engine("e1"), engine("e2")])
+    old, fresh = door.c.fleet.values()
+    door.c.reported(old, REPORT)
+    door.until(door.now_ms + 5000)
+    door.c.reported(fresh, {"active": 2.0})
+    door.c.picker.look(door.now_ms)
+    assert door.c.picker.use(old) is None and door.c.picker.load(old) == door.c.picker.load(fresh)
+
+
 def test_where_memory_swaps_our_share_of_it_binds_always():
     g = group(target_ms=100000.0)
     swap = io.EngineMake(True, True, 0.4, "swap", 500.0, False, ("cpu",), "answers")
