Pool shares that round to no query, bound by the fleet's pressure; homes draw a third anywhere

Where our share of an engine rounds to no query, the shares of all are pooled in one slot state, and limited groups together keep to our share of the fleet's threads and memory once a third of our submissions are first told to wait for memory, or the mean report is full. Homes draw a third of their tables' readers whatever the fleet's size; the measured gain is gone. May hurt: a gateway with far more traffic than its share is held to it under pressure.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -26,10 +26,6 @@
     return work_of(q) / q.group.threads
 
 
-def target_of(q):
-    return q.group.target_ms + q.group.stretch * q.work_ms / q.group.threads
-
-
 def own_load(seen):
     """Our own load on an engine, in threads a core; granted memory counts like the threads that it serves."""
     return max(sum(seen.threads) / seen.cores, THREADS_A_CORE * seen.granted / seen.memory_mb)
@@ -45,8 +41,7 @@
         self.usual = {}             # mean work of each group: a cold engine counts the usual work
 
     def take(self, q, now):
-        if self.rules.further_free is not None:
-            self.taken.add(now, 1)
+        self.taken.add(now, 1)
         self.usual[q.group] = (49 * self.usual.get(q.group, work_of(q)) + work_of(q)) / 50
 
     def weight(self, q):
@@ -78,17 +73,14 @@
                or g.dedup == "cell" and s.engine.cell != e.cell for s in ran):
             return False                # sent again only where and while its repeat is dropped
         warmth = self.warmth(e, now)
-        if warmth >= 1:
-            return True
         # Risk: all fronts push a cold engine over. Ours is one share of the budget, a fifth of it kept back.
         budget = 0.8 * self.rules.cold_multiple * self.rules.cold_window_ms / self.fronts
-        return seen.cold_sent.total(now) + self.weight(q) <= budget * warmth * 0.85 * e.cores
+        return warmth >= 1 or seen.cold_sent.total(now) + self.weight(q) <= budget * warmth * 0.85 * e.cores
 
     def sent(self, q, seen, now):
         if len(q.submissions) > 1:
             self.further.add(now, 1)
-        if seen.engine.started_ms is not None:
-            seen.cold_sent.add(now, self.weight(q))
+        seen.cold_sent.add(now, self.weight(q))
 
     def may_defer(self, q):
         """A deferral says that trying again is harmless."""
@@ -104,7 +96,7 @@
         self.seed, self.drawn, self.warmth, self.fleet, self.bucket = seed, 0, warmth, fleet, bucket
         self.threads, self.usual = 1.0, None                        # a query's threads; the peers' usual pace
         self.used = self.average = self.fresh_ms = 0.0              # the peers' mean use and load; since when
-        self.homes, self.home, self.away = {}, Ring(2000.0, 10), Ring(2000.0, 10)
+        self.homes = {}
 
     def chance(self):
         self.drawn += 1
@@ -118,14 +110,8 @@
             self.homes[tables] = order[:2], order[-2:]
         return self.homes[tables]
 
-    def learn(self, q, seen, pace, now):
-        """Whether readers run faster where others of their tables run decides how much that draws them."""
-        if q.tables and self.usual and not q.group.is_load:
-            measured = self.home if seen in self.homes_of(q.tables)[0] else self.away
-            measured.add(now, min(pace, 4 * self.usual))
-
     def use(self, seen):
-        """Reported utilisation, else held queries, disks, waiting ones. Departure: an old report tells nothing."""
+        """Reported utilisation, else held queries, disks, waiting ones; None: unheard, or long ago."""
         r = seen.report if seen.report_ms >= self.fresh_ms else None
         if not r or "cpu" in r:
             return r["cpu"] if r else None
@@ -153,10 +139,8 @@
         left = list(self.fleet.values())
         weights = [s.weight if s.due_ms > now else self.weigh(s, now) for s in left]
         if q.tables:
-            home, away = self.home.mean(now), self.away.mean(now)
-            bonus = min(6.0, max(1.0, away / home) ** 8) if home and away else 1.5
             for s in self.homes_of(q.tables)[q.group.is_load]:
-                weights[left.index(s)] *= bonus
+                weights[left.index(s)] *= max(1.0, len(left) / 5)   # about a third goes home, in any fleet
         total = sum(weights)
         while left:
             mark, i = self.chance() * total, -1
@@ -174,8 +158,7 @@
         paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
         self.usual, self.fresh_ms = paces[len(paces) // 2], now - 8 * self.bucket
         heard = [(self.use(s), self.load(s)) for s in self.fleet.values() if self.use(s) is not None]
-        if heard:
-            self.used, self.average = (sum(x) / len(heard) for x in zip(*heard))
+        self.used, self.average = (sum(x) / len(x) for x in zip(*heard or [(self.used, self.average)]))
 
 
 class Slots:
@@ -185,21 +168,26 @@
         self.door, self.guards, self.picker, self.make, self.fleet = door, guards, picker, make, picker.fleet
         self.share, self.give_up = 1.0 / max(1, fronts), give_up
         self.waiting = {g: [] for g in groups}      # best value for work first
-        self.margin = {g: 1.0 for g in groups}      # memory granted over its estimate, learned
-        self.needed = {g: 0.0 for g in groups}      # learned mean need, MB
-        self.best, self.busy, self.pooled = None, {}, {}    # best pace of an engine; those with runs of ours
+        self.margin, self.needed = dict.fromkeys(groups, 1.0), dict.fromkeys(groups, 0.0)   # of memory
+        self.best, self.busy, self.pool = None, {}, {}      # best pace of an engine; those with runs of ours
         self.rest_ms = min((g.target_ms for g in groups), default=0.0) / 4  # after a full refusal
+        self.told = Ring(max(100.0, 4 * self.rest_ms), 16)  # share of submissions told to wait for memory
         # Dashboards (no limit, default grant): one thread, no load, a shorter target than some other group.
         far = {g: g.target_ms + g.stretch * g.timeout_ms for g in groups}
         self.quick = {g for g in groups if g.threads == 1 and not g.is_load and far[g] < max(far.values())}
 
-    def slot(self, seen, g, now):
-        """Departure: where our share of an engine is below one query, the shares of all are pooled.
+    def pooled(self, g):
+        """Departure: where our share of an engine rounds to no query, the shares of all are pooled.
         Risk: each of many gateways sends every engine a query of every group."""
-        slots, limit = seen.slots, seen.engine.cores * THREADS_A_CORE * self.share / g.threads or 1.0
-        if limit < 1:
-            slots, limit = self.pooled, limit * len(self.fleet)
+        cores = sum(s.cores for s in self.fleet.values()) / max(1, len(self.fleet))
+        return g not in self.quick and THREADS_A_CORE * cores * self.share < g.threads / 2
+
+    def slot(self, seen, g, now):
+        pooled = self.pooled(g)
+        slots = self.pool if pooled else seen.slots
         if g not in slots:
+            cores = sum(s.cores for s in (self.fleet.values() if pooled else [seen]))
+            limit = cores * THREADS_A_CORE * self.share / g.threads
             slots[g] = Slot(limit, max(1, round(limit)), (MAX, MIN), slots, now)
         return slots[g]
 
@@ -212,6 +200,17 @@
         return (self.full_use(seen) or now - seen.full_ms < g.target_ms or own_load(seen) > THREADS_A_CORE
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
+    def pool_kind(self, q, now):
+        """Under pressure of the fleet (a full mean report, or a third of our submissions told to wait for
+        memory), pooled groups together keep to our share of its threads and memory, and to their slots."""
+        if self.told.mean(now, 0.0) <= 1 / 3 and self.picker.used < 0.95:
+            return MAX
+        threads, granted = sum(s.threads[0] for s in self.busy), sum(s.granted for s in self.busy)
+        fleet = self.fleet.values()
+        cores, memory = sum(s.cores for s in fleet), sum(s.memory_mb for s in fleet)
+        open_ = threads < THREADS_A_CORE * cores * self.share and granted < 0.9 * memory * self.share
+        return self.kind(q, next(iter(self.fleet.values())), now) if open_ else None
+
     def overdrawn(self, q, seen):
         """With the query, our runs would pass our share of its memory, less the set-aside of a tenth."""
         want = seen.granted + (self.grant(q, seen) or q.memory_mb)
@@ -240,16 +239,17 @@
         want = q.memory_mb * self.margin[q.group] or self.needed[q.group]
         return min(want, self.make.most_grant * seen.engine.memory_mb)
 
-    def free(self, q, seen, now):
-        """The kind of slot that is free for the query there, if any."""
-        g, pressed = q.group, self.pressed(seen, q.group, now)
+    def free(self, q, seen, now, kind):
+        """The kind of slot that is free for the query there, if any; given for a pooled group."""
+        g, pressed = q.group, not kind and self.pressed(seen, q.group, now)
         short = now - seen.short_ms < self.make.note_every_ms and g not in self.quick
         if short or now - seen.full_ms < self.rest_ms or not self.room(q, seen, pressed):
             return None
-        if g in self.quick or not pressed:
-            return MAX
-        slot = self.slot(seen, g, now)
-        if self.spacing(slot, seen, g) > now - slot.admitted_ms:
+        return self.kind(q, seen, now) if pressed and g not in self.quick else kind or MAX
+
+    def kind(self, q, seen, now):
+        slot = self.slot(seen, q.group, now)
+        if self.spacing(slot, seen, q.group) > now - slot.admitted_ms:
             return None
         fits = not slot.used[MAX] or slot.pool is None or slot.pool_used + self.grant(q, seen) <= slot.pool
         if fits and slot.used[MAX] < slot.maximum:
@@ -258,13 +258,16 @@
 
     def place(self, q, now, only=None):
         """To the first engine drawn with a free slot and nothing against it, else the least against it."""
-        if not self.guards.may_submit(q, now):
+        if not self.fleet or not self.guards.may_submit(q, now):
             return False
         best, least, hope, tried = None, None, bool(only), {s.engine for s in q.submissions}
+        pooled = self.pooled(q.group) and self.pool_kind(q, now)
+        if pooled is None:
+            return False
         for s in (only,) if only else self.picker.draw(q, now):
             if not self.guards.allows(q, s, now):
                 continue
-            hope, kind = hope or not s.silent, self.free(q, s, now)
+            hope, kind = hope or not s.silent, self.free(q, s, now, pooled)
             # Where all are silent, one gets a trial now and then, by a read-only query.
             trial = q.group.effect == io.READ_ONLY and now >= s.trial_ms and not s.runs
             if kind and (trial or not s.silent):
@@ -291,8 +294,7 @@
         seen.due_ms, self.busy[seen] = 0.0, True
         seen.threads[q.group in self.quick] += q.group.threads
         seen.granted, slot.admitted_ms = seen.granted + run.grant, now
-        if slot.pool is None and grant:
-            slot.pool = grant * slot.maximum
+        slot.pool = slot.pool or grant * slot.maximum or None
         slot.pool_used += run.grant if kind == MAX else 0.0
         if q.group.is_load:
             seen.held[q.tables] = q.ends_ms
@@ -300,7 +302,7 @@
 
     def rank(self, q, done=0.0, pace=None):
         """Priority: dashboards first; then what makes its time only if helped; what is late last."""
-        left, need = min(q.arrived_ms + target_of(q), q.ends_ms) - self.door.now_ms, (1 - done) * ideal_of(q)
+        left, need = min(q.arrived_ms + q.target_ms, q.ends_ms) - self.door.now_ms, (1 - done) * ideal_of(q)
         tight = need < left < 1.2 * (pace or 1.0) * need
         return 0 if left <= 0 else 3 if q.group in self.quick else 2 if tight else 1
 
@@ -329,8 +331,7 @@
             slot.pool_used -= run.grant if run.kind == MAX else 0.0
             seen.threads[run.group in self.quick] -= run.group.threads
             seen.granted, seen.due_ms = seen.granted - run.grant, 0.0
-            if run.group.is_load:
-                seen.held.pop(run.q.tables, None)
+            seen.held.pop(run.q.tables if run.group.is_load else None, None)
             if not seen.runs:
                 self.busy.pop(seen, None)
 
@@ -340,13 +341,12 @@
         seen.full_ms = now if ending == io.FULL else seen.full_ms
         if ending in io.NEVER_RAN or (ending == io.CANCELLED and run.called_off):
             return
-        late, pace = now - q.arrived_ms - target_of(q), took / (ideal_of(q) or 1.0)
+        late, pace = now - q.arrived_ms - q.target_ms, took / (ideal_of(q) or 1.0)
         if q.work_ms and ending in (io.FINISHED, io.TIMED_OUT):
             seen.stretch.add(now, pace)
         if ending != io.FINISHED:
-            late = max(late, target_of(q))
+            late = max(late, q.target_ms)
         elif q.work_ms:
-            self.picker.learn(q, seen, pace, now)
             if seen.stretch.count(now) >= 5:
                 self.best = min(self.best or 1e9, seen.stretch.mean(now))
             slot.latency += (took - slot.latency) / 10 if slot.latency else took
@@ -355,7 +355,7 @@
         slot.n, slot.late, slot.late_sq = slot.n + 1, slot.late + late, slot.late_sq + late * late
         slot.grants += run.grant
         slot.delay = max(0.0, -late) if slot.home else 0.0      # paper, 4.3.3
-        slot.waiters += len(self.waiting[g]) / (1 if slot.peers is self.pooled else max(1, len(self.fleet)))
+        slot.waiters += len(self.waiting[g]) / (1 if slot.peers is self.pool else max(1, len(self.fleet)))
         slot.running += slot.used[MAX] + slot.used[MIN]
         if slot.n >= 20:
             self.close(slot, seen, g, now)
@@ -371,7 +371,7 @@
         late, mean = slot.late / n, slot.grants / n
         band = sqrt(max(0.0, slot.late_sq / n - late * late))
         waiters, running = slot.waiters / n, slot.running / n
-        engines = len(self.fleet) if slot.peers is self.pooled else 1
+        engines = len(self.fleet) if slot.peers is self.pool else 1
         pool, ours, full = slot.pool or 0.0, self.share * seen.memory_mb * engines, self.full_use(seen)
         unreserved = 0.9 * ours - sum(s.pool or 0.0 for s in slot.peers.values())       # a tenth is set aside
         if late > band:
@@ -403,7 +403,6 @@
         self.advance(q.key)
 
     def back(self, q, sub=None):
-        """A query leaves its line once it is over and every submission of it has ended."""
         if q not in self.lines.get(q.key, ()):
             return
         if sub and sub.ending in (io.TIMED_OUT, io.RESET, io.CANCELLED):
@@ -480,6 +479,8 @@
         run = seen.runs.get(sub) if seen else None
         if run is None:
             return
+        if run.heard_ms == sub.sent_ms and run.group not in self.slots.quick:
+            self.slots.told.add(now, what == io.WAITS and amount == 1)
         run.heard_ms = now
         self.heard(seen, now)
         if what == io.SPILLS:
@@ -525,8 +526,7 @@
                 self.slots.down(q)
             else:
                 self.finish(q)
-        if seen is not None:
-            self.slots.stir(now, seen)
+        self.slots.stir(now, seen)
 
     def probed(self, engine, ok, took, report):
         if ok and engine in self.fleet:
@@ -633,7 +633,7 @@
         """Once in a while, over the whole fleet: paces, intervals, reports that must be asked for, trials."""
         self.picker.look(now)
         for seen in self.fleet.values():
-            for g, slot in (*seen.slots.items(), *self.slots.pooled.items()):
+            for g, slot in (*seen.slots.items(), *self.slots.pool.items()):
                 if slot.n and now - slot.since > 4 * g.target_ms or now - slot.since > g.timeout_ms:
                     self.slots.close(slot, seen, g, now)        # silence too closes an interval
             if seen.silent and now >= seen.trial_ms and self.licence.probe and seen.engine.state == io.LISTED:
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -72,6 +72,10 @@
     submissions: list = field(default_factory=list)
     over: bool = False              # finished, deferred, killed, or its client left
 
+    @property
+    def target_ms(self):
+        return self.group.target_ms + self.group.stretch * self.work_ms / self.group.threads
+
 
 @dataclass(eq=False)
 class Submission:
