What waits in an engine's line is never taken for lost; it keeps its place

Told from a hang by the notes: each had said that it waits. May hurt: what waits on an engine that hangs ends with its own time.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -592,8 +592,8 @@
     def lost(self, run, now):
         """Risk: a query or its answer is lost while its engine is heard. What waits gives no further note."""
         limit = max(4 * (run.seen.pace or 1.0) * ideal_of(run.q), run.group.target_ms / 2)
-        noted = self.make.note_every_ms and not run.waits_ms
-        return now - run.heard_ms > (min(limit, self.quiet_ms) if noted else limit)
+        limit = min(limit, self.quiet_ms) if self.make.note_every_ms else limit
+        return now - run.heard_ms > limit and not run.waits_ms
 
     def awake(self):
         """Risk: a gateway that stood still itself takes every engine for silent, all its work for slow."""
