--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -77,11 +77,6 @@
         budget = 0.8 * self.rules.cold_multiple * self.rules.cold_window_ms / self.fronts
         return warmth >= 1 or seen.cold_sent.total(now) + self.weight(q) <= budget * warmth * 0.85 * e.cores
 
-    def sent(self, q, seen, now):
-        if len(q.submissions) > 1:
-            self.further.add(now, 1)
-        seen.cold_sent.add(now, self.weight(q))
-
     def may_defer(self, q):
         """A deferral says that trying again is harmless."""
         g = q.group
@@ -298,7 +293,8 @@
         slot.pool_used += run.grant if kind == MAX else 0.0
         if q.group.is_load:
             seen.held[q.tables] = q.ends_ms
-        self.guards.sent(q, seen, now)
+        self.guards.further.add(now, 1) if len(q.submissions) > 1 else None
+        seen.cold_sent.add(now, self.guards.weight(q))
 
     def rank(self, q, done=0.0, pace=None):
         """Priority: dashboards first; then what makes its time only if helped; what is late last."""
@@ -314,8 +310,7 @@
             self.door.wake(enough, lambda: q in self.waiting[q.group] and self.give_up(q))
 
     def unhold(self, q):
-        if q in self.waiting[q.group]:
-            self.waiting[q.group].remove(q)
+        self.waiting[q.group][:] = (x for x in self.waiting[q.group] if x is not q)
 
     def stir(self, now, only=None):
         """Something may be free: a few of the waiting are tried, best value for work first."""
@@ -446,8 +441,8 @@
         for e in engines:
             seen = self.fleet.get(e)
             if seen is None:
-                cold = Ring(self.rules.cold_window_ms / 8 or 1.0, 9)
-                self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), cold)
+                cold_sent = Ring(self.rules.cold_window_ms / 8 or 1.0, 9)
+                self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), cold_sent)
             elif e.started_ms and e.started_ms > seen.heard_ms:  # a new start: forget the old one
                 seen.silent, seen.report, seen.heard_ms = False, None, now
         for e in list(self.fleet):
@@ -482,7 +477,7 @@
         if run.heard_ms == sub.sent_ms and run.group not in self.slots.quick:
             self.slots.told.add(now, what == io.WAITS and amount == 1)
         run.heard_ms = now
-        self.heard(seen, now)
+        seen.heard_ms, seen.silent = now, False
         if what == io.SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == io.WAITS:
@@ -509,7 +504,7 @@
         if seen is not None:
             self.reported(seen, report)
             if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
-                self.heard(seen, now)
+                seen.heard_ms, seen.silent = now, False
             elif sub.ending in (io.NOT_CONNECTED, io.RESET):
                 self.unheard(seen, now)
         if run is not None:
@@ -531,7 +526,7 @@
     def probed(self, engine, ok, took, report):
         if ok and engine in self.fleet:
             self.reported(self.fleet[engine], report)
-            self.heard(self.fleet[engine], self.door.now_ms)
+            self.fleet[engine].heard_ms, self.fleet[engine].silent = self.door.now_ms, False
 
     def ask(self, now):
         """Where reports must be asked for, one probe for three queries taken: the oldest report's engine."""
@@ -576,11 +571,6 @@
             run.called_off = True
             self.door.cancel(run.sub)
 
-    def heard(self, seen, now):
-        if seen.silent:
-            self.door.log(f"engine {seen.engine.id} heard again")
-        seen.heard_ms, seen.silent = now, False
-
     def unheard(self, seen, now):
         """No notes, time-outs, failed connects: one symptom. Nothing new goes there but trials."""
         if not seen.silent:
