--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -198,12 +198,13 @@
     def pool_kind(self, q, now):
         """Under pressure of the fleet (a full mean report, or a third of our submissions told to wait for
         memory), pooled groups together keep to our share of its threads and memory, and to their slots."""
-        if self.told.mean(now, 0.0) <= 1 / 3 and self.picker.used < 0.95:
-            return MAX
         threads, granted = sum(s.threads[0] for s in self.busy), sum(s.granted for s in self.busy)
         fleet = self.fleet.values()
         cores, memory = sum(s.cores for s in fleet), sum(s.memory_mb for s in fleet)
-        open_ = threads < THREADS_A_CORE * cores * self.share and granted < 0.9 * memory * self.share
+        fits = granted < 0.9 * memory * self.share
+        if self.told.mean(now, 0.0) <= 1 / 3 and self.picker.used < 0.95:
+            return MAX if fits or self.make.when_short != "swap" else None
+        open_ = fits and threads < THREADS_A_CORE * cores * self.share
         return self.kind(q, next(iter(self.fleet.values())), now) if open_ else None
 
     def overdrawn(self, q, seen):
@@ -214,7 +215,7 @@
     def room(self, q, seen, pressed):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
         memory where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
-        if self.make.when_short == "swap" and self.overdrawn(q, seen):
+        if self.make.when_short == "swap" and self.overdrawn(q, seen) and not self.pooled(q.group):
             return False
         limit, quick = THREADS_A_CORE * seen.cores * self.share, q.group in self.quick
         if not quick:
