--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -172,10 +172,10 @@
         self.quick = {g for g in groups if g.threads == 1 and not g.is_load and far[g] < max(far.values())}
 
     def pooled(self, g):
-        """Departure: where our share of an engine rounds to no query, the shares of all are pooled.
+        """Departure: where our share of an engine is below one query, the shares of all are pooled.
         Risk: each of many gateways sends every engine a query of every group."""
         cores = sum(s.cores for s in self.fleet.values()) / max(1, len(self.fleet))
-        return g not in self.quick and THREADS_A_CORE * cores * self.share < g.threads / 2
+        return g not in self.quick and THREADS_A_CORE * cores * self.share < g.threads
 
     def slot(self, seen, g, now):
         pooled = self.pooled(g)
