--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -187,6 +187,15 @@
     assert all(door.done[q.id] == "deferred" for q in held)
 
 
+def test_pooled_groups_keep_to_our_share_of_the_fleets_memory_where_it_swaps_not_of_one_engines():
+    g = group(threads=3)        # a twentieth of an engine's memory is less than one query
+    swap = io.EngineMake(True, True, 0.4, "swap", 500.0, False, ("cpu",), "answers")
+    door = FakeDoor([quick(), g], [engine(f"e{i}") for i in range(10)], fronts=20, make=swap)
+    for _ in range(12):
+        door.take(g, memory=1600.0)
+    assert len(door.out()) == 5     # of 160000 MB a twentieth is ours, less the set-aside; the last one passes it
+
+
 def test_an_old_report_counts_as_the_average_of_the_fresh():
     door = FakeDoor([quick(), group()], [engine("e1"), engine("e2")])
     old, fresh = door.c.fleet.values()
