Ask once a query whether a group is pooled; one heard() again; pooled intervals closed once a look

Found on rereading. room() asked pooled(), which sums the fleet's cores, again for every engine drawn, though the caller knew the answer; look() walked the pooled slots once for every engine; heard() had been copied to its three callers; a docstring still spoke of probes that ask() makes now.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -205,17 +205,17 @@
         if self.told.mean(now, 0.0) <= 1 / 3 and self.picker.used < 0.95:
             return MAX if fits or self.make.when_short != "swap" else None
         open_ = fits and threads < THREADS_A_CORE * cores * self.share
-        return self.kind(q, next(iter(self.fleet.values())), now) if open_ else None
+        return self.kind(q, next(iter(fleet)), now) if open_ else None
 
     def overdrawn(self, q, seen):
         """With the query, our runs would pass our share of its memory, less the set-aside of a tenth."""
         want = seen.granted + (self.grant(q, seen) or q.memory_mb)
         return bool(seen.runs) and want > 0.9 * seen.memory_mb * self.share
 
-    def room(self, q, seen, pressed):
+    def room(self, q, seen, pressed, pooled):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
         memory where too much of it slows all at once. Risk: a jam, in which nothing ends in time."""
-        if self.make.when_short == "swap" and self.overdrawn(q, seen) and not self.pooled(q.group):
+        if self.make.when_short == "swap" and not pooled and self.overdrawn(q, seen):
             return False
         limit, quick = THREADS_A_CORE * seen.cores * self.share, q.group in self.quick
         if not quick:
@@ -239,7 +239,7 @@
         """The kind of slot that is free for the query there, if any; given for a pooled group."""
         g, pressed = q.group, not kind and self.pressed(seen, q.group, now)
         short = now - seen.short_ms < self.make.note_every_ms and g not in self.quick
-        if short or now - seen.full_ms < self.rest_ms or not self.room(q, seen, pressed):
+        if short or now - seen.full_ms < self.rest_ms or not self.room(q, seen, pressed, kind):
             return None
         return self.kind(q, seen, now) if pressed and g not in self.quick else kind or MAX
 
@@ -478,7 +478,7 @@
         if run.heard_ms == sub.sent_ms and run.group not in self.slots.quick:
             self.slots.told.add(now, what == io.WAITS and amount == 1)
         run.heard_ms = now
-        seen.heard_ms, seen.silent = now, False
+        self.heard(seen, now)
         if what == io.SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == io.WAITS:
@@ -505,7 +505,7 @@
         if seen is not None:
             self.reported(seen, report)
             if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
-                seen.heard_ms, seen.silent = now, False
+                self.heard(seen, now)
             elif sub.ending in (io.NOT_CONNECTED, io.RESET):
                 self.unheard(seen, now)
         if run is not None:
@@ -527,7 +527,7 @@
     def probed(self, engine, ok, took, report):
         if ok and engine in self.fleet:
             self.reported(self.fleet[engine], report)
-            self.fleet[engine].heard_ms, self.fleet[engine].silent = self.door.now_ms, False
+            self.heard(self.fleet[engine], self.door.now_ms)
 
     def ask(self, now):
         """Where reports must be asked for, one probe for three queries taken: the oldest report's engine."""
@@ -572,6 +572,9 @@
             run.called_off = True
             self.door.cancel(run.sub)
 
+    def heard(self, seen, now):
+        seen.heard_ms, seen.silent = now, False
+
     def unheard(self, seen, now):
         """No notes, time-outs, failed connects: one symptom. Nothing new goes there but trials."""
         if not seen.silent:
@@ -621,10 +624,10 @@
             self.door.wake(self.due_ms, self.tick)
 
     def look(self, now):
-        """Once in a while, over the whole fleet: paces, intervals, reports that must be asked for, trials."""
+        """Once in a while, over the whole fleet: paces, intervals, trials."""
         self.picker.look(now)
-        for seen in self.fleet.values():
-            for g, slot in (*seen.slots.items(), *self.slots.pool.items()):
+        for i, seen in enumerate(self.fleet.values()):
+            for g, slot in (*seen.slots.items(), *(() if i else self.slots.pool.items())):
                 if slot.n and now - slot.since > 4 * g.target_ms or now - slot.since > g.timeout_ms:
                     self.slots.close(slot, seen, g, now)        # silence too closes an interval
             if seen.silent and now >= seen.trial_ms and self.licence.probe and seen.engine.state == io.LISTED:
