--- /dev/null
+++ b/lichenquay/front/admit.py
@@ -0,0 +1,176 @@
+"""Admit: a query to the controller, and the controller's answers back. The door makes no choice."""
+import heapq
+import traceback
+from dataclasses import dataclass
+
+from lichenquay.admission import interface as io
+from lichenquay.front import frames
+
+
+@dataclass(eq=False)
+class FrontQuery(io.Query):
+    """A query as the front keeps it: whom to answer, and what goes to engines unchanged."""
+    client: object = None
+    stream: int = 0
+    ref: str = ""
+    statement: bytes = b""
+    grant_mb: float = 0.0           # of its next submissions
+    rank_asked: int | None = None
+    flight: object = None           # its latest submission
+
+
+class Admit:
+    """The controller's door. What happens is kept for the next turn; turns are `step_ms` apart at least."""
+
+    def __init__(self, opening, reactor, now_ms, book, log):
+        self.reactor, self.clock_ms, self.book, self.log_line = reactor, now_ms, book, log
+        self.step_ms, self.most, self.tells_cost = opening.gateway.step_ms, opening.licence.most_submissions, \
+            opening.make.tells_cost
+        self.events, self.timers, self.timed, self.next = [], [], 0, None
+        self.now_ms = self.turned_ms = now_ms()
+        self.open, self.numbers = set(), 0
+        self.route = None
+        self.controller = opening.controller(self)
+
+    # what happens, from the network's side
+
+    def happen(self, call, *what):
+        self.events.append((call, what))
+        self.poke(self.turned_ms + self.step_ms)
+
+    def take(self, q):
+        self.numbers += 1
+        q.id = self.numbers
+        self.open.add(q)
+        self.happen(self.controller.take, q)
+
+    def left(self, q):
+        """Its client waits no longer."""
+        if not q.over:
+            q.over = True
+            self.open.discard(q)
+            self.book.count("queries left by their clients")
+            self.happen(self.controller.left, q)
+
+    def noted(self, sub, what, amount):
+        self.happen(self.note, sub, what, amount)
+
+    def note(self, sub, what, amount):
+        if sub.ending is None:
+            self.controller.noted(sub, what, amount)
+
+    def back(self, flight, ending, cost, report, result):
+        """A submission ended; a whole result is the client's at once, so that none can come between."""
+        q = flight.query
+        if ending == io.FINISHED and not q.over:
+            self.answer(q, frames.FINISHED, result)
+        took = self.clock_ms() - flight.sub.sent_ms
+        self.happen(self.ended, flight.sub, ending, took, cost if self.tells_cost else None, report)
+
+    def ended(self, sub, ending, took, cost, report):
+        sub.ending = ending
+        self.controller.answered(sub, took, cost, report)
+
+    def listed(self, engines, whole):
+        self.happen(self.controller.list_news, engines, whole)
+
+    def time_up(self):
+        """The front itself has to end: what is still open gets the controller's final answer now."""
+        for q in list(self.open):
+            self.happen(self.controller.finish, q)
+
+    # turns
+
+    def poke(self, at_ms):
+        if self.next is None:
+            self.next = self.reactor.callLater(max(0.0, at_ms - self.clock_ms()) / 1000, self.turn)
+            self.next_ms = at_ms
+        elif at_ms < self.next_ms - 0.01:
+            self.next.reset(max(0.0, at_ms - self.clock_ms()) / 1000)
+            self.next_ms = at_ms
+
+    def turn(self):
+        self.next = None
+        self.now_ms = now = self.turned_ms = max(self.now_ms, self.clock_ms())
+        events, self.events = self.events, []
+        for call, what in events:
+            self.guarded(call, what)
+        while self.timers and self.timers[0][0] <= now:
+            self.guarded(heapq.heappop(self.timers)[2], ())
+        if self.events:
+            self.poke(now + self.step_ms)
+        elif self.timers:
+            self.poke(max(self.timers[0][0], now + self.step_ms))
+
+    def guarded(self, call, what):
+        """Risk: a fault met for one query takes the front, and all that it holds, with it."""
+        try:
+            call(*what)
+        except Exception:
+            self.book.count("faults")
+            self.log_line("fault", traceback.format_exc())
+            q = getattr(what[0], "query", what[0]) if what else None
+            if isinstance(q, FrontQuery):
+                self.fault(q)
+
+    def fault(self, q):
+        if q.flight is not None and not q.flight.over:
+            self.cancel(q.flight.sub)
+        if not q.over:
+            self.kill(q)
+
+    # the door
+
+    def submit(self, q, engine, patience_ms):
+        sub = io.Submission(q, len(q.submissions), engine, self.now_ms)
+        q.submissions.append(sub)
+        if q.over or len(q.submissions) > self.most or patience_ms <= 0:
+            self.book.count("submissions never sent")
+            self.happen(self.ended, sub, io.NEVER_SENT, 0.0, None, None)
+        else:
+            q.flight = self.route.down(sub, patience_ms)
+        return sub
+
+    def allot(self, q, memory_mb, priority):
+        q.grant_mb, q.rank_asked = memory_mb, priority
+        if q.flight is not None:
+            self.route.rerank(q.flight, priority)
+
+    def cancel(self, sub):
+        flight = sub.query.flight
+        if flight is not None and flight.sub is sub:
+            self.route.give_up(flight)
+
+    def defer(self, q, pause_ms):
+        self.answer(q, frames.DEFERRED, [b"no room in time; trying again is harmless"])
+
+    def kill(self, q):
+        self.answer(q, frames.KILLED, [b"not finished in time"])
+
+    def answer(self, q, code, body):
+        if not q.over:
+            q.over = True
+            self.open.discard(q)
+            q.client.answer(q, code, body)
+
+    def wake(self, at_ms, call):
+        self.timed += 1
+        heapq.heappush(self.timers, (at_ms, self.timed, call))
+        self.poke(max(at_ms, self.now_ms + self.step_ms))
+
+    def probe(self, engine):
+        """PROTOCOL knows no probe; a site that allows them tells how."""
+
+    def watch_list(self, on=True):
+        """The bulletin is followed all the time."""
+
+    fetch_list = watch_list
+
+    def close_idle(self, engine):
+        self.route.withdrawn(engine)
+
+    def tell(self, whom, content):
+        """Fronts share nothing."""
+
+    def log(self, text):
+        self.log_line("controller", text)
--- /dev/null
+++ b/lichenquay/front/book.py
@@ -0,0 +1,81 @@
+"""Book: how submissions and queries end, the counters of it, and letting go of what is over."""
+import sys
+from collections import Counter
+
+from lichenquay.admission import interface as io
+
+LINES_A_SECOND = 5      # of one kind on standard error
+
+
+class Log:
+    """Plain lines on standard error, a few of each kind a second; what was left out is counted."""
+
+    def __init__(self, seconds, out=sys.stderr):
+        self.seconds, self.out, self.kinds = seconds, out, {}
+
+    def __call__(self, kind, text):
+        now = self.seconds()
+        since, lines, left_out = self.kinds.get(kind, (now, 0, 0))
+        if now - since >= 1:
+            if left_out:
+                print(f"{kind}: {left_out} more lines left out", file=self.out, flush=True)
+            since, lines, left_out = now, 0, 0
+        if lines < LINES_A_SECOND:
+            print(text, file=self.out, flush=True)
+        self.kinds[kind] = (since, lines + 1, left_out + (lines >= LINES_A_SECOND))
+
+
+# What the bench calls the values of a load report on the settings' side; an engine may use either name.
+COLUMNS = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps",
+           "eps": "err_rps"}
+
+
+def read_report(text):
+    """A load report: name:value pairs; None where there is none or it cannot be read."""
+    report = {}
+    for part in (text or "").split(";"):
+        name, colon, value = part.strip().partition(":")
+        try:
+            report[COLUMNS.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return report or None
+
+
+def read_cost(headers):
+    """(work in ms, memory in MB) of a good end; None where it is not told."""
+    try:
+        return float(headers["x-cpu-ms"]), float(headers["x-mem-used"])
+    except (KeyError, ValueError):
+        return None
+
+
+class Book:
+    """The end of a submission goes back up the chain from here."""
+
+    def __init__(self, back):
+        self.back, self.counters, self.out = back, Counter(), 0
+
+    def count(self, what, more=1):
+        self.counters[what] += more
+
+    def opened(self):
+        self.out += 1
+        self.count("submissions sent")
+
+    def end(self, flight, ending, headers=None, result=None):
+        """The one ending of a submission; what comes later for it is nothing any more."""
+        if flight.over:
+            return
+        flight.over = True
+        if flight.timer is not None and flight.timer.active():
+            flight.timer.cancel()
+        flight.timer = None
+        self.out -= 1
+        self.count(f"submissions {ending}")
+        headers = headers or {}
+        cost = read_cost(headers) if ending == io.FINISHED else None
+        self.back(flight, ending, cost, read_report(headers.get("x-report")), result)
+
+    def lines(self):
+        return [f"{what}: {n}" for what, n in sorted(self.counters.items())]
--- /dev/null
+++ b/lichenquay/front/bulletin.py
@@ -0,0 +1,104 @@
+"""The bulletin: the list of engines as numbered events, followed over HTTP (the operators' PROTOCOL)."""
+import json
+
+from twisted.internet.protocol import Protocol, ReconnectingClientFactory
+
+from lichenquay.admission import interface as io
+from lichenquay.front.http import BadReply, ReplyReader, request
+
+PATIENCE_MS = 2000              # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
+SILENT_MS = PATIENCE_MS + 500   # well within the 7 s after which an event counts as told (PROTOCOL, 'Figures')
+AGAIN_MS = 100                  # after an answer that says nothing of use
+STATES = {"SERVING": io.LISTED, "DRAINING": io.DRAINING, "DELETED": io.WITHDRAWN}
+
+
+class BadList(ValueError):
+    """An event that cannot be read; the text says why."""
+
+
+def read_rows(item):
+    """(whole list or not, rows) of one event; a row: uid, address, place, kind, cell, state, units, started."""
+    try:
+        roster, rows = item["roster"], []
+        for t in roster["targets"]:
+            host, _, port = t["endpoint"].rpartition(":")
+            if t["state"] not in STATES or not host or not 0 < int(port) < 65536:
+                raise BadList(f"an engine in no known state or place: {t['uid']!r}")
+            rows.append((str(t["uid"]), f"{host}:{int(port)}", str(t.get("az", "")), str(t.get("model", "")),
+                         int(t.get("pod_group") or 0), STATES[t["state"]], float(t.get("capacity_hint", 1.0)),
+                         float(t.get("boot_ms") or 0)))
+        return bool(roster["all"]), rows
+    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        raise BadList(f"an event that cannot be read: {bad}") from None
+
+
+class Bulletin:
+    """What has been told so far, and who wants to know: `news(whole, rows)`."""
+
+    def __init__(self, known, news, log):
+        self.no, self.news, self.log, self.reads = 0, news, log, 0
+        self.follow(known)
+
+    def follow(self, told):
+        """An answer of the bulletin, or what was known at start: all of its events, or none of them."""
+        try:
+            items = [(int(item["no"]), *read_rows(item)) for item in told["items"] if int(item["no"]) > self.no]
+            last = int(told["no"])
+        except (KeyError, TypeError, ValueError) as bad:
+            raise BadList(f"an answer that cannot be read: {bad}") from None
+        if last < self.no or [no for no, *_ in items] != sorted(no for no, *_ in items):
+            raise BadList(f"events go back: {last} after {self.no}")
+        for no, whole, rows in items:
+            self.news(whole, rows)
+        self.no = max([last] + [no for no, *_ in items])
+        self.reads += 1
+
+
+class BulletinLine(Protocol):
+    """One connection to the bulletin; calls follow each other on it."""
+
+    def __init__(self, factory):
+        self.factory, self.reader, self.timer = factory, ReplyReader(), None
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self.ask()
+
+    def ask(self):
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        path = f"/bulletins?after={self.factory.bulletin.no}&patience={PATIENCE_MS}"
+        self.timer = self.factory.reactor.callLater(SILENT_MS / 1000, self.transport.abortConnection)
+        self.transport.write(request("GET", path, self.factory.host))
+
+    def dataReceived(self, data):
+        try:
+            reply = self.reader.feed(data)
+            if reply is None:
+                return
+            if reply.status != 200:
+                raise BadReply(f"status {reply.status}")
+            self.factory.bulletin.follow(json.loads(bytes(reply.body)))
+        except (BadReply, ValueError) as bad:
+            self.factory.bulletin.log("bulletin", f"bulletin: {bad}; the list stays as it was")
+            return self.transport.abortConnection()
+        self.factory.resetDelay()
+        self.ask() if reply.keep else self.transport.loseConnection()
+
+    def connectionLost(self, reason):
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
+class BulletinFactory(ReconnectingClientFactory):
+    """Reconnects at once, then after a short pause that grows little."""
+
+    noisy = False
+    initialDelay, maxDelay, factor, jitter = AGAIN_MS / 1000, 0.5, 1.5, 0
+
+    def __init__(self, reactor, bulletin, host):
+        self.reactor, self.clock, self.bulletin, self.host = reactor, reactor, bulletin, host
+
+    def buildProtocol(self, address):
+        return BulletinLine(self)
--- /dev/null
+++ b/lichenquay/front/relay.py
@@ -0,0 +1,134 @@
+"""Relay: the news of a submission, the pages of its result, and giving it up."""
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from lichenquay.admission import interface as io
+from lichenquay.front.engines import Broken, NotConnected, Silent
+from lichenquay.front.http import request
+
+FORGOTTEN_MS = 2000.0           # PROTOCOL: a query that has not been asked for this long is over
+MARGIN_MS = 100.0               # for the way of the last call to its engine
+MOST_RESULT = 48_000            # PROTOCOL: bytes of a result
+MOST_PAGE = 6_000               # PROTOCOL: bytes of a page
+AGAIN_MS = 50.0                 # between two tries to reach an engine
+NOTES = {"share": io.PROGRESS, "short": io.SPILLS, "held": io.WAITS}
+
+
+class BadResult(Exception):
+    """A page that is missing, too long or another one."""
+
+
+class Relay:
+    def __init__(self, engines, book, noted, now_ms, silent_ms):
+        self.engines, self.book, self.noted, self.now_ms, self.silent_ms = engines, book, noted, now_ms, silent_ms
+
+    def asked(self, flight):
+        flight.asked_ms = self.now_ms()
+
+    def pause(self, ms):
+        done = Deferred()
+        self.engines.later(ms, lambda: done.callback(None))
+        return done
+
+    @inlineCallbacks
+    def ask(self, flight, page):
+        """A call for news or for a page, put again on another connection while the engine may still know the
+        query; None once the submission has been ended otherwise."""
+        fresh = False
+        while not (flight.over or flight.given_up):
+            try:
+                reply = yield self.engines.ask(
+                    flight.engine, request("GET", f"{flight.path}{page}", flight.host), self.silent_ms, fresh=fresh,
+                    on_written=lambda: self.asked(flight))
+                return None if flight.over or flight.given_up else reply
+            except NotConnected as failed:
+                # Its process is gone, or nothing has reached it for so long that the query is over.
+                if failed.refused or self.now_ms() > flight.asked_ms + FORGOTTEN_MS + MARGIN_MS:
+                    self.book.end(flight, flight.given_up or io.RESET)
+                    return None
+                yield self.pause(AGAIN_MS)
+            except (Broken, Silent):
+                self.book.count("news asked again")
+                fresh = True
+
+    @inlineCallbacks
+    def follow(self, flight, reply):
+        """From the answer to the first call to the ending."""
+        while True:
+            if flight.over or flight.given_up:
+                return
+            if reply is None:
+                reply = yield self.ask(flight, 0)
+                if reply is None:
+                    return
+            if reply.status != 202:
+                break
+            self.note(flight, reply)
+            reply = None
+        no_effect = reply.headers.get("x-no-effect") == "1"
+        if reply.status in (503, 504) and no_effect:
+            self.book.end(flight, io.FULL, reply.headers)
+        elif reply.status == 200:
+            try:
+                result = yield self.gather(flight, reply)
+            except BadResult:
+                self.book.count("results unreadable")
+                return self.book.end(flight, io.ERROR, reply.headers)
+            if result is not None:
+                self.book.end(flight, io.FINISHED, reply.headers, result)
+        else:
+            self.book.end(flight, io.ERROR, reply.headers)
+
+    def note(self, flight, reply):
+        what = NOTES.get(reply.headers.get("x-tell", ""))
+        if what is not None:
+            try:
+                amount = float(reply.headers["x-amount"])
+            except (KeyError, ValueError):
+                return
+            self.noted(flight.sub, what, amount)
+
+    @inlineCallbacks
+    def gather(self, flight, reply):
+        """The whole result, page after page; None once the submission has been ended otherwise."""
+        parts, pages, size = reply.whole("x-parts", 1), [reply.body], len(reply.body)
+        if parts is None or parts > MOST_RESULT or size > MOST_PAGE:
+            raise BadResult()
+        for n in range(1, parts):
+            page = yield self.ask(flight, n)
+            if page is None:
+                return None
+            size += len(page.body)
+            if page.status != 200 or page.whole("x-part-no") != n or len(page.body) > MOST_PAGE or size > MOST_RESULT:
+                raise BadResult()
+            pages.append(page.body)
+        return pages
+
+    @inlineCallbacks
+    def give_up(self, flight, ending=None):
+        """Ends a submission from this side. Its ending is told once the engine surely works on it no longer, for
+        only then may another go out: its answer to DELETE, its death, or two seconds without a call."""
+        if flight.over or flight.given_up:
+            return
+        if flight.call is not None and flight.call.withdraw():
+            return self.book.end(flight, io.NEVER_SENT)
+        flight.given_up = ending or (io.TIMED_OUT if self.now_ms() >= flight.until_ms - 1 else io.CANCELLED)
+        call, fresh = request("DELETE", flight.path[:-1], flight.host), False
+        while self.now_ms() <= flight.asked_ms + FORGOTTEN_MS + MARGIN_MS:
+            try:
+                yield self.engines.ask(flight.engine, call, self.silent_ms, urgent=True, fresh=fresh)
+                break
+            except NotConnected as failed:
+                if failed.refused:
+                    break
+                yield self.pause(AGAIN_MS)
+            except (Broken, Silent):
+                fresh = True
+        self.book.end(flight, flight.given_up)
+
+    @inlineCallbacks
+    def tell(self, flight, call):
+        """A call that nothing depends on."""
+        try:
+            yield self.engines.ask(flight.engine, call, self.silent_ms)
+        except (Broken, NotConnected, Silent):
+            self.book.count("priorities not told")
--- /dev/null
+++ b/lichenquay/front/service.py
@@ -0,0 +1,158 @@
+"""The program's phases, from start to exit, as named states of one object."""
+import gc
+import json
+import os
+import signal
+import time
+
+from twisted.internet.error import CannotListenError
+
+from lichenquay.admission import interface as io
+from lichenquay.front.admit import Admit
+from lichenquay.front.book import Book, Log
+from lichenquay.front.bulletin import BadList, Bulletin, BulletinFactory
+from lichenquay.front.engines import Engines
+from lichenquay.front.relay import Relay
+from lichenquay.front.route import Route
+from lichenquay.front.send import Send
+from lichenquay.front.take_in import TakeIn
+from lichenquay.opening import Opening, Sheet, Unreadable, flat
+
+STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
+NEWS_MS = 250.0                 # PROTOCOL: an engine answers a call for news after this at the latest
+SILENT_MS = 3 * NEWS_MS         # then it is asked on another connection, well within 2 s
+LISTEN_ON_MS = 400.0            # PROTOCOL: new connections go on coming this long after SIGTERM
+REQUESTS_ON_MS = 200.0          # PROTOCOL: and requests on open ones for this long more
+KILLED_MS = 3000.0 + 700.0      # PROTOCOL: SIGKILL comes no sooner after SIGTERM, where deadlines are 3 s or more
+LAST_MS = 400.0                 # before that, what is still open gets its final answer
+RESERVE = 48                    # descriptors for the reactor, accepting, the bulletin and DELETEs
+CLIENTS_SHARE = 3               # PROTOCOL: clients hold a third of the descriptors at most
+
+
+class CannotStart(Exception):
+    """Something that the program needs is missing; the text names it."""
+
+
+def now_ms():
+    return time.time() * 1000
+
+
+def read_config(environment):
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise CannotStart("BALANCER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            config = json.load(file)
+        listen = environment.get("BALANCER_LISTEN") or config["listen"]
+        host, _, port = listen.rpartition(":")
+        bulletin_host, _, bulletin_port = config["bulletin"].rpartition(":")
+        return (host, int(port), bulletin_host, int(bulletin_port), int(config["limits"]["sockets"]),
+                int(config["seed"], 16), config["known"], config["settings"])
+    except OSError as bad:
+        raise CannotStart(f"configuration {path}: {bad.strerror}") from None
+    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        raise CannotStart(f"configuration {path}: {type(bad).__name__}: {bad}") from None
+
+
+class Service:
+    def __init__(self, reactor, environment):
+        self.state, self.reactor = STARTING, reactor
+        (self.host, self.port, self.bulletin_host, self.bulletin_port, sockets, seed, known,
+         settings) = read_config(environment)
+        try:
+            opening = Opening(Sheet(flat(settings)), seed)
+        except (Unreadable, AttributeError) as bad:
+            raise CannotStart(f"settings: {bad}") from None
+        self.opening, self.by_uid = opening, {}
+        self.log = Log(time.time)
+        self.book = Book(lambda *ending: self.admit.back(*ending))
+        self.engines = Engines(reactor, sockets - sockets // CLIENTS_SHARE - RESERVE, RESERVE // 2,
+                               opening.make.connect_timeout_ms or NEWS_MS, opening.idle_ms or 4 * NEWS_MS)
+        self.admit = Admit(opening, reactor, now_ms, self.book, self.log)
+        self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, SILENT_MS)
+        self.send = Send(self.engines, self.relay, self.book, SILENT_MS, self.log)
+        self.route = self.admit.route = Route(self.engines, self.send, self.relay)
+        self.clients = TakeIn(opening, self.admit, self.book, self.log, now_ms, self.is_ready,
+                              sockets // CLIENTS_SHARE + RESERVE // 4)
+        try:
+            self.bulletin = Bulletin(known, self.news, self.log)
+        except BadList as bad:
+            raise CannotStart(f"known: {bad}") from None
+
+    def news(self, whole, rows):
+        named = []
+        for uid, address, place, kind, cell, state, units, started in rows:
+            e = self.by_uid.get(uid)
+            if e is None:
+                e = self.by_uid[uid] = io.Engine(uid)
+            self.opening.describe(e, place, kind, cell, state, units, started)
+            self.route.listed(e, address)
+            named.append(e)
+        self.admit.listed(named, whole)
+
+    # the phases
+
+    def start(self):
+        try:
+            self.clients.port = self.reactor.listenTCP(self.port, self.clients, backlog=511, interface=self.host)
+        except CannotListenError as bad:
+            raise CannotStart(f"cannot listen on {self.host}:{self.port}: {bad.socketError.strerror}") from None
+        factory = BulletinFactory(self.reactor, self.bulletin, f"{self.bulletin_host}:{self.bulletin_port}")
+        self.reactor.connectTCP(self.bulletin_host, self.bulletin_port, factory, timeout=1.0)
+        self.reactor.callWhenRunning(self.run)
+
+    def run(self):
+        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
+        signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.leave))
+        signal.signal(signal.SIGUSR1, lambda *_: self.reactor.callFromThread(self.tell))
+        self.admit.turn()
+        gc.collect()
+        gc.freeze()
+        self.sweep()
+        self.state = SERVING
+
+    def is_ready(self):
+        return self.state in (SERVING, LEAVING) and bool(self.by_uid)
+
+    def sweep(self):
+        self.engines.sweep()
+        self.reactor.callLater(1.0, self.sweep)
+
+    def leave(self):
+        """SIGTERM: listen on for as long as PROTOCOL says; answer all that is taken; tell clients to go."""
+        if self.state != SERVING:
+            return
+        self.state, self.left_ms = LEAVING, now_ms()
+        self.clients.tell_no_more()
+        self.engines.later(LISTEN_ON_MS, self.close_door)
+        self.engines.later(KILLED_MS - LAST_MS, self.admit.time_up)
+
+    def close_door(self):
+        self.clients.port.stopListening()
+        self.clients.port = None
+        self.clients.tell_no_more()
+        self.engines.later(REQUESTS_ON_MS, self.drain)
+
+    def drain(self):
+        self.state = DRAINING
+        if self.clients.idle() or now_ms() > self.left_ms + KILLED_MS:
+            self.state = ENDED
+            self.reactor.stop()
+        else:
+            self.engines.later(20.0, self.drain)
+
+    def tell(self):
+        counters = self.book.lines() + [
+            f"clients now: {len(self.clients.lines)}", f"clients at most: {self.clients.most_lines}",
+            f"engine connections now: {self.engines.open}", f"engine connections at most: {self.engines.most}",
+            f"submissions out: {self.book.out}", f"queries open: {len(self.admit.open)}",
+            f"descriptors: {len(os.listdir('/proc/self/fd'))}", f"cpu seconds: {time.process_time():.2f}",
+            f"memory MB at most: {peak_mb()}", f"state: {self.state}"]
+        for line in counters:
+            print(line, file=self.log.out, flush=True)
+
+
+def peak_mb():
+    import resource
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
--- /dev/null
+++ b/lichenquay/front/take_in.py
@@ -0,0 +1,186 @@
+"""Take in: clients' connections, their queries and what else they say; and the answers back to them."""
+import re
+
+from twisted.internet.protocol import Factory, Protocol
+
+from lichenquay.front import frames
+from lichenquay.front.admit import FrontQuery
+from lichenquay.front.statement import tables_of
+
+MOST_OPEN = 32                  # PROTOCOL: open requests on one connection
+REF = re.compile(r"[0-9a-fA-F]{16}\Z")
+ONCE = ("service", "ref", "allow", "project", "effort", "memory")
+MOST_UNSENT = 32 << 20          # bytes of answers that clients do not read, all together
+
+
+class BadQuery(ValueError):
+    """A well-formed request that makes no query; the text says why."""
+
+
+def amount(fields, name):
+    try:
+        got = float(fields[name])
+    except ValueError:
+        got = -1.0
+    if not 0 <= got < 1e12:
+        raise BadQuery(f"{name}: {fields[name][:40]!r}")
+    return got
+
+
+class ClientLine(Protocol):
+    """One client's connection. It stops being read while it does not read its own answers."""
+
+    def __init__(self, desk):
+        self.desk, self.reader, self.open, self.unsent, self.stuck, self.up = desk, frames.FrameReader(), {}, 0, \
+            False, True
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.desk.opened(self)
+
+    def dataReceived(self, data):
+        try:
+            for kind, stream, payload in self.reader.feed(data):
+                self.heard(kind, stream, payload)
+                if not self.up:
+                    return
+        except frames.BadFrame as bad:
+            self.desk.book.count("bad frames")
+            self.desk.log("client", f"client: {bad}; connection closed")
+            self.put(frames.answer(0, frames.KILLED, str(bad).encode()))
+            self.close()
+
+    def heard(self, kind, stream, payload):
+        if kind == frames.QUERY:
+            if stream == 0 or stream in self.open:
+                raise frames.BadFrame(f"stream {stream} is not new")
+            fields, body = frames.read_fields(payload)
+            self.desk.book.count("queries taken in")
+            try:
+                q = self.desk.query(self, stream, fields, body)
+            except BadQuery as bad:
+                self.desk.book.count("queries that make no sense")
+                self.desk.book.count("answers deferred")
+                return self.put(frames.answer(stream, frames.DEFERRED, str(bad).encode()))
+            self.open[stream] = q
+            self.desk.admit.take(q)
+        elif kind == frames.LEFT:
+            q = self.open.pop(stream, None)
+            if q is not None:
+                self.desk.admit.left(q)
+        elif kind == frames.IS_READY:
+            frames.read_fields(payload)
+            self.put(frames.readiness(stream, 0 if self.desk.ready() else 1))
+        else:
+            raise frames.BadFrame(f"a frame of type {kind}")
+
+    def answer(self, q, code, body):
+        if self.open.pop(q.stream, None) is not None:
+            self.put(frames.answer(q.stream, code, *body))
+            self.desk.book.count(self.desk.ANSWERS[code])
+
+    def put(self, data):
+        if not self.up:
+            return
+        if self.stuck:
+            self.unsent += len(data)
+            self.desk.unsent += len(data)
+            if self.desk.unsent > MOST_UNSENT:
+                self.desk.book.count("clients that do not read")
+                self.desk.log("client", "client: does not read its answers; connection closed")
+                return self.transport.abortConnection()
+        self.transport.write(data)
+
+    # what the transport says as it fills and empties
+
+    def pauseProducing(self):
+        self.stuck = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self):
+        self.stuck = False
+        self.desk.unsent -= self.unsent
+        self.unsent = 0
+        if self.up:
+            self.transport.resumeProducing()
+
+    def stopProducing(self):
+        self.up = False
+
+    def close(self):
+        """Ends the connection once what is written has gone; what was taken on it ends at the engine."""
+        if self.up:
+            self.up = False
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+            self.leave()
+
+    def leave(self):
+        queries, self.open = self.open, {}
+        for q in queries.values():
+            self.desk.admit.left(q)
+
+    def connectionLost(self, reason):
+        self.up = False
+        self.desk.unsent -= self.unsent
+        self.unsent = 0
+        self.leave()
+        self.desk.closed(self)
+
+
+class TakeIn(Factory):
+    """All clients' connections: at most `most` at a time; more wait to be accepted."""
+
+    ANSWERS = {frames.FINISHED: "answers finished", frames.DEFERRED: "answers deferred",
+               frames.KILLED: "answers killed"}
+    noisy = False
+
+    def __init__(self, opening, admit, book, log, now_ms, ready, most):
+        self.groups, self.tenants = opening.groups, opening.tenants
+        self.admit, self.book, self.log, self.now_ms, self.ready, self.most = admit, book, log, now_ms, ready, most
+        self.lines, self.port, self.unsent, self.most_lines = {}, None, 0, 0
+
+    def buildProtocol(self, address):
+        return ClientLine(self)
+
+    def opened(self, line):
+        self.lines[line] = True
+        self.most_lines = max(self.most_lines, len(self.lines))
+        if len(self.lines) >= self.most and self.port is not None:
+            self.port.pauseProducing()
+
+    def closed(self, line):
+        self.lines.pop(line, None)
+        if len(self.lines) == self.most - 1 and self.port is not None:
+            self.port.resumeProducing()
+
+    def query(self, line, stream, pairs, body):
+        fields = dict(pairs)
+        if len(line.open) >= MOST_OPEN:
+            raise BadQuery(f"more than {MOST_OPEN} open requests")
+        if len(fields) < len(pairs) and any([n for n, _ in pairs].count(name) > 1 for name in ONCE):
+            raise BadQuery("a field twice")
+        for name in ONCE:
+            if name not in fields and (name != "project" or self.tenants):
+                raise BadQuery(f"{name}: missing")
+        group, tenant = self.groups.get(fields["service"]), self.tenants.get(fields.get("project"))
+        if group is None:
+            raise BadQuery(f"service: {fields['service'][:40]!r}")
+        if tenant is None and self.tenants:
+            raise BadQuery(f"project: {fields['project'][:40]!r}")
+        if not REF.match(fields["ref"]):
+            raise BadQuery(f"ref: {fields['ref'][:40]!r}")
+        now, allow = self.now_ms(), amount(fields, "allow")
+        statement = bytes(body)         # outlives the buffer
+        return FrontQuery(0, group, now, now + allow, tenant, "", amount(fields, "effort"), amount(fields, "memory"),
+                          tables_of(str(statement, "utf-8", "replace")), client=line, stream=stream,
+                          ref=fields["ref"], statement=statement)
+
+    def tell_no_more(self):
+        for line in self.lines:
+            line.put(frames.frame(frames.NO_MORE, 0))
+
+    def idle(self):
+        """No answer is owed, and all that was written has gone."""
+        return not any(line.open or line.stuck for line in self.lines)
--- a/lichenquay/simwire/adapter.py
+++ b/lichenquay/simwire/adapter.py
@@ -3,19 +3,14 @@
 import sys
 import traceback
 
-from lichenquay.admission.controller import Controller
 from lichenquay.admission import interface as io
+from lichenquay.opening import Opening
 from lichenquay.simwire.codec import Fields, Malformed, plain, us
 
 ENDINGS = {"S": io.FINISHED, "E": io.ERROR, "F": io.FULL, "T": io.TIMED_OUT, "C": io.NOT_CONNECTED,
            "R": io.RESET, "X": io.CANCELLED, "N": io.NEVER_SENT}
 NOTES = {1: io.PROGRESS, 2: io.SPILLS, 3: io.WAITS}
 STATES = {"IN": io.LISTED, "LAME": io.DRAINING, "OUT": io.WITHDRAWN}
-EFFECTS = {"safe": io.READ_ONLY, "keyed": io.TOKENED, "unsafe": io.MUTATING}
-
-
-def at(values, i, otherwise):
-    return values[i] if i < len(values) else otherwise
 
 
 class Instance:
@@ -28,53 +23,9 @@
     # the wire's events, as calls on the controller
 
     def on_hello(self, f):
-        threads = f.numbers("family_info.width_by_class")
-        loads, yields = f.flags("family_info.loads"), f.flags("family_info.yields_to_loads")
-        self.groups = {}
-        for i in range(f.integer("classes.count", 0)):
-            p = f"classes.{i}."
-            effect = f.text(p + "effect", "unsafe")
-            if effect not in EFFECTS:
-                raise f.bad(p + "effect", f"unknown: {effect!r}")
-            places, kinds = f.words(p + "failure_domains_only"), f.words(p + "runs_on")
-            group = io.ResourceGroup(
-                f.text(p + "name"), EFFECTS[effect], f.ms(p + "aim_us"), f.number(p + "aim_stretch", 0.0),
-                f.ms(p + "deadline_us"), f.number(p + "worth", 1.0), f.number(p + "late_worth", 0.0),
-                max(1, int(at(threads, i, 1))), at(loads, i, False), at(yields, i, False),
-                f.flag(p + "serial_by_key", "0"), f.text(p + "group", "all"), f.ms(p + "key_ttl_us", 0),
-                frozenset(places) if places else None, frozenset(kinds) if kinds else None)
-            self.groups[group.name] = group
-        self.tenants = {}
-        for i in range(f.integer("tenants.count", 0)):
-            p = f"tenants.{i}."
-            tenant = io.Tenant(f.text(p + "name"), f.number(p + "share", 0.0),
-                               f.number(p + "allowance_per_s", 0.0), f.number("over_share_worth", 1.0))
-            self.tenants[tenant.name] = tenant
-        kinds = f.words("kinds")
-        cores, memory = f.numbers("family_info.size_cores"), f.numbers("family_info.memory_by_kind_mb")
-        self.makes = {k: (at(cores, i, 0.0), at(memory, i, 0.0)) for i, k in enumerate(kinds)}
-        free = "rules.extra_free" in f.parts or "rules.further_ratio" in f.parts
-        self.controller = Controller(
-            self,
-            io.Gateway(f.text("my_zone", ""), f.integer("replicas_of_me", 1), f.integer("seed"),
-                       f.ms("resolution_us", 0), f.text("registry_mode", "pushed") == "on_request"),
-            list(self.groups.values()),
-            list(self.tenants.values()),
-            io.Licence(f.integer("limits.most_tries", 1), f.flag("limits.cancel", "0"),
-                       f.flag("limits.may_probe", "0"), f.flag("limits.second_copies", "0"),
-                       f.ms("limits.max_retry_after_us", 0) if f.flag("limits.retry_after", "0") else 0.0),
-            io.Safeguards(f.ms("rules.answer_slack_us", 0), f.ms("rules.stop_sending_within_us", 0),
-                          f.number("rules.start_capacity", 0.0), f.ms("rules.ramp_time_us", 0),
-                          f.number("rules.overload_factor", 0.0), f.ms("rules.fall_us", 0),
-                          f.ms("rules.order_pause_us", 0),
-                          f.number("rules.extra_free", 0.0) if free else None,
-                          f.number("rules.further_ratio", 0.0), f.ms("rules.counted_over_us", 0),
-                          f.ms("rules.must_ask_in_us", 0)),
-            io.EngineMake(f.flag("family_info.takes_grants", "0"), f.flag("family_info.ranks_heeded", "0"),
-                          f.number("family_info.most_grant", 1.0), f.text("family_info.out_of_memory", "queue"),
-                          f.ms("family_info.progress_pace_us", 0), f.flag("family_info.says_cost", "0"),
-                          tuple(f.words("report.columns")), f.text("report.how", "none"),
-                          f.ms("limits.connect_timeout_us", 0)))
+        self.opening = Opening(f, f.integer("seed"))
+        self.groups, self.tenants = self.opening.groups, self.opening.tenants
+        self.controller = self.opening.controller(self)
 
     def on_arrival(self, f):
         group = self.groups.get(f.text("lane"))
@@ -150,11 +101,8 @@
             state = row.text("status")
             if state not in STATES:
                 raise row.bad("status", f"unknown: {state!r}")
-            e.place, e.kind = row.text("zone", ""), row.text("class_of_host", "")
-            e.cell, e.state, e.units = row.integer("pack", 0), STATES[state], row.number("units", 1.0)
-            started = row.ms("ready_at_us", 0)
-            e.started_ms = started if started else None
-            e.cores, e.memory_mb = self.makes.get(e.kind, (0.0, 0.0))
+            self.opening.describe(e, row.text("zone", ""), row.text("class_of_host", ""), row.integer("pack", 0),
+                                  STATES[state], row.number("units", 1.0), row.ms("ready_at_us", 0))
             named.append(e)
         self.controller.list_news(named, mode != "update")
 
