Front: exact endings, one budget of descriptors, engines kept by uid, no answer lost on a bad frame

Risks met: a POST whose connection comes up after a drain was told; a submission sent while an earlier one may still run on an engine that cannot be reached; a priority overtaken by an older one.

--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -22,10 +22,10 @@
 class Admit:
     """The controller's door. What happens is kept for the next turn; turns are `step_ms` apart at least."""
 
-    def __init__(self, opening, reactor, now_ms, book, log):
-        self.reactor, self.clock_ms, self.book, self.log_line = reactor, now_ms, book, log
-        self.step_ms, self.most, self.tells_cost = opening.gateway.step_ms, opening.licence.most_submissions, \
-            opening.make.tells_cost
+    def __init__(self, opening, reactor, engines, now_ms, book, log):
+        self.reactor, self.engines, self.clock_ms, self.book, self.log_line = reactor, engines, now_ms, book, log
+        self.step_ms, self.most = opening.gateway.step_ms, opening.licence.most_submissions
+        self.tells_cost = opening.make.tells_cost
         self.events, self.timers, self.timed, self.next = [], [], 0, None
         self.now_ms = self.turned_ms = now_ms()
         self.open, self.numbers = set(), 0
@@ -95,8 +95,11 @@
         events, self.events = self.events, []
         for call, what in events:
             self.guarded(call, what)
+        due = []        # what they set in turn is for a later turn
         while self.timers and self.timers[0][0] <= now:
-            self.guarded(heapq.heappop(self.timers)[2], ())
+            due.append(heapq.heappop(self.timers)[2])
+        for call in due:
+            self.guarded(call, ())
         if self.events:
             self.poke(now + self.step_ms)
         elif self.timers:
@@ -110,14 +113,10 @@
             self.book.count("faults")
             self.log_line("fault", traceback.format_exc())
             q = getattr(what[0], "query", what[0]) if what else None
-            if isinstance(q, FrontQuery):
-                self.fault(q)
-
-    def fault(self, q):
-        if q.flight is not None and not q.flight.over:
-            self.cancel(q.flight.sub)
-        if not q.over:
-            self.kill(q)
+            for q in [q] if isinstance(q, FrontQuery) else [x for x in self.open if x.ends_ms <= self.now_ms]:
+                if q.flight is not None:
+                    self.route.give_up(q.flight)
+                self.kill(q)
 
     # the door
 
@@ -167,7 +166,7 @@
     fetch_list = watch_list
 
     def close_idle(self, engine):
-        self.route.withdrawn(engine)
+        self.engines.close_idle(engine)
 
     def tell(self, whom, content):
         """Fronts share nothing."""
--- a/lichenquay/front/bulletin.py
+++ b/lichenquay/front/bulletin.py
@@ -92,7 +92,7 @@
 
 
 class BulletinFactory(ReconnectingClientFactory):
-    """Reconnects at once, then after a short pause that grows little."""
+    """Reconnects at once, and after a short pause while that fails."""
 
     noisy = False
     initialDelay, maxDelay, factor, jitter = AGAIN_MS / 1000, 0.5, 1.5, 0
@@ -102,3 +102,10 @@
 
     def buildProtocol(self, address):
         return BulletinLine(self)
+
+    def clientConnectionLost(self, connector, reason):
+        if self.delay == self.initialDelay:     # it had answered since it was last lost
+            self.delay *= self.factor
+            connector.connect()
+        else:
+            self.retry(connector)
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -1,26 +1,39 @@
-"""Connections to engines: one call at a time on each, shared out of a budget of descriptors.
+"""Engines as the front reaches them: one call at a time on a connection, connections out of a budget of descriptors.
 
 An engine is its uid: connections belong to the engine, never to its address, which another may have later.
 """
 from collections import deque
+from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory, Protocol
 
+from lichenquay.admission import interface as io
 from lichenquay.front.http import BadReply, ReplyReader
 
 
+@dataclass(eq=False)
+class FrontEngine(io.Engine):
+    """An engine, its address as the bulletin last gave it, and its idle connections, the oldest first."""
+    address: str = ""
+    idle: deque = field(default_factory=deque)
+
+
 class NotConnected(Exception):
     """No connection came up: nothing was sent. `refused`: the address itself said so."""
 
-    def __init__(self, refused):
+    def __init__(self, refused=False):
         super().__init__("refused" if refused else "no connection in time")
         self.refused = refused
 
 
 class Broken(Exception):
-    """The connection ended, or said what cannot be read, after bytes had been written."""
+    """The connection ended after bytes had been written, and before the answer was whole."""
+
+
+class Garbled(Exception):
+    """An answer that cannot be read."""
 
 
 class Silent(Exception):
@@ -28,21 +41,28 @@
 
 
 class Call:
-    """One call: its bytes, how long to wait for its answer, and who waits."""
+    """One call: its bytes, how long to wait for its answer, and who waits. `new`: it starts a submission."""
 
-    __slots__ = ("engine", "data", "silent_ms", "urgent", "fresh", "answer", "timer", "on_written",
-                 "written")
+    __slots__ = ("engine", "data", "silent_ms", "urgent", "fresh", "new", "on_written", "answer", "timer", "written")
 
-    def __init__(self, engine, data, silent_ms, urgent, fresh, on_written):
-        self.engine, self.data, self.silent_ms, self.urgent, self.fresh = engine, data, silent_ms, urgent, fresh
-        self.answer, self.timer, self.on_written, self.written = Deferred(), None, on_written, False
+    def __init__(self, engine, data, silent_ms, urgent, fresh, new, on_written):
+        self.engine, self.data, self.silent_ms, self.urgent = engine, data, silent_ms, urgent
+        self.fresh, self.new, self.on_written = fresh, new, on_written
+        self.answer, self.timer, self.written = Deferred(), None, False
 
     def withdraw(self):
-        """True if nothing of it had been written; then nothing will be."""
+        """True if nothing of it has been written; then nothing will be."""
         if not self.written:
-            self.end(NotConnected(False))
+            self.end(NotConnected())
         return not self.written
 
+    def void(self):
+        """Nobody waits for it; or it would start something on an engine that drains or is gone.
+        Risk: a drain is told while the connection is still on its way."""
+        if self.new and self.engine.state != io.LISTED:
+            self.withdraw()
+        return self.answer is None
+
     def end(self, outcome):
         if self.timer is not None:
             self.timer.cancel()
@@ -61,12 +81,10 @@
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.hub.lines.add(self)
-        self.put(self.call)
+        call, self.call = self.call, None
+        self.hub.free(self) if call.void() else self.put(call)
 
     def put(self, call):
-        if call.answer is None:         # withdrawn on the way
-            self.call = None
-            return self.hub.free(self)
         self.call, call.written = call, True
         call.timer = self.hub.later(call.silent_ms, self.silent)
         if call.on_written:
@@ -75,13 +93,13 @@
 
     def dataReceived(self, data):
         try:
+            reply = self.reader.feed(data)
             if self.call is None:
                 raise BadReply("bytes that nobody asked for")
-            reply = self.reader.feed(data)
         except BadReply as bad:
-            return self.drop(Broken(str(bad)))
+            return self.drop(Garbled(str(bad)))
         if reply is not None:
-            call, self.call = self.call, None
+            call, self.call, reply.line = self.call, None, self
             if reply.keep:
                 self.hub.free(self)
             else:
@@ -92,7 +110,8 @@
         self.call.timer = None
         self.drop(Silent())
 
-    def drop(self, why):
+    def drop(self, why=None):
+        """Ends the connection at once."""
         call, self.call = self.call, None
         self.hub.lost(self)
         self.transport.abortConnection()
@@ -116,79 +135,77 @@
         return EngineLine(self.hub, self.call)
 
     def clientConnectionFailed(self, connector, reason):
-        self.hub.failed(self.call, reason.check(ConnectionRefusedError) is not None)
+        self.hub.open -= 1
+        self.call.end(NotConnected(reason.check(ConnectionRefusedError) is not None))
+        self.hub.serve()
 
 
 class Engines:
-    """All connections to engines. `budget` descriptors for calls; `reserve` more for the urgent ones."""
+    """All connections to engines: `budget` descriptors for calls, and `reserve` more for the urgent ones."""
 
     def __init__(self, reactor, budget, reserve, connect_ms, idle_ms):
         self.reactor, self.budget, self.reserve = reactor, budget, reserve
         self.connect_ms, self.idle_ms = connect_ms, idle_ms
-        self.idle, self.waiting, self.lines, self.open, self.most = {}, deque(), set(), 0, 0
-        self.addresses = {}     # by engine, as the bulletin says
+        self.waiting, self.lines, self.open, self.most = deque(), set(), 0, 0
 
     def later(self, ms, call):
         return self.reactor.callLater(max(0.0, ms) / 1000, call)
 
-    def call(self, engine, data, silent_ms, urgent=False, fresh=False, on_written=None):
+    def call(self, engine, data, silent_ms, urgent=False, fresh=False, new=False, on_written=None):
         """A call on its way; its `answer` is a Deferred of a Reply. `fresh`: on a new connection."""
-        call = Call(engine, data, silent_ms, urgent, fresh, on_written)
-        self.go(call) or (self.waiting.appendleft if urgent else self.waiting.append)(call)
+        call = Call(engine, data, silent_ms, urgent, fresh, new, on_written)
+        if not self.go(call):
+            (self.waiting.appendleft if urgent else self.waiting.append)(call)
         return call
 
     def ask(self, *call, **more):
         return self.call(*call, **more).answer
 
     def go(self, call):
-        if call.answer is None:
+        """Puts a call on an idle connection or a new one; False if it has to wait for a descriptor."""
+        if call.void():
+            return True
+        if call.engine.idle and not call.fresh:
+            call.engine.idle.pop().put(call)
             return True
-        idle = self.idle.get(call.engine)
-        while idle and not call.fresh:
-            line = idle.pop()
-            if line in self.lines:
-                line.put(call)
-                return True
         if self.open >= self.budget + (self.reserve if call.urgent else 0) and not self.spare():
             return False
         self.open += 1
         self.most = max(self.most, self.open)
-        host, _, port = self.addresses[call.engine].rpartition(":")
+        host, _, port = call.engine.address.rpartition(":")
         self.reactor.connectTCP(host, int(port), LineFactory(self, call), timeout=self.connect_ms / 1000)
         return True
 
     def spare(self):
-        """Ends the idle connection that rested longest, so that another can be opened."""
-        lines = [idle[0] for idle in self.idle.values() if idle]
-        if not lines:
+        """Ends the connection that has been idle longest, so that another can be opened."""
+        line = min((x for x in self.lines if x.engine.idle and x.engine.idle[0] is x),
+                   key=lambda x: x.idle_since, default=None)
+        if line is None:
             return False
-        line = min(lines, key=lambda x: x.idle_since)
-        self.idle[line.engine].popleft()
-        line.drop(None)
+        self.forget(line)
+        line.drop()
         return True
 
-    def failed(self, call, refused):
-        self.open -= 1
-        call.end(NotConnected(refused))
-        self.serve()
-
     def free(self, line):
         line.idle_since = self.reactor.seconds()
-        self.idle.setdefault(line.engine, deque()).append(line)
-        if self.waiting:
-            self.serve()
+        line.engine.idle.append(line)
+        self.serve()
 
-    def lost(self, line):
-        if line in self.lines:
+    def forget(self, line):
+        known = line in self.lines
+        if known:
             self.lines.discard(line)
             self.open -= 1
-            idle = self.idle.get(line.engine)
-            if idle and line in idle:
-                idle.remove(line)
+            if line in line.engine.idle:
+                line.engine.idle.remove(line)
+        return known
+
+    def lost(self, line):
+        if self.forget(line):
             self.serve()
 
     def serve(self):
-        """Calls that wait for a descriptor, in turn."""
+        """Calls that wait for a descriptor, in turn: connections are shared rather than a call failed."""
         while self.waiting:
             call = self.waiting.popleft()
             if not self.go(call):
@@ -198,12 +215,9 @@
     def sweep(self):
         """Drops what has been idle for half the engines' idle time: no POST may meet a connection that closes."""
         oldest = self.reactor.seconds() - self.idle_ms / 2000
-        for engine, idle in list(self.idle.items()):
-            while idle and idle[0].idle_since < oldest:
-                idle.popleft().drop(None)
-            if not idle:
-                del self.idle[engine]
+        for line in [x for x in self.lines if x.call is None and x.idle_since < oldest]:
+            line.drop()
 
     def close_idle(self, engine):
-        for line in self.idle.pop(engine, ()):
-            line.drop(None)
+        for line in list(engine.idle):
+            line.drop()
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -20,10 +20,10 @@
 class Reply:
     """An answer: headers by lower-case name; the body a slice of what was read."""
 
-    __slots__ = ("status", "headers", "body", "keep")
+    __slots__ = ("status", "headers", "body", "keep", "line")
 
     def __init__(self, status, headers, keep):
-        self.status, self.headers, self.body, self.keep = status, headers, b"", keep
+        self.status, self.headers, self.body, self.keep, self.line = status, headers, b"", keep, None
 
     def whole(self, name, least=0):
         """A header as a whole number from `least` up; None if it is missing or none."""
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -2,7 +2,7 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from lichenquay.admission import interface as io
-from lichenquay.front.engines import Broken, NotConnected, Silent
+from lichenquay.front.engines import Broken, Garbled, NotConnected, Silent
 from lichenquay.front.http import request
 
 FORGOTTEN_MS = 2000.0           # PROTOCOL: a query that has not been asked for this long is over
@@ -13,10 +13,6 @@
 NOTES = {"share": io.PROGRESS, "short": io.SPILLS, "held": io.WAITS}
 
 
-class BadResult(Exception):
-    """A page that is missing, too long or another one."""
-
-
 class Relay:
     def __init__(self, engines, book, noted, now_ms, silent_ms):
         self.engines, self.book, self.noted, self.now_ms, self.silent_ms = engines, book, noted, now_ms, silent_ms
@@ -33,50 +29,45 @@
     def ask(self, flight, page):
         """A call for news or for a page, put again on another connection while the engine may still know the
         query; None once the submission has been ended otherwise."""
-        fresh = False
+        fresh, call = False, request("GET", f"{flight.path}{page}", flight.host)
         while not (flight.over or flight.given_up):
             try:
-                reply = yield self.engines.ask(
-                    flight.engine, request("GET", f"{flight.path}{page}", flight.host), self.silent_ms, fresh=fresh,
-                    on_written=lambda: self.asked(flight))
+                reply = yield self.engines.ask(flight.engine, call, self.silent_ms, fresh=fresh,
+                                               on_written=lambda: self.asked(flight))
                 return None if flight.over or flight.given_up else reply
             except NotConnected as failed:
                 # Its process is gone, or nothing has reached it for so long that the query is over.
                 if failed.refused or self.now_ms() > flight.asked_ms + FORGOTTEN_MS + MARGIN_MS:
-                    self.book.end(flight, flight.given_up or io.RESET)
+                    if not flight.given_up:
+                        self.book.end(flight, io.RESET)
                     return None
                 yield self.pause(AGAIN_MS)
             except (Broken, Silent):
                 self.book.count("news asked again")
                 fresh = True
+            except Garbled:
+                yield self.give_up(flight, io.ERROR)
 
     @inlineCallbacks
     def follow(self, flight, reply):
         """From the answer to the first call to the ending."""
-        while True:
-            if flight.over or flight.given_up:
-                return
+        self.tell_rank(flight)      # one that was set while the first call was on its way
+        while reply is None or reply.status == 202:
+            if reply is not None and not flight.given_up:
+                self.note(flight, reply)
+            reply = yield self.ask(flight, 0)
             if reply is None:
-                reply = yield self.ask(flight, 0)
-                if reply is None:
-                    return
-            if reply.status != 202:
-                break
-            self.note(flight, reply)
-            reply = None
-        no_effect = reply.headers.get("x-no-effect") == "1"
-        if reply.status in (503, 504) and no_effect:
+                return
+        if flight.over or flight.given_up:
+            return
+        if reply.status in (503, 504) and reply.headers.get("x-no-effect") == "1":
             self.book.end(flight, io.FULL, reply.headers)
-        elif reply.status == 200:
-            try:
-                result = yield self.gather(flight, reply)
-            except BadResult:
-                self.book.count("results unreadable")
-                return self.book.end(flight, io.ERROR, reply.headers)
+        elif reply.status == 500:
+            self.book.end(flight, io.ERROR, reply.headers)
+        else:
+            result = yield self.gather(flight, reply)
             if result is not None:
                 self.book.end(flight, io.FINISHED, reply.headers, result)
-        else:
-            self.book.end(flight, io.ERROR, reply.headers)
 
     def note(self, flight, reply):
         what = NOTES.get(reply.headers.get("x-tell", ""))
@@ -90,18 +81,26 @@
     @inlineCallbacks
     def gather(self, flight, reply):
         """The whole result, page after page; None once the submission has been ended otherwise."""
-        parts, pages, size = reply.whole("x-parts", 1), [reply.body], len(reply.body)
-        if parts is None or parts > MOST_RESULT or size > MOST_PAGE:
-            raise BadResult()
-        for n in range(1, parts):
-            page = yield self.ask(flight, n)
-            if page is None:
+        parts, pages, size, n = reply.whole("x-parts", 1), [], 0, 0
+        while True:
+            size += len(reply.body)
+            good = reply.status == 200 and parts and len(reply.body) <= MOST_PAGE and size <= MOST_RESULT
+            if n and (reply.whole("x-part-no") != n or not len(reply.body)):
+                good = False
+            if reply.status == 500:     # its pages are lost
+                return self.book.end(flight, io.ERROR, reply.headers)
+            if not good:
+                self.book.count("results unreadable")
+                reply.line.drop()
+                yield self.give_up(flight, io.ERROR)
+                return None
+            pages.append(reply.body)
+            n += 1
+            if n == parts:
+                return pages
+            reply = yield self.ask(flight, n)
+            if reply is None:
                 return None
-            size += len(page.body)
-            if page.status != 200 or page.whole("x-part-no") != n or len(page.body) > MOST_PAGE or size > MOST_RESULT:
-                raise BadResult()
-            pages.append(page.body)
-        return pages
 
     @inlineCallbacks
     def give_up(self, flight, ending=None):
@@ -121,14 +120,19 @@
                 if failed.refused:
                     break
                 yield self.pause(AGAIN_MS)
-            except (Broken, Silent):
+            except (Broken, Silent, Garbled):
                 fresh = True
         self.book.end(flight, flight.given_up)
 
     @inlineCallbacks
-    def tell(self, flight, call):
-        """A call that nothing depends on."""
-        try:
-            yield self.engines.ask(flight.engine, call, self.silent_ms)
-        except (Broken, NotConnected, Silent):
-            self.book.count("priorities not told")
+    def tell_rank(self, flight):
+        """A new priority, one call after the other, once the engine has the submission."""
+        while not (flight.telling or flight.call or flight.over or flight.given_up) and flight.told != flight.rank:
+            flight.telling, flight.told = True, flight.rank
+            try:
+                yield self.engines.ask(flight.engine, request(
+                    "PUT", flight.path[:-1], flight.host, body=b"%d" % flight.rank), self.silent_ms)
+                self.book.count("priorities told")
+            except (Broken, Garbled, NotConnected, Silent):
+                self.book.count("priorities not told")
+            flight.telling = False
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -2,7 +2,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from lichenquay.admission import interface as io
-from lichenquay.front.engines import Broken, NotConnected, Silent
+from lichenquay.front.engines import Broken, Garbled, NotConnected, Silent
 
 
 class Send:
@@ -11,7 +11,9 @@
 
     def down(self, flight, call, patience_ms):
         self.book.opened()
-        self.post(flight, call, patience_ms).addErrback(self.fault, flight)
+        flight.timer = self.engines.later(
+            patience_ms, lambda: self.relay.give_up(flight).addErrback(self.fault, flight))
+        self.post(flight, call).addErrback(self.fault, flight)
 
     def fault(self, failure, flight):
         """Risk: a fault met for one submission leaves its query without an answer."""
@@ -20,18 +22,16 @@
         self.book.end(flight, io.ERROR)
 
     @inlineCallbacks
-    def post(self, flight, call, patience_ms):
-        flight.timer = self.engines.later(patience_ms, lambda: self.relay.give_up(flight))
+    def post(self, flight, call):
+        flight.call = self.engines.call(flight.engine, call, self.silent_ms, new=True,
+                                        on_written=lambda: self.relay.asked(flight))
         try:
-            flight.call = self.engines.call(flight.engine, call, self.silent_ms,
-                                            on_written=lambda: self.relay.asked(flight))
             reply = yield flight.call.answer
         except NotConnected:
-            self.book.end(flight, io.NOT_CONNECTED)
-            return
-        except Broken:
+            return self.book.end(flight, io.NOT_CONNECTED)
+        except (Broken, Garbled) as why:
             # It may have run, and may run on: nothing else goes out for the query until that is over.
-            yield self.relay.give_up(flight, io.RESET)
+            yield self.relay.give_up(flight, io.RESET if isinstance(why, Broken) else io.ERROR)
             return
         except Silent:
             reply = None        # it may be there: its news are asked for on another connection
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -2,6 +2,7 @@
 import gc
 import json
 import os
+import resource
 import signal
 import time
 
@@ -11,11 +12,11 @@
 from lichenquay.front.admit import Admit
 from lichenquay.front.book import Book, Log
 from lichenquay.front.bulletin import BadList, Bulletin, BulletinFactory
-from lichenquay.front.engines import Engines
+from lichenquay.front.engines import Engines, FrontEngine
 from lichenquay.front.relay import Relay
 from lichenquay.front.route import Route
 from lichenquay.front.send import Send
-from lichenquay.front.take_in import TakeIn
+from lichenquay.front.take_in import IDLE_S, TakeIn
 from lichenquay.opening import Opening, Sheet, Unreadable, flat
 
 STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
@@ -23,8 +24,9 @@
 SILENT_MS = 3 * NEWS_MS         # then it is asked on another connection, well within 2 s
 LISTEN_ON_MS = 400.0            # PROTOCOL: new connections go on coming this long after SIGTERM
 REQUESTS_ON_MS = 200.0          # PROTOCOL: and requests on open ones for this long more
-KILLED_MS = 3000.0 + 700.0      # PROTOCOL: SIGKILL comes no sooner after SIGTERM, where deadlines are 3 s or more
-LAST_MS = 400.0                 # before that, what is still open gets its final answer
+DEADLINE_MS = 3000.0            # PROTOCOL: SIGKILL comes no sooner than the longest deadline, 3 s at most, ...
+KILLED_MS = 700.0               # ... and this long more after SIGTERM
+LAST_MS = 300.0                 # before that, what is still open gets its final answer
 RESERVE = 48                    # descriptors for the reactor, accepting, the bulletin and DELETEs
 CLIENTS_SHARE = 3               # PROTOCOL: clients hold a third of the descriptors at most
 
@@ -47,8 +49,9 @@
         listen = environment.get("BALANCER_LISTEN") or config["listen"]
         host, _, port = listen.rpartition(":")
         bulletin_host, _, bulletin_port = config["bulletin"].rpartition(":")
-        return (host, int(port), bulletin_host, int(bulletin_port), int(config["limits"]["sockets"]),
-                int(config["seed"], 16), config["known"], config["settings"])
+        sockets = min(int(config["limits"]["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        return (host, int(port), bulletin_host, int(bulletin_port), sockets, int(config["seed"], 16),
+                config["known"], config["settings"])
     except OSError as bad:
         raise CannotStart(f"configuration {path}: {bad.strerror}") from None
     except (KeyError, TypeError, ValueError, AttributeError) as bad:
@@ -69,11 +72,11 @@
         self.book = Book(lambda *ending: self.admit.back(*ending))
         self.engines = Engines(reactor, sockets - sockets // CLIENTS_SHARE - RESERVE, RESERVE // 2,
                                opening.make.connect_timeout_ms or NEWS_MS, opening.idle_ms or 4 * NEWS_MS)
-        self.admit = Admit(opening, reactor, now_ms, self.book, self.log)
+        self.admit = Admit(opening, reactor, self.engines, now_ms, self.book, self.log)
         self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, SILENT_MS)
         self.send = Send(self.engines, self.relay, self.book, SILENT_MS, self.log)
-        self.route = self.admit.route = Route(self.engines, self.send, self.relay)
-        self.clients = TakeIn(opening, self.admit, self.book, self.log, now_ms, self.is_ready,
+        self.route = self.admit.route = Route(self.send, self.relay)
+        self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready,
                               sockets // CLIENTS_SHARE + RESERVE // 4)
         try:
             self.bulletin = Bulletin(known, self.news, self.log)
@@ -81,15 +84,22 @@
             raise CannotStart(f"known: {bad}") from None
 
     def news(self, whole, rows):
-        named = []
+        named, gone = [], set(self.by_uid.values()) if whole else set()
         for uid, address, place, kind, cell, state, units, started in rows:
             e = self.by_uid.get(uid)
             if e is None:
-                e = self.by_uid[uid] = io.Engine(uid)
+                e = self.by_uid[uid] = FrontEngine(uid)
+            if e.address != address:
+                self.engines.close_idle(e)
+                e.address = address
             self.opening.describe(e, place, kind, cell, state, units, started)
-            self.route.listed(e, address)
             named.append(e)
+            (gone.add if state == io.WITHDRAWN else gone.discard)(e)
         self.admit.listed(named, whole)
+        for e in gone:          # no longer listed; its address may be another's by now
+            e.state = io.WITHDRAWN
+            self.engines.close_idle(e)
+            self.by_uid.pop(e.id, None)
 
     # the phases
 
@@ -113,20 +123,22 @@
         self.state = SERVING
 
     def is_ready(self):
-        return self.state in (SERVING, LEAVING) and bool(self.by_uid)
+        return self.state == SERVING and bool(self.by_uid)
 
     def sweep(self):
         self.engines.sweep()
+        self.clients.close(self.reactor.seconds() - IDLE_S)
         self.reactor.callLater(1.0, self.sweep)
 
     def leave(self):
         """SIGTERM: listen on for as long as PROTOCOL says; answer all that is taken; tell clients to go."""
         if self.state != SERVING:
             return
-        self.state, self.left_ms = LEAVING, now_ms()
+        longest = max((g.timeout_ms for g in self.opening.groups.values()), default=0.0)
+        self.state, self.killed_ms = LEAVING, now_ms() + min(DEADLINE_MS, longest) + KILLED_MS
         self.clients.tell_no_more()
         self.engines.later(LISTEN_ON_MS, self.close_door)
-        self.engines.later(KILLED_MS - LAST_MS, self.admit.time_up)
+        self.engines.later(self.killed_ms - LAST_MS - now_ms(), self.admit.time_up)
 
     def close_door(self):
         self.clients.port.stopListening()
@@ -135,12 +147,15 @@
         self.engines.later(REQUESTS_ON_MS, self.drain)
 
     def drain(self):
+        """Until all that was taken is answered, what was given up is over, and the answers have gone."""
         self.state = DRAINING
-        if self.clients.idle() or now_ms() > self.left_ms + KILLED_MS:
-            self.state = ENDED
-            self.reactor.stop()
-        else:
-            self.engines.later(20.0, self.drain)
+        late = now_ms() > self.killed_ms - LAST_MS / 2
+        if not self.admit.open and not self.admit.events and (self.book.out == 0 or late):
+            self.clients.close(self.reactor.seconds())
+            if not self.clients.lines or late:
+                self.state = ENDED
+                return self.reactor.stop()
+        self.engines.later(10.0, self.drain)
 
     def tell(self):
         counters = self.book.lines() + [
@@ -154,5 +169,4 @@
 
 
 def peak_mb():
-    import resource
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -1,5 +1,6 @@
 """Take in: clients' connections, their queries and what else they say; and the answers back to them."""
 import re
+import traceback
 
 from twisted.internet.protocol import Factory, Protocol
 
@@ -10,6 +11,8 @@
 MOST_OPEN = 32                  # PROTOCOL: open requests on one connection
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
 ONCE = ("service", "ref", "allow", "project", "effort", "memory")
+IDLE_S = 30.0                   # clients close idle connections after 4 s: what rests longer has no client any more
+CLOSE_S = 1.0                   # for the last bytes of a connection that is being closed
 MOST_UNSENT = 32 << 20          # bytes of answers that clients do not read, all together
 
 
@@ -31,8 +34,8 @@
     """One client's connection. It stops being read while it does not read its own answers."""
 
     def __init__(self, desk):
-        self.desk, self.reader, self.open, self.unsent, self.stuck, self.up = desk, frames.FrameReader(), {}, 0, \
-            False, True
+        self.desk, self.reader, self.open, self.unsent = desk, frames.FrameReader(), {}, 0
+        self.up, self.stuck, self.bad, self.told, self.heard_s = True, False, False, False, desk.seconds()
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -40,16 +43,18 @@
         self.desk.opened(self)
 
     def dataReceived(self, data):
+        self.heard_s = self.desk.seconds()
+        if self.bad:
+            return
         try:
             for kind, stream, payload in self.reader.feed(data):
                 self.heard(kind, stream, payload)
-                if not self.up:
-                    return
         except frames.BadFrame as bad:
             self.desk.book.count("bad frames")
             self.desk.log("client", f"client: {bad}; connection closed")
             self.put(frames.answer(0, frames.KILLED, str(bad).encode()))
-            self.close()
+            self.bad = True         # nothing more is read from it; what was taken on it is still answered
+            self.close_if_done()
 
     def heard(self, kind, stream, payload):
         if kind == frames.QUERY:
@@ -63,6 +68,11 @@
                 self.desk.book.count("queries that make no sense")
                 self.desk.book.count("answers deferred")
                 return self.put(frames.answer(stream, frames.DEFERRED, str(bad).encode()))
+            except Exception:       # risk: a fault met for one query ends the connection, and others with it
+                self.desk.book.count("faults")
+                self.desk.log("fault", traceback.format_exc())
+                self.desk.book.count("answers killed")
+                return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
             self.open[stream] = q
             self.desk.admit.take(q)
         elif kind == frames.LEFT:
@@ -79,6 +89,11 @@
         if self.open.pop(q.stream, None) is not None:
             self.put(frames.answer(q.stream, code, *body))
             self.desk.book.count(self.desk.ANSWERS[code])
+            self.close_if_done()
+
+    def close_if_done(self):
+        if self.bad and not self.open:
+            self.close()
 
     def put(self, data):
         if not self.up:
@@ -109,23 +124,25 @@
         self.up = False
 
     def close(self):
-        """Ends the connection once what is written has gone; what was taken on it ends at the engine."""
+        """Ends the connection, on which nothing is open, once what is written has gone."""
         if self.up:
             self.up = False
             self.transport.unregisterProducer()
             self.transport.loseConnection()
-            self.leave()
+            self.desk.reactor.callLater(CLOSE_S, self.transport.abortConnection)
 
-    def leave(self):
-        queries, self.open = self.open, {}
-        for q in queries.values():
-            self.desk.admit.left(q)
+    def tell_no_more(self):
+        if not self.told:
+            self.told = True
+            self.put(frames.frame(frames.NO_MORE, 0))
 
     def connectionLost(self, reason):
         self.up = False
         self.desk.unsent -= self.unsent
         self.unsent = 0
-        self.leave()
+        queries, self.open = self.open, {}
+        for q in queries.values():      # what was taken on it ends at its engine
+            self.desk.admit.left(q)
         self.desk.closed(self)
 
 
@@ -136,9 +153,10 @@
                frames.KILLED: "answers killed"}
     noisy = False
 
-    def __init__(self, opening, admit, book, log, now_ms, ready, most):
+    def __init__(self, opening, reactor, admit, book, log, now_ms, ready, most):
         self.groups, self.tenants = opening.groups, opening.tenants
         self.admit, self.book, self.log, self.now_ms, self.ready, self.most = admit, book, log, now_ms, ready, most
+        self.reactor, self.seconds = reactor, reactor.seconds
         self.lines, self.port, self.unsent, self.most_lines = {}, None, 0, 0
 
     def buildProtocol(self, address):
@@ -178,9 +196,10 @@
                           ref=fields["ref"], statement=statement)
 
     def tell_no_more(self):
-        for line in self.lines:
-            line.put(frames.frame(frames.NO_MORE, 0))
+        for line in list(self.lines):
+            line.tell_no_more()
 
-    def idle(self):
-        """No answer is owed, and all that was written has gone."""
-        return not any(line.open or line.stuck for line in self.lines)
+    def close(self, oldest_s):
+        """Closes the connections on which nothing is open and nothing has come since."""
+        for line in [x for x in self.lines if not x.open and x.heard_s <= oldest_s]:
+            line.close()
