--- a/lichenquay/front/book.py
+++ b/lichenquay/front/book.py
@@ -75,7 +75,10 @@
         self.count(f"submissions {ending}")
         headers = headers or {}
         cost = read_cost(headers) if ending == io.FINISHED else None
-        self.back(flight, ending, cost, read_report(headers.get("x-report")), result)
+        report = read_report(headers.get("x-report"))
+        if report:
+            self.count("load reports")
+        self.back(flight, ending, cost, report, result)
 
     def lines(self):
         return [f"{what}: {n}" for what, n in sorted(self.counters.items())]
--- a/lichenquay/front/statement.py
+++ b/lichenquay/front/statement.py
@@ -6,12 +6,12 @@
 import re
 
 TOKEN = re.compile(r"""
-    (?P<skip> \s+ | --[^\n]* | '(?:[^']|'')*(?:'|\Z) | (?P<tag>\$(?:[A-Za-z_]\w*)?\$) (?:.|\n)*? (?:(?P=tag)|\Z) )
+    (?P<skip> [\s\d=<>+*,;:%!|&?@#^~\[\]{}]+ | --[^\n]* | '(?:[^']|'')*(?:'|\Z) | (?P<tag>\$(?:[A-Za-z_]\w*)?\$) (?:.|\n)*? (?:(?P=tag)|\Z) )
   | (?P<open> /\* )
   | "(?P<quoted> (?:[^"]|"")* ) (?:"|\Z)
   | `(?P<ticked> [^`]* ) (?:`|\Z)
   | (?P<word> [^\W\d][\w$]* )
-  | (?P<other> \d[\w.]* | (?:.|\n) )
+  | (?P<other> (?:.|\n) )
 """, re.X)
 COMMENT = re.compile(r"/\*|\*/")
 GROUP = re.compile(r"_(\d+)\Z")
