Front: wire names end in the parsers; nothing can make the bulletin or a faulty timer spin or stop

Read through: a bulletin that answers at once with nothing new was asked again without a pause; a timer of the controller that failed once was never tried again, so that the beat ended with it.

--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -7,6 +7,9 @@
 from lichenquay.front import frames
 
 
+FAULT_MS = 250.0                # before what failed at its time is tried again
+
+
 @dataclass(eq=False)
 class FrontQuery(io.Query):
     """A query as the front keeps it: whom to answer, and what goes to engines unchanged."""
@@ -112,6 +115,8 @@
         except Exception:
             self.book.count("faults")
             self.log_line("fault", traceback.format_exc())
+            if not what:        # it was to happen at a time: the beat must not end with it
+                self.wake(self.now_ms + FAULT_MS, call)
             q = getattr(what[0], "query", what[0]) if what else None
             for q in [q] if isinstance(q, FrontQuery) else [x for x in self.open if x.ends_ms <= self.now_ms]:
                 if q.flight is not None:
--- a/lichenquay/front/book.py
+++ b/lichenquay/front/book.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from lichenquay.admission import interface as io
+from lichenquay.front import http
 
 LINES_A_SECOND = 5      # of one kind on standard error
 
@@ -25,31 +26,6 @@
         self.kinds[kind] = (since, lines + 1, left_out + (lines >= LINES_A_SECOND))
 
 
-# What the bench calls the values of a load report on the settings' side; an engine may use either name.
-COLUMNS = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps",
-           "eps": "err_rps"}
-
-
-def read_report(text):
-    """A load report: name:value pairs; None where there is none or it cannot be read."""
-    report = {}
-    for part in (text or "").split(";"):
-        name, colon, value = part.strip().partition(":")
-        try:
-            report[COLUMNS.get(name, name)] = float(value)
-        except ValueError:
-            continue
-    return report or None
-
-
-def read_cost(headers):
-    """(work in ms, memory in MB) of a good end; None where it is not told."""
-    try:
-        return float(headers["x-cpu-ms"]), float(headers["x-mem-used"])
-    except (KeyError, ValueError):
-        return None
-
-
 class Book:
     """The end of a submission goes back up the chain from here."""
 
@@ -63,7 +39,7 @@
         self.out += 1
         self.count("submissions sent")
 
-    def end(self, flight, ending, headers=None, result=None):
+    def end(self, flight, ending, reply=None, result=None):
         """The one ending of a submission; what comes later for it is nothing any more."""
         if flight.over:
             return
@@ -73,9 +49,8 @@
         flight.timer = None
         self.out -= 1
         self.count(f"submissions {ending}")
-        headers = headers or {}
-        cost = read_cost(headers) if ending == io.FINISHED else None
-        report = read_report(headers.get("x-report"))
+        cost = http.cost_of(reply) if ending == io.FINISHED else None
+        report = reply and http.report_of(reply)
         if report:
             self.count("load reports")
         self.back(flight, ending, cost, report, result)
--- a/lichenquay/front/bulletin.py
+++ b/lichenquay/front/bulletin.py
@@ -8,7 +8,7 @@
 
 PATIENCE_MS = 2000              # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
 SILENT_MS = PATIENCE_MS + 500   # well within the 7 s after which an event counts as told (PROTOCOL, 'Figures')
-AGAIN_MS = 100                  # after an answer that says nothing of use
+AGAIN_MS = 100                  # between calls that bring nothing
 STATES = {"SERVING": io.LISTED, "DRAINING": io.DRAINING, "DELETED": io.WITHDRAWN}
 
 
@@ -58,7 +58,7 @@
     """One connection to the bulletin; calls follow each other on it."""
 
     def __init__(self, factory):
-        self.factory, self.reader, self.timer = factory, ReplyReader(), None
+        self.factory, self.reader, self.timer, self.asked_s = factory, ReplyReader(), None, 0.0
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -69,6 +69,7 @@
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         path = f"/bulletins?after={self.factory.bulletin.no}&patience={PATIENCE_MS}"
+        self.asked_s = self.factory.reactor.seconds()
         self.timer = self.factory.reactor.callLater(SILENT_MS / 1000, self.transport.abortConnection)
         self.transport.write(request("GET", path, self.factory.host))
 
@@ -79,12 +80,20 @@
                 return
             if reply.status != 200:
                 raise BadReply(f"status {reply.status}")
+            before = self.factory.bulletin.no
             self.factory.bulletin.follow(json.loads(bytes(reply.body)))
         except (BadReply, ValueError) as bad:
             self.factory.bulletin.log("bulletin", f"bulletin: {bad}; the list stays as it was")
             return self.transport.abortConnection()
         self.factory.resetDelay()
-        self.ask() if reply.keep else self.transport.loseConnection()
+        if not reply.keep:
+            self.transport.loseConnection()
+        elif before == self.factory.bulletin.no and self.factory.reactor.seconds() - self.asked_s < AGAIN_MS / 1000:
+            # Risk: a bulletin that answers at once with nothing new keeps the front busy with nothing else.
+            self.timer.cancel()
+            self.timer = self.factory.reactor.callLater(AGAIN_MS / 1000, self.ask)
+        else:
+            self.ask()
 
     def connectionLost(self, reason):
         if self.timer is not None and self.timer.active():
--- a/lichenquay/front/frames.py
+++ b/lichenquay/front/frames.py
@@ -6,6 +6,9 @@
 
 QUERY, ANSWER, LEFT, IS_READY, READINESS, NO_MORE = 2, 4, 8, 16, 32, 64
 FINISHED, DEFERRED, KILLED = 0, 14, 2           # the codes of an answer
+# the fields of a request, in our words
+FIELDS = {"service": "group", "ref": "ref", "allow": "allowed", "project": "tenant", "effort": "work",
+          "memory": "memory"}
 LEAST, MOST = 5, 262_144                        # PROTOCOL: what `length` may count
 LENGTH, HEAD, SIZE = struct.Struct("<I"), struct.Struct("<IBI"), struct.Struct("<H")
 
@@ -64,6 +67,19 @@
         raise BadFrame("fields overrun their frame") from None
 
 
+def read_query(payload):
+    """What a request says, in our words; a name that it says twice; its statement. Unknown fields are left alone."""
+    fields, body = read_fields(payload)
+    said, twice = {}, None
+    for name, value in fields:
+        name = FIELDS.get(name)
+        if name in said:
+            twice = name
+        if name:
+            said[name] = value
+    return said, twice, body
+
+
 def write_fields(fields):
     parts = [bytes([len(fields)])]
     for name, value in fields:
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 as engines and the bulletin speak it: requests written, answers read, free of I/O."""
+"""HTTP/1.1 as engines and the bulletin speak it: requests written, answers read, free of I/O.
+
+The names that PROTOCOL gives to an engine's calls and answers end here.
+"""
+from lichenquay.admission import interface as io
 
 MOST_HEAD = 16_384
 MOST_BODY = 1 << 20             # of a whole list; pages are held to their own limit
@@ -145,3 +149,68 @@
         if self.reply is None or self.length is not None:
             return None
         return self.done(bytes(self.held[self.at:]) if self.held else b"")
+
+
+# what is said to engines
+
+def start(host, ref, group, patience_ms, grant_mb, rank, statement):
+    headers = [("X-Hop-Id", ref), ("X-Sort", group), ("X-Budget", max(1, int(patience_ms)))]
+    if grant_mb > 0:
+        headers.append(("X-Mem-Limit", f"{grant_mb:.1f}"))
+    if rank is not None:
+        headers.append(("X-Nice", rank))
+    return request("POST", "/o", host, headers, statement)
+
+
+def page(host, ref, n):
+    """Page n of the result; 0 is the news."""
+    return request("GET", f"/o/{ref}/{n}", host)
+
+
+def priority(host, ref, rank):
+    return request("PUT", f"/o/{ref}", host, body=b"%d" % rank)
+
+
+def give_up(host, ref):
+    return request("DELETE", f"/o/{ref}", host)
+
+
+# what engines say
+
+NOTES = {"share": io.PROGRESS, "short": io.SPILLS, "held": io.WAITS}
+# what the settings call the values of a load report; an engine may use either name
+COLUMNS = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps",
+           "eps": "err_rps"}
+
+
+def is_full(reply):
+    return reply.status in (503, 504) and reply.headers.get("x-no-effect") == "1"
+
+
+def note_of(reply):
+    """(what, amount) of a note; None where there is none."""
+    what = NOTES.get(reply.headers.get("x-tell"))
+    try:
+        return what and (what, float(reply.headers["x-amount"]))
+    except (KeyError, ValueError):
+        return None
+
+
+def report_of(reply):
+    """A load report: name:value pairs; None where there is none or it cannot be read."""
+    report = {}
+    for part in reply.headers.get("x-report", "").split(";"):
+        name, _, value = part.strip().partition(":")
+        try:
+            report[COLUMNS.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    return report or None
+
+
+def cost_of(reply):
+    """(work in ms, memory in MB) of a good end; None where it is not told."""
+    try:
+        return float(reply.headers["x-cpu-ms"]), float(reply.headers["x-mem-used"])
+    except (KeyError, ValueError):
+        return None
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -2,8 +2,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from lichenquay.admission import interface as io
+from lichenquay.front import http
 from lichenquay.front.engines import Broken, Garbled, NotConnected, Silent
-from lichenquay.front.http import request
 
 FORGOTTEN_MS = 2000.0           # PROTOCOL: a query that has not been asked for this long is over
 MARGIN_MS = 100.0               # for the way of the last call to its engine
@@ -11,12 +11,21 @@
 MOST_PAGE = 6_000               # PROTOCOL: bytes of a page
 AGAIN_MS = 50.0                 # between two tries to reach an engine, doubled up to ...
 MOST_AGAIN_MS = 400.0           # ... this, so that it is still asked well within 2 s
-NOTES = {"share": io.PROGRESS, "short": io.SPILLS, "held": io.WAITS}
 
 
 class Relay:
-    def __init__(self, engines, book, noted, now_ms, silent_ms):
+    def __init__(self, engines, book, noted, now_ms, silent_ms, log):
         self.engines, self.book, self.noted, self.now_ms, self.silent_ms = engines, book, noted, now_ms, silent_ms
+        self.log = log
+
+    def fault(self, failure, flight):
+        """Risk: a fault met for one submission leaves its query without an answer, or the engine at work on it."""
+        self.book.count("faults")
+        self.log("fault", failure.getTraceback())
+        if flight.given_up:
+            self.book.end(flight, flight.given_up)
+        else:
+            self.give_up(flight, io.ERROR).addErrback(self.fault, flight)
 
     def asked(self, flight):
         flight.asked_ms = self.now_ms()
@@ -31,7 +40,7 @@
     def ask(self, flight, page):
         """A call for news or for a page, put again on another connection while the engine may still know the
         query; None once the submission has been ended otherwise."""
-        fresh, tries, call = False, 0, request("GET", f"{flight.path}{page}", flight.host)
+        fresh, tries, call = False, 0, http.page(flight.host, flight.ref, page)
         while not (flight.over or flight.given_up):
             try:
                 reply = yield self.engines.ask(flight.engine, call, self.silent_ms, fresh=fresh,
@@ -57,45 +66,36 @@
     @inlineCallbacks
     def follow(self, flight, reply):
         """From the answer to the first call to the ending."""
-        self.tell_rank(flight)      # one that was set while the first call was on its way
+        # a priority that was set while the first call was on its way
+        self.tell_rank(flight).addErrback(self.fault, flight)
         while reply is None or reply.status == 202:
-            if reply is not None and not flight.given_up:
-                self.note(flight, reply)
+            note = reply and not flight.given_up and http.note_of(reply)
+            if note:
+                self.noted(flight.sub, *note)
             reply = yield self.ask(flight, 0)
             if reply is None:
                 return
         if flight.over or flight.given_up:
             return
-        if reply.status in (503, 504) and reply.headers.get("x-no-effect") == "1":
-            self.book.end(flight, io.FULL, reply.headers)
-        elif reply.status == 500:
-            self.book.end(flight, io.ERROR, reply.headers)
+        if http.is_full(reply):
+            self.book.end(flight, io.FULL, reply)
         else:
             result = yield self.gather(flight, reply)
             if result is not None:
-                self.book.end(flight, io.FINISHED, reply.headers, result)
-
-    def note(self, flight, reply):
-        what = NOTES.get(reply.headers.get("x-tell", ""))
-        if what is not None:
-            try:
-                amount = float(reply.headers["x-amount"])
-            except (KeyError, ValueError):
-                return
-            self.noted(flight.sub, what, amount)
+                self.book.end(flight, io.FINISHED, reply, result)
 
     @inlineCallbacks
     def gather(self, flight, reply):
         """The whole result, page after page; None once the submission has been ended otherwise."""
         parts, pages, size, n = reply.whole("x-parts", 1), [], 0, 0
         while True:
+            if reply.status == 500:     # it failed, or its pages are lost
+                self.book.end(flight, io.ERROR, reply)
+                return None
             size += len(reply.body)
-            good = reply.status == 200 and parts and len(reply.body) <= MOST_PAGE and size <= MOST_RESULT
-            if n and (reply.whole("x-part-no") != n or not len(reply.body)):
-                good = False
-            if reply.status == 500:     # its pages are lost
-                return self.book.end(flight, io.ERROR, reply.headers)
-            if not good:
+            fits = len(reply.body) <= MOST_PAGE and size <= MOST_RESULT
+            right = n == 0 or reply.whole("x-part-no") == n and len(reply.body)
+            if not (reply.status == 200 and parts and fits and right):
                 self.book.count("results unreadable")
                 reply.line.drop()
                 yield self.give_up(flight, io.ERROR)
@@ -117,7 +117,7 @@
         if flight.call is not None and flight.call.withdraw():
             return self.book.end(flight, io.NEVER_SENT)
         flight.given_up = ending or (io.TIMED_OUT if self.now_ms() >= flight.until_ms - 1 else io.CANCELLED)
-        call, fresh, tries = request("DELETE", flight.path[:-1], flight.host), False, 0
+        call, fresh, tries = http.give_up(flight.host, flight.ref), False, 0
         while self.now_ms() <= flight.asked_ms + FORGOTTEN_MS + MARGIN_MS:
             try:
                 yield self.engines.ask(flight.engine, call, self.silent_ms, urgent=True, fresh=fresh)
@@ -137,8 +137,8 @@
         while not (flight.telling or flight.call or flight.over or flight.given_up) and flight.told != flight.rank:
             flight.telling, flight.told = True, flight.rank
             try:
-                yield self.engines.ask(flight.engine, request(
-                    "PUT", flight.path[:-1], flight.host, body=b"%d" % flight.rank), self.silent_ms)
+                yield self.engines.ask(flight.engine, http.priority(flight.host, flight.ref, flight.rank),
+                                       self.silent_ms)
                 self.book.count("priorities told")
             except (Broken, Garbled, NotConnected, Silent):
                 self.book.count("priorities not told")
--- a/lichenquay/front/route.py
+++ b/lichenquay/front/route.py
@@ -1,17 +1,17 @@
 """Route: from a submission to the engine's address and the fields of the call."""
-from lichenquay.front.http import request
+from lichenquay.front import http
 
 
 class Flight:
     """A submission on its way: what the network part keeps of it until its ending."""
 
-    __slots__ = ("sub", "query", "engine", "host", "path", "rank", "until_ms", "asked_ms", "timer", "over",
+    __slots__ = ("sub", "query", "engine", "host", "ref", "rank", "until_ms", "asked_ms", "timer", "over",
                  "given_up", "call", "told", "telling")
 
     def __init__(self, sub, until_ms):
         self.sub, self.query, self.engine, self.until_ms = sub, sub.query, sub.engine, until_ms
         self.host, self.telling = sub.engine.address, False
-        self.path, self.asked_ms = f"/o/{sub.query.ref}/", sub.sent_ms
+        self.ref, self.asked_ms = sub.query.ref, sub.sent_ms
         self.rank = self.told = sub.query.rank_asked
         self.timer, self.over, self.given_up, self.call = None, False, None, None
 
@@ -25,19 +25,15 @@
     def down(self, sub, patience_ms):
         q = sub.query
         flight = Flight(sub, sub.sent_ms + patience_ms)
-        headers = [("X-Hop-Id", q.ref), ("X-Sort", q.group.name), ("X-Budget", max(1, int(patience_ms)))]
-        if q.grant_mb > 0:
-            headers.append(("X-Mem-Limit", f"{q.grant_mb:.1f}"))
-        if q.rank_asked is not None:
-            headers.append(("X-Nice", q.rank_asked))
-        self.send.down(flight, request("POST", "/o", flight.host, headers, q.statement), patience_ms)
+        self.send.down(flight, http.start(flight.host, q.ref, q.group.name, patience_ms, q.grant_mb, q.rank_asked,
+                                          q.statement), patience_ms)
         return flight
 
     def rerank(self, flight, rank):
         """A new priority for what is out already."""
         if flight.rank != rank and not flight.over and not flight.given_up:
             flight.rank = rank
-            self.relay.tell_rank(flight).addErrback(self.send.fault, flight)
+            self.relay.tell_rank(flight).addErrback(self.relay.fault, flight)
 
     def give_up(self, flight):
-        self.relay.give_up(flight).addErrback(self.send.fault, flight)
+        self.relay.give_up(flight).addErrback(self.relay.fault, flight)
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -6,20 +6,14 @@
 
 
 class Send:
-    def __init__(self, engines, relay, book, silent_ms, log):
-        self.engines, self.relay, self.book, self.silent_ms, self.log = engines, relay, book, silent_ms, log
+    def __init__(self, engines, relay, book, silent_ms):
+        self.engines, self.relay, self.book, self.silent_ms = engines, relay, book, silent_ms
 
     def down(self, flight, call, patience_ms):
         self.book.opened()
         flight.timer = self.engines.later(
-            patience_ms, lambda: self.relay.give_up(flight).addErrback(self.fault, flight))
-        self.post(flight, call).addErrback(self.fault, flight)
-
-    def fault(self, failure, flight):
-        """Risk: a fault met for one submission leaves its query without an answer."""
-        self.book.count("faults")
-        self.log("fault", failure.getTraceback())
-        self.book.end(flight, io.ERROR)
+            patience_ms, lambda: self.relay.give_up(flight).addErrback(self.relay.fault, flight))
+        self.post(flight, call).addErrback(self.relay.fault, flight)
 
     @inlineCallbacks
     def post(self, flight, call):
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -73,8 +73,8 @@
         self.engines = Engines(reactor, sockets - sockets // CLIENTS_SHARE - RESERVE, RESERVE // 2,
                                opening.make.connect_timeout_ms or NEWS_MS, opening.idle_ms or 4 * NEWS_MS)
         self.admit = Admit(opening, reactor, self.engines, now_ms, self.book, self.log)
-        self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, SILENT_MS)
-        self.send = Send(self.engines, self.relay, self.book, SILENT_MS, self.log)
+        self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, SILENT_MS, self.log)
+        self.send = Send(self.engines, self.relay, self.book, SILENT_MS)
         self.route = self.admit.route = Route(self.send, self.relay)
         self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready,
                               sockets // CLIENTS_SHARE + RESERVE // 4)
@@ -121,6 +121,7 @@
         gc.freeze()
         self.sweep()
         self.state = SERVING
+        self.log("service", f"serving on {self.host}:{self.port}, {len(self.by_uid)} engines known")
 
     def is_ready(self):
         return self.state == SERVING and bool(self.by_uid)
--- a/lichenquay/front/statement.py
+++ b/lichenquay/front/statement.py
@@ -4,6 +4,7 @@
 comments, quoted names that are no schemas, and the schema `staging` do not count.
 """
 import re
+from itertools import chain
 
 TOKEN = re.compile(r"""
     (?P<skip> [\s\d=<>+*,;:%!|&?@#^~\[\]{}]+ | --[^\n]* | '(?:[^']|'')*(?:'|\Z) | (?P<tag>\$(?:[A-Za-z_]\w*)?\$) (?:.|\n)*? (?:(?P=tag)|\Z) )
@@ -46,7 +47,7 @@
     """Each dotted name, and whether it stands where a table is named."""
     table = call = named = dotted = False
     parts, around = [], []
-    for token, is_name, quoted in (*tokens(text), ("", False, False)):
+    for token, is_name, quoted in chain(tokens(text), [("", False, False)]):
         if is_name and dotted:
             parts.append(token)
             dotted = False
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -10,7 +10,6 @@
 
 MOST_OPEN = 32                  # PROTOCOL: open requests on one connection
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
-ONCE = ("service", "ref", "allow", "project", "effort", "memory")
 IDLE_S = 30.0                   # clients close idle connections after 4 s: what rests longer has no client any more
 CLOSE_S = 1.0                   # for the last bytes of a connection that is being closed
 MOST_UNSENT = 32 << 20          # bytes of answers that clients do not read, all together
@@ -20,13 +19,13 @@
     """A well-formed request that makes no query; the text says why."""
 
 
-def amount(fields, name):
+def amount(said, name):
     try:
-        got = float(fields[name])
+        got = float(said[name])
     except ValueError:
         got = -1.0
     if not 0 <= got < 1e12:
-        raise BadQuery(f"{name}: {fields[name][:40]!r}")
+        raise BadQuery(f"{name}: {said[name][:40]!r}")
     return got
 
 
@@ -60,10 +59,10 @@
         if kind == frames.QUERY:
             if stream == 0 or stream in self.open:
                 raise frames.BadFrame(f"stream {stream} is not new")
-            fields, body = frames.read_fields(payload)
+            request = frames.read_query(payload)
             self.desk.book.count("queries taken in")
             try:
-                q = self.desk.query(self, stream, fields, body)
+                q = self.desk.query(self, stream, *request)
             except BadQuery as bad:
                 self.desk.book.count("queries that make no sense")
                 self.desk.book.count("answers deferred")
@@ -173,27 +172,25 @@
         if len(self.lines) == self.most - 1 and self.port is not None:
             self.port.resumeProducing()
 
-    def query(self, line, stream, pairs, body):
-        fields = dict(pairs)
+    def query(self, line, stream, said, twice, body):
         if len(line.open) >= MOST_OPEN:
             raise BadQuery(f"more than {MOST_OPEN} open requests")
-        if len(fields) < len(pairs) and any([n for n, _ in pairs].count(name) > 1 for name in ONCE):
-            raise BadQuery("a field twice")
-        for name in ONCE:
-            if name not in fields and (name != "project" or self.tenants):
+        if twice:
+            raise BadQuery(f"{twice}: said twice")
+        for name in frames.FIELDS.values():
+            if name not in said and (name != "tenant" or self.tenants):
                 raise BadQuery(f"{name}: missing")
-        group, tenant = self.groups.get(fields["service"]), self.tenants.get(fields.get("project"))
+        group, tenant = self.groups.get(said["group"]), self.tenants.get(said.get("tenant"))
         if group is None:
-            raise BadQuery(f"service: {fields['service'][:40]!r}")
+            raise BadQuery(f"group: {said['group'][:40]!r}")
         if tenant is None and self.tenants:
-            raise BadQuery(f"project: {fields['project'][:40]!r}")
-        if not REF.match(fields["ref"]):
-            raise BadQuery(f"ref: {fields['ref'][:40]!r}")
-        now, allow = self.now_ms(), amount(fields, "allow")
-        statement = bytes(body)         # outlives the buffer
-        return FrontQuery(0, group, now, now + allow, tenant, "", amount(fields, "effort"), amount(fields, "memory"),
-                          tables_of(str(statement, "utf-8", "replace")), client=line, stream=stream,
-                          ref=fields["ref"], statement=statement)
+            raise BadQuery(f"tenant: {said['tenant'][:40]!r}")
+        if not REF.match(said["ref"]):
+            raise BadQuery(f"ref: {said['ref'][:40]!r}")
+        now, statement = self.now_ms(), bytes(body)         # it outlives the buffer
+        return FrontQuery(0, group, now, now + amount(said, "allowed"), tenant, "", amount(said, "work"),
+                          amount(said, "memory"), tables_of(str(statement, "utf-8", "replace")),
+                          client=line, stream=stream, ref=said["ref"], statement=statement)
 
     def tell_no_more(self):
         for line in list(self.lines):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -354,7 +354,8 @@
         ref = ref or f"{id(self) % 2 ** 32:08x}{self.streams:08x}"
         fields = {"service": group, "ref": ref, "allow": str(allow), "project": "acme", "effort": "20.0",
                   "memory": "96", **fields}
-        pairs = [(n, v) for n, v in fields.items() if v is not None]
+        pairs = [(n, v) for n, v in fields.items() if v is not None and n != "twice"]
+        pairs += [("ref", ref)] if "twice" in fields else []
         self.transport.write(frames.frame(frames.QUERY, self.streams, frames.write_fields(pairs), statement))
         return self.streams
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -14,7 +14,7 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front import frames, http
-from lichenquay.front.book import Log, read_cost, read_report
+from lichenquay.front.book import Log
 from lichenquay.front.bulletin import BadList, Bulletin, read_rows
 from lichenquay.front.engines import Call, FrontEngine
 from lichenquay.front.statement import tables_of
@@ -165,9 +165,13 @@
 
 
 def test_reports_costs_and_rows():
-    assert read_report("inflight:7;util:0.61;odd;x:") == {"active": 7.0, "cpu": 0.61}
-    assert read_report(None) is None and read_report("odd") is None
-    assert read_cost({"x-cpu-ms": "12.5", "x-mem-used": "64"}) == (12.5, 64.0) and read_cost({}) is None
+    def said(**headers):
+        return SimpleNamespace(headers={"x-" + n.replace("_", "-"): v for n, v in headers.items()})
+    assert http.report_of(said(report="inflight:7;util:0.61;odd;x:")) == {"active": 7.0, "cpu": 0.61}
+    assert http.report_of(said()) is None and http.report_of(said(report="odd")) is None
+    assert http.cost_of(said(cpu_ms="12.5", mem_used="64")) == (12.5, 64.0) and http.cost_of(said()) is None
+    assert http.note_of(said(tell="held", amount="2")) == (io.WAITS, 2.0)
+    assert not http.note_of(said(tell="held")) and not http.note_of(said(tell="odd", amount="1"))
     for row in ({"uid": "a", "endpoint": "h:1", "state": "ASLEEP"}, {"uid": "a", "endpoint": "h", "state": "SERVING"}, 3):
         with pytest.raises(BadList):
             read_rows({"roster": {"all": False, "targets": [row]}})
@@ -343,6 +347,16 @@
     until(lambda: w.service.bulletin.no == 2)
 
 
+def test_a_bulletin_with_nothing_new_keeps_nobody_busy(world):
+    w = world(engines=1)
+    w.bulletin.garbage = w.bulletin.told(1)
+    calls = w.bulletin.calls
+    w.bulletin.add(w.engines[0].row())
+    w.bulletin.garbage = b'{"no": 2, "items": []}'
+    wait(0.6)
+    assert 2 < w.bulletin.calls - calls < 10
+
+
 def test_bad_frames_end_their_connection_alone(world):
     w = world(engines=1)
     good, bad, idle = w.client(), w.client(), w.client()
@@ -360,7 +374,7 @@
 
 
 @pytest.mark.parametrize("wrong", [dict(group="none"), dict(project="none"), dict(project=None), dict(ref="short"),
-                                   dict(allow="soon"), dict(effort=None), dict(memory="nan"), dict(allow="-1")])
+                                   dict(allow="soon"), dict(twice=True), dict(effort=None), dict(memory="nan"), dict(allow="-1")])
 def test_a_request_that_makes_no_query_is_answered_alone(world, wrong):
     w = world(engines=1)
     c = w.client()
