--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -404,6 +404,20 @@
     assert sum(len(e.lines) for e in w.engines) <= 6
 
 
+def test_more_clients_than_fit_wait_to_be_accepted(world):
+    """Risk: a crowd of clients takes the descriptors that calls to engines need."""
+    w = world(engines=2, sockets=300)
+    crowd = [w.client() for _ in range(130)]
+    wait(0.1)
+    assert len(w.service.clients.lines) == w.service.clients.most == 112
+    streams = [(c, c.ask("status", allow=4000)) for c in crowd]
+    assert all(answered(c, s)[0] == frames.FINISHED for c, s in streams[:112])
+    assert not any(c.answers for c in crowd[112:])
+    for c in crowd[:18]:
+        c.transport.loseConnection()
+    assert all(answered(c, s)[0] == frames.FINISHED for c, s in streams[112:])
+
+
 def test_a_client_that_does_not_read_is_bounded():
     desk = SimpleNamespace(seconds=lambda: 0.0, unsent=0, book=SimpleNamespace(count=lambda what: None),
                            log=lambda *line: None)
