Front: bounds on all that clients make it hold; the bulletin is asked again within 0.1 s

At fault: BulletinFactory waited up to 0.5 s where a connection ended before it brought an answer. Now at once, or after 0.1 s if the last connection lasted less. Half-open ones show after 1.5 s, not 2.5 s.

--- a/lichenquay/front/book.py
+++ b/lichenquay/front/book.py
@@ -19,12 +19,18 @@
         since, lines, left_out = self.kinds.get(kind, (now, 0, 0))
         if now - since >= 1:
             if left_out:
-                print(f"{kind}: {left_out} more lines left out", file=self.out, flush=True)
+                self.line(f"{kind}: {left_out} more lines left out")
             since, lines, left_out = now, 0, 0
         if lines < LINES_A_SECOND:
-            print(text, file=self.out, flush=True)
+            self.line(text)
         self.kinds[kind] = (since, lines + 1, left_out + (lines >= LINES_A_SECOND))
 
+    def line(self, text):
+        try:
+            print(text, file=self.out, flush=True)
+        except OSError:         # nobody reads the log any more: the front goes on
+            pass
+
 
 class Book:
     """The end of a submission goes back up the chain from here."""
--- a/lichenquay/front/bulletin.py
+++ b/lichenquay/front/bulletin.py
@@ -1,12 +1,12 @@
 """The bulletin: the list of engines as numbered events, followed over HTTP (the operators' PROTOCOL)."""
 import json
 
-from twisted.internet.protocol import Protocol, ReconnectingClientFactory
+from twisted.internet.protocol import ClientFactory, Protocol
 
 from lichenquay.admission import interface as io
 from lichenquay.front.http import BadReply, ReplyReader, request
 
-PATIENCE_MS = 2000              # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
+PATIENCE_MS = 1000              # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
 SILENT_MS = PATIENCE_MS + 500   # well within the 7 s after which an event counts as told (PROTOCOL, 'Figures')
 AGAIN_MS = 100                  # between calls that bring nothing
 STATES = {"SERVING": io.LISTED, "DRAINING": io.DRAINING, "DELETED": io.WITHDRAWN}
@@ -85,7 +85,6 @@
         except (BadReply, ValueError) as bad:
             self.factory.bulletin.log("bulletin", f"bulletin: {bad}; the list stays as it was")
             return self.transport.abortConnection()
-        self.factory.resetDelay()
         if not reply.keep:
             self.transport.loseConnection()
         elif before == self.factory.bulletin.no and self.factory.reactor.seconds() - self.asked_s < AGAIN_MS / 1000:
@@ -100,21 +99,28 @@
             self.timer.cancel()
 
 
-class BulletinFactory(ReconnectingClientFactory):
-    """Reconnects at once, and after a short pause while that fails."""
+class BulletinFactory(ClientFactory):
+    """Connects again at once, or after a short pause where the last connection brought nothing.
+    Risk: a drain is told while the front waits to connect again."""
 
     noisy = False
-    initialDelay, maxDelay, factor, jitter = AGAIN_MS / 1000, 0.5, 1.5, 0
 
     def __init__(self, reactor, bulletin, host):
-        self.reactor, self.clock, self.bulletin, self.host = reactor, reactor, bulletin, host
+        self.reactor, self.bulletin, self.host, self.up_s, self.stopped = reactor, bulletin, host, 0.0, False
 
     def buildProtocol(self, address):
+        self.up_s = self.reactor.seconds()
         return BulletinLine(self)
 
     def clientConnectionLost(self, connector, reason):
-        if self.delay == self.initialDelay:     # it had answered since it was last lost
-            self.delay *= self.factor
-            connector.connect()
+        if self.reactor.seconds() - self.up_s < AGAIN_MS / 1000:
+            self.clientConnectionFailed(connector, reason)
         else:
-            self.retry(connector)
+            self.again(connector)
+
+    def clientConnectionFailed(self, connector, reason):
+        self.reactor.callLater(AGAIN_MS / 1000, self.again, connector)
+
+    def again(self, connector):
+        if not self.stopped:
+            connector.connect()
--- a/lichenquay/front/frames.py
+++ b/lichenquay/front/frames.py
@@ -25,6 +25,9 @@
     def __init__(self):
         self.held, self.need = None, LENGTH.size
 
+    def unfinished(self):
+        return len(self.held or b"")
+
     def feed(self, data):
         """Yields (type, stream, payload); a payload is a slice, good until the next read."""
         if self.held is not None:
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -109,7 +109,8 @@
         except CannotListenError as bad:
             raise CannotStart(f"cannot listen on {self.host}:{self.port}: {bad.socketError.strerror}") from None
         self.following = BulletinFactory(self.reactor, self.bulletin, f"{self.bulletin_host}:{self.bulletin_port}")
-        self.reactor.connectTCP(self.bulletin_host, self.bulletin_port, self.following, timeout=1.0)
+        self.reactor.connectTCP(self.bulletin_host, self.bulletin_port, self.following,
+                                timeout=self.engines.connect_ms / 1000)
         self.reactor.callWhenRunning(self.run)
 
     def run(self):
@@ -127,9 +128,9 @@
         return self.state == SERVING and bool(self.by_uid)
 
     def sweep(self):
+        self.reactor.callLater(1.0, self.sweep)
         self.engines.sweep()
         self.clients.close(self.reactor.seconds() - IDLE_S)
-        self.reactor.callLater(1.0, self.sweep)
 
     def leave(self):
         """SIGTERM: listen on for as long as PROTOCOL says; answer all that is taken; tell clients to go."""
@@ -155,7 +156,7 @@
             self.clients.close(self.reactor.seconds())
             if not self.clients.lines or late:
                 self.state = ENDED
-                self.following.stopTrying()
+                self.following.stopped = True
                 return self.reactor.stop()
         self.engines.later(10.0, self.drain)
 
@@ -167,7 +168,7 @@
             f"descriptors: {len(os.listdir('/proc/self/fd'))}", f"cpu seconds: {time.process_time():.2f}",
             f"memory MB at most: {peak_mb()}", f"state: {self.state}"]
         for line in counters:
-            print(line, file=self.log.out, flush=True)
+            self.log.line(line)
 
 
 def peak_mb():
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -13,6 +13,8 @@
 IDLE_S = 30.0                   # clients close idle connections after 4 s: what rests longer has no client any more
 CLOSE_S = 1.0                   # for the last bytes of a connection that is being closed
 MOST_UNSENT = 32 << 20          # bytes of answers that clients do not read, all together
+MOST_UNFINISHED = 32 << 20      # bytes of frames that are not whole yet, all together
+MOST_HELD = 32 << 20            # bytes of the open queries' statements, all together
 
 
 class BadQuery(ValueError):
@@ -45,13 +47,20 @@
         self.heard_s = self.desk.seconds()
         if self.bad:
             return
+        before = self.reader.unfinished()
         try:
             for kind, stream, payload in self.reader.feed(data):
                 self.heard(kind, stream, payload)
+            grown = self.reader.unfinished() - before
+            if grown > 0 and self.desk.unfinished + grown > MOST_UNFINISHED:
+                raise frames.BadFrame("too much that is not whole")
+            self.desk.unfinished += grown
         except frames.BadFrame as bad:
             self.desk.book.count("bad frames")
             self.desk.log("client", f"client: {bad}; connection closed")
             self.put(frames.answer(0, frames.KILLED, str(bad).encode()))
+            self.desk.unfinished -= before
+            self.reader.held = None
             self.bad = True         # nothing more is read from it; what was taken on it is still answered
             self.close_if_done()
 
@@ -73,11 +82,12 @@
                 self.desk.book.count("answers killed")
                 return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
             self.open[stream] = q
+            self.desk.held += len(q.statement)
             self.desk.admit.take(q)
         elif kind == frames.LEFT:
             q = self.open.pop(stream, None)
             if q is not None:
-                self.desk.admit.left(q)
+                self.leave(q)
         elif kind == frames.IS_READY:
             frames.read_fields(payload)
             self.put(frames.readiness(stream, 0 if self.desk.ready() else 1))
@@ -86,10 +96,20 @@
 
     def answer(self, q, code, body):
         if self.open.pop(q.stream, None) is not None:
+            self.let_go(q)
             self.put(frames.answer(q.stream, code, *body))
             self.desk.book.count(self.desk.ANSWERS[code])
             self.close_if_done()
 
+    def leave(self, q):
+        self.let_go(q)
+        self.desk.admit.left(q)
+
+    def let_go(self, q):
+        """Risk: timers keep a query until its client's time is up, and with it a statement of any length."""
+        self.desk.held -= len(q.statement)
+        q.statement = b""
+
     def close_if_done(self):
         if self.bad and not self.open:
             self.close()
@@ -141,7 +161,9 @@
         self.unsent = 0
         queries, self.open = self.open, {}
         for q in queries.values():      # what was taken on it ends at its engine
-            self.desk.admit.left(q)
+            self.leave(q)
+        self.desk.unfinished -= self.reader.unfinished()
+        self.reader.held = None
         self.desk.closed(self)
 
 
@@ -156,7 +178,8 @@
         self.groups, self.tenants = opening.groups, opening.tenants
         self.admit, self.book, self.log, self.now_ms, self.ready, self.most = admit, book, log, now_ms, ready, most
         self.reactor, self.seconds = reactor, reactor.seconds
-        self.lines, self.port, self.unsent, self.most_lines = {}, None, 0, 0
+        self.lines, self.port, self.most_lines = {}, None, 0
+        self.unsent = self.unfinished = self.held = 0
 
     def buildProtocol(self, address):
         return ClientLine(self)
@@ -175,6 +198,8 @@
     def query(self, line, stream, said, twice, body):
         if len(line.open) >= MOST_OPEN:
             raise BadQuery(f"more than {MOST_OPEN} open requests")
+        if self.held + len(body) > MOST_HELD:
+            raise BadQuery("no room for its statement")
         if twice:
             raise BadQuery(f"{twice}: said twice")
         for name in frames.FIELDS.values():
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -428,7 +428,7 @@
         for client in self.clients:
             client.transport.abortConnection()
         if hasattr(self, "service"):
-            self.service.following.stopTrying()
+            self.service.following.stopped = True
             if self.service.clients.port:
                 self.service.clients.port.stopListening()
             for line in list(self.service.engines.lines):
@@ -438,4 +438,4 @@
                 line.transport.abortConnection()
             thing.port.stopListening()
         wait(0.05)
-        assert not BROKEN
+        assert not BROKEN, BROKEN
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -434,6 +434,32 @@
     assert desk.unsent == 0
 
 
+def test_what_clients_make_the_front_hold_is_bounded(world, monkeypatch):
+    """Risk: long statements, or frames that never end, take the memory that the front may have."""
+    monkeypatch.setattr("lichenquay.front.take_in.MOST_HELD", 300_000)
+    monkeypatch.setattr("lichenquay.front.take_in.MOST_UNFINISHED", 300_000)
+    w = world(engines=1)
+    c, desk, long = w.client(), w.service.clients, STATEMENT + b" " * 200_000
+    w.engines[0].ways = ["hold"]
+    first = c.ask("report", ref=f"{0:016x}", statement=long)
+    until(lambda: w.posts() == 1)
+    second, third = c.ask("report", statement=long), c.ask("report")
+    assert answered(c, second)[0] == frames.DEFERRED and answered(c, third)[0] == frames.FINISHED
+    assert desk.held == len(long)
+    w.engines[0].runs[f"{0:016x}"] = "ok"
+    assert answered(c, first)[0] == frames.FINISHED and desk.held == 0
+    crowd = [w.client() for _ in range(3)]
+    for x in crowd:
+        x.transport.write((262_144).to_bytes(4, "little") + b"\2\1\0\0\0" + b"x" * 140_000)
+    until(lambda: any(x.closed for x in crowd))
+    wait(0.1)
+    assert sum(x.closed for x in crowd) == 1 and desk.unfinished <= 300_000
+    for x in crowd:
+        x.transport.abortConnection()
+    until(lambda: desk.unfinished == 0)
+    assert answered(c, c.ask())[0] == frames.FINISHED
+
+
 def test_idle_connections_are_dropped_in_good_time(world):
     w = world(engines=1)
     c = w.client()
