--- a/tests/standins.py
+++ b/tests/standins.py
@@ -414,6 +414,15 @@
         self.clients.append(got[0])
         return got[0]
 
+    def hold(self):
+        """A report that an engine holds, and takes its time over: its client, its stream, its engine."""
+        client, ways = self.client(), ["hold"]
+        for e in self.engines:
+            e.ways = ways
+        stream = client.ask("report", allow=4000)
+        until(lambda: any(e.news > 1 for e in self.engines))
+        return client, stream, next(e for e in self.engines if e.posts)
+
     def posts(self):
         return sum(len(e.posts) for e in self.engines)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -269,13 +269,7 @@
 def test_an_engine_without_a_word_is_over_after_two_seconds(world):
     """Risk: a query is sent to a second engine while one that cannot be reached still works on it."""
     w = world(engines=2)
-    c, ways = w.client(), ["hold"]
-    for e in w.engines:
-        e.ways = ways
-    stream = c.ask("report", allow=4000)
-    until(lambda: w.posts() == 1)
-    bad = next(e for e in w.engines if e.posts)
-    wait(0.2)
+    c, stream, bad = w.hold()
     bad.mute, asked = True, time.time()
     w.out.clear()       # it drops what nobody asks for; that this front waits for it is checked below
     assert answered(c, stream)[0] == frames.FINISHED
@@ -299,12 +293,7 @@
 def test_a_process_is_gone_after_two_refusals(world):
     """Seen at a preemption: a second engine had the query 2 ms after the first one's death, which counted as two out."""
     w = world(engines=2)
-    c, ways = w.client(), ["hold"]
-    for e in w.engines:
-        e.ways = ways
-    stream = c.ask("report", allow=4000)
-    until(lambda: any(e.news > 1 for e in w.engines))
-    dead = next(e for e in w.engines if e.posts)
+    c, stream, dead = w.hold()
     w.out.clear()
     dead.stop()
     died = time.time()
