Front: a connection whose answer made no sense ends no other call

Now the connection is closed after what it carries. An answer that ends with its connection names that connection too; without it a bad one was a fault.

--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -77,6 +77,7 @@
 
     def __init__(self, hub, first):
         self.hub, self.engine, self.call, self.reader, self.idle_since = hub, first.engine, first, ReplyReader(), 0.0
+        self.spoilt = False
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -100,7 +101,7 @@
             return self.drop(Garbled(str(bad)))
         if reply is not None:
             call, self.call, reply.line = self.call, None, self
-            if reply.keep:
+            if reply.keep and not self.spoilt:
                 self.hub.free(self)
             else:
                 self.transport.loseConnection()
@@ -110,6 +111,13 @@
         self.call.timer = None
         self.drop(Silent())
 
+    def spoil(self):
+        """What came on it made no sense: it is not used again.
+        Risk: by now it carries another call, which must not end with it."""
+        self.spoilt = True
+        if self.call is None:
+            self.drop()
+
     def drop(self, why=None):
         """Ends the connection at once."""
         call, self.call = self.call, None
@@ -122,7 +130,10 @@
         call, self.call = self.call, None
         self.hub.lost(self)
         if call is not None:
-            call.end(self.reader.closed() or Broken(reason.getErrorMessage()))
+            reply = self.reader.closed()
+            if reply is not None:
+                reply.line = self
+            call.end(reply or Broken(reason.getErrorMessage()))
 
 
 class LineFactory(ClientFactory):
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -98,7 +98,7 @@
             right = n == 0 or reply.whole("x-part-no") == n and len(reply.body)
             if not (reply.status == 200 and parts and fits and right):
                 self.book.count("results unreadable")
-                reply.line.drop()
+                reply.line.spoil()
                 yield self.give_up(flight, io.ERROR)
                 return None
             pages.append(reply.body)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -16,7 +16,7 @@
 from lichenquay.front import frames, http
 from lichenquay.front.book import Log
 from lichenquay.front.bulletin import BadList, Bulletin, read_rows
-from lichenquay.front.engines import Call, FrontEngine
+from lichenquay.front.engines import Call, EngineLine, FrontEngine
 from lichenquay.front.statement import tables_of
 from lichenquay.front.take_in import ClientLine
 from lichenquay.opening import Opening, Sheet, flat
@@ -409,6 +409,25 @@
     assert sum(len(e.lines) for e in w.engines) <= 6
 
 
+def test_a_spoilt_connection_ends_no_other_call():
+    """Risk: with sockets short, a connection whose answer made no sense already carries the next call."""
+    done, got = [], []
+    hub = SimpleNamespace(free=lambda line: done.append("free"), lost=lambda line: done.append("lost"),
+                          later=lambda ms, call: SimpleNamespace(cancel=lambda: None))
+    call = Call(FrontEngine("e"), b"next", 1.0, False, False, False, None)
+    call.answer.addCallback(got.append)
+    line = EngineLine(hub, call)
+    line.transport = SimpleNamespace(write=done.append, loseConnection=lambda: done.append("closed"),
+                                     abortConnection=lambda: done.append("ended"))
+    line.put(call)
+    line.spoil()
+    assert done == [b"next"] and not got
+    line.dataReceived(b"HTTP/1.1 204 X\r\n\r\n")
+    assert got[0].status == 204 and done == [b"next", "closed"]     # then it is not used again
+    line.spoil()
+    assert done[2:] == ["lost", "ended"]
+
+
 def test_more_clients_than_fit_wait_to_be_accepted(world):
     """Risk: a crowd of clients takes the descriptors that calls to engines need."""
     w = world(engines=2, sockets=300)
