Front: SIGHUP read, silent and idle clients make room, one bound for what clients send

Ruled out by the protocol: a longer wait, for clients close idle connections after 4 s themselves. Module: a query whose client has left is called off at its engine (controller.left).

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -468,6 +468,7 @@
 
     def left(self, q):
         self.slots.unhold(q)
+        self.call_off(q)
         self.order.back(q)
 
     def noted(self, sub, what, amount):
@@ -557,14 +558,18 @@
         if q.over:
             return
         self.slots.unhold(q)
-        if self.licence.cancel and q.submissions and q.submissions[-1].ending is None:
-            self.door.cancel(q.submissions[-1])
+        self.call_off(q)
         if left > 0 and self.guards.may_defer(q):
             self.door.defer(q, min(self.licence.longest_pause_ms, left / 10))
         else:
             self.door.kill(q)
         self.order.back(q)
 
+    def call_off(self, q):
+        """Risk: what nobody waits for holds its engine's cores and memory to its end."""
+        if self.licence.cancel and q.submissions and q.submissions[-1].ending is None:
+            self.door.cancel(q.submissions[-1])
+
     def move(self, run):
         """Cancel and submit again, where that is heeded and harmless."""
         moves = run.group.effect == io.READ_ONLY and len(run.q.submissions) < self.licence.most_submissions
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -18,6 +18,7 @@
     statement: bytes = b""
     grant_mb: float = 0.0           # of its next submissions
     rank_asked: int | None = None
+    told: bool = False              # the controller knows it
     flight: object = None           # its latest submission
 
 
@@ -44,7 +45,13 @@
         self.numbers += 1
         q.id = self.numbers
         self.open.add(q)
-        self.happen(self.controller.take, q)
+        self.happen(self.taken, q)
+
+    def taken(self, q):
+        """Risk: hundreds of queries taken back at once go out to engines and are called off there."""
+        if not q.over:
+            q.told = True
+            self.controller.take(q)
 
     def left(self, q):
         """Its client waits no longer."""
@@ -52,7 +59,11 @@
             q.over = True
             self.open.discard(q)
             self.book.count("queries left by their clients")
-            self.happen(self.controller.left, q)
+            self.happen(self.gone, q)
+
+    def gone(self, q):
+        if q.told:
+            self.controller.left(q)
 
     def noted(self, sub, what, amount):
         self.happen(self.note, sub, what, amount)
@@ -155,6 +166,7 @@
             q.over = True
             self.open.discard(q)
             q.client.answer(q, code, body)
+            q.client = q.flight = None      # risk: timers keep a query for long after its end, and all that it holds
 
     def wake(self, at_ms, call):
         self.timed += 1
--- a/lichenquay/front/bulletin.py
+++ b/lichenquay/front/bulletin.py
@@ -28,10 +28,22 @@
                          int(t.get("pod_group") or 0), STATES[t["state"]], float(t.get("capacity_hint", 1.0)),
                          float(t.get("boot_ms") or 0)))
         return bool(roster["all"]), rows
-    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
         raise BadList(f"an event that cannot be read: {bad}") from None
 
 
+def read_events(told, after=0):
+    """The number of the last event, and the events after one of them, in turn."""
+    try:
+        items = [(int(item["no"]), *read_rows(item)) for item in told["items"] if int(item["no"]) > after]
+        last = int(told["no"])
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
+        raise BadList(f"an answer that cannot be read: {bad}") from None
+    if [no for no, *_ in items] != sorted(no for no, *_ in items):
+        raise BadList("events go back")
+    return last, items
+
+
 class Bulletin:
     """What has been told so far, and who wants to know: `news(whole, rows)`."""
 
@@ -41,12 +53,8 @@
 
     def follow(self, told):
         """An answer of the bulletin, or what was known at start: all of its events, or none of them."""
-        try:
-            items = [(int(item["no"]), *read_rows(item)) for item in told["items"] if int(item["no"]) > self.no]
-            last = int(told["no"])
-        except (KeyError, TypeError, ValueError) as bad:
-            raise BadList(f"an answer that cannot be read: {bad}") from None
-        if last < self.no or [no for no, *_ in items] != sorted(no for no, *_ in items):
+        last, items = read_events(told, self.no)
+        if last < self.no:
             raise BadList(f"events go back: {last} after {self.no}")
         for no, whole, rows in items:
             self.news(whole, rows)
@@ -76,6 +84,8 @@
         self.transport.write(request("GET", path, self.factory.host))
 
     def dataReceived(self, data):
+        if self.factory.stopped:
+            return
         try:
             reply = self.reader.feed(data)
             if reply is None:
@@ -84,7 +94,7 @@
                 raise BadReply(f"status {reply.status}")
             before = self.factory.bulletin.no
             self.factory.bulletin.follow(json.loads(bytes(reply.body)))
-        except (BadReply, ValueError) as bad:
+        except (BadReply, ValueError, RecursionError) as bad:
             self.factory.bulletin.log("bulletin", f"bulletin: {bad}; the list stays as it was")
             return self.transport.abortConnection()
         if not reply.keep:
@@ -106,8 +116,14 @@
 
     noisy = False
 
-    def __init__(self, reactor, bulletin, host):
-        self.reactor, self.bulletin, self.host, self.up_s, self.stopped = reactor, bulletin, host, 0.0, False
+    def __init__(self, reactor, bulletin, host, port, connect_ms):
+        self.reactor, self.bulletin, self.host, self.up_s, self.stopped = reactor, bulletin, f"{host}:{port}", 0.0, False
+        self.connector = reactor.connectTCP(host, port, self, timeout=connect_ms / 1000)
+
+    def stop(self):
+        """The bulletin is elsewhere by now: nothing more is asked or heard here."""
+        self.stopped = True
+        self.connector.disconnect()
 
     def buildProtocol(self, address):
         self.up_s = self.reactor.seconds()
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -152,10 +152,10 @@
 
 
 class Engines:
-    """All connections to engines: `budget` descriptors for calls, and `reserve` more for the urgent ones."""
+    """All connections to engines: `budget` descriptors for calls (set from the limits), `reserve` more for urgent ones."""
 
-    def __init__(self, reactor, budget, reserve, connect_ms, silent_ms, idle_ms):
-        self.reactor, self.budget, self.reserve = reactor, budget, reserve
+    def __init__(self, reactor, reserve, connect_ms, silent_ms, idle_ms):
+        self.reactor, self.budget, self.reserve = reactor, 0, reserve
         self.connect_ms, self.silent_ms, self.idle_ms = connect_ms, silent_ms, idle_ms
         self.waiting, self.lines, self.open, self.most = deque(), set(), 0, 0
 
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -11,12 +11,12 @@
 from lichenquay.admission import interface as io
 from lichenquay.front.admit import Admit
 from lichenquay.front.book import Book, Log
-from lichenquay.front.bulletin import BadList, Bulletin, BulletinFactory
+from lichenquay.front.bulletin import BadList, Bulletin, BulletinFactory, read_events
 from lichenquay.front.engines import Engines, FrontEngine
 from lichenquay.front.relay import Relay
 from lichenquay.front.route import Route
 from lichenquay.front.send import Send
-from lichenquay.front.take_in import IDLE_S, TakeIn
+from lichenquay.front.take_in import TakeIn
 from lichenquay.opening import Opening, Sheet, Unreadable, flat
 
 STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
@@ -29,12 +29,25 @@
 LAST_MS = 300.0                 # before that, what is still open gets its final answer
 RESERVE = 48                    # descriptors for the reactor, accepting, the bulletin and DELETEs
 CLIENTS_SHARE = 3               # PROTOCOL: clients hold a third of the descriptors at most
+SWEEP_MS = 250.0                # between two looks at connections that have outlived their use
+BASE_MB, LEAST_MB = 32.0, 4.0   # memory of the program itself (docs/evaluation.md); what clients may fill at least
+CLIENTS_PART = 0.5              # of the memory beyond that
 
 
 class CannotStart(Exception):
     """Something that the program needs is missing; the text names it."""
 
 
+def open_from(settings, seed):
+    try:
+        opening = Opening(Sheet(flat(settings)), seed)
+        if not opening.groups:
+            raise Unreadable("no classes")
+    except (Unreadable, AttributeError) as bad:
+        raise CannotStart(f"settings: {bad}") from None
+    return opening
+
+
 def now_ms():
     return time.time() * 1000
 
@@ -50,39 +63,41 @@
         host, _, port = listen.rpartition(":")
         bulletin_host, _, bulletin_port = config["bulletin"].rpartition(":")
         sockets = min(int(config["limits"]["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        return (host, int(port), bulletin_host, int(bulletin_port), sockets, int(config["seed"], 16),
+        room = int(max(LEAST_MB, (float(config["limits"]["memory_mb"]) - BASE_MB) * CLIENTS_PART)) << 20
+        return ((host, int(port)), (bulletin_host, int(bulletin_port)), sockets, room, int(config["seed"], 16),
                 config["known"], config["settings"])
     except OSError as bad:
         raise CannotStart(f"configuration {path}: {bad.strerror}") from None
-    except (KeyError, TypeError, ValueError, AttributeError) as bad:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as bad:
         raise CannotStart(f"configuration {path}: {type(bad).__name__}: {bad}") from None
 
 
 class Service:
     def __init__(self, reactor, environment):
-        self.state, self.reactor = STARTING, reactor
-        (self.host, self.port, self.bulletin_host, self.bulletin_port, sockets, seed, known,
-         settings) = read_config(environment)
-        try:
-            opening = Opening(Sheet(flat(settings)), seed)
-        except (Unreadable, AttributeError) as bad:
-            raise CannotStart(f"settings: {bad}") from None
+        self.state, self.reactor, self.environment = STARTING, reactor, environment
+        self.listen, self.bulletin_at, sockets, room, seed, known, self.settings = read_config(environment)
+        opening = open_from(self.settings, seed)
         self.opening, self.by_uid = opening, {}
         self.log = Log(time.time)
         self.book = Book(lambda *ending: self.admit.back(*ending))
-        self.engines = Engines(reactor, sockets - sockets // CLIENTS_SHARE - RESERVE, RESERVE // 2,
+        self.engines = Engines(reactor, RESERVE // 2,
                                opening.make.connect_timeout_ms or NEWS_MS, SILENT_MS, opening.idle_ms or 4 * NEWS_MS)
         self.admit = Admit(opening, reactor, self.engines, now_ms, self.book, self.log)
         self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, self.log)
         self.send = Send(self.engines, self.relay, self.book)
         self.route = self.admit.route = Route(self.send, self.relay)
-        self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready,
-                              sockets // CLIENTS_SHARE + RESERVE // 4)
+        self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
+        self.bound(sockets, room)
         try:
             self.bulletin = Bulletin(known, self.news, self.log)
         except BadList as bad:
             raise CannotStart(f"known: {bad}") from None
 
+    def bound(self, sockets, room):
+        """Shares of the configured limits: of descriptors for engines and clients, of memory for what clients send."""
+        self.engines.budget = sockets - sockets // CLIENTS_SHARE - RESERVE
+        self.clients.most, self.clients.room = sockets // CLIENTS_SHARE + RESERVE // 4, room
+
     def news(self, whole, rows):
         named, gone = [], set(self.by_uid.values()) if whole else set()
         for uid, address, place, kind, cell, state, units, started in rows:
@@ -105,32 +120,56 @@
 
     def start(self):
         try:
-            self.clients.port = self.reactor.listenTCP(self.port, self.clients, backlog=511, interface=self.host)
+            self.clients.listen(*self.listen)
         except CannotListenError as bad:
-            raise CannotStart(f"cannot listen on {self.host}:{self.port}: {bad.socketError.strerror}") from None
-        self.following = BulletinFactory(self.reactor, self.bulletin, f"{self.bulletin_host}:{self.bulletin_port}")
-        self.reactor.connectTCP(self.bulletin_host, self.bulletin_port, self.following,
-                                timeout=self.engines.connect_ms / 1000)
+            raise CannotStart(f"cannot listen on {'%s:%d' % self.listen}: {bad.socketError.strerror}") from None
+        self.follow_bulletin()
         self.reactor.callWhenRunning(self.run)
 
+    def follow_bulletin(self):
+        self.following = BulletinFactory(self.reactor, self.bulletin, *self.bulletin_at, self.engines.connect_ms)
+
     def run(self):
         signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
         signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.leave))
         signal.signal(signal.SIGUSR1, lambda *_: self.reactor.callFromThread(self.tell))
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.read_again))
         self.admit.turn()
         gc.collect()
         gc.freeze()
         self.sweep()
         self.state = SERVING
-        self.log("service", f"serving on {self.host}:{self.port}, {len(self.by_uid)} engines known")
+        self.log("service", f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known")
 
     def is_ready(self):
         return self.state == SERVING and bool(self.by_uid)
 
     def sweep(self):
-        self.reactor.callLater(1.0, self.sweep)
+        self.engines.later(SWEEP_MS, self.sweep)
         self.engines.sweep()
-        self.clients.close(self.reactor.seconds() - IDLE_S)
+        self.clients.sweep()
+
+    def read_again(self):
+        """SIGHUP: bulletin and limits as the configuration now has them, or nothing where any of it cannot be read.
+        Risk: half of a new configuration, or none and no bulletin either. Nothing that is open is touched."""
+        if self.state != SERVING:
+            return
+        try:
+            listen, bulletin_at, sockets, room, seed, known, settings = read_config(self.environment)
+            open_from(settings, seed)
+            if read_events(known)[0] > self.bulletin.no:
+                self.bulletin.follow(known)
+        except (CannotStart, BadList) as bad:
+            self.book.count("configurations not taken")
+            return self.log("service", f"{bad}; the old configuration stays in force")
+        self.book.count("configurations read again")
+        if (listen, settings) != (self.listen, self.settings):
+            self.log("service", "new settings or another address to listen on: these count from the next start")
+        self.bound(sockets, room)
+        if bulletin_at != self.bulletin_at:
+            self.following.stop()
+            self.bulletin_at = bulletin_at
+            self.follow_bulletin()
 
     def leave(self):
         """SIGTERM: listen on for as long as PROTOCOL says; answer all that is taken; tell clients to go."""
@@ -153,7 +192,7 @@
         self.state = DRAINING
         late = now_ms() > self.killed_ms - LAST_MS / 2
         if not self.admit.open and not self.admit.events and (self.book.out == 0 or late):
-            self.clients.close(self.reactor.seconds())
+            self.clients.close_all()
             if not self.clients.lines or late:
                 self.state = ENDED
                 self.following.stopped = True
