Front: a spoilt or broken answer is the connection's fault; connections rest between queries

PROTOCOL gives an answer again when asked again, so now the POST's news, news and pages are asked again on another connection whatever was wrong with the answer, six times at most if it is unreadable; what makes no sense for the call asked (page number, rows of three columns, lengths said twice, none) counts as unreadable. Bytes behind a good answer end its connection, not the answer. A connection is used by another query only after 30 ms, and only if nothing has come on it unread (a copy would be that query's answer: the random test showed it within seconds without the rest). A new connection gets its POST after 3 ms: one reset when new has then had nothing written, and another is tried. Found on the way: with descriptors short, closing idle connections could end one that had just been given a waiting call.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -476,9 +476,9 @@
         run = seen.runs.get(sub) if seen else None
         if run is None:
             return
-        if run.heard_ms == sub.sent_ms and run.group not in self.slots.quick:
+        if not run.noted and what != io.ALIVE and run.group not in self.slots.quick:
             self.slots.told.add(now, what == io.WAITS and amount == 1)
-        run.heard_ms = now
+        run.heard_ms, run.noted = now, run.noted or what != io.ALIVE
         self.heard(seen, now)
         if what == io.SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
--- a/lichenquay/admission/state.py
+++ b/lichenquay/admission/state.py
@@ -8,7 +8,7 @@
     def __init__(self, sub, seen, slot, kind, grant):
         self.sub, self.seen, self.slot, self.kind, self.grant = sub, seen, slot, kind, grant     # grant in MB
         self.q, self.group = sub.query, sub.query.group
-        self.heard_ms, self.called_off = sub.sent_ms, False
+        self.heard_ms, self.called_off, self.noted = sub.sent_ms, False, False
         self.waits_ms, self.waited_ms = None, 0.0           # waiting since; waited before
 
 
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -3,6 +3,7 @@
 An engine is its uid: connections belong to the engine, never to its address, which another may have later.
 """
 from collections import deque
+from socket import MSG_DONTWAIT, MSG_PEEK
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import Deferred
@@ -10,8 +11,11 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from lichenquay.admission import interface as io
-from lichenquay.front.http import BadReply, ReplyReader
+from lichenquay.front.http import MOST_PAGE, BadReply, ReplyReader
 
+REST_S = 0.03           # between an answer and another query's call: a copy of the answer may come behind it
+SETTLE_MS = 3.0         # a connection that is reset when new shows it by then, and nothing has been written on it
+MOST_SETTLED = 3        # connections tried in that way for a call
 
 @dataclass(eq=False)
 class FrontEngine(io.Engine):
@@ -33,7 +37,7 @@
 
 
 class Garbled(Exception):
-    """An answer that cannot be read."""
+    """An answer that cannot be read, or none to the call."""
 
 
 class Silent(Exception):
@@ -41,14 +45,16 @@
 
 
 class Call:
-    """One call: its bytes, and who waits for its answer. `new`: it starts a submission."""
+    """One call: its bytes, what answers to it make sense, and who waits for one. `new`: it starts a submission.
+    `line`: the connection that the query's last answer came on."""
 
-    __slots__ = ("engine", "data", "urgent", "fresh", "new", "on_written", "answer", "timer", "written")
+    __slots__ = ("engine", "data", "fits", "urgent", "fresh", "new", "line", "on_written", "answer", "timer", "written",
+                 "tries")
 
-    def __init__(self, engine, data, urgent, fresh, new, on_written):
-        self.engine, self.data, self.urgent = engine, data, urgent
-        self.fresh, self.new, self.on_written = fresh, new, on_written
-        self.answer, self.timer, self.written = Deferred(), None, False
+    def __init__(self, engine, data, fits, urgent=False, fresh=False, new=False, line=None, on_written=None):
+        self.engine, self.data, self.fits, self.urgent = engine, data, fits, urgent
+        self.fresh, self.new, self.line, self.on_written = fresh, new, line, on_written
+        self.answer, self.timer, self.written, self.tries = Deferred(), None, False, 0
 
     def withdraw(self):
         """True if nothing of it has been written; then nothing will be."""
@@ -76,14 +82,35 @@
     """One connection to an engine."""
 
     def __init__(self, hub, first):
-        self.hub, self.engine, self.call, self.reader, self.idle_since = hub, first.engine, first, ReplyReader(), 0.0
-        self.spoilt = False
+        self.hub, self.engine, self.call, self.idle_since = hub, first.engine, first, 0.0
+        self.reader = ReplyReader(MOST_PAGE)
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
         self.hub.lines.add(self)
-        call, self.call = self.call, None
-        self.hub.free(self) if call.void() else self.put(call)
+        if self.call.new:
+            self.hub.later(SETTLE_MS, self.settled)
+        else:
+            self.settled()
+
+    def settled(self):
+        """Risk: a POST on a connection that is reset when new may have run, for all that this side can tell."""
+        call = self.call
+        if call is not None and self.clean():
+            self.call = None
+            self.hub.free(self) if call.void() else self.put(call)
+        elif call is not None:
+            self.drop(Broken("reset when new"))
+
+    def clean(self):
+        """Nothing has come on it that is not read yet, nor its end: no call goes out on one that is closing."""
+        try:
+            self.transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
 
     def put(self, call):
         self.call, call.written = call, True
@@ -100,40 +127,39 @@
         except BadReply as bad:
             return self.drop(Garbled(str(bad)))
         if reply is not None:
-            call, self.call, reply.line = self.call, None, self
-            if reply.keep and not self.spoilt:
-                self.hub.free(self)
-            else:
-                self.transport.loseConnection()
-            call.end(reply)
+            self.answered(reply)
+
+    def answered(self, reply):
+        """Risk: an answer to an earlier call, or a copy of one, is taken for the answer to this."""
+        if not self.call.fits(reply):
+            return self.drop(Garbled("no answer to this call"))
+        call, self.call, reply.line = self.call, None, self
+        if reply.keep:
+            self.hub.free(self)
+        else:
+            self.drop()
+        call.end(reply)
 
     def silent(self):
         self.call.timer = None
         self.drop(Silent())
 
-    def spoil(self):
-        """What came on it made no sense: it is not used again.
-        Risk: by now it carries another call, which must not end with it."""
-        self.spoilt = True
-        if self.call is None:
-            self.drop()
-
     def drop(self, why=None):
         """Ends the connection at once."""
         call, self.call = self.call, None
         self.hub.lost(self)
         self.transport.abortConnection()
         if call is not None:
-            call.end(why)
+            self.hub.failed(call, why or Broken("ended from this side"))
 
     def connectionLost(self, reason):
+        reply = self.call and self.reader.closed()
+        if reply is not None:
+            return self.answered(reply)
         call, self.call = self.call, None
         self.hub.lost(self)
         if call is not None:
-            reply = self.reader.closed()
-            if reply is not None:
-                reply.line = self
-            call.end(reply or Broken(reason.getErrorMessage()))
+            self.hub.failed(call, Broken(reason.getErrorMessage()))
 
 
 class LineFactory(ClientFactory):
@@ -162,23 +188,47 @@
     def later(self, ms, call):
         return self.reactor.callLater(max(0.0, ms) / 1000, call)
 
-    def call(self, engine, data, urgent=False, fresh=False, new=False, on_written=None):
+    def call(self, *call, **more):
         """A call on its way; its `answer` is a Deferred of a Reply. `fresh`: on a new connection."""
-        call = Call(engine, data, urgent, fresh, new, on_written)
-        if not self.go(call):
-            (self.waiting.appendleft if urgent else self.waiting.append)(call)
+        call = Call(*call, **more)
+        self.send(call)
         return call
 
     def ask(self, *call, **more):
         return self.call(*call, **more).answer
 
+    def send(self, call):
+        if not self.go(call):
+            (self.waiting.appendleft if call.urgent else self.waiting.append)(call)
+
+    def failed(self, call, why):
+        """A connection that broke before a byte was written proves nothing of the engine: another is tried."""
+        call.tries += 1
+        if call.written or call.tries >= MOST_SETTLED:
+            call.end(why if call.written else NotConnected())
+        else:
+            self.send(call)
+
+    def idle(self, call):
+        """The connection that the query's last answer came on, else the last of those that have rested."""
+        if call.fresh:
+            return None
+        rested = self.reactor.seconds() - REST_S
+        for line in reversed(call.engine.idle):
+            if line is call.line or line.idle_since <= rested:
+                return line
+        return None
+
     def go(self, call):
         """Puts a call on an idle connection or a new one; False if it has to wait for a descriptor."""
         if call.void():
             return True
-        if call.engine.idle and not call.fresh:
-            call.engine.idle.pop().put(call)
-            return True
+        while (line := self.idle(call)) is not None:
+            if line.clean():
+                line.engine.idle.remove(line)
+                line.put(call)
+                return True
+            line.drop()
         if self.open >= self.budget + (self.reserve if call.urgent else 0) and not self.spare():
             return False
         self.open += 1
@@ -226,9 +276,13 @@
     def sweep(self):
         """Drops what has been idle for half the engines' idle time: no POST may meet a connection that closes."""
         oldest = self.reactor.seconds() - self.idle_ms / 2000
-        for line in [x for x in self.lines if x.call is None and x.idle_since < oldest]:
-            line.drop()
+        self.end([x for x in self.lines if x.call is None and x.idle_since < oldest])
 
     def close_idle(self, engine):
-        for line in list(engine.idle):
-            line.drop()
+        self.end(list(engine.idle))
+
+    def end(self, lines):
+        """Risk: each end makes room for a call that waited, and it may be out on one of the others by now."""
+        for line in lines:
+            if line.call is None:
+                line.drop()
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -2,10 +2,15 @@
 
 The names that PROTOCOL gives to an engine's calls and answers end here.
 """
+import re
+
 from lichenquay.admission import interface as io
 
-MOST_HEAD = 16_384
+MOST_HEAD = 16_384              # also of all interim answers before a real one
 MOST_BODY = 1 << 20             # of a whole list; pages are held to their own limit
+MOST_PAGE = 6_000               # PROTOCOL: bytes of a page
+FIRST = re.compile(r"HTTP/1\.([01]) ([1-9]\d\d)(?: [^\x00-\x1f\x7f]*)?\Z")
+HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\Z")
 
 
 class BadReply(ValueError):
@@ -24,10 +29,11 @@
 class Reply:
     """An answer: headers by lower-case name; the body a slice of what was read."""
 
-    __slots__ = ("status", "headers", "body", "keep", "line")
+    __slots__ = ("status", "headers", "body", "keep", "more", "line")
 
     def __init__(self, status, headers, keep):
         self.status, self.headers, self.body, self.keep, self.line = status, headers, b"", keep, None
+        self.more = False       # bytes came behind it that do not belong to it
 
     def whole(self, name, least=0):
         """A header as a whole number from `least` up; None if it is missing or none."""
@@ -36,11 +42,13 @@
 
 
 class ReplyReader:
-    """One answer at a time out of what a connection delivers, cut anywhere."""
+    """One answer at a time out of what a connection delivers, cut anywhere. What comes behind a whole answer spoils
+    the connection, not the answer."""
 
-    __slots__ = ("held", "reply", "at", "length")
+    __slots__ = ("held", "reply", "at", "length", "most")
 
-    def __init__(self):
+    def __init__(self, most=MOST_BODY):
+        self.most = most
         self.begin()
 
     def begin(self):
@@ -53,7 +61,7 @@
             data, self.held = self.held, None
         while self.reply is None:
             end = data.find(b"\r\n\r\n", self.at)
-            if end - self.at > MOST_HEAD or end < 0 and len(data) - self.at > MOST_HEAD:
+            if end > MOST_HEAD or end < 0 and len(data) > MOST_HEAD:
                 raise BadReply("a head that is too long")
             if end < 0:
                 return self.keep(data)
@@ -64,30 +72,32 @@
         body = self.chunks(data) if self.length == "chunked" else self.plain(data)
         if body is None:
             return self.keep(data)
-        return self.done(body)
+        return self.done(*body)
 
     def keep(self, data):
         self.held = data if isinstance(data, bytearray) else bytearray(data)
 
-    def done(self, body):
-        reply, reply.body = self.reply, body
+    def done(self, body, more=False):
+        reply, reply.body, reply.more = self.reply, body, more
+        reply.keep = reply.keep and not more
         self.begin()
         return reply
 
     def head(self, text):
         first, *lines = text.split("\r\n")
-        version, _, rest = first.partition(" ")
-        code = rest[:3]
-        if not version.startswith("HTTP/1.") or not (code.isascii() and code.isdigit()) or int(code) < 100:
+        said = FIRST.match(first)
+        if not said:
             raise BadReply(f"no status: {first[:60]!r}")
         headers = {}
         for line in lines:
-            name, colon, value = line.partition(":")
-            if not colon or not name or name != name.strip():
+            found = HEADER.match(line)
+            if not found:
                 raise BadReply(f"no header: {line[:60]!r}")
-            headers[name.lower()] = value.strip()
+            name, value = found.group(1).lower(), found.group(2).rstrip()
+            if headers.setdefault(name, value) != value:
+                raise BadReply(f"said twice: {line[:60]!r}")
         keep = headers.get("connection", "").lower()
-        self.reply = Reply(int(code), headers, keep != "close" and (version == "HTTP/1.1" or keep == "keep-alive"))
+        self.reply = Reply(int(said.group(2)), headers, keep != "close" and (said.group(1) == "1" or keep == "keep-alive"))
         if self.reply.status in (204, 304) or self.reply.status < 200:
             self.length = 0
         elif "transfer-encoding" in headers:
@@ -96,22 +106,24 @@
             self.length = "chunked"
         elif "content-length" in headers:
             self.length = self.reply.whole("content-length")
-            if self.length is None or self.length > MOST_BODY:
+            if self.length is None or self.length > self.most:
                 raise BadReply("a length that cannot be")
+        elif self.reply.keep:
+            raise BadReply("an answer without a length")    # risk: a part of it is taken for the whole
         else:
-            self.length, self.reply.keep = None, False     # until the connection closes
+            self.length = None      # until the connection closes
 
     def plain(self, data):
         have = len(data) - self.at
-        if have > (MOST_BODY if self.length is None else self.length):
-            raise BadReply("more bytes than belong to the answer")
+        if self.length is None and have > self.most:
+            raise BadReply("a body that is too long")
         if self.length is None or have < self.length:
             return None
-        return memoryview(data)[self.at:]
+        return memoryview(data)[self.at:self.at + self.length], have > self.length
 
     def chunks(self, data):
         pieces, at = [], self.at
-        if len(data) - at > 2 * MOST_BODY:
+        if len(data) - at > 2 * self.most + MOST_HEAD:
             raise BadReply("a body that is too long")
         while True:
             end = data.find(b"\r\n", at)
@@ -126,7 +138,7 @@
             at = end + 2
             if size == 0:
                 break
-            if not 0 < size <= MOST_BODY:
+            if not 0 < size <= self.most:
                 raise BadReply("a body that is too long")
             if len(data) < at + size + 2:
                 return None
@@ -140,9 +152,7 @@
                     raise BadReply("trailers that are too long")
                 return None
             at = end + 2
-        if len(data) > at + 2:
-            raise BadReply("more bytes than belong to the answer")
-        return b"".join(pieces)
+        return b"".join(pieces), len(data) > at + 2
 
     def closed(self):
         """The connection ended: the answer, if its body went on until then."""
@@ -183,17 +193,46 @@
            "eps": "err_rps"}
 
 
+def rows(body):
+    """Whole rows of three columns, and no more of them than a page holds."""
+    text = bytes(body)
+    return len(text) <= MOST_PAGE and (not text or text[-1] == 10) and text.count(b"\t") == 2 * text.count(b"\n")
+
+
+def is_news(reply):
+    """An answer to the first call or to one for news, as PROTOCOL lists them."""
+    if reply.status == 200:
+        return (reply.whole("x-parts", 1) and "x-part-no" not in reply.headers and rows(reply.body)
+                and (reply.body or not reply.more))
+    return reply.status in (202, 500) or is_full(reply)
+
+
+def is_page(n):
+    return lambda reply: reply.status == 500 or (
+        reply.status == 200 and reply.whole("x-part-no") == n and len(reply.body) and rows(reply.body))
+
+
+def is_done(reply):
+    """An answer to a call that brings nothing; 500: the engine knows the query no longer."""
+    return reply.status in (204, 500)
+
+
 def is_full(reply):
     return reply.status in (503, 504) and reply.headers.get("x-no-effect") == "1"
 
 
 def note_of(reply):
-    """(what, amount) of a note; None where there is none."""
-    what = NOTES.get(reply.headers.get("x-tell"))
+    """(what, amount) of a note; where there is none the engine still works on it."""
+    what, amount = NOTES.get(reply.headers.get("x-tell")), number(reply, "x-amount")
+    return (io.ALIVE, 0.0) if what is None or amount is None else (what, amount)
+
+
+def number(reply, name):
     try:
-        return what and (what, float(reply.headers["x-amount"]))
+        value = float(reply.headers[name])
     except (KeyError, ValueError):
         return None
+    return value if 0 <= value < 1e12 else None
 
 
 def report_of(reply):
@@ -202,15 +241,15 @@
     for part in reply.headers.get("x-report", "").split(";"):
         name, _, value = part.strip().partition(":")
         try:
-            report[COLUMNS.get(name, name)] = float(value)
+            value = float(value)
         except ValueError:
             continue
+        if 0 <= value < 1e12:
+            report[COLUMNS.get(name, name)] = value
     return report or None
 
 
 def cost_of(reply):
     """(work in ms, memory in MB) of a good end; None where it is not told."""
-    try:
-        return float(reply.headers["x-cpu-ms"]), float(reply.headers["x-mem-used"])
-    except (KeyError, ValueError):
-        return None
+    work, memory = number(reply, "x-cpu-ms"), number(reply, "x-mem-used")
+    return None if work is None or memory is None else (work, memory)
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -8,7 +8,7 @@
 FORGOTTEN_MS = 2000.0           # PROTOCOL: a query that has not been asked for this long is over
 MARGIN_MS = 100.0               # for the way of the last call to its engine
 MOST_RESULT = 48_000            # PROTOCOL: bytes of a result
-MOST_PAGE = 6_000               # PROTOCOL: bytes of a page
+MOST_UNREADABLE = 6             # answers to one call; then the engine itself is at fault
 AGAIN_MS = 50.0                 # between two tries to reach an engine, doubled up to ...
 MOST_AGAIN_MS = 400.0           # ... this, so that it is still asked well within 2 s
 
@@ -45,11 +45,13 @@
     def ask(self, flight, page):
         """A call for news or for a page, put again on another connection while the engine may still know the
         query; None once the submission has been ended otherwise."""
-        fresh, tries, call = False, 0, http.page(flight.host, flight.ref, page)
+        fresh, tries, unreadable, call = False, 0, 0, http.page(flight.host, flight.ref, page)
+        fits = http.is_page(page) if page else http.is_news
         while not (flight.over or flight.given_up):
             try:
-                reply = yield self.engines.ask(flight.engine, call, fresh=fresh,
+                reply = yield self.engines.ask(flight.engine, call, fits, fresh=fresh, line=flight.line,
                                                on_written=lambda: self.asked(flight))
+                flight.line = reply.line
                 return None if flight.over or flight.given_up else reply
             except NotConnected as failed:
                 # Its process is gone, refused twice, or nothing has reached it for so long that the query is over.
@@ -58,14 +60,18 @@
                     if not flight.given_up:
                         self.book.end(flight, io.RESET)
                     return None
-            except (Broken, Silent):
+            except (Broken, Silent, Garbled) as why:
+                # The connection's fault, or its peer's for once: the engine gives the same answer again.
                 self.book.count("news asked again")
+                if isinstance(why, Garbled):
+                    self.book.count("answers unreadable")
+                    unreadable += 1
+                    if unreadable >= MOST_UNREADABLE:
+                        yield self.give_up(flight, io.ERROR)
+                        return None
                 if not fresh:       # at once on another connection; then with pauses
                     fresh = True
                     continue
-            except Garbled:
-                yield self.give_up(flight, io.ERROR)
-                return None
             yield self.pause(tries)
             tries += 1
 
@@ -74,9 +80,8 @@
         """From the answer to the first call to the ending."""
         self.rerank(flight)         # a priority that was set while the first call was on its way
         while reply is None or reply.status == 202:
-            note = reply and not flight.given_up and http.note_of(reply)
-            if note:
-                self.noted(flight.sub, *note)
+            if reply and not flight.given_up:
+                self.noted(flight.sub, *http.note_of(reply))
             reply = yield self.ask(flight, 0)
             if reply is None:
                 return
@@ -98,11 +103,8 @@
                 self.book.end(flight, io.ERROR, reply)
                 return None
             size += len(reply.body)
-            fits = len(reply.body) <= MOST_PAGE and size <= MOST_RESULT
-            right = n == 0 or reply.whole("x-part-no") == n and len(reply.body)
-            if not (reply.status == 200 and parts and fits and right):
-                self.book.count("results unreadable")
-                reply.line.spoil()
+            if size > MOST_RESULT:
+                self.book.count("results too long")
                 yield self.give_up(flight, io.ERROR)
                 return None
             pages.append(reply.body)
@@ -125,7 +127,7 @@
         call, fresh, tries = http.give_up(flight.host, flight.ref), False, 0
         while self.now_ms() <= flight.asked_ms + FORGOTTEN_MS + MARGIN_MS:
             try:
-                yield self.engines.ask(flight.engine, call, urgent=True, fresh=fresh)
+                yield self.engines.ask(flight.engine, call, http.is_done, urgent=True, fresh=fresh)
                 break
             except NotConnected as failed:
                 if failed.refused and tries:
@@ -142,7 +144,8 @@
         while not (flight.telling or flight.call or flight.over or flight.given_up) and flight.told != flight.rank:
             flight.telling, flight.told = True, flight.rank
             try:
-                yield self.engines.ask(flight.engine, http.priority(flight.host, flight.ref, flight.rank))
+                yield self.engines.ask(flight.engine, http.priority(flight.host, flight.ref, flight.rank),
+                                       http.is_done)
                 self.book.count("priorities told")
             except (Broken, Garbled, NotConnected, Silent):
                 self.book.count("priorities not told")
--- a/lichenquay/front/route.py
+++ b/lichenquay/front/route.py
@@ -6,14 +6,14 @@
     """A submission on its way: what the network part keeps of it until its ending."""
 
     __slots__ = ("sub", "query", "engine", "host", "ref", "rank", "until_ms", "asked_ms", "timer", "over",
-                 "given_up", "call", "told", "telling")
+                 "given_up", "call", "told", "telling", "line")
 
     def __init__(self, sub, until_ms):
         self.sub, self.query, self.engine, self.until_ms = sub, sub.query, sub.engine, until_ms
         self.host, self.telling = sub.engine.address, False
         self.ref, self.asked_ms = sub.query.ref, sub.sent_ms
         self.rank = self.told = sub.query.rank_asked
-        self.timer, self.over, self.given_up, self.call = None, False, None, None
+        self.timer, self.over, self.given_up, self.call, self.line = None, False, None, None, None
 
 
 class Route:
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -2,6 +2,7 @@
 from twisted.internet.defer import inlineCallbacks
 
 from lichenquay.admission import interface as io
+from lichenquay.front import http
 from lichenquay.front.engines import Broken, Garbled, NotConnected, Silent
 
 
@@ -16,17 +17,17 @@
 
     @inlineCallbacks
     def post(self, flight, call):
-        flight.call = self.engines.call(flight.engine, call, new=True,
+        flight.call = self.engines.call(flight.engine, call, http.is_news, new=True,
                                         on_written=lambda: self.relay.asked(flight))
         try:
             reply = yield flight.call.answer
+            flight.line = reply.line
         except NotConnected:
             return self.book.end(flight, io.NOT_CONNECTED)
-        except (Broken, Garbled) as why:
-            # It may have run, and may run on: nothing else goes out for the query until that is over.
-            yield self.relay.give_up(flight, io.RESET if isinstance(why, Broken) else io.ERROR)
-            return
-        except Silent:
-            reply = None        # it may be there: its news are asked for on another connection
+        except (Broken, Garbled, Silent) as why:
+            # Risk: it may have run, and may run on. Its news, asked for on another connection, tell: the engine
+            # goes on with it, gives its end again, or knows nothing of it.
+            self.book.count(f"first calls {type(why).__name__.lower()}")
+            reply = None
         flight.call = None
         yield self.relay.follow(flight, reply)
