--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -222,9 +222,9 @@
 
 
 def note_of(reply):
-    """(what, amount) of a note; where there is none the engine still works on it."""
+    """(what, amount) of a note; None where there is none. Risk: an engine that stands still goes on answering 202."""
     what, amount = NOTES.get(reply.headers.get("x-tell")), number(reply, "x-amount")
-    return (io.ALIVE, 0.0) if what is None or amount is None else (what, amount)
+    return None if what is None or amount is None else (what, amount)
 
 
 def number(reply, name):
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -63,6 +63,7 @@
             except (Broken, Silent, Garbled) as why:
                 # The connection's fault, or its peer's for once: the engine gives the same answer again.
                 self.book.count("news asked again")
+                flight.missed = True
                 if isinstance(why, Garbled):
                     self.book.count("answers unreadable")
                     unreadable += 1
@@ -81,7 +82,10 @@
         self.rerank(flight)         # a priority that was set while the first call was on its way
         while reply is None or reply.status == 202:
             if reply and not flight.given_up:
-                self.noted(flight.sub, *http.note_of(reply))
+                note = http.note_of(reply)
+                if note or flight.missed:       # a note may have gone with an answer that was lost
+                    self.noted(flight.sub, *(note or (io.ALIVE, 0.0)))
+                flight.missed = False
             reply = yield self.ask(flight, 0)
             if reply is None:
                 return
--- a/lichenquay/front/route.py
+++ b/lichenquay/front/route.py
@@ -6,7 +6,8 @@
     """A submission on its way: what the network part keeps of it until its ending."""
 
     __slots__ = ("sub", "query", "engine", "host", "ref", "rank", "until_ms", "asked_ms", "over",
-                 "given_up", "call", "told", "telling", "line")
+                 "given_up", "call", "told", "telling", "line",
+                 "missed")
 
     def __init__(self, sub, until_ms):
         self.sub, self.query, self.engine, self.until_ms = sub, sub.query, sub.engine, until_ms
@@ -14,6 +15,7 @@
         self.ref, self.asked_ms = sub.query.ref, sub.sent_ms
         self.rank = self.told = sub.query.rank_asked
         self.over, self.given_up, self.call, self.line = False, None, None, None
+        self.missed = False             # an answer to a call for it was lost
 
 
 class Route:
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -28,6 +28,6 @@
             # Risk: it may have run, and may run on. Its news, asked for on another connection, tell: the engine
             # goes on with it, gives its end again, or knows nothing of it.
             self.book.count(f"first calls {type(why).__name__.lower()}")
-            reply = None
+            reply, flight.missed = None, True
         flight.call = None
         yield self.relay.follow(flight, reply)
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -141,7 +141,8 @@
         self.sweep()
         self.watch()
         self.state = SERVING
-        self.log("service", f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known")
+        self.log("service", f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known; {self.engines.budget} "
+                            f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them")
 
     def is_ready(self):
         return self.state == SERVING and bool(self.by_uid)
