--- a/tests/standins.py
+++ b/tests/standins.py
@@ -228,20 +228,27 @@
         self.transport.write("\r\n".join(lines + ["", ""]).encode() + body)
 
 
-class StandInEngine(Factory):
-    """An engine. `ways` says, submission after submission, what it does; then it answers in full."""
+class StandIn(Factory):
+    """Something that listens and speaks HTTP."""
     noisy = False
 
-    def __init__(self, world, uid):
-        self.world, self.uid, self.lines, self.ways, self.runs = world, uid, set(), [], {}
-        self.posts, self.deletes, self.ranks, self.news, self.mute = [], [], [], 0, False
-        self.met, self.slams = 0, False
+    def __init__(self):
+        self.lines, self.met, self.slams = set(), 0, False
         self.port = reactor.listenTCP(0, self, interface="127.0.0.1")
         self.address = f"127.0.0.1:{self.port.getHost().port}"
 
     def buildProtocol(self, address):
         return HttpLine(self)
 
+
+class StandInEngine(StandIn):
+    """An engine. `ways` says, submission after submission, what it does; then it answers in full."""
+
+    def __init__(self, world, uid):
+        super().__init__()
+        self.world, self.uid, self.ways, self.runs = world, uid, [], {}
+        self.posts, self.deletes, self.ranks, self.news, self.mute = [], [], [], 0, False
+
     def heard(self, line, verb, path, headers, body):
         if self.mute:
             return
@@ -317,17 +324,10 @@
         return self.port.stopListening()
 
 
-class StandInBulletin(Factory):
-    noisy = False
-
+class StandInBulletin(StandIn):
     def __init__(self):
-        self.lines, self.events, self.waiting, self.garbage, self.calls = set(), [], [], None, 0
-        self.met, self.slams = 0, False
-        self.port = reactor.listenTCP(0, self, interface="127.0.0.1")
-        self.address = f"127.0.0.1:{self.port.getHost().port}"
-
-    def buildProtocol(self, address):
-        return HttpLine(self)
+        super().__init__()
+        self.events, self.waiting, self.garbage, self.calls = [], [], None, 0
 
     def heard(self, line, verb, path, headers, body):
         self.calls += 1
