--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -158,11 +158,9 @@
         reply = self.call and self.reader.closed()
         if reply is not None:
             return self.answered(reply)
-        call, self.call = self.call, None
-        self.hub.lost(self)
-        if call is not None:
+        if self.call is not None:
             self.hub.aged(self.rested)
-            self.hub.failed(call, Broken(reason.getErrorMessage()))
+        self.drop(Broken(reason.getErrorMessage()))
 
 
 class LineFactory(ClientFactory):
