Front: a connection whose answer came late, or served another query, is not reused at once

Change: a connection on which an answer came late is dropped, and its 200 only settles (the news give the result again). A connection counts as a query's own only while its last call was that query's.

--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -52,12 +52,13 @@
     when it is not any more.
     `on_late`: told instead when there is no answer in time; the call stays out, for its answer still settles something."""
 
-    __slots__ = ("engine", "address", "data", "fits", "urgent", "fresh", "new", "line", "carrier", "went_on", "on_written",
+    __slots__ = ("engine", "address", "owner", "data", "fits", "urgent", "fresh", "new", "line", "carrier", "went_on", "on_written",
                  "on_late", "answer", "written", "tries")
 
     def __init__(self, engine, data, fits, urgent=False, fresh=False, new=False, line=None, on_written=None, on_late=None,
-                 address=None):
+                 address=None, owner=None):
         self.engine, self.address, self.data, self.fits = engine, address or engine.address, data, fits
+        self.owner = owner              # the submission that it is for
         self.urgent, self.fresh, self.new, self.line = urgent, fresh, new, line
         self.on_written, self.on_late, self.carrier, self.went_on = on_written, on_late, None, None
         self.answer, self.written, self.tries = Deferred(), False, 0
@@ -102,7 +103,7 @@
 
     def __init__(self, hub, first):
         self.hub, self.engine, self.call, self.idle_since = hub, first.engine, first, 0.0
-        self.address = first.address
+        self.address, self.owner = first.address, None      # whose its last call was
         self.silent_s, self.whole = inf, True       # when its call has waited too long; it went out at once
         self.late = False                           # its call has, and its answer is still hoped for
         self.rested = 0.0                           # before its call
@@ -129,6 +130,7 @@
 
     def put(self, call):
         self.call, call.written, call.carrier, call.went_on = call, True, self, self
+        self.owner = call.owner
         now = self.hub.reactor.seconds()
         self.silent_s, self.rested = now + self.hub.silent_ms / 1000, now - self.idle_since if self.idle_since else 0.0
         if call.on_written:
@@ -153,8 +155,8 @@
         if not self.call.fits(reply):
             return self.drop(Garbled("no answer to this call"))
         call, self.call, reply.line = self.call, None, self
-        call.carrier, self.late = None, False
-        if reply.keep and self.whole:
+        call.carrier = None
+        if reply.keep and self.whole and not self.late:     # risk: more may come late on one on which an answer did
             self.hub.free(self)
         else:
             self.drop()
@@ -243,8 +245,9 @@
         if call.fresh:
             return None
         now = self.reactor.seconds()
-        if call.line is not None and call.line in call.engine.idle and now - call.line.idle_since <= self.stale_s:
-            return call.line
+        line = call.line
+        if line is not None and line.owner is call.owner and line in call.engine.idle and now - line.idle_since <= self.stale_s:
+            return line         # once it was another's, a copy of that one's answer may be on its way
         for line in reversed(call.engine.idle):
             rested = now - line.idle_since
             if rested > self.stale_s:
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -116,7 +116,7 @@
             if keeps:
                 flight.life.asked(written[0])
         call = self.engines.call(flight.engine, data, fits, fresh=fresh, urgent=not keeps, line=flight.line,
-                                 on_written=wrote, address=flight.host)
+                                 on_written=wrote, address=flight.host, owner=flight)
         try:
             reply = yield call.answer
         except Broken:
@@ -203,7 +203,7 @@
             flight.telling, flight.told = True, flight.rank
             try:
                 yield self.engines.ask(flight.engine, http.priority(flight.host, flight.ref, flight.rank),
-                                       http.is_done, address=flight.host)
+                                       http.is_done, address=flight.host, owner=flight)
                 self.book.count("priorities told")
             except (Broken, Garbled, NotConnected, Silent):
                 self.book.count("priorities not told")
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -20,7 +20,7 @@
         """Its answer, or that it broke or is late, whatever comes first; then the relay asks for news. The call stays out
         when it is late: it may not have been read, and its answer tells that it has."""
         first = Deferred()
-        flight.call = self.engines.call(flight.engine, call, http.is_news, new=True, address=flight.host,
+        flight.call = self.engines.call(flight.engine, call, http.is_news, new=True, address=flight.host, owner=flight,
                                         on_written=lambda: flight.life.wrote(self.now_ms()),
                                         on_late=lambda: first.callback(Silent()))
         flight.call.answer.addCallbacks(lambda reply: self.answered(flight, first, reply),
@@ -42,7 +42,7 @@
         self.relay.heard(flight, reply)
         if first.called:
             self.book.count("first calls answered late")
-            if not flight.over:
+            if not flight.over and reply.status != 200:     # its result is told again to whoever asks for the news
                 flight.late = reply
         else:
             first.callback(reply)
--- a/tests/test_certainty.py
+++ b/tests/test_certainty.py
@@ -2,6 +2,7 @@
 and the whole front before stand-ins that read late, stand still, close their door or lose their address."""
 import random
 import time
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import settings, strategies as st
@@ -11,7 +12,8 @@
 from twisted.python.failure import Failure
 
 from lichenquay.front import certainty as c
-from lichenquay.front import frames
+from lichenquay.front import frames, http
+from lichenquay.front.engines import Call, EngineLine, Engines, FrontEngine
 from standins import BROKEN, StandInEngine, until, wait
 from test_front import RESULT, answered, world       # noqa: F401
 
@@ -334,3 +336,19 @@
     w.service.engines.reactor.connectTCP, cut_off.mute = fails, True
     reactor.callLater(2.4, w.out.discard, ref)      # 0.4 s until the last call was read, and 2 s
     assert answered(client, stream)[0] == frames.FINISHED and not BROKEN and w.posts() == 2
+
+
+def test_a_connection_whose_answer_came_late_is_used_no_more():
+    """Seen once on a day with late answers: a query answered with rows that no engine made for it. What comes late may come
+    twice, and would be the answer to the next query's call."""
+    hub = Engines(SimpleNamespace(seconds=lambda: 100.0, callLater=None), 0, 1.0, 1.0, 1000.0)
+    e, got = FrontEngine("e", address="127.0.0.1:1"), []
+    for late in (False, True):
+        call = Call(e, b"", http.is_news)
+        line = EngineLine(hub, call)
+        line.transport, line.late = SimpleNamespace(abortConnection=lambda: None), late
+        hub.lines.add(line)
+        call.answer.addCallback(got.append)
+        line.dataReceived(b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n")
+        assert (line in e.idle) is not late and (line in hub.lines) is not late
+    assert [r.status for r in got] == [202, 202]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -458,7 +458,9 @@
         lines[-1].idle_since = at
         e.idle.append(lines[-1])
     assert hub.idle(Call(e, b"", http.is_news)) is lines[1]                     # the last that has rested
-    assert hub.idle(Call(e, b"", http.is_news, line=lines[2])) is lines[2]      # but its own query's next call
+    lines[2].owner = "its query"
+    assert hub.idle(Call(e, b"", http.is_news, line=lines[2], owner="its query")) is lines[2]    # but its own query's next call
+    assert hub.idle(Call(e, b"", http.is_news, line=lines[2], owner="another")) is lines[1]    # not once another's went there
     assert hub.idle(Call(e, b"", http.is_news, fresh=True)) is None
     e.idle.popleft()
     e.idle.popleft()
