Load generator, laboratory and command line: ./quay demo, lab, load

Change: ./quay sets itself up and runs the command line (click, rich, structlog). conf: settings in protobuf text format, taken whole or refused in one line. lab: emulated engines (cores under processor sharing, memory, grants, tables, cold starts) on sockets with faults from a timed script, whole worlds, an audit from two records, and a front that breaks one rule at a time. load: open-loop arrivals by shape or trace in worker processes, time from the intended send in HDR histograms, lag in every report, pages with plots, bootstrap comparison.

--- /dev/null
+++ b/lichenquay/cli/__main__.py
@@ -0,0 +1,3 @@
+from lichenquay.cli.main import main
+
+main()
--- /dev/null
+++ b/lichenquay/cli/main.py
@@ -0,0 +1,54 @@
+"""`lichenquay`, or `./quay`: the sub-commands."""
+import os
+import sys
+
+import click
+
+from lichenquay.cli import say
+from lichenquay.cli.lab import demo, lab
+from lichenquay.cli.load import load
+from lichenquay.conf.read import BadSettings, read_file
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--log-file", type=click.Path(dir_okay=False), help="Log as JSON lines to this file.")
+@click.version_option(package_name=None, version="0.2.0.dev0", prog_name="lichenquay")
+def cli(log_file):
+    """An admission controller and gateway for queries on a pool of engines."""
+    say.log_to(log_file)
+
+
+@cli.command()
+@click.argument("config", type=click.Path())
+def front(config):
+    """Run a front on a configuration of the platform's form (JSON)."""
+    root = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+    paths = os.pathsep.join(x for x in (root, os.environ.get("PYTHONPATH", "")) if x)
+    os.execve(sys.executable, [sys.executable, "-m", "lichenquay.front"],
+              {**os.environ, "BALANCER_CONFIG": os.path.abspath(config), "PYTHONPATH": paths})
+
+
+@cli.command()
+@click.argument("file", type=click.Path())
+@say.fails_plainly(BadSettings)
+def check(file):
+    """Check a settings file: a world in protobuf text format, or a front's JSON."""
+    if str(file).endswith(".json"):
+        from lichenquay.front.service import CannotStart, open_from, read_config
+        try:
+            settings = read_config({"BALANCER_CONFIG": file})[-1]
+            open_from(settings, 1)
+        except CannotStart as why:
+            raise click.ClickException(str(why)) from None
+    else:
+        read_file(file)
+    click.echo(f"{file}: well")
+
+
+cli.add_command(demo)
+cli.add_command(lab)
+cli.add_command(load)
+
+
+def main():
+    cli(prog_name="lichenquay")
--- /dev/null
+++ b/lichenquay/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of our own features: protobuf text format, read whole or refused."""
--- /dev/null
+++ b/lichenquay/lab/trial.py
@@ -0,0 +1,45 @@
+"""A trial: a world, a load on it, and the audit. What `demo` and `lab run` do."""
+import json
+from pathlib import Path
+
+from lichenquay.lab.audit import audit, read_ledger, value_of
+from lichenquay.lab.world import World
+from lichenquay.load.page import page
+from lichenquay.load.run import Workers, columns_of, report_of
+
+
+def figures_of(kept, lab, ledger):
+    """A run's report with what the audit found and the value in time."""
+    report, c = report_of(kept, lab), columns_of(kept)
+    findings = audit(c, ledger, lab) if c else []
+    return {**report, "value_in_time": value_of(c, lab) if c else None,
+            "broken_rules": [f"{check}: {n} ({'; '.join(map(str, shown))})" for check, n, shown in findings],
+            "submissions": sum(x["kind"] == "post" for x in ledger)}
+
+
+def keep(out, lab, kept, figures, ledger=()):
+    """What a run leaves: its figures, its page, and the targets that `compare` needs."""
+    (out / "targets.json").write_text(json.dumps({g.name: g.target_ms for g in lab.groups}))
+    (out / "report.json").write_text(json.dumps(figures, indent=1))
+    c = columns_of(kept)
+    if c:
+        page(out / "report.html", f"a run of {figures['seconds']:g} s", figures, c, kept.latency, ledger)
+
+
+def trial(lab, out, front="lichenquay.front", arguments=(), progress=lambda done: None, during=None):
+    """Plays it. `during(world)`: (seconds, call) pairs for the run. Returns its figures."""
+    out = Path(out)
+    with World(lab, out, front, arguments) as world:
+        workers = Workers(lab, world.addresses[0], out)
+        workers.start()
+        world.start_script()
+        before = world.cpu_s()
+        kept = workers.go(progress, during(world) if during else ())
+        used, peak = world.cpu_s() - before, world.peak_mb()
+        code = world.leave()
+    ledger = read_ledger(world.ledger)
+    figures = figures_of(kept, lab, ledger)
+    keep(out, lab, kept, figures, ledger)
+    n = max(1, figures["asked"])
+    return {**figures, "front_cpu_s": round(used, 2), "front_cpu_ms_a_query": round(1000 * used / n, 3),
+            "front_memory_mb": round(peak, 1), "front_exit": code, "out": str(out)}
--- /dev/null
+++ b/tests/test_conf.py
@@ -0,0 +1,74 @@
+"""Settings in protobuf text format: read whole or refused in one line that names file, line and cause; the generated code
+is current."""
+import subprocess
+import sys
+
+import pytest
+from google.protobuf import text_format
+from hypothesis import given, settings, strategies as st
+
+from lichenquay.conf import lichenquay_pb2 as pb
+from lichenquay.conf.make import HERE, make
+from lichenquay.conf.read import RANGES, BadSettings, fault_of, fields, read_file, read_lab
+
+
+def test_the_generated_code_is_current(tmp_path):
+    subprocess.run([sys.executable, "-c", f"from lichenquay.conf.make import make; from pathlib import Path; make(Path({str(tmp_path)!r}))"],
+                   check=True, cwd=HERE.parents[1])
+    assert (tmp_path / "lichenquay_pb2.py").read_text() == (HERE / "lichenquay_pb2.py").read_text()
+    assert callable(make)
+
+
+def test_what_is_left_out_has_its_usual_value_and_zero_can_be_said():
+    lab = read_lab('load { skew: 0 rate: 7 } groups { name: "one" target_ms: 5 timeout_ms: 9 threads: 1 share: 1 work_ms: 1 }')
+    assert lab.load.skew == 0 and lab.load.rate == 7 and lab.load.workers == 2 and lab.engines.count == 4
+    assert [g.name for g in lab.groups] == ["one"] and len(lab.tenants) == 3
+    assert read_lab("engines { zones: 'z' }").engines.zones == ["z"]
+
+
+@pytest.mark.parametrize("text, said", [
+    ("load {\n  rat: 3\n}", ':2: Message type "lichenquay.conf.Load" has no field named "rat"'),
+    ("load {\n  rate: 'x'\n}", "Couldn't parse float: 'x'"), ("load {", ":1: "),
+    ("\nengines {\n  count: 0\n}", ":3: engines.count: 0 is not between 1 and 10000"),
+    ("load { workers: 9 connections: 4 addresses: 1 }", ":1: load.workers: 9 of them need a connection each, there are 4"),
+    ("groups { name: 'a' work_ms: 1 threads: 1 share: 1 target_ms: 1 timeout_ms: 1 }\ngroups { name: 'a'\n }", "groups[1].target_ms: 0 is not between"),
+    ("faults { at_ms: 3 }", "faults[0].kind: missing"), ("faults { kind: HANG engine: 4 }", "faults[0].engine: 4, but there are 4"),
+    ("faults { kind: LOSE amount: 1.5 }", "faults[0].amount: 1.5 is no share"),
+    ("faults { kind: SLOW }", "faults[0].amount: 0 is no factor"), ("faults { kind: ZONE_CUT zone: 'q' }", "no engine is in 'q'"),
+    ("load { addresses: 50 }", "load.addresses: 50 of them need as many"), ("load { rate: nan }", "load.rate: nan"),
+    ("tenants { share: 1 }", "tenants: each needs a name")])
+def test_what_makes_no_sense_is_refused_in_one_line(text, said):
+    with pytest.raises(BadSettings) as bad:
+        read_lab(text, "w.textproto")
+    line = str(bad.value)
+    assert line.startswith("w.textproto") and said in line and "\n" not in line
+
+
+def test_a_file_that_cannot_be_read_is_named(tmp_path):
+    with pytest.raises(BadSettings, match="nothing.textproto: No such file"):
+        read_file(tmp_path / "nothing.textproto")
+    (tmp_path / "x").write_bytes(b"\xff\xfe")
+    with pytest.raises(BadSettings, match="not UTF-8"):
+        read_file(tmp_path / "x")
+
+
+def test_every_figure_of_a_world_has_a_range():
+    lab = read_lab("faults { kind: HANG }")
+    figures = {p for p, _, v in fields(lab) if isinstance(v, (int, float)) and not isinstance(v, bool)}
+    free = {"seed", "groups.effect", "faults.kind", "faults.engine", "load.arrivals", "load.shape"}
+    assert figures - free == set(RANGES)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.text(max_size=60) | st.lists(st.sampled_from(
+    ["load", "engines", "{", "}", ":", "rate", "count", "3", "-1", "1e400", "'x'", "nan", "faults", "kind", "DIE", "\n"]), max_size=14).map(" ".join))
+def test_no_text_does_more_than_be_refused(text):
+    try:
+        lab = read_lab(text)
+    except BadSettings as bad:
+        assert "\n" not in str(bad).strip()
+    else:
+        assert fault_of(lab) is None
+        again = pb.Lab()
+        text_format.Parse(text_format.MessageToString(lab), again)
+        assert again == lab
