Gate: who is taken is decided by caps, shares and a reserve; refusals are told at once

Need: 1,500 connections that always have a query open kept the depot out for ever: 0 of 120 manifests finished, and what waited in the listening queue was told nothing.

Change: gate/decide.py, free of I/O: caps per address and prefix, token buckets, a reserve for known clients that is lent and called back at once, max-min shares, connections given up in a stated order, states with hysteresis, bounded memory of addresses. take_in asks it. Who is refused is told why and when to come back, without a transport of its own. What is taken gets its final answer before its connection goes. Settings as textproto (LICHENQUAY_SETTINGS), read again on SIGHUP; without them no caps.

--- a/lichenquay/cli/lab.py
+++ b/lichenquay/cli/lab.py
@@ -73,3 +73,24 @@
     say.write_json(json_to, figures)
     told(figures, world)
     raise SystemExit(failed(figures))
+
+
+@lab.command()
+@click.option("--seconds", type=click.FloatRange(2, 600), default=10.0, show_default=True, help="Of calm, and of flood.")
+@click.option("--connections", type=click.IntRange(1, 20_000), default=1500, show_default=True)
+@click.option("--addresses", type=click.IntRange(1, 60_000), default=1, show_default=True, help="That the flood comes from.")
+@click.option("--sockets", type=click.IntRange(100, 100_000), default=400, show_default=True, help="The front's descriptors.")
+@click.option("--gate/--no-gate", default=True, show_default=True, help="Known clients, their reserve and caps.")
+@click.option("--out", type=click.Path(file_okay=False), help="Keep the run's files here.")
+@say.json_option
+@say.fails_plainly(*PLAIN)
+def flood(seconds, connections, addresses, sockets, gate, out, json_to):
+    """Depot clients with a manifest each, in calm and then amid a flood of connections that always have a query open."""
+    from lichenquay.lab.siege import siege
+    found = siege(out_of(out), seconds, connections, addresses, sockets, gate=gate)
+    say.write_json(json_to, found)
+    say.table(f"{connections} connections from {addresses} addresses, {sockets} descriptors", [(k, v) for k, v in found.items()
+                                                                                            if k != "broken_rules"])
+    for line in found["broken_rules"]:
+        click.echo(f"broken: {line}")
+    raise SystemExit(bool(found["silent"] or found["broken_rules"] or found["depot_finished"] < 0.99 * found["depot_asked"]))
--- a/lichenquay/conf/read.py
+++ b/lichenquay/conf/read.py
@@ -7,6 +7,7 @@
 from google.protobuf import text_format
 
 from lichenquay.conf import lichenquay_pb2 as pb
+from lichenquay.gate.decide import Caps, Rules, networks
 
 # a small world that runs on any machine: what `demo` plays, and what files leave out
 WORLD = """
@@ -39,6 +40,12 @@
     "load.rate": (0.01, 1e6), "load.seconds": (0.1, 86_400), "load.peak": (0.01, 1000), "load.workers": (1, 64),
     "load.connections": (1, 20_000), "load.addresses": (1, 60_000), "load.tables": COUNT, "load.skew": (0, 5),
     "load.repeats": (0, 10), "load.leave_share": SHARE,
+    **{f"{where}gate.{who}.{name}": bounds for where in ("", "front.") for who in ("address", "prefix") for name, bounds in (
+        ("connections", (0, 1_000_000)), ("per_s", (0, 1e6)), ("burst", (0, 1e6)), ("queries", (0, 1_000_000)),
+        ("held_bytes", (0, 1e12)), ("senseless_per_s", (0, 1e6)))},
+    **{f"{where}gate.{name}": bounds for where in ("", "front.") for name, bounds in (
+        ("prefix4", (8, 32)), ("reserve", (0, 1_000_000)), ("most_queries", (0, 1_000_000)), ("most_seen", (2, 10_000_000)),
+        ("again_ms", (1, 3.6e6)), ("lag_ms", (0, 10_000)))},
     "front.count": (1, 1000), "front.memory_mb": (40, 1e6), "front.sockets": (64, 1_000_000),
 }
 
@@ -48,25 +55,27 @@
 
 
 def fields(message, path=""):
-    """(path without numbers, shown path, value) of each plain field, lists one by one."""
+    """Of figures that are said, or have a usual value: (path without numbers, shown path, value) of each plain field, lists one by one."""
     for field, _ in message.DESCRIPTOR.fields_by_name.items():
         value, name = getattr(message, field), f"{path}.{field}" if path else field
         if hasattr(value, "DESCRIPTOR"):
+            if field in ("gate", "address", "prefix") and not message.HasField(field):
+                continue
             yield from fields(value, name)
+        elif field in ("zones", "known"):
+            continue
         elif hasattr(value, "add"):
             for i, one in enumerate(value):
                 for inner, shown, got in fields(one, name):
                     yield inner, f"{name}[{i}]" + shown[len(name):], got
-        else:
+        elif not path.rpartition("gate")[1] or message.HasField(field):
             yield name, name, value
 
 
 def fault_of(lab):
     """The first thing that makes no sense in a whole world, or None."""
-    for path, shown, value in fields(lab):
-        least, most = RANGES.get(path, (None, None))
-        if least is not None and not least <= value <= most:
-            return f"{shown}: {value:g} is not between {least:g} and {most:g}"
+    if fault := out_of_range(lab):
+        return fault
     for what in ("groups", "tenants"):
         names = [x.name for x in getattr(lab, what)]
         if not names or "" in names or len(set(names)) < len(names):
@@ -88,9 +97,38 @@
             return f"faults[{i}].amount: {f.amount:g} is no share above 0"
         if f.kind == pb.Fault.SLOW and not 0 < f.amount <= 100:
             return f"faults[{i}].amount: {f.amount:g} is no factor above 0"
+    return fault_of_gate(lab.front.gate, "front.gate")
+
+
+GATE = """prefix4: 24 most_seen: 4096 again_ms: 1000 lag_ms: 50"""
+
+
+def fault_of_gate(gate, name):
+    for who in ("address", "prefix"):
+        caps = getattr(gate, who)
+        if caps.per_s and caps.burst < 1:
+            return f"{name}.{who}.burst: {caps.burst:g} lets nobody in; 1 at least, as per_s is set"
+    try:
+        networks(gate.known)
+    except ValueError as bad:
+        return f"{name}.known: {bad}"
+    if gate.reserve and not gate.known:
+        return f"{name}.reserve: {gate.reserve}, but no range is known"
     return None
 
 
+def rules_of(gate, most):
+    """A gate's rules for `most` connections."""
+    def caps(c):
+        return Caps(c.connections, c.per_s, c.burst, c.queries, c.held_bytes, c.senseless_per_s)
+    usual = pb.Gate()
+    text_format.Parse(GATE, usual)
+    usual.MergeFrom(gate)
+    g = usual
+    return Rules(most, g.most_queries, caps(g.address), caps(g.prefix), g.prefix4, networks(g.known), g.reserve, most_seen=g.most_seen,
+                 again_ms=g.again_ms, lag_ms=g.lag_ms)
+
+
 def line_of(text, fault):
     """The line that a fault's first word (`groups[1].target_ms: ...`) speaks of, if the text itself says it."""
     at = 0
@@ -105,29 +143,51 @@
 def read_lab(text, name="settings"):
     """A world from text; `BadSettings` with one line otherwise. Lists that the text gives take the place of the usual ones,
     single figures theirs alone."""
-    lab, said = pb.Lab(), pb.Lab()
+    lab, said = pb.Lab(), parse(pb.Lab(), text, name)
     text_format.Parse(WORLD, lab)
-    try:
-        text_format.Parse(text, said)
-    except text_format.ParseError as bad:
-        line = bad.GetLine()
-        raise BadSettings(f"{name}{f':{line}' if line else ''}: {str(bad).partition(' : ')[2] or bad}") from None
     for field in ("groups", "tenants"):
         if getattr(said, field):
             lab.ClearField(field)
     if said.engines.zones:
         lab.engines.ClearField("zones")
     lab.MergeFrom(said)
-    if fault := fault_of(lab):
+    refuse(fault_of(lab), text, name)
+    return lab
+
+
+def parse(message, text, name):
+    try:
+        return text_format.Parse(text, message)
+    except text_format.ParseError as bad:
+        line = bad.GetLine()
+        raise BadSettings(f"{name}{f':{line}' if line else ''}: {str(bad).partition(' : ')[2] or bad}") from None
+
+
+def refuse(fault, text, name):
+    if fault:
         line = line_of(text, fault)
         raise BadSettings(f"{name}{f':{line}' if line else ''}: {fault}")
-    return lab
 
 
-def read_file(path):
+def out_of_range(message):
+    for path, shown, value in fields(message):
+        least, most = RANGES.get(path, (None, None))
+        if least is not None and not least <= value <= most:
+            return f"{shown}: {value:g} is not between {least:g} and {most:g}"
+    return None
+
+
+def read_settings(text, name="settings"):
+    """What a front is told beyond the platform's JSON."""
+    said = parse(pb.Settings(), text, name)
+    refuse(out_of_range(said) or fault_of_gate(said.gate, "gate"), text, name)
+    return said
+
+
+def read_file(path, read=read_lab):
     try:
         with open(path, encoding="utf-8") as file:
-            return read_lab(file.read(), str(path))
+            return read(file.read(), str(path))
     except OSError as bad:
         raise BadSettings(f"{path}: {bad.strerror}") from None
     except UnicodeDecodeError as bad:
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -87,6 +87,14 @@
     def listed(self, engines, whole):
         self.happen(self.controller.list_news, engines, whole)
 
+    def give_up(self, q):
+        """Its place is needed by another one: the controller's final answer, in the next turn."""
+        self.happen(self.end_now, q)
+
+    def end_now(self, q):
+        if not q.over:
+            self.controller.finish(q)
+
     def time_up(self):
         """The front itself has to end: what is still open gets the controller's final answer now."""
         for q in list(self.open):
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -17,6 +17,7 @@
 from lichenquay.front.route import Route
 from lichenquay.front.send import Send
 from lichenquay.front.take_in import TakeIn
+from lichenquay.gate.decide import Rules
 from lichenquay.opening import Opening, Sheet, Unreadable, flat
 
 STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
@@ -73,9 +74,28 @@
         raise CannotStart(f"configuration {path}: {type(bad).__name__}: {bad}") from None
 
 
+def read_gate(environment):
+    """The gate's settings, where this installation has some: None on the platform, which then imports nothing for it."""
+    path = environment.get("LICHENQUAY_SETTINGS")
+    if not path:
+        return None
+    from lichenquay.conf.read import BadSettings, read_file, read_settings
+    try:
+        return read_file(path, read_settings).gate
+    except BadSettings as bad:
+        raise CannotStart(str(bad)) from None
+
+
+def rules_for(gate, most):
+    if gate is None:
+        return Rules(most, 0, lag_ms=0.0)
+    from lichenquay.conf.read import rules_of
+    return rules_of(gate, most)
+
+
 class Service:
     def __init__(self, reactor, environment):
-        self.state, self.reactor, self.environment = STARTING, reactor, environment
+        self.state, self.reactor, self.environment, self.watch_ms = STARTING, reactor, environment, 0.0
         self.listen, self.bulletin_at, sockets, room, seed, known, self.settings = read_config(environment)
         opening = open_from(self.settings, seed)
         self.opening, self.by_uid = opening, {}
@@ -88,16 +108,17 @@
         self.send = Send(self.engines, self.relay, self.book, self.admit.wake, now_ms)
         self.route = self.admit.route = Route(self.send, self.relay)
         self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
-        self.bound(sockets, room)
+        self.bound(sockets, room, read_gate(environment))
         try:
             self.bulletin = Bulletin(known, self.news, self.log)
         except BadList as bad:
             raise CannotStart(f"known: {bad}") from None
 
-    def bound(self, sockets, room):
+    def bound(self, sockets, room, gate):
         """Shares of the configured limits: of descriptors for engines and clients, of memory for what clients send."""
         self.engines.budget = sockets - sockets // CLIENTS_SHARE - RESERVE
-        self.clients.most, self.clients.room = sockets // CLIENTS_SHARE + RESERVE // 4, room
+        self.sockets = sockets
+        self.clients.bound(room, rules_for(gate, sockets // CLIENTS_SHARE + RESERVE // 4))
 
     def news(self, whole, rows):
         named, gone = [], set(self.by_uid.values()) if whole else set()
@@ -152,6 +173,10 @@
         self.clients.sweep()
 
     def watch(self):
+        now, clients = self.reactor.seconds() * 1000, self.clients
+        lag, self.watch_ms = max(0.0, now - self.watch_ms) if self.watch_ms else 0.0, now + WATCH_MS
+        used = max((self.engines.open + len(clients.lines) + RESERVE // 2) / self.sockets, clients.held / max(1, clients.room))
+        clients.gate.measured(used, lag, now)
         self.engines.later(WATCH_MS, self.watch)
         self.engines.watch()
 
@@ -163,6 +188,7 @@
         try:
             listen, bulletin_at, sockets, room, seed, known, settings = read_config(self.environment)
             open_from(settings, seed)
+            gate = read_gate(self.environment)
             if read_events(known)[0] > self.bulletin.no:
                 self.bulletin.follow(known)
         except (CannotStart, BadList) as bad:
@@ -171,7 +197,7 @@
         self.book.count("configurations read again")
         if (listen, settings) != (self.listen, self.settings):
             self.log("service", "new settings or another address to listen on: these count from the next start")
-        self.bound(sockets, room)
+        self.bound(sockets, room, gate)
         if bulletin_at != self.bulletin_at:
             self.following.stop()
             self.bulletin_at = bulletin_at
@@ -211,7 +237,9 @@
             f"engine connections now: {self.engines.open}", f"engine connections at most: {self.engines.most}",
             f"submissions out: {self.book.out}", f"queries open: {len(self.admit.open)}",
             f"descriptors: {len(os.listdir('/proc/self/fd'))}", f"cpu seconds: {time.process_time():.2f}",
-            f"memory MB at most: {peak_mb()}", f"state: {self.state}"]
+            f"memory MB at most: {peak_mb()}", f"state: {self.state}", f"gate: {self.clients.gate.state}",
+            *(f"holds most: {name}{' (known)' * known}: {lines} connections, {queries} queries, {held} bytes"
+              for name, known, lines, queries, held in self.clients.gate.top(5))]
         for line in counters:
             self.log.line(line)
 
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -1,6 +1,9 @@
 """Take in: clients' connections, their queries and what else they say; and the answers back to them."""
+import errno
+import os
 import re
 import traceback
+from socket import AF_INET, AF_INET6, MSG_DONTWAIT
 
 from twisted.internet.protocol import Factory, Protocol
 
@@ -8,6 +11,7 @@
 from lichenquay.front.admit import FrontQuery
 from lichenquay.front.engines import send_now
 from lichenquay.front.statement import tables_of
+from lichenquay.gate import decide
 
 MOST_OPEN = 32                  # PROTOCOL: open requests on one connection
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
@@ -15,10 +19,12 @@
 WHOLE_S = 2.0                   # for a first frame, and for one that has begun: LATER owes an answer or a close within 3 s
 CLOSE_S = 0.3                   # for the last bytes of a connection that is being closed
 QUIET_S = 0.02                  # a client that has something to say says it by then, when there is no room for others
-ACCEPTS = 8                     # connections accepted, or ended for room, at a time
+PATIENCE_S = 0.03               # room that is about to come is waited for this long before a connection is refused
+FLOOD, MOST_WAITS = 20, 12      # refusals, and waits for room, in a second, from which on nobody is waited for
+ACCEPTS, REFUSALS = 8, 64       # connections accepted, and refused, at a time
 REST_S, MOST_SENSELESS = 0.05, 16   # after a request that makes no sense; so many of them end a connection
 MOST_STREAMS = 4096             # numbers of streams that are kept of a connection
-BACKLOG = 511
+BACKLOG = 4096                  # refusing is quick; what the machine drops comes again after a second
 MOST_UNSENT = 65_536            # bytes of answers that a client has not read before it is read no further
 ROOM_EACH = 16                  # one frame or statement takes this part of the free room at most
 MOST_MS, MOST_MB = 86_400_000.0, 1_048_576.0    # a day, and a terabyte: what is said to need more makes no sense
@@ -65,12 +71,24 @@
         return True
 
 
+def refuse(skt, text):
+    """Tells a connection that is not taken why, and ends it, without a transport of its own. Risk: refusing costs more than
+    serving. What has come is read first, as closing on unread bytes may take the words back."""
+    try:
+        skt.send(frames.answer(0, frames.DEFERRED, text), MSG_DONTWAIT)
+        skt.recv(65_536, MSG_DONTWAIT)
+    except OSError:         # nothing has come, or it has gone already
+        pass
+    skt.close()
+
+
 class ClientLine(Protocol):
     """One client's connection. It stops being read while it does not read its own answers: `unsent` bytes of them
     wait in the transport, which asks for more (`resumeProducing`) once it is empty."""
 
-    def __init__(self, desk):
+    def __init__(self, desk, address):
         self.desk, self.reader, self.open, self.unsent, self.used = desk, frames.FrameReader(), {}, 0, Streams()
+        self.place = desk.gate.opened(address, desk.gate_ms(), self)
         self.up, self.stuck, self.bad, self.told, self.heard_s = True, False, False, False, desk.seconds()
         self.known, self.begun_s, self.senseless, self.rests = False, self.heard_s, 0, None
 
@@ -85,6 +103,8 @@
         before, self.heard_s = self.reader.unfinished(), self.desk.seconds()
         try:
             for kind, stream, payload in self.reader.feed(data):
+                if not self.known:
+                    self.desk.gate.spoke(self.place, self.desk.gate_ms())
                 self.known, self.begun_s = True, self.heard_s
                 self.heard(kind, stream, payload)
                 if self.senseless > MOST_SENSELESS:
@@ -94,18 +114,37 @@
                 self.begun_s = self.heard_s
             if grown > 0 and not self.desk.fits(before + grown, before):
                 raise frames.BadFrame("too much that is not whole")
-            self.desk.held += grown
+            self.hold(grown)
         except frames.BadFrame as bad:
-            self.desk.held -= before
+            self.hold(-before)
             self.reader.held = None
             self.ends(str(bad))
 
-    def ends(self, why):
+    def hold(self, more):
+        """So many bytes more, or less, that it makes the front hold."""
+        if more:
+            self.desk.held += more
+            self.desk.gate.holds(self.place, more)
+
+    def gives_way(self):
+        """Its place goes to another one: what was taken on it gets its final answer now, then it is closed."""
+        self.desk.book.count("clients closed for room")
+        if not self.open:
+            self.tell_no_more()
+            return self.close()
+        self.ends("its place is needed by others", frames.DEFERRED)
+        for q in list(self.open.values()):
+            self.desk.admit.give_up(q)
+
+    def ends(self, why, code=frames.KILLED):
         """Nothing more is read from it; what was taken on it is still answered."""
-        self.desk.book.count("bad frames")
+        if self.bad:
+            return
+        self.desk.book.count("bad frames" if code == frames.KILLED else "busy clients closed for room")
         self.desk.log("client", f"client: {why}; connection closed")
-        self.put(frames.answer(0, frames.KILLED, why.encode()))
+        self.put(frames.answer(0, code, why.encode()))
         self.bad = True
+        self.desk.gate.goes(self.place, self.desk.gate_ms())
         if self.up:
             self.transport.pauseProducing()
         self.close_if_done()
@@ -128,7 +167,8 @@
                 self.desk.book.count("answers killed")
                 return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
             self.open[stream] = self.desk.refs[q.ref] = q
-            self.desk.held += len(q.statement)
+            self.desk.gate.asked(self.place, self.desk.gate_ms())
+            self.hold(len(q.statement))
             self.desk.admit.take(q)
         elif kind == frames.LEFT:
             q = self.open.pop(stream, None)
@@ -147,6 +187,8 @@
         self.desk.book.count(self.desk.ANSWERS[why.code])
         self.put(frames.answer(stream, why.code, str(why).encode()))
         self.senseless += 1
+        if why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
+            raise frames.BadFrame("too many requests that make no sense")
         if self.up and self.rests is None:
             self.transport.pauseProducing()
             self.rests = self.desk.reactor.callLater(REST_S, self.read_on)
@@ -171,7 +213,8 @@
     def let_go(self, q):
         """Risk: timers keep a query until its client's time is up, and with it a statement of any length and its
         connection."""
-        self.desk.held -= len(q.statement)
+        self.hold(-len(q.statement))
+        self.desk.gate.answered(self.place, self.desk.gate_ms())
         self.desk.refs.pop(q.ref, None)
         q.statement, q.client = b"", None
 
@@ -186,7 +229,7 @@
         if not rest:
             return
         self.unsent += len(rest)
-        self.desk.held += len(rest)
+        self.hold(len(rest))
         if self.desk.held > self.desk.room:
             self.desk.book.count("clients that do not read")
             self.desk.log("client", "client: does not read its answers; connection closed")
@@ -197,7 +240,7 @@
             self.transport.pauseProducing()
 
     def resumeProducing(self):
-        self.desk.held -= self.unsent
+        self.hold(-self.unsent)
         self.unsent = 0
         if self.stuck:
             self.stuck = False
@@ -212,6 +255,7 @@
         say gets our last words first: closing on unread bytes would take them back."""
         if self.up:
             self.up = False
+            self.desk.gate.goes(self.place, self.desk.gate_ms())
             self.transport.unregisterProducer()
             if self.bad:
                 self.transport.loseWriteConnection()
@@ -226,7 +270,7 @@
 
     def connectionLost(self, reason):
         self.up = False
-        self.desk.held -= self.unsent + self.reader.unfinished()
+        self.hold(-self.unsent - self.reader.unfinished())
         self.unsent, self.reader.held = 0, None
         if self.rests is not None:
             self.rests.cancel()
@@ -250,43 +294,85 @@
         self.admit, self.book, self.log, self.now_ms, self.ready = admit, book, log, now_ms, ready
         self.reactor, self.seconds = reactor, reactor.seconds
         self.lines, self.refs, self.port, self.accept, self.most_lines = {}, {}, None, None, 0
-        self.most = self.room = self.held = 0
+        self.most = self.room = self.held = self.turned = self.waits = 0
+        self.turned_s = 0.0         # since when `turned` counts refusals, for a second
+        self.gate, self.waits_s = decide.Gate(decide.Rules(0, 0), self.gate_ms()), None
+
+    def gate_ms(self):
+        return self.seconds() * 1000
+
+    def bound(self, room, rules):
+        """Limits, as they are now; what is open stays open."""
+        self.most, self.room = rules.most, room
+        self.gate.change(rules)
 
     def listen(self, host, port):
         self.port = self.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
         self.accept, self.port.doRead = self.port.doRead, self.accept_some
+        self.in_hand = os.open(os.devnull, os.O_RDONLY)
 
     def accept_some(self):
-        """Accepts what there is room for, making room first. Risk: connections by the hundreds that say nothing, or
-        that rest after one query, take the descriptors of engines or keep the usual clients out."""
-        free = self.most - len(self.lines)
-        if free > 0:
-            self.port.numberAccepts = min(ACCEPTS, free)
-            return self.accept()
-        self.make_room(ACCEPTS)
-        self.port.pauseProducing()
-        self.reactor.callLater(QUIET_S / 2, self.accept_on)
+        """Accepts what has come; the gate says what is taken. Risk: what waits in the listening queue is told nothing.
+        Room that comes in a moment, as those before have had their time to speak, is waited for, but not in a flood."""
+        now, taken = self.seconds(), 0
+        if now - self.turned_s > 1.0:
+            self.turned_s, self.turned, self.waits = now, 0, 0
+        if (self.turned < FLOOD and self.waits < MOST_WAITS and self.gate.is_full() and self.gate.soon(now * 1000)
+                and now - (self.waits_s or now) < PATIENCE_S):
+            self.waits_s, self.waits = self.waits_s or now, self.waits + 1
+            self.port.pauseProducing()
+            self.reactor.callLater(QUIET_S / 2, self.accept_on)
+            return
+        self.waits_s = None
+        for _ in range(REFUSALS):
+            try:
+                skt, address = self.port.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as why:
+                return self.no_descriptor() if why.errno in (errno.EMFILE, errno.ENFILE) else None
+            verdict = self.gate.arrives(address[0], self.gate_ms())
+            if verdict.answer == decide.REFUSE:
+                self.turned += 1
+                self.book.count(f"connections refused: {verdict.why}")
+                refuse(skt, b"%s; come back in %.0f ms" % (verdict.why.encode(), max(1.0, verdict.again_ms)))
+                continue
+            self.make_way(verdict)
+            skt.setblocking(False)
+            try:
+                self.reactor.adoptStreamConnection(skt.fileno(), AF_INET6 if len(address) > 2 else AF_INET, self)
+            except OSError:     # no descriptor for its copy
+                self.book.count("connections refused: no descriptor")
+            finally:
+                skt.close()
+            taken += 1
+            if taken == ACCEPTS:
+                return
+
+    def no_descriptor(self):
+        """Risk: at the limit, what waits to be accepted waits for ever and keeps the reactor busy. The descriptor in hand is
+        given for it, so that it can be told."""
+        self.book.count("connections refused: no descriptor")
+        os.close(self.in_hand)
+        try:
+            refuse(self.port.socket.accept()[0], b"no descriptor; come back in 1000 ms")
+        except OSError:
+            pass
+        self.in_hand = os.open(os.devnull, os.O_RDONLY)
+
+    def make_way(self, verdict):
+        if verdict.abort is not None:
+            verdict.abort.what.transport.abortConnection()
+            self.gate.closed(verdict.abort, self.gate_ms())
+        if verdict.end is not None:
+            verdict.end.what.gives_way()
 
     def accept_on(self):
         if self.port is not None:
             self.port.resumeProducing()
 
-    def make_room(self, n):
-        """Ends connections on which nothing is open: first those that are ending, then those that have said nothing
-        yet, then the longest idle."""
-        quiet = self.seconds() - QUIET_S
-        for line in [x for x in self.lines if not x.up][:n]:
-            line.transport.abortConnection()
-            n -= 1
-        idle = sorted((line.known, line.heard_s, i, line) for i, line in enumerate(self.lines)
-                      if line.up and not line.open and line.heard_s < quiet)
-        for *_, line in idle[:n]:
-            self.book.count("clients closed for room")
-            line.tell_no_more()
-            line.close()
-
     def buildProtocol(self, address):
-        return ClientLine(self)
+        return ClientLine(self, getattr(address, "host", ""))
 
     def opened(self, line):
         self.lines[line] = True
@@ -294,6 +380,7 @@
 
     def closed(self, line):
         self.lines.pop(line, None)
+        self.gate.closed(line.place, self.gate_ms())
 
     def query(self, line, stream, said, twice, body):
         if len(line.open) >= MOST_OPEN:
@@ -314,6 +401,11 @@
             raise BadQuery("ref: it is open already")
         if not self.fits(len(body)):
             raise NoRoom("no room for its statement")
+        verdict = self.gate.asks(line.place, len(body), self.gate_ms())
+        if verdict.answer == decide.REFUSE:
+            raise NoRoom(f"{verdict.why}; come back in {max(1.0, verdict.again_ms):.0f} ms")
+        if verdict.end is not None:         # the youngest of its queries has its final answer now
+            self.admit.give_up(next(reversed(verdict.end.what.open.values())))
         now, statement = self.now_ms(), bytes(body)         # it outlives the buffer
         longest = group.timeout_ms or MOST_MS
         return FrontQuery(0, group, now, now + min(longest, amount(said, "allowed", 2 * longest)), tenant, "",
