--- a/lichenquay/cli/main.py
+++ b/lichenquay/cli/main.py
@@ -7,7 +7,7 @@
 from lichenquay.cli import say
 from lichenquay.cli.lab import demo, lab
 from lichenquay.cli.load import load
-from lichenquay.conf.read import BadSettings, read_file
+from lichenquay.conf.read import BadSettings, read_file, read_lab, read_settings
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -30,18 +30,18 @@
 
 @cli.command()
 @click.argument("file", type=click.Path())
+@click.option("--settings", is_flag=True, help="It is a front's own settings (LICHENQUAY_SETTINGS), not a world.")
 @say.fails_plainly(BadSettings)
-def check(file):
-    """Check a settings file: a world in protobuf text format, or a front's JSON."""
+def check(file, settings):
+    """Check a settings file: a world in protobuf text format, a front's own settings, or a front's JSON."""
     if str(file).endswith(".json"):
         from lichenquay.front.service import CannotStart, open_from, read_config
         try:
-            settings = read_config({"BALANCER_CONFIG": file})[-1]
-            open_from(settings, 1)
+            open_from(read_config({"BALANCER_CONFIG": file})[-1], 1)
         except CannotStart as why:
             raise click.ClickException(str(why)) from None
     else:
-        read_file(file)
+        read_file(file, read_settings if settings else read_lab)
     click.echo(f"{file}: well")
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,5 @@
 """The real front without the bench: parsers at every split and with garbage, and the whole program before stand-ins."""
+import errno
 import io as text_io
 import json
 import os
@@ -498,6 +499,36 @@
     assert all(answered(c, s)[0] == frames.FINISHED for c, s in streams)
 
 
+def test_at_the_descriptor_limit_a_connection_is_told_and_what_was_taken_is_answered(world):
+    """Risk: with no descriptor left, what waits to be accepted waits for ever, and the reactor runs in circles over it."""
+    w = world(engines=2)
+    for e in w.engines:
+        e.ways = ["hold"] * 9
+    first = w.client()
+    stream, port = first.ask("report", allow=4000), w.service.clients.port
+    until(lambda: len(w.out) == 1)
+    real, left = port.socket, [3]
+
+    class Short:
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+        def accept(self):
+            left[0] -= 1
+            if left[0] in (2, 0):       # as the machine says it, until one is closed
+                raise OSError(errno.EMFILE, "too many")
+            return real.accept()
+    port.socket = Short()
+    second = w.client()
+    until(lambda: second.closed)
+    assert second.answers[0][:2] == (frames.DEFERRED, b"no descriptor; come back in 1000 ms")
+    port.socket = real
+    assert w.service.book.counters["connections refused: no descriptor"] >= 1
+    for e in w.engines:
+        e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
+    assert answered(first, stream)[0] == frames.FINISHED and answered(third := w.client(), third.ask())[0] == frames.FINISHED
+
+
 def test_the_reserve_is_called_back_and_what_was_taken_gets_its_answer_first(world):
     """Risk: a busy client that gives way is cut off with a query open, or keeps its place for ever."""
     w = world(engines=5)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -180,6 +180,8 @@
     assert told("load", "compare", tmp_path, tmp_path) == (1, f"Error: {tmp_path}: no run is kept there (queries.parquet)")
     (tmp_path / "w").write_text("load { rate: 0 }")
     assert told("check", tmp_path / "w") == (1, f"Error: {tmp_path / 'w'}:1: load.rate: 0 is not between 0.01 and 1e+06")
+    (tmp_path / "s").write_text("gate { reserve: 3 }")
+    assert told("check", tmp_path / "s", "--settings") == (1, f"Error: {tmp_path / 's'}:1: gate.reserve: 3, but no range is known")
     (tmp_path / "t.csv").write_text("at_ms,group\n1,status\n")
     assert told("load", "trace", tmp_path / "t.csv", tmp_path / "t.parquet") == (0, f"{tmp_path / 't.csv'}: 1 queries, 0.001 s")
     assert CliRunner().invoke(cli, ["--help"]).exit_code == 0 and json.loads(json.dumps(told("load", "--help")))[0] == 0
