One way to start and hear processes; a gate's fullness and an engine's word told in one place

The environment of child processes and the wait for their first line stood in three and four places; whether the gate is full was worked out twice; relay.ask repeated what `heard` does; time_up and give_up were twins, with a check that the controller makes itself.

Change: load/child.py; Gate.is_full, Relay.heard and Admit.give_up serve both of their callers. Removed what nothing read (constants, parameters, reserve_queries, a number that was overwritten); the audit names the effect instead of 2. No behaviour is meant to change.

--- a/lichenquay/cli/main.py
+++ b/lichenquay/cli/main.py
@@ -8,6 +8,7 @@
 from lichenquay.cli.lab import demo, lab
 from lichenquay.cli.load import load
 from lichenquay.conf.read import BadSettings, read_file, read_lab, read_settings
+from lichenquay.load.child import environment
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -22,10 +23,8 @@
 @click.argument("config", type=click.Path())
 def front(config):
     """Run a front on a configuration of the platform's form (JSON)."""
-    root = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-    paths = os.pathsep.join(x for x in (root, os.environ.get("PYTHONPATH", "")) if x)
     os.execve(sys.executable, [sys.executable, "-m", "lichenquay.front"],
-              {**os.environ, "BALANCER_CONFIG": os.path.abspath(config), "PYTHONPATH": paths})
+              {**environment(), "BALANCER_CONFIG": os.path.abspath(config)})
 
 
 @cli.command()
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -89,16 +89,12 @@
 
     def give_up(self, q):
         """Its place is needed by another one: the controller's final answer, in the next turn."""
-        self.happen(self.end_now, q)
-
-    def end_now(self, q):
-        if not q.over:
-            self.controller.finish(q)
+        self.happen(self.controller.finish, q)
 
     def time_up(self):
         """The front itself has to end: what is still open gets the controller's final answer now."""
         for q in list(self.open):
-            self.happen(self.controller.finish, q)
+            self.give_up(q)
 
     # turns
 
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -31,8 +31,8 @@
         self.tell_rank(flight).addErrback(self.fault, flight)
 
     def heard(self, flight, reply):
-        """An answer to the first call itself: it settles what the engine has."""
-        if reply.status == 202 or reply.status == 200:
+        """An answer of the engine's own to the first call, or for it: it settles what the engine has."""
+        if reply.status in (200, 202):
             flight.life.known(self.now_ms())
         else:
             flight.life.ended()
@@ -69,11 +69,8 @@
                     return None
                 if reply.status != 500:
                     flight.line, flight.late = reply.line, None
-                    if reply.status in (200, 202):
-                        life.known(self.now_ms())
-                        flight.settle()
-                    else:
-                        life.ended()
+                    self.heard(flight, reply)
+                    flight.settle()
                     return reply
                 if life.unknown(written, self.now_ms(), self.stranger(flight, reply.line)):
                     return reply
--- a/lichenquay/gate/decide.py
+++ b/lichenquay/gate/decide.py
@@ -9,6 +9,7 @@
 """
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from ipaddress import ip_address, ip_network
 
 # answers
@@ -45,7 +46,6 @@
     prefix4: int = 24                       # bits of the wider one; IPv6: 48 over /64
     known: tuple = ()                       # networks of known clients
     reserve: int = 0                        # connections for them
-    reserve_queries: int = 0
     spare: int = 8                          # connections that end, beyond `most`
     most_seen: int = 4096                   # addresses and prefixes remembered that hold nothing
     quiet_ms: float = 20.0                  # a client that has something to say says it by then
@@ -201,20 +201,19 @@
                 return self.refuse(RATE, 1000 * (1 - h.tokens) / caps.per_s)
         if not holder.known and self.state == FULL:
             return self.refuse(OVERLOAD)
-        lines = len(self.lines[True]) + len(self.lines[False])
-        ending = sum(len(self.stand[kind, known]) for kind in (ENDING, GOING) for known in (True, False))
-        end = abort = None
+        lines, full, end, abort = len(self.lines[True]) + len(self.lines[False]), self.is_full(), None, None
         if lines >= self.rules.most + self.rules.spare:
             abort = next(iter(self.stand[GOING, False]), None) or next(iter(self.stand[GOING, True]), None)
-        if lines - ending >= self.rules.most:
+        if full:
             end = self.victim(holder, now)
-        if lines - ending >= self.rules.most and end is None or lines >= self.rules.most + self.rules.spare and abort is None:
+        if full and end is None or lines >= self.rules.most + self.rules.spare and abort is None:
             return self.refuse(NO_ROOM)
         for h, caps in self.chain(holder):
             h.tokens -= 1 if caps.per_s else 0
         return Verdict(TAKE, end=end, abort=abort)
 
     def is_full(self):
+        """Whether all places are taken; what ends has none any more."""
         ending = sum(len(self.stand[kind, known]) for kind in (ENDING, GOING) for known in (True, False))
         return len(self.lines[True]) + len(self.lines[False]) - ending >= self.rules.most
 
@@ -405,11 +404,5 @@
 
     def top(self, n):
         """(name, known, connections, queries, bytes) of the addresses that hold most connections."""
-        found = []
-        for known, ranks in self.ranks.items():
-            for count in sorted(ranks.by, reverse=True):
-                for h in ranks.by[count]:
-                    found.append((h.name, known, h.count, h.queries, h.held))
-                    if len(found) >= 2 * n:
-                        break
-        return sorted(found, key=lambda x: (-x[2], x[0]))[:n]
+        found = ((h.name, h.known, h.count, h.queries, h.held) for ranks in self.ranks.values() for g in ranks.by.values() for h in g)
+        return nsmallest(n, found, key=lambda x: (-x[2], x[0]))
--- a/lichenquay/lab/audit.py
+++ b/lichenquay/lab/audit.py
@@ -5,6 +5,8 @@
 
 import numpy as np
 
+from lichenquay.conf import lichenquay_pb2 as pb
+
 ONE_ANSWER, IN_TIME, NOTHING_AFTER, ROWS = "no answer", "answered late", "answered twice", "rows that no engine made"
 TWICE, COPIES, DRAINED, PUSHED, ORPHAN = ("mutating query run twice", "two submissions out", "sent after a told drain",
                                           "cold engine pushed over", "finished without an engine's run")
@@ -49,7 +51,7 @@
     """Findings: [(check, how many, examples)], for `c` columns of the clients' queries."""
     found = defaultdict(list)
     clients = zip(c["ref"], c["answers"], c["left"], c["code"], c["odd"], c["sent_ms"], c["answered_ms"], c["allowed"])
-    finished, mutating = set(), {g.name for g in lab.groups if g.effect == 2}
+    finished, mutating = set(), {g.name for g in lab.groups if g.effect == pb.MUTATING}
     for ref, answers, left, code, odd, sent, at, allowed in clients:
         if not answers and not left and sent == sent:
             found[ONE_ANSWER].append(ref)
--- a/lichenquay/lab/emulator.py
+++ b/lichenquay/lab/emulator.py
@@ -282,9 +282,7 @@
         self.lab, self.items, self.waiting, self.late_ms, self.shut = lab, [], [], 0.0, False
 
     def add(self, rows, whole=False):
-        no = len(self.items) + 1
-        item = {"no": no, "roster": {"rev": no, "all": whole, "targets": rows}}
-        reactor.callLater(self.late_ms / 1000, self.tell, item)
+        reactor.callLater(self.late_ms / 1000, self.tell, {"roster": {"all": whole, "targets": rows}})
 
     def tell(self, item):
         if self.shut:
--- a/lichenquay/lab/engine.py
+++ b/lichenquay/lab/engine.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from math import inf
 
-FINISHED, FULL, ERROR, UNKNOWN, RUNNING = "finished", "full", "error", "unknown", "running"
+FINISHED, FULL, RUNNING = "finished", "full", "running"
 PROGRESS_MS = 500.0             # between two notes of progress
 
 
--- a/lichenquay/lab/siege.py
+++ b/lichenquay/lab/siege.py
@@ -1,5 +1,6 @@
 """A siege: depot clients that open a connection for each manifest, first in calm, then amid a flood, in one run."""
 import json
+import socket
 import subprocess
 import sys
 import threading
@@ -11,8 +12,9 @@
 from lichenquay.conf.read import read_lab
 from lichenquay.front import frames
 from lichenquay.lab.audit import audit, read_ledger
-from lichenquay.lab.engine import Task, rows_of, statement_of
-from lichenquay.lab.world import World, environment
+from lichenquay.lab.engine import Task, statement_of
+from lichenquay.lab.world import World
+from lichenquay.load.child import environment
 
 ALLOWED_MS = 4000
 KNOWN = "127.90.0.0/16"
@@ -21,7 +23,7 @@
 class Depot:
     """Known clients: `rate` manifests a second, each on a connection of its own, in threads; times from the intended send."""
 
-    def __init__(self, target, rate, edge=False):
+    def __init__(self, target, rate):
         host, _, port = target.rpartition(":")
         self.address, self.rate, self.rows, self.lock, self.sent = (host, int(port)), rate, [], threading.Lock(), 0
         self.source = "127.90.1.%d"
@@ -38,7 +40,6 @@
             thread.join(ALLOWED_MS / 1000 + 3)
 
     def one(self, name, number, at):
-        import socket
         ref = f"d{number:015x}"
         task = Task(ref, "manifest", 30.0, 16.0, 1, 1, str(1 + number % 40))
         fields = frames.write_fields([("service", "manifest"), ("ref", ref), ("allow", str(ALLOWED_MS)), ("project", "north"),
@@ -62,7 +63,7 @@
         except OSError:
             pass
         done = time.monotonic()
-        odd = code == 0 and body.count(ref.encode()) != len(rows_of(task, ""))
+        odd = code == 0 and body.count(ref.encode()) != task.rows
         with self.lock:
             self.rows.append({"name": name, "ref": ref, "group": "manifest", "at": at, "sent": sent, "took": (done - at) * 1000,
                               "code": code, "answers": answers, "odd": odd})
--- a/lichenquay/lab/world.py
+++ b/lichenquay/lab/world.py
@@ -1,8 +1,8 @@
 """A whole world on loopback: emulated engines and their bulletin, fronts amid them, each in a process of its own."""
 import json
 import os
-import select
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -12,8 +12,8 @@
 from google.protobuf import text_format
 
 from lichenquay.conf import lichenquay_pb2 as pb
+from lichenquay.load.child import ROOT, environment, hear
 
-ROOT = Path(__file__).parents[2]
 READY_S = 15.0
 EFFECTS = {pb.READ_ONLY: "safe", pb.TOKENED: "keyed", pb.MUTATING: "unsafe"}
 log = structlog.get_logger()
@@ -42,15 +42,6 @@
                         "out_of_memory": "queue"}}
 
 
-def environment():
-    return {**os.environ, "PYTHONPATH": os.pathsep.join([str(ROOT), os.environ.get("PYTHONPATH", "")])}
-
-
-def first_line(process, seconds, stream):
-    ready, _, _ = select.select([stream], [], [], seconds)
-    return stream.readline().strip() if ready else ""
-
-
 class World:
     """Starts it all and ends it all; a context. `front`: the module that plays the front."""
 
@@ -68,7 +59,7 @@
                 [sys.executable, "-m", "lichenquay.lab.emulator", "--conf", str(conf), "--ledger", str(self.ledger)],
                 env=environment(), text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE, start_new_session=True)
             self.processes.append(self.emulator)
-            line = first_line(self.emulator, READY_S, self.emulator.stdout)
+            line = hear(self.emulator, READY_S)
             if not line:
                 raise CannotStart("the emulator did not start")
             self.told = json.loads(line)
@@ -80,7 +71,6 @@
         return self
 
     def start_front(self, i):
-        import socket
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             address = "127.0.0.1:%d" % free.getsockname()[1]
--- a/lichenquay/load/proof.py
+++ b/lichenquay/load/proof.py
@@ -1,7 +1,5 @@
 """What the generator can do, measured: a stall that a closed loop misses, and the rate that it sustains."""
 import json
-import os
-import select
 import signal
 import subprocess
 import sys
@@ -10,20 +8,17 @@
 from pathlib import Path
 
 from lichenquay.conf.read import read_lab
+from lichenquay.load.child import environment, hear
 from lichenquay.load.run import LAG_BOUND_MS, CannotRun, Workers, columns_of, report_of
 
-ROOT = Path(__file__).parents[2]
-
 
 @contextmanager
 def null_server():
     """(address, process) of a null server."""
-    here = {**os.environ, "PYTHONPATH": os.pathsep.join([str(ROOT), os.environ.get("PYTHONPATH", "")])}
-    process = subprocess.Popen([sys.executable, "-m", "lichenquay.load.null"], env=here, text=True, stdin=subprocess.DEVNULL,
+    process = subprocess.Popen([sys.executable, "-m", "lichenquay.load.null"], env=environment(), text=True, stdin=subprocess.DEVNULL,
                                stdout=subprocess.PIPE, start_new_session=True)
     try:
-        ready, _, _ = select.select([process.stdout], [], [], 10.0)
-        address = process.stdout.readline().strip() if ready else ""
+        address = hear(process, 10.0)
         if not address:
             raise CannotRun("the null server did not start")
         yield address, process
@@ -59,7 +54,7 @@
     return found
 
 
-def capacity(out, rates=(1000, 2000, 3000, 5000, 7500, 10000, 12500), seconds=5.0, workers=4, servers=2,
+def capacity(out, rates=(1000, 2000, 3000, 5000, 7500, 10000, 12500), seconds=5.0, workers=4,
              progress=lambda done: None):
     """The highest rate at which all is answered and the generator's lag stays under its bound at p99, by steps, against null
     servers. Half of the workers go to each of two servers, so that these do not bind."""
@@ -68,7 +63,7 @@
         lab = null_world(rate, seconds, workers, 4 * workers)
         with null_server() as (one, _), null_server() as (two, _):
             run = Workers(lab, one, Path(out) / f"{rate}", rows=False)
-            for job in run.jobs[1::2] if servers > 1 else ():
+            for job in run.jobs[1::2]:
                 job["target"] = two
                 (run.out / f"job-{job['number']}.json").write_text(json.dumps(job))
             begun = time.monotonic()
--- a/lichenquay/load/run.py
+++ b/lichenquay/load/run.py
@@ -1,8 +1,6 @@
 """A run of the load generator: plan, worker processes, and what they kept, gathered. A worker that is killed, or a stop
 on the way, leaves a report of what ran that says what is missing."""
 import json
-import os
-import select
 import subprocess
 import sys
 import time
@@ -15,6 +13,7 @@
 from hdrh.histogram import HdrHistogram
 from pyarrow import parquet
 
+from lichenquay.load.child import environment, hear
 from lichenquay.load.plan import plan_of
 from lichenquay.load.trace import read_trace, write_trace
 
@@ -76,21 +75,15 @@
         self.ends_s = ends / 1000
 
     def start(self):
-        here = {**os.environ, "PYTHONPATH": os.pathsep.join([str(Path(__file__).parents[2]), os.environ.get("PYTHONPATH", "")])}
         for i in range(len(self.jobs)):
             self.processes.append(subprocess.Popen(
-                [sys.executable, "-m", "lichenquay.load.worker", str(self.out / f"job-{i}.json")], env=here, text=True,
+                [sys.executable, "-m", "lichenquay.load.worker", str(self.out / f"job-{i}.json")], env=environment(), text=True,
                 stdin=subprocess.PIPE, stdout=subprocess.PIPE, start_new_session=True))
         for process in self.processes:
-            if self.hear(process, READY_S) != "READY":
+            if hear(process, READY_S) != "READY":
                 self.kill()
                 raise CannotRun("a worker of the load generator could not connect to its target")
 
-    @staticmethod
-    def hear(process, seconds):
-        ready, _, _ = select.select([process.stdout], [], [], max(0.0, seconds))
-        return process.stdout.readline().strip() if ready else ""
-
     def go(self, progress=lambda done: None, during=()):
         """The run. `during`: (seconds, call) pairs, called at their times. Ctrl-C ends the sending, and keeps the rest."""
         begun = time.monotonic() + 0.3
@@ -111,7 +104,7 @@
         until = time.monotonic() + (1.5 if stopped else longest) + END_S
         for process in self.processes:
             while process.poll() is None and time.monotonic() < until:
-                if self.hear(process, 0.5) == "DONE":
+                if hear(process, 0.5) == "DONE":
                     break
         self.kill()
         progress(1.0)
