Engines: an answer equal to another submission's last one on its connection is no answer

A stand-in engine that sends a copy of a good answer 65 ms after it, past the 30 ms rest (REST_S) between two submissions' calls on one connection, shows one way to it: the next query's POST on that connection is answered by the copy, and the front serves that query with the first one's rows, 3 of 3 runs on the version before. Change: each engine connection keeps the last answer that said something (not 202) and whose it was; an answer that is the same to the byte for another submission is dropped as garbled, and the engine is asked again elsewhere, as for any spoilt answer. A copy is caught however late it comes; the rest stays as it was.

--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -108,6 +108,7 @@
         self.late = False                           # its call has, and its answer is still hoped for
         self.rested = 0.0                           # before its call
         self.reader = ReplyReader(MOST_PAGE)
+        self.last = None                            # (whose, what) of the last answer that said something
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -154,6 +155,8 @@
         """Risk: an answer to an earlier call, or a copy of one, is taken for the answer to this."""
         if not self.call.fits(reply):
             return self.drop(Garbled("no answer to this call"))
+        if self.copied(reply):
+            return self.drop(Garbled("the same answer as another query's before"))
         call, self.call, reply.line = self.call, None, self
         call.carrier = None
         if reply.keep and self.whole and not self.late:     # risk: more may come late on one on which an answer did
@@ -162,6 +165,17 @@
             self.drop()
         call.end(reply)
 
+    def copied(self, reply):
+        """Whether an answer is, to the byte, the last one that came on this connection for another submission. Risk: a
+        copy of that one comes later than the rest between two calls, on a machine that stands still, and would be taken
+        as the answer to this call: served with what no engine made for it. The engine says it again on another
+        connection. 202 is left out: it ends nothing, and its copy misleads nobody."""
+        if reply.status == 202:
+            return False
+        what, last = (reply.status, tuple(reply.headers.items()), bytes(reply.body)), self.last
+        self.last = (self.call.owner, what)
+        return last is not None and last[0] is not self.call.owner and last[1] == what
+
     def drop(self, why=None):
         """Ends the connection at once."""
         call, self.call = self.call, None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -300,6 +300,15 @@
             reactor.callLater(0.1, lambda: self.runs.get(ref) == "slower" and self.runs.update({ref: "ok"}))
         if way in ("slow", "slower"):
             return reactor.callLater(0.03, lambda: line.answer(202))
+        if way == "later":          # not yet, for 0.05 s; then its news is its end
+            self.runs[ref] = "ok"
+            return reactor.callLater(0.05, lambda: line.answer(202))
+        if way == "copied late":    # its own rows; a copy of the answer follows after a connection's rest
+            self.world.out.discard(ref)
+            self.runs[ref] = "ok"
+            said = [("X-Parts", 1), ("X-Cpu-Ms", "3.5"), ("X-Mem-Used", "8")], ref.encode() + b"\tx\ty\n"
+            reactor.callLater(0.065, lambda: line.transport.connected and line.answer(200, *said))
+            return line.answer(200, *said)
         if way == "full":
             self.world.out.discard(ref)
             return line.answer(503, [("X-No-Effect", "1")])
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -451,6 +451,19 @@
     assert 0.25 < c.answers[1][2] - asked < 0.45 and w.posts() == 1
 
 
+def test_a_copy_that_comes_after_the_rest_is_no_answer_to_another_query(world):
+    """Risk: a copy of one query's answer comes later than a connection's rest, on a machine that stands still, and
+    becomes the answer to the next query's call on that connection: served with what no engine made for it."""
+    w = world(engines=1)
+    c, w.engines[0].ways = w.client(), ["copied late", "later"]
+    first = c.ask("status", allow=4000)
+    assert answered(c, first) == (frames.FINISHED, c.answers[first][1]) and c.answers[first][1].endswith(b"\tx\ty\n")
+    wait(0.035)
+    second = c.ask("status", allow=4000)
+    assert answered(c, second) == (frames.FINISHED, RESULT) and w.posts() == 2
+    assert w.service.book.counters["first calls garbled"] == 1
+
+
 def test_a_connection_rests_between_two_queries():
     """Risk: a copy of one query's answer, a moment later, becomes the answer to another's call."""
     clock, lines = SimpleNamespace(now=100.0), []
