--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -169,8 +169,10 @@
         """Whether an answer is, to the byte, the last one that came on this connection for another submission. Risk: a
         copy of that one comes later than the rest between two calls, on a machine that stands still, and would be taken
         as the answer to this call: served with what no engine made for it. The engine says it again on another
-        connection. 202 is left out: it ends nothing, and its copy misleads nobody."""
-        if reply.status == 202:
+        connection. Only 200 is compared, which brings rows: other answers are the same for many queries (500 and 204
+        carry nothing), and a 500 taken for a copy sends its query on to ask for news, which may be those of another query
+        that a bad client's id names (seen on the bench: bad clients served)."""
+        if reply.status != 200:
             return False
         what, last = (reply.status, tuple(reply.headers.items()), bytes(reply.body)), self.last
         self.last = (self.call.owner, what)
