Engines: the copy check keeps no status, which is always 200 there

Cause: on reading the change again, copied() kept the status in what it compares, though it returns before for any answer but 200, and the comment on EngineLine.last still spoke of every answer that says something. Change: head and rows alone are kept and compared; the comment says answer 200. Behaviour is the same.

--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -108,7 +108,7 @@
         self.late = False                           # its call has, and its answer is still hoped for
         self.rested = 0.0                           # before its call
         self.reader = ReplyReader(MOST_PAGE)
-        self.last = None                            # (whose, what) of the last answer that said something
+        self.last = None                            # (whose, head and rows) of the last answer 200 on it
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -174,7 +174,7 @@
         that a bad client's id names (seen on the bench: bad clients served)."""
         if reply.status != 200:
             return False
-        what, last = (reply.status, tuple(reply.headers.items()), bytes(reply.body)), self.last
+        what, last = (tuple(reply.headers.items()), bytes(reply.body)), self.last
         self.last = (self.call.owner, what)
         return last is not None and last[0] is not self.call.owner and last[1] == what
 
