Nothing is sent before the bulletin has confirmed the list a front started with

The engine had been announced as leaving while the front started. What it knew from `known` was taken for the present list: service.is_ready and Slots.place asked nobody. Ruled out: a bulletin that is slow (its answer took 2 ms), calls given up or made again (none lost or failed), an address taken by another engine (the uid is the same), a connection made before the news and written after it (both before the front's news, 1.7 s after other fronts had them). Change: the controller holds its list in doubt from the start until the front's first answer from the bulletin (`list_doubted`, `list_confirmed`); queries wait as for a slot meanwhile, and where no answer can be had the last list is in force after 7 s, when all counts as told (PROTOCOL). The first call asks for an answer at once (patience 1 ms), and readiness says no until it came. The three new tests fail without the change.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -38,6 +38,7 @@
         bucket = (rules.further_window_ms or 1.0) / 8
         self.further, self.taken = Ring(bucket, 9), Ring(bucket, 8)   # errs low
         self.usual = {}             # mean work of each group: a cold engine counts the usual work
+        self.doubt_ms = 0.0         # until then the list of engines may be out of date: nothing is submitted
 
     def take(self, q, now):
         self.taken.add(now, 1)
@@ -262,7 +263,7 @@
 
     def place(self, q, now, only=None):
         """To the first engine drawn with a free slot and nothing against it, else the least against it."""
-        if not self.fleet or not self.guards.may_submit(q, now):
+        if not self.fleet or now < self.guards.doubt_ms or not self.guards.may_submit(q, now):
             return False
         best, least, hope, tried = None, None, bool(only), {s.engine for s in q.submissions}
         pooled = self.pooled(q.group) and self.pool_kind(q, now)
@@ -459,6 +460,15 @@
         self.picker.homes.clear()
         self.slots.stir(now)
 
+    def list_doubted(self, most_ms):
+        """Departure: what a front knew at its start says nothing of what was announced while it started, and that counts
+        as told. Queries wait as for a slot until the list is confirmed; where it cannot be, the last one is in force."""
+        self.guards.doubt_ms = self.door.now_ms + most_ms
+
+    def list_confirmed(self):
+        self.guards.doubt_ms = 0.0
+        self.slots.stir(self.door.now_ms)
+
     def list_failed(self):
         self.door.wake(self.door.now_ms + self.rules.must_ask_ms / 8, self.door.watch_list)
 
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -87,6 +87,12 @@
     def listed(self, engines, whole):
         self.happen(self.controller.list_news, engines, whole)
 
+    def list_doubted(self, most_ms):
+        self.happen(self.controller.list_doubted, most_ms)
+
+    def list_confirmed(self):
+        self.happen(self.controller.list_confirmed)
+
     def give_up(self, q):
         """Its place is needed by another one: the controller's final answer, in the next turn."""
         self.happen(self.controller.finish, q)
--- a/lichenquay/front/bulletin.py
+++ b/lichenquay/front/bulletin.py
@@ -7,6 +7,7 @@
 from lichenquay.front.http import BadReply, ReplyReader, request
 
 PATIENCE_MS = 1000              # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
+FIRST_PATIENCE_MS = 1           # of the calls until one is answered: what is known from before is in doubt till then
 SILENT_MS = PATIENCE_MS + 500   # well within the 7 s after which an event counts as told (PROTOCOL, 'Figures')
 AGAIN_MS = 100                  # between calls that bring nothing
 STATES = {"SERVING": io.LISTED, "DRAINING": io.DRAINING, "DELETED": io.WITHDRAWN}
@@ -45,12 +46,20 @@
 
 
 class Bulletin:
-    """What has been told so far, and who wants to know: `news(whole, rows)`."""
+    """What has been told so far, and who wants to know: `news(whole, rows)`, and `confirmed()` once the bulletin itself has
+    answered since this front started."""
 
-    def __init__(self, known, news, log):
-        self.no, self.news, self.log = 0, news, log
+    def __init__(self, known, news, log, confirmed=lambda: None):
+        self.no, self.news, self.log, self.confirmed, self.answered = 0, news, log, confirmed, False
         self.follow(known)
 
+    def heard(self, told):
+        """An answer of the bulletin itself: what it has told by now is all known."""
+        self.follow(told)
+        if not self.answered:
+            self.answered = True
+            self.confirmed()
+
     def follow(self, told):
         """An answer of the bulletin, or what was known at start: all of its events, or none of them."""
         last, items = read_events(told, self.no)
@@ -65,7 +74,8 @@
     """One connection to the bulletin; calls follow each other on it."""
 
     def __init__(self, factory):
-        self.factory, self.reader, self.timer, self.asked_s = factory, ReplyReader(), None, 0.0
+        self.factory, self.reader, self.timer = factory, ReplyReader(), None
+        self.asked_s, self.patience_ms = 0.0, PATIENCE_MS       # of its call
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -78,7 +88,8 @@
 
     def ask(self):
         self.stop_timer()
-        path = f"/bulletins?after={self.factory.bulletin.no}&patience={PATIENCE_MS}"
+        self.patience_ms = PATIENCE_MS if self.factory.bulletin.answered else FIRST_PATIENCE_MS
+        path = f"/bulletins?after={self.factory.bulletin.no}&patience={self.patience_ms}"
         self.asked_s = self.factory.reactor.seconds()
         self.timer = self.factory.reactor.callLater(SILENT_MS / 1000, self.transport.abortConnection)
         self.transport.write(request("GET", path, self.factory.host))
@@ -93,19 +104,23 @@
             if reply.status != 200:
                 raise BadReply(f"status {reply.status}")
             before = self.factory.bulletin.no
-            self.factory.bulletin.follow(json.loads(bytes(reply.body)))
+            self.factory.bulletin.heard(json.loads(bytes(reply.body)))
         except (BadReply, ValueError, RecursionError) as bad:
             self.factory.bulletin.log("bulletin", f"bulletin: {bad}; the list stays as it was")
             return self.transport.abortConnection()
         if not reply.keep:
             self.transport.loseConnection()
-        elif before == self.factory.bulletin.no and self.factory.reactor.seconds() - self.asked_s < AGAIN_MS / 1000:
+        elif before == self.factory.bulletin.no and self.factory.reactor.seconds() - self.asked_s < self.least_s():
             # Risk: a bulletin that answers at once with nothing new keeps the front busy with nothing else.
             self.stop_timer()
             self.timer = self.factory.reactor.callLater(AGAIN_MS / 1000, self.ask)
         else:
             self.ask()
 
+    def least_s(self):
+        """An answer that comes sooner than this brings something, or its bulletin does not wait as it was asked to."""
+        return min(AGAIN_MS, self.patience_ms) / 1000
+
     def connectionLost(self, reason):
         self.stop_timer()
 
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -27,6 +27,7 @@
 REQUESTS_ON_MS = 200.0          # PROTOCOL: and requests on open ones for this long more
 DEADLINE_MS = 3000.0            # PROTOCOL: SIGKILL comes no sooner than the longest deadline, 3 s at most, ...
 KILLED_MS = 700.0               # ... and this long more after SIGTERM
+TOLD_MS = 7000.0                # PROTOCOL: what the bulletin has to tell counts as told this much later at the latest
 LAST_MS = 300.0                 # before that, what is still open gets its final answer
 RESERVE = 48                    # descriptors for the reactor, accepting, the bulletin and DELETEs
 CLIENTS_SHARE = 3               # PROTOCOL: clients hold a third of the descriptors at most
@@ -110,7 +111,7 @@
         self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
         self.bound(sockets, room, read_gate(environment))
         try:
-            self.bulletin = Bulletin(known, self.news, self.log)
+            self.bulletin = Bulletin(known, self.news, self.log, self.admit.list_confirmed)
         except BadList as bad:
             raise CannotStart(f"known: {bad}") from None
 
@@ -145,6 +146,7 @@
             self.clients.listen(*self.listen)
         except CannotListenError as bad:
             raise CannotStart(f"cannot listen on {'%s:%d' % self.listen}: {bad.socketError.strerror}") from None
+        self.admit.list_doubted(TOLD_MS)
         self.follow_bulletin()
         self.reactor.callWhenRunning(self.run)
 
@@ -166,7 +168,7 @@
                             f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them")
 
     def is_ready(self):
-        return self.state == SERVING and bool(self.by_uid)
+        return self.state == SERVING and bool(self.by_uid) and self.bulletin.answered
 
     def sweep(self):
         self.engines.later(SWEEP_MS, self.sweep)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -361,16 +361,24 @@
 class StandInBulletin(StandIn):
     def __init__(self):
         super().__init__()
-        self.events, self.waiting, self.garbage, self.calls = [], [], None, 0
+        self.events, self.waiting, self.garbage, self.calls, self.mute = [], [], None, 0, False
 
     def heard(self, line, verb, path, headers, body):
         self.calls += 1
-        after = int(path.partition("after=")[2].partition("&")[0])
+        after, patience = (int(x.partition("=")[2]) for x in path.partition("?")[2].split("&"))
+        if self.mute:
+            return
         if self.garbage:
             return line.answer(200, (), self.garbage)
         if after < len(self.events):
             return line.answer(200, (), self.told(after))
         self.waiting.append((line, after))
+        reactor.callLater(patience / 1000, self.patience_ends, line, after)
+
+    def patience_ends(self, line, after):
+        if (line, after) in self.waiting:
+            self.waiting.remove((line, after))
+            line.answer(200, (), self.told(after))
 
     def told(self, after):
         return json.dumps({"no": len(self.events), "items": self.events[after:]}).encode()
@@ -439,10 +447,14 @@
         self.path.write_text(json.dumps(self.config))
         self.clients, self.ended = [], False
         if start:
-            self.service = Service(reactor_for(self), {"BALANCER_CONFIG": str(self.path)})
-            until(lambda: True)
-            self.service.start()
-            self.port = self.service.clients.port.getHost().port
+            self.start()
+            until(lambda: self.service.bulletin.answered)
+
+    def start(self):
+        self.service = Service(reactor_for(self), {"BALANCER_CONFIG": str(self.path)})
+        until(lambda: True)
+        self.service.start()
+        self.port = self.service.clients.port.getHost().port
 
     def end(self):
         self.ended = True
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -313,6 +313,19 @@
         assert 60 < sum(s in homes for s in picks) < 150
 
 
+def test_a_list_in_doubt_is_no_ground_to_submit_on_until_it_is_confirmed_or_cannot_be():
+    for confirmed in (True, False):
+        g = quick()
+        door = FakeDoor([g], [engine("e")])
+        door.c.list_doubted(7000.0)
+        door.take(g)
+        door.until(door.now_ms + 50)
+        assert not door.subs
+        door.c.list_confirmed() if confirmed else door.until(door.now_ms + 7000)
+        door.take(g)
+        assert len(door.subs) == 1 + confirmed      # what waited longer than a tenth of its time was refused
+
+
 def test_a_failed_call_to_the_list_is_made_again():
     door = FakeDoor([quick()], [], on_request=True)
     door.c.list_failed()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -355,11 +355,37 @@
     until(lambda: w.service.bulletin.no == 3)
     assert not old.idle and "s-1" not in w.service.by_uid
     assert answered(c, c.ask())[0] == frames.FINISHED and len(w.engines[1].posts) == 9
+    w.drained.clear()
     w.bulletin.add(w.engines[0].row(), whole=True)
     until(lambda: w.service.bulletin.no == 4)
     assert answered(c, c.ask())[0] == frames.FINISHED and len(w.engines[0].posts) == 1
 
 
+def test_what_was_announced_while_a_front_started_is_known_before_the_first_submission(world):
+    """Seen on herd+mass: 22 queries went to engines that had been announced as leaving while the front started."""
+    w = world(engines=2, start=False)
+    w.tell(w.engines[0], "DRAINING")        # after the configuration was written
+    w.drained[w.engines[0]] -= 1
+    w.bulletin.mute = True
+    w.start()
+    c = w.client()
+    streams = [c.ask("report", allow=4000) for _ in range(4)]
+    wait(0.05)
+    assert not w.posts() and not w.service.is_ready()
+    w.bulletin.mute = False
+    for line in list(w.bulletin.lines):
+        line.transport.abortConnection()
+    assert all(answered(c, s)[0] == frames.FINISHED for s in streams) and w.service.is_ready()
+    assert not w.engines[0].posts and w.engines[1].posts
+
+
+def test_a_front_is_ready_as_soon_as_its_list_is_confirmed(world):
+    w = world(engines=1)
+    until(w.service.is_ready, 0.5)
+    wait(0.1)
+    assert w.bulletin.calls == 2        # one that is answered at once, one that waits for news
+
+
 def test_a_submission_on_its_way_meets_a_drain():
     engine = FrontEngine("e", address="127.0.0.1:1")
     call, ends = Call(engine, b"", http.is_news, new=True), []
