Thin traffic draws first from as many engines as it hears of, not blindly from all

Change: a departure in the Picker (`gather`): engines are ordered by chance from the seed, and the first ones, as many as our own traffic hears of once while a report counts (4 at least), are drawn from first; the others where these have no room. Dense traffic draws from all as before.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -5,6 +5,7 @@
 A query goes down Duty -> Order -> Slots -> Picker -> Guards -> send, and what comes back goes up by Slots and
 Order to Duty. "Departure": neither the paper's nor the design's; docs/design.md says when it acts."""
 from bisect import insort
+from itertools import chain, islice
 from math import sqrt
 from zlib import crc32
 
@@ -90,6 +91,8 @@
         self.seed, self.drawn, self.warmth, self.fleet, self.bucket = seed, 0, warmth, fleet, bucket
         self.threads, self.usual, self.homes = 1.0, None, {}        # a query's threads; the peers' usual pace
         self.used = self.average = self.faults = self.fresh_ms = 0.0   # the peers' use, load, errors; since
+        self.heard_for, self.taken, self.since = 8 * bucket, Ring(8 * bucket, 4), None  # a report counts so long; traffic
+        self.order, self.near = [], []      # the fleet, by chance but always alike; those drawn from first
 
     def chance(self):
         self.drawn += 1
@@ -130,13 +133,31 @@
         seen.weight, seen.due_ms = weight, now + self.bucket
         return weight
 
+    def gather(self, now):
+        """Departure: where our traffic is too thin to hear of every engine for as long as a report counts, as many are
+        drawn from first as it suffices for, by chance from the seed; the others where these have no room. Risk: each of
+        many gateways chooses blindly, and opens a connection for every query."""
+        if not self.order:
+            self.order = sorted(self.fleet.values(), key=lambda s: crc32(f"{self.seed}:{s.engine.id}".encode()))
+        count, span = self.taken.count(now), min(4 * self.heard_for, now - (self.since or now))
+        often = max(4, round(count * self.heard_for / max(span, self.heard_for / 4)))   # heard of while a report counts
+        fit = (s for s in self.order if s.engine.state == io.LISTED and not s.silent and self.warmth(s.engine, now) >= 1)
+        self.near = list(islice(fit, often))
+
     def draw(self, q, now):
-        """The engines one after the other, each drawn by weight among those left. Weights are kept until an
-        engine is heard of or used: ranking a large fleet anew for every query costs more than it tells."""
-        left = list(self.fleet.values())
+        """The engines one after the other, each drawn by weight among those left."""
+        if len(self.near) >= len(self.fleet) / 2:
+            return self.drawn_from(list(self.fleet.values()), q, now)
+        return chain(self.drawn_from(list(self.near), q, now), self.others(q, now))
+
+    def others(self, q, now):       # made only when it is come to
+        yield from self.drawn_from([s for s in self.fleet.values() if s not in self.near], q, now)
+
+    def drawn_from(self, left, q, now):
+        """Weights are kept until an engine is heard of or used: ranking a large fleet anew costs more than it tells."""
         weights = [s.weight if s.due_ms > now else self.weigh(s, now) for s in left]
-        if q.tables:
-            for s in self.homes_of(q.tables)[q.group.is_load]:
+        for s in self.homes_of(q.tables)[q.group.is_load] if q.tables else ():
+            if s in left:
                 weights[left.index(s)] *= max(1.0, len(left) / 5)   # about a third goes home, in any fleet
         total = sum(weights)
         while left:
@@ -154,7 +175,8 @@
         paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
         faults = [0.0, *sorted(s.faults.mean(now, 0.0) for s in self.fleet.values())]
         self.usual, self.faults = paces[len(paces) // 2], faults[len(faults) // 2]
-        self.fresh_ms = now - 8 * self.bucket
+        self.fresh_ms = now - self.heard_for
+        self.gather(now)
         heard = [(self.use(s), self.load(s)) for s in self.fleet.values() if self.use(s) is not None]
         self.used, self.average = (sum(x) / len(x) for x in zip(*heard or [(self.used, self.average)]))
 
@@ -458,6 +480,8 @@
             if e.state == io.WITHDRAWN and not self.fleet[e].runs:
                 del self.fleet[e]
         self.picker.homes.clear()
+        self.picker.order.clear()
+        self.picker.gather(now)
         self.slots.stir(now)
 
     def list_doubted(self, most_ms):
@@ -476,6 +500,8 @@
         now = self.door.now_ms
         q.passed, q.over_share = False, self.beyond_share(q, now)
         self.guards.take(q, now)
+        self.picker.taken.add(now, 1)
+        self.picker.since = self.picker.since or now
         self.picker.threads += (q.group.threads - self.picker.threads) / 100
         self.door.wake(q.ends_ms, lambda: self.finish(q))
         self.order.down(q)
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -307,12 +307,39 @@
 def test_table_homes_draw_about_a_third_in_any_fleet():
     for n in (6, 40):
         door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(n)])
+        door.c.picker.near = list(door.c.fleet.values())    # as with traffic that hears of them all
         homes, far = door.c.picker.homes_of("t1")
         q = io.Query(1, group(), door.now_ms, door.now_ms + 1000, work_ms=100, tables="t1")
         picks = [next(door.c.picker.draw(q, door.now_ms)) for _ in range(300)]
         assert 60 < sum(s in homes for s in picks) < 150
 
 
+def test_thin_traffic_draws_first_from_the_few_engines_that_it_hears_of():
+    g, drawn = quick(), []
+    for seed in range(40):      # of many gateways, each with 4 queries in the time that a report counts (2 s)
+        door = FakeDoor([g], [engine(f"e{i}") for i in range(40)], fronts=200, seed=seed)
+        for _ in range(60):
+            door.take(g, work=20.0)
+            door.until(door.now_ms + 500)
+            for sub in door.out():
+                door.answer(sub, io.FINISHED)
+        used = {s.engine for s in door.subs[-30:]}
+        assert len(used) <= 6
+        drawn += used
+    assert max(drawn.count(e) for e in set(drawn)) <= 16 and len({e.id for e in drawn}) >= 38
+
+
+def test_dense_traffic_draws_from_all_engines():
+    g = quick()
+    door = FakeDoor([g], [engine(f"e{i}") for i in range(40)], fronts=2)
+    for _ in range(600):
+        door.take(g, work=20.0)
+        door.until(door.now_ms + 10)
+        for sub in door.out():
+            door.answer(sub, io.FINISHED)
+    assert len({s.engine for s in door.subs[-200:]}) > 30
+
+
 def test_a_list_in_doubt_is_no_ground_to_submit_on_until_it_is_confirmed_or_cannot_be():
     for confirmed in (True, False):
         g = quick()
