Few fronts share a cold engine's budget where one front's share is below a query

Cause: after a release half of the engines are cold, and nobody uses them. At 182 fronts one share of a cold engine's budget is some 40 core milliseconds in 1.5 s, a report takes 3,000: only dashboards went there, while the warm half had all the rest. Ruled out: the list in doubt, silent engines (0). Change: where a share stays below one query until the engine is warm, as many fronts as there is room for a query each share it, told by number (settings' slot_no, the engine's id), with one share kept for the next that joins; the others leave it alone. `gather` draws from those that are ours, too. Fleets of few fronts keep their even shares.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -34,8 +34,9 @@
 class Guards:
     """What every submission passes: placement, drain, cold budget, submission budget, no duplicate effect."""
 
-    def __init__(self, most_submissions, rules, fronts):
-        self.most, self.rules, self.fronts = most_submissions, rules, max(1, fronts)
+    def __init__(self, most_submissions, rules, fronts, number, groups):
+        self.most, self.rules, self.fronts, self.number = most_submissions, rules, max(1, fronts), number
+        self.query = sum(g.target_ms * g.threads for g in groups) / max(1, len(groups))     # work of one, by targets
         bucket = (rules.further_window_ms or 1.0) / 8
         self.further, self.taken = Ring(bucket, 9), Ring(bucket, 8)   # errs low
         self.usual = {}             # mean work of each group: a cold engine counts the usual work
@@ -74,9 +75,18 @@
                or g.dedup == "cell" and s.engine.cell != e.cell for s in ran):
             return False                # sent again only where and while its repeat is dropped
         warmth = self.warmth(e, now)
-        # Risk: all fronts push a cold engine over. Ours is one share of the budget, a fifth of it kept back.
-        budget = 0.8 * self.rules.cold_multiple * self.rules.cold_window_ms / self.fronts
-        return warmth >= 1 or seen.cold_sent.total(now) + self.weight(q) <= budget * warmth * 0.85 * e.cores
+        return warmth >= 1 or seen.cold_sent.total(now) + self.weight(q) <= self.cold_budget(e, warmth)
+
+    def cold_budget(self, e, warmth):
+        """Risk: all fronts push a cold engine over. Ours is one share of the budget, a fifth of it kept back.
+        Departure: where one share stays below a query until the engine is warm, as many fronts as there is room
+        for a query each share it, told by their numbers, and the others leave it alone. Risk: nobody uses it.
+        One share more is left, for the next one that joins while the others' work still counts."""
+        whole = 0.8 * self.rules.cold_multiple * self.rules.cold_window_ms * 0.85 * e.cores
+        if self.number is None or whole >= self.fronts * self.query:
+            return whole * warmth / self.fronts
+        sharers = max(1, int(whole * warmth / self.query) - 1)
+        return whole * warmth / (sharers + 1) if (crc32(e.id.encode()) + self.number) % self.fronts < sharers else 0.0
 
     def may_defer(self, q):         # a deferral says that trying again is harmless
         g = q.group
@@ -87,8 +97,9 @@
 class Picker:
     """Draws among engines, weighted against their reports; the unheard count average."""
 
-    def __init__(self, seed, warmth, fleet, bucket):
-        self.seed, self.drawn, self.warmth, self.fleet, self.bucket = seed, 0, warmth, fleet, bucket
+    def __init__(self, seed, guards, fleet, bucket):
+        self.seed, self.drawn, self.warmth, self.fleet, self.bucket = seed, 0, guards.warmth, fleet, bucket
+        self.guards = guards
         self.threads, self.usual, self.homes = 1.0, None, {}        # a query's threads; the peers' usual pace
         self.used = self.average = self.faults = self.fresh_ms = 0.0   # the peers' use, load, errors; since
         self.heard_for, self.taken, self.since = 8 * bucket, Ring(8 * bucket, 4), None  # a report counts so long; traffic
@@ -141,8 +152,10 @@
             self.order = sorted(self.fleet.values(), key=lambda s: crc32(f"{self.seed}:{s.engine.id}".encode()))
         count, span = self.taken.count(now), min(4 * self.heard_for, now - (self.since or now))
         often = max(4, round(count * self.heard_for / max(span, self.heard_for / 4)))   # heard of while a report counts
-        fit = (s for s in self.order if s.engine.state == io.LISTED and not s.silent and self.warmth(s.engine, now) >= 1)
-        self.near = list(islice(fit, often))
+        fit = [s for s in self.order if s.engine.state == io.LISTED and not s.silent]
+        warm = {s: self.warmth(s.engine, now) for s in fit}
+        self.near = list(islice((s for s in fit if warm[s] >= 1), often))
+        self.near += [s for s in fit if warm[s] < 1 and self.guards.cold_budget(s.engine, warm[s])]
 
     def draw(self, q, now):
         """The engines one after the other, each drawn by weight among those left."""
@@ -453,11 +466,11 @@
 
     def __init__(self, door, gateway, groups, tenants, licence, rules, make):
         self.door, self.licence, self.make, self.rules, self.fleet = door, licence, make, rules, {}
-        self.guards = Guards(licence.most_submissions, rules, gateway.fronts)
+        self.guards = Guards(licence.most_submissions, rules, gateway.fronts, gateway.number, groups)
         quickest = min((g.target_ms for g in groups if g.target_ms), default=1000.0)
         self.step_ms, self.bucket = gateway.step_ms, quickest / 2
         self.beat = max(gateway.step_ms, quickest / 10)
-        self.picker = Picker(gateway.seed, self.guards.warmth, self.fleet, self.bucket)
+        self.picker = Picker(gateway.seed, self.guards, self.fleet, self.bucket)
         self.slots = Slots(door, self.guards, self.picker, make, groups, gateway.fronts, self.finish)
         self.order = Order(door, rules.order_rest_ms, self.slots.down)
         self.quiet_ms = 1.5 * make.note_every_ms or quickest    # unheard after a note's time and a half
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -94,6 +94,7 @@
     seed: int
     step_ms: float                  # least time between two turns
     list_on_request: bool = False
+    number: Optional[int] = None    # its own among those fronts, from 0; None: not told
 
 
 @dataclass(frozen=True)
--- a/lichenquay/opening.py
+++ b/lichenquay/opening.py
@@ -131,7 +131,8 @@
         self.idle_ms = f.ms("limits.keepalive_us", 0)       # engines close idle connections after this
         free = "rules.extra_free" in f.parts or "rules.further_ratio" in f.parts
         self.gateway = io.Gateway(f.text("my_zone", ""), f.integer("replicas_of_me", 1), seed,
-                                  f.ms("resolution_us", 0), f.text("registry_mode", "pushed") == "on_request")
+                                  f.ms("resolution_us", 0), f.text("registry_mode", "pushed") == "on_request",
+                                  f.integer("slot_no") if "slot_no" in f.parts else None)
         self.licence = io.Licence(
             f.integer("limits.most_tries", 1), f.flag("limits.cancel", "0"),
             f.flag("limits.may_probe", "0"), f.flag("limits.second_copies", "0"),
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,6 +1,7 @@
 """Plain cases of the design and of each failure found, and seeded random runs that check the rules at every step."""
 import random
 from io import StringIO
+from zlib import crc32
 
 import pytest
 
@@ -340,6 +341,32 @@
     assert len({s.engine for s in door.subs[-200:]}) > 30
 
 
+def test_many_gateways_use_a_cold_engine_and_keep_its_budget_together():
+    n, g = 200, group(target_ms=1000.0)
+    doors = [FakeDoor([g], [], fronts=n, number=i) for i in range(n)]
+    for name in ("e1", "e2", "e3"):
+        e = engine(name, started=1000.0)
+        for age in range(0, 15000, 500):
+            now, rules = 1000.0 + age, doors[0].rules
+            at = [[d.c.guards.cold_budget(e, d.c.guards.warmth(e, t)) for d in doors] for t in (now, now + 1500)]
+            told = rules.cold_multiple * 0.85 * e.cores * rules.cold_window_ms * doors[0].c.guards.warmth(e, now + 1500)
+            assert sum(map(max, *at)) <= 0.81 * told         # also while another one joins in the same window
+            assert max(at[0]) >= doors[0].c.guards.query
+    few = FakeDoor([g], [], fronts=3, number=2)
+    assert few.c.guards.cold_budget(e, 0.5) == pytest.approx(0.8 * 3 * 1500 * 0.85 * 8 * 0.5 / 3)
+
+
+def test_a_cold_engine_is_drawn_from_first_by_those_who_share_it_and_left_alone_by_others():
+    g = group(target_ms=1000.0)
+    for ours in (True, False):
+        engines = [engine("cold", started=1000.0), *(engine(f"e{i}") for i in range(40))]
+        door = FakeDoor([g], engines, fronts=200, number=(100 * (not ours) - crc32(b"cold")) % 200)
+        assert (engines[0] in [s.engine for s in door.c.picker.near]) == ours
+        for _ in range(30):
+            door.take(g, work=300.0)
+        assert (engines[0] in {s.engine for s in door.subs}) == ours
+
+
 def test_a_list_in_doubt_is_no_ground_to_submit_on_until_it_is_confirmed_or_cannot_be():
     for confirmed in (True, False):
         g = quick()
