Picker: the guards are kept once, not their warmth beside them

Cause: on reading the fleet changes again, the Picker kept both guards and guards.warmth. Change: warmth is asked of the guards; behaviour is the same.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -98,8 +98,7 @@
     """Draws among engines, weighted against their reports; the unheard count average."""
 
     def __init__(self, seed, guards, fleet, bucket):
-        self.seed, self.drawn, self.warmth, self.fleet, self.bucket = seed, 0, guards.warmth, fleet, bucket
-        self.guards = guards
+        self.seed, self.drawn, self.guards, self.fleet, self.bucket = seed, 0, guards, fleet, bucket
         self.threads, self.usual, self.homes = 1.0, None, {}        # a query's threads; the peers' usual pace
         self.used = self.average = self.faults = self.fresh_ms = 0.0   # the peers' use, load, errors; since
         self.heard_for, self.taken, self.since = 8 * bucket, Ring(8 * bucket, 4), None  # a report counts so long; traffic
@@ -137,7 +136,7 @@
         return THREADS_A_CORE * use + (r.get("x1", 0.0) if "cpu" in r else 0.0) + waiting
 
     def weigh(self, seen, now):
-        warmth = self.warmth(seen.engine, now)
+        warmth = self.guards.warmth(seen.engine, now)
         weight = warmth / (0.3 + (self.load(seen) + own_load(seen)) / warmth) ** 3
         if self.usual and seen.pace:    # an engine slower than its peers; a slowdown of all blames none
             weight *= min(1.0, max(0.02, self.usual / seen.pace))
@@ -153,7 +152,7 @@
         count, span = self.taken.count(now), min(4 * self.heard_for, now - (self.since or now))
         often = max(4, round(count * self.heard_for / max(span, self.heard_for / 4)))   # heard of while a report counts
         fit = [s for s in self.order if s.engine.state == io.LISTED and not s.silent]
-        warm = {s: self.warmth(s.engine, now) for s in fit}
+        warm = {s: self.guards.warmth(s.engine, now) for s in fit}
         self.near = list(islice((s for s in fit if warm[s] >= 1), often))
         self.near += [s for s in fit if warm[s] < 1 and self.guards.cold_budget(s.engine, warm[s])]
 
