Signals wait from the first line of a front until it can hear them

Cause: the door listened before Service.run set the handlers; Twisted takes SIGTERM over in between.

--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -154,10 +154,10 @@
         self.following = BulletinFactory(self.reactor, self.bulletin, *self.bulletin_at, self.engines.connect_ms)
 
     def run(self):
-        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
-        signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.leave))
-        signal.signal(signal.SIGUSR1, lambda *_: self.reactor.callFromThread(self.tell))
-        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.read_again))
+        calls = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGUSR1: self.tell, signal.SIGHUP: self.read_again}
+        for number, call in calls.items():
+            signal.signal(number, lambda *_, call=call: self.reactor.callFromThread(call))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, calls)       # what came since the first line is heard now
         self.admit.turn()
         gc.collect()
         gc.freeze()
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,108 @@
+"""Stops that come while a front starts: it ends in order whenever they come, from its first line on."""
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from lichenquay.front import frames
+from standins import SETTINGS
+
+ROOT = Path(__file__).resolve().parents[1]
+# runs the program as `python -m` does, and tells that its first line comes next
+FIRST_LINE = ("import os, runpy, sys, lichenquay.front; os.write(1, b'up'); sys.argv = ['lichenquay.front'];"
+              "runpy.run_module('lichenquay.front', run_name='__main__', alter_sys=True)")
+FIRST_LINE_CPU_S = 0.03         # of the processor; the imports that follow take ten times as much
+
+
+def free_port():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return free.getsockname()[1]
+
+
+def front(tmp_path, port):
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({"name": "n1", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964", "settings": SETTINGS,
+                                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"no": 0, "items": []},
+                                  "bulletin": f"127.0.0.1:{free_port()}"}))
+    return subprocess.Popen([sys.executable, "-c", FIRST_LINE], stdout=subprocess.PIPE, stderr=subprocess.PIPE, cwd=ROOT,
+                            env={**os.environ, "BALANCER_CONFIG": str(config)})
+
+
+def cpu_s(process):
+    said = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(said[11]) + int(said[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def blocked(process):
+    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
+        if line.startswith("SigBlk"):
+            return bool(int(line.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
+
+
+def at_first_line(process):
+    """Returns once the first line is past: by the processor time used, so that a busy machine changes nothing."""
+    assert process.stdout.read(2) == b"up"
+    began = cpu_s(process)
+    while not blocked(process) and cpu_s(process) < began + FIRST_LINE_CPU_S:
+        time.sleep(0.001)
+
+
+@pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGINT,), (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)])
+def test_a_stop_at_any_time_of_the_start_ends_in_order(tmp_path, numbers):
+    chance, fronts = random.Random(str(numbers)), []
+    for i in range(6):
+        (tmp_path / str(i)).mkdir()
+        fronts.append(front(tmp_path / str(i), free_port()))
+    try:
+        for f in fronts:
+            at_first_line(f)
+            time.sleep(chance.random() * 0.08)
+            for number in numbers:
+                f.send_signal(number)
+        for f in fronts:
+            said = f.communicate(timeout=20)[1].decode()
+            assert f.returncode == 0 and "Traceback" not in said, said
+            assert "state: ended" in said
+    finally:
+        for f in fronts:
+            f.kill()
+            f.wait()
+
+
+def test_whoever_can_connect_is_answered_whenever_the_stop_comes(tmp_path):
+    chance = random.Random(30)
+    for i in range(4):
+        port = free_port()
+        f = front(tmp_path, port)
+        try:
+            for _ in range(2000):
+                try:
+                    client = socket.create_connection(("127.0.0.1", port), 1)
+                    break
+                except ConnectionRefusedError:
+                    time.sleep(0.005)
+            with client:
+                fields = {"service": "report", "ref": f"{i:016x}", "allow": "300", "project": "acme", "effort": "5", "memory": "1"}
+                query = frames.frame(frames.QUERY, 1, frames.write_fields(fields.items()), b"select 1")
+                if chance.random() < 0.5:
+                    f.send_signal(signal.SIGTERM)
+                    client.sendall(query)
+                else:
+                    client.sendall(query)
+                    f.send_signal(signal.SIGTERM)
+                client.settimeout(5)
+                reader, answers = frames.FrameReader(), []
+                while data := client.recv(65_536):
+                    answers += [(stream, payload[0]) for kind, stream, payload in reader.feed(data) if kind == frames.ANSWER]
+            assert f.wait(10) == 0 and [s for s, _ in answers] == [1] and answers[0][1] in (frames.DEFERRED, frames.KILLED)
+        finally:
+            f.kill()
+            f.communicate()
