Settings of a fleet: names, addresses, voters and accounts, whole or refused in one line

Need: fronts that act together are told of each other, and of what they share, in the file that LICHENQUAY_SETTINGS names. Change: fleet { } in the schema; conf/fleet.py checks it whole and makes the fingerprint of what must be alike on all fronts.

--- a/lichenquay/conf/read.py
+++ b/lichenquay/conf/read.py
@@ -7,6 +7,7 @@
 from google.protobuf import text_format
 
 from lichenquay.conf import lichenquay_pb2 as pb
+from lichenquay.conf.fleet import RANGES as FLEET_RANGES, fault_of_fleet
 from lichenquay.gate.decide import Caps, Rules, networks
 
 # a small world that runs on any machine: what `demo` plays, and what files leave out
@@ -46,7 +47,7 @@
     **{f"{where}gate.{name}": bounds for where in ("", "front.") for name, bounds in (
         ("prefix4", (8, 32)), ("reserve", (0, 1_000_000)), ("most_queries", (0, 1_000_000)), ("most_seen", (2, 10_000_000)),
         ("again_ms", (1, 3.6e6)), ("lag_ms", (0, 10_000)))},
-    "front.count": (1, 1000), "front.memory_mb": (40, 1e6), "front.sockets": (64, 1_000_000),
+    "front.count": (1, 1000), "front.memory_mb": (40, 1e6), "front.sockets": (64, 1_000_000), **FLEET_RANGES,
 }
 
 
@@ -59,16 +60,16 @@
     for field, _ in message.DESCRIPTOR.fields_by_name.items():
         value, name = getattr(message, field), f"{path}.{field}" if path else field
         if hasattr(value, "DESCRIPTOR"):
-            if field in ("gate", "address", "prefix") and not message.HasField(field):
+            if field in ("gate", "fleet", "address", "prefix") and not message.HasField(field):
                 continue
             yield from fields(value, name)
-        elif field in ("zones", "known"):
+        elif field in ("zones", "known", "voters"):
             continue
         elif hasattr(value, "add"):
             for i, one in enumerate(value):
                 for inner, shown, got in fields(one, name):
                     yield inner, f"{name}[{i}]" + shown[len(name):], got
-        elif not path.rpartition("gate")[1] or message.HasField(field):
+        elif not path.startswith(("gate", "front.gate", "fleet")) or message.HasField(field):
             yield name, name, value
 
 
@@ -180,7 +181,7 @@
 def read_settings(text, name="settings"):
     """What a front is told beyond the platform's JSON."""
     said = parse(pb.Settings(), text, name)
-    refuse(out_of_range(said) or fault_of_gate(said.gate, "gate"), text, name)
+    refuse(out_of_range(said) or fault_of_gate(said.gate, "gate") or said.HasField("fleet") and fault_of_fleet(said.fleet), text, name)
     return said
 
 
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from lichenquay.conf import lichenquay_pb2 as pb
+from lichenquay.conf.fleet import fingerprint, voters_of
 from lichenquay.conf.make import HERE, make
 from lichenquay.conf.read import RANGES, BadSettings, fault_of, fields, read_file, read_lab, read_settings, rules_of
 
@@ -56,7 +57,7 @@
     lab = read_lab("faults { kind: HANG }")
     figures = {p for p, _, v in fields(lab) if isinstance(v, (int, float)) and not isinstance(v, bool)}
     free = {"seed", "groups.effect", "faults.kind", "faults.engine", "load.arrivals", "load.shape"}
-    assert figures - free == {name for name in RANGES if "gate" not in name}
+    assert figures - free == {name for name in RANGES if "gate" not in name and not name.startswith("fleet")}
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
@@ -88,3 +89,36 @@
     r = rules_of(read_settings("gate { address { connections: 3 per_s: 2 burst: 4 } known: '10.0.0.1' reserve: 5 lag_ms: 0 }").gate, 70)
     assert (r.most, r.address.connections, r.address.burst, r.reserve, r.lag_ms, r.prefix4, r.again_ms) == (70, 3, 4, 5, 0, 24, 1000)
     assert str(r.known[0]) == "10.0.0.1/32"
+
+
+FLEET = """fleet { fleet: "yard" name: "a" listen: "127.0.0.1:4001" folder: "f" peers { name: "b" address: "127.0.0.1:4002" }
+peers { name: "c" address: "127.0.0.1:4003" } %s }"""
+
+
+@pytest.mark.parametrize("text, said", [
+    ('fleet { }', "fleet.fleet: missing"), ('fleet { fleet: "x" name: "a" listen: "127.0.0.1:1" }', "a fleet is two fronts at least"),
+    (FLEET % 'peers { name: "b" address: "127.0.0.1:4004" }', ":2: fleet.peers[2].name: 'b' is another peer's"),
+    (FLEET % 'peers { name: "a" address: "127.0.0.1:4004" }', "fleet.peers[2].name: 'a' is this front itself"),
+    (FLEET % 'peers { name: "d" address: "127.0.0.1:4002" }', "fleet.peers[2].address: '127.0.0.1:4002' is another's"),
+    (FLEET % 'peers { name: "d" address: "nowhere" }', "fleet.peers[2].address: 'nowhere' is no address:port"),
+    (FLEET % 'peers { name: "d d" address: "127.0.0.1:9" }', "fleet.peers[2].name: 'd d' is no name"),
+    (FLEET % 'voters: "a" voters: "z" voters: "b"', "fleet.voters: 'z' is no front"), (FLEET % 'voters: "a"', "fleet.voters: 1 of them"),
+    (FLEET % 'accounts { tenant: "t" rate_ms: -1 bucket_ms: 1 }', "fleet.accounts[0].rate_ms: -1 is not between"),
+    (FLEET % 'accounts { tenant: "t" bucket_ms: 1 }', "fleet.accounts[0].rate_ms: missing"),
+    (FLEET % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 } accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }', "a tenant of its own"),
+    (FLEET % 'lease_ms: 2000 term_ms: 3000', "fleet.term_ms: 3000 is under two leases"),
+    (FLEET.replace('folder: "f"', "") % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }', "fleet.folder: missing")])
+def test_a_fleet_that_makes_no_sense_is_refused_in_one_line(text, said):
+    with pytest.raises(BadSettings) as bad:
+        read_settings(text, "s")
+    assert said in str(bad.value) and "\n" not in str(bad.value)
+
+
+def test_a_fleets_fingerprint_is_alike_where_it_has_to_be():
+    def print_of(text):
+        return fingerprint(read_settings(text).fleet)
+    own = FLEET % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }'
+    other = own.replace('name: "a"', 'name: "x"').replace('name: "b"', 'name: "a"').replace('name: "x"', 'name: "b"').replace('"f"', '"g"')
+    assert print_of(own) == print_of(other) == print_of(own.replace("bucket_ms: 1", "bucket_ms: 1 repay_share: 0.25"))
+    assert len({print_of(own), print_of(FLEET % ""), print_of(own.replace("yard", "moor")), print_of(own.replace("rate_ms: 1", "rate_ms: 2"))}) == 4
+    assert voters_of(read_settings(own).fleet) == ["a", "b", "c"]
