--- /dev/null
+++ b/tests/fleet/cluster.py
@@ -0,0 +1,132 @@
+"""Several processes of the real program with the fleet on, and a relay between any two of them."""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from relay import Relay
+from standins import SETTINGS
+
+ROOT = Path(__file__).resolve().parents[2]
+GOES, CUT = ("alive", "suspect"), ("cut", "left", "gone")
+
+
+def free_ports(count, kind=socket.SOCK_STREAM):
+    held = []
+    for _ in range(count):
+        s = socket.socket(socket.AF_INET, kind)
+        s.bind(("127.0.0.1", 0))
+        held.append(s)
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
+class Cluster:
+    """A context: `count` fronts named a, b, c, ...; each with its own folder, configuration and settings under `path`."""
+
+    def __init__(self, path, count, seed=1, more="", bulletin="127.0.0.1:9", known=None, settings=SETTINGS, folders=True, env=None):
+        self.path, self.seed, self.more, self.bulletin, self.known = Path(path), seed, more, bulletin, known or {"no": 0, "items": []}
+        self.settings, self.folders, self.env = settings, folders, env or {}
+        self.names = [chr(97 + i) for i in range(count)]
+        self.doors = dict(zip(self.names, free_ports(count)))
+        self.ports = dict(zip(self.names, free_ports(count, socket.SOCK_DGRAM)))
+        self.relay, self.running, self.starts = Relay(self.names, seed), {}, dict.fromkeys(self.names, 0)
+        self.relay.targets = {n: ("127.0.0.1", p) for n, p in self.ports.items()}
+
+    def __enter__(self):
+        self.relay.start()
+        for name in self.names:
+            self.start(name)
+        return self
+
+    def __exit__(self, *_):
+        for process in self.running.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self.relay.close()
+
+    def fleet_text(self, name):
+        peers = " ".join(f'peers {{ name: "{p}" address: "{self.relay.address(name, p)}" }}' for p in self.names if p != name)
+        folder = f'folder: "{self.path / ("folder-" + name)}"' if self.folders else ""
+        return f'fleet {{ fleet: "yard" name: "{name}" listen: "127.0.0.1:{self.ports[name]}" {folder} {peers} {self.more} }}'
+
+    def start(self, name, wait=False):
+        config, text = self.path / f"{name}.json", self.path / f"{name}.textproto"
+        config.write_text(json.dumps({
+            "name": name, "listen": f"127.0.0.1:{self.doors[name]}", "seed": f"{self.seed * 65537 + ord(name):016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "bulletin": self.bulletin, "known": self.known,
+            "settings": {**self.settings, "replicas_of_me": len(self.names)}}))
+        text.write_text(self.fleet_text(name))
+        self.starts[name] += 1
+        with open(self.path / f"{name}.log", "a", encoding="utf-8") as out:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", "lichenquay.front"], stdin=subprocess.DEVNULL, stdout=out, stderr=out, cwd=ROOT,
+                env={**os.environ, **self.env, "BALANCER_CONFIG": str(config), "LICHENQUAY_SETTINGS": str(text)})
+
+    # what is done to them
+
+    def signal(self, name, number):
+        self.running[name].send_signal(number)
+
+    def kill(self, name):
+        self.signal(name, signal.SIGKILL)
+        self.running[name].wait()
+
+    def pause(self, name, seconds):
+        self.signal(name, signal.SIGSTOP)
+        time.sleep(seconds)
+        self.signal(name, signal.SIGCONT)
+
+    def leave(self, name, seconds=8.0):
+        self.signal(name, signal.SIGTERM)
+        return self.running[name].wait(seconds)
+
+    # what they say
+
+    def log(self, name):
+        return (self.path / f"{name}.log").read_text()
+
+    def events(self, name, event=None):
+        """The JSON lines of its log, in order."""
+        got = []
+        for line in self.log(name).splitlines():
+            if line.startswith("{"):
+                said = json.loads(line)
+                if event in (None, said["event"]):
+                    got.append(said)
+        return got
+
+    def told(self, name, seconds=3.0):
+        """SIGUSR1's lines, as a list of words each."""
+        before = len(self.log(name))
+        self.signal(name, signal.SIGUSR1)
+        until(lambda: "\nstate: " in self.log(name)[before:], seconds)
+        return [line.split() for line in self.log(name)[before:].splitlines()]
+
+    def members(self, name):
+        """{member: (incarnation, state)} as that front has it."""
+        return {w[1]: (int(w[2]), w[3]) for w in self.told(name) if w[:1] == ["member"]}
+
+    def digest(self, name):
+        return next((w[2] for w in self.told(name) if w[:1] == ["view"]), None)
+
+    def agree(self, names=None, states=None):
+        """Whether all hold the same of everybody; and `states`, where given: {member: state}."""
+        views = [self.members(n) for n in names or self.names]
+        return bool(views[0]) and all(v == views[0] for v in views) and (
+            states is None or {n: s for n, (_, s) in views[0].items() if n in states} == states)
+
+
+def until(done, seconds=10.0, pause=0.05):
+    end = time.monotonic() + seconds
+    while not done():
+        assert time.monotonic() < end, "did not come in time"
+        time.sleep(pause)
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -9,15 +9,16 @@
 
 from lichenquay.conf import lichenquay_pb2 as pb
 from lichenquay.conf.fleet import fingerprint, voters_of
-from lichenquay.conf.make import HERE, make
+from lichenquay.conf.make import HERE, PROTOS
 from lichenquay.conf.read import RANGES, BadSettings, fault_of, fields, read_file, read_lab, read_settings, rules_of
 
 
 def test_the_generated_code_is_current(tmp_path):
-    subprocess.run([sys.executable, "-c", f"from lichenquay.conf.make import make; from pathlib import Path; make(Path({str(tmp_path)!r}))"],
-                   check=True, cwd=HERE.parents[1])
-    assert (tmp_path / "lichenquay_pb2.py").read_text() == (HERE / "lichenquay_pb2.py").read_text()
-    assert callable(make)
+    subprocess.run([sys.executable, "-c", f"from lichenquay.conf.make import make; make({str(tmp_path)!r})"], check=True, cwd=HERE.parents[1])
+    assert len(PROTOS) > 1
+    for proto in PROTOS:
+        name = proto.stem + "_pb2.py"
+        assert (tmp_path / name).read_text() == (proto.parent / name).read_text(), proto
 
 
 def test_what_is_left_out_has_its_usual_value_and_zero_can_be_said():
