Module: one stage a file (controller, order, slots, picker, guards), a pure move

Change: Guards and the measures of work, Picker and our own load, Slots, Order have a file each; Controller joins them.

--- a/lichenquay/admission/__init__.py
+++ b/lichenquay/admission/__init__.py
@@ -1,1 +1,2 @@
-"""The decisions (controller), the objects they speak of (interface) and their time-bucket rings (rings)."""
+"""The decisions, a stage a file (controller joins order, slots, picker and guards), the objects they speak of
+(interface), what they keep (state) and their time-bucket rings (rings)."""
--- /dev/null
+++ b/lichenquay/admission/guards.py
@@ -0,0 +1,78 @@
+"""What every submission passes, whatever else speaks for it; and the measures of a query's work."""
+from zlib import crc32
+
+from lichenquay.admission import interface as io
+from lichenquay.admission.rings import Ring
+
+
+def work_of(q):
+    """The query's work over all threads: its estimate, else what its target runtime leaves room for."""
+    return q.work_ms or q.group.target_ms * q.group.threads
+
+
+def ideal_of(q):
+    return work_of(q) / q.group.threads
+
+
+class Guards:
+    """What every submission passes: placement, drain, cold budget, submission budget, no duplicate effect."""
+
+    def __init__(self, most_submissions, rules, fronts, number, groups):
+        self.most, self.rules, self.fronts, self.number = most_submissions, rules, max(1, fronts), number
+        self.query = sum(g.target_ms * g.threads for g in groups) / max(1, len(groups))   # work of one
+        bucket = (rules.further_window_ms or 1.0) / 8
+        self.further, self.taken = Ring(bucket, 9), Ring(bucket, 8)   # errs low
+        self.usual = {}             # mean work of each group: a cold engine counts the usual work
+        self.doubt_ms = 0.0         # until then the list of engines may be out of date: nothing is submitted
+
+    def take(self, q, now):
+        self.taken.add(now, 1)
+        self.usual[q.group] = (49 * self.usual.get(q.group, work_of(q)) + work_of(q)) / 50
+
+    def weight(self, q):
+        return max(self.usual.get(q.group, 0.0), work_of(q))
+
+    def warmth(self, engine, now):
+        """The part of its capacity that an engine surely has; how that rises is not told: taken late."""
+        if engine.started_ms is None or not self.rules.cold_ms:
+            return 1.0
+        age = max(0.0, now - engine.started_ms) / self.rules.cold_ms
+        return 1.0 if age >= 1 else self.rules.cold_share + (1 - self.rules.cold_share) * age * age
+
+    def may_submit(self, q, now):
+        if not q.submissions or q.over:
+            return not q.over
+        ended = io.NEVER_RAN if q.group.effect == io.MUTATING else io.ENDINGS
+        if len(q.submissions) >= self.most or any(s.ending not in ended for s in q.submissions):
+            return False
+        free, part = self.rules.further_free, self.rules.further_share
+        return free is None or self.further.total(now) + 1 <= free + part * self.taken.total(now)
+
+    def allows(self, q, seen, now):
+        e, g = seen.engine, q.group
+        if e.state != io.LISTED or g.places and e.place not in g.places or g.kinds and e.kind not in g.kinds:
+            return False
+        ran = [s for s in q.submissions if s.ending not in io.NEVER_RAN] if g.effect == io.TOKENED else ()
+        if any(now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
+               or g.dedup == "zone" and s.engine.place != e.place
+               or g.dedup == "cell" and s.engine.cell != e.cell for s in ran):
+            return False                # sent again only where and while its repeat is dropped
+        warmth = self.warmth(e, now)
+        return warmth >= 1 or seen.cold_sent.total(now) + self.weight(q) <= self.cold_budget(e, warmth)
+
+    def cold_budget(self, e, warmth):
+        """Risk: all fronts push a cold engine over. Ours is one share of the budget, a fifth of it kept back.
+        Departure: where one share stays below a query until the engine is warm, as many fronts as there is
+        room for a query each share it, told by their numbers, and the others leave it alone. Risk: nobody
+        uses it. One share more is left, for the next one that joins while the others' work still counts."""
+        whole = 0.8 * self.rules.cold_multiple * self.rules.cold_window_ms * 0.85 * e.cores
+        if self.number is None or whole >= self.fronts * self.query:
+            return whole * warmth / self.fronts
+        sharers = max(1, int(whole * warmth / self.query) - 1)
+        ours = (crc32(e.id.encode()) + self.number) % self.fronts < sharers
+        return whole * warmth / (sharers + 1) if ours else 0.0
+
+    def may_defer(self, q):         # a deferral says that trying again is harmless
+        g = q.group
+        return (g.effect == io.READ_ONLY or (g.effect == io.TOKENED and g.dedup == "all")
+                or all(s.ending in io.NEVER_RAN for s in q.submissions))
--- a/lichenquay/admission/state.py
+++ b/lichenquay/admission/state.py
@@ -1,4 +1,4 @@
-"""What the controller keeps between calls: records alone. Every choice on them is made in controller.py."""
+"""What the controller keeps between calls: records alone. Every choice on them is a stage's."""
 from math import inf
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -19,6 +19,10 @@
     return io.ResourceGroup(name, effect, **{**facts, **more})
 
 
+def quick(**more):
+    return group("status", threads=1, target_ms=500.0, timeout_ms=2500.0, value=1.0, **more)
+
+
 def engine(name, place="a", kind="k", cell=0, started=None, cores=8.0, memory=16000.0):
     return io.Engine(name, place, kind, cell, io.LISTED, 1.0, started, cores, memory)
 
