Front: a client's connection moves from take_in to client_line

Change: ClientLine, Streams, BadQuery and their figures move unchanged to front/client_line.py; take_in imports it, not the other way.

--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -1,15 +1,14 @@
-"""Take in: clients' connections, their queries and what else they say; and the answers back to them."""
+"""Take in: which of the clients' connections and queries are taken, within what limits, and which are closed in time."""
 import errno
 import os
 import re
-import traceback
 from socket import AF_INET, AF_INET6, MSG_DONTWAIT
 
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory
 
 from lichenquay.front import frames
 from lichenquay.front.admit import FrontQuery
-from lichenquay.front.engines import send_now
+from lichenquay.front.client_line import BadQuery, ClientLine
 from lichenquay.front.statement import tables_of
 from lichenquay.gate import decide
 
@@ -17,25 +16,15 @@
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
 IDLE_S = 4.5                    # PROTOCOL: clients close idle connections after 4 s; some hold theirs for good
 WHOLE_S = 2.0                   # for a first frame, and for one that has begun: LATER owes an answer or a close within 3 s
-CLOSE_S = 0.3                   # for the last bytes of a connection that is being closed
 QUIET_S = 0.02                  # a client that has something to say says it by then, when there is no room for others
 PATIENCE_S = 0.03               # room that is about to come is waited for this long before a connection is refused
 FLOOD, MOST_WAITS = 20, 12      # refusals, and waits for room, in a second, from which on nobody is waited for
 ACCEPTS, REFUSALS = 8, 64       # connections accepted, and refused, at a time
-REST_S, MOST_SENSELESS = 0.05, 16   # after a request that makes no sense; so many of them end a connection
-MOST_STREAMS = 4096             # numbers of streams that are kept of a connection
 BACKLOG = 4096                  # refusing is quick; what the machine drops comes again after a second
-MOST_UNSENT = 65_536            # bytes of answers that a client has not read before it is read no further
 ROOM_EACH = 16                  # one frame or statement takes this part of the free room at most
 MOST_MS, MOST_MB = 86_400_000.0, 1_048_576.0    # a day, and a terabyte: what is said to need more makes no sense
 
 
-class BadQuery(ValueError):
-    """A well-formed request that makes no query; the text says why."""
-
-    code = frames.KILLED
-
-
 class NoRoom(BadQuery):
     """It would make one at another time."""
 
@@ -52,25 +41,6 @@
     return got
 
 
-class Streams:
-    """The numbers of the streams that a connection has used: all up to one, and some above."""
-
-    __slots__ = ("below", "above")
-
-    def __init__(self):
-        self.below, self.above = 0, set()
-
-    def use(self, stream):
-        """False if it was used before."""
-        if stream <= self.below or stream in self.above:
-            return False
-        self.above.add(stream)
-        while self.below + 1 in self.above:
-            self.below += 1
-            self.above.discard(self.below)
-        return True
-
-
 def refuse(skt, text):
     """Tells a connection that is not taken why, and ends it, without a transport of its own. Risk: refusing costs more than
     serving. What has come is read first, as closing on unread bytes may take the words back."""
@@ -82,205 +52,6 @@
     skt.close()
 
 
-class ClientLine(Protocol):
-    """One client's connection. It stops being read while it does not read its own answers: `unsent` bytes of them
-    wait in the transport, which asks for more (`resumeProducing`) once it is empty."""
-
-    def __init__(self, desk, address):
-        self.desk, self.reader, self.open, self.unsent, self.used = desk, frames.FrameReader(), {}, 0, Streams()
-        self.place = desk.gate.opened(address, desk.gate_ms(), self)
-        self.up, self.stuck, self.bad, self.told, self.heard_s = True, False, False, False, desk.seconds()
-        self.known, self.begun_s, self.senseless, self.rests = False, self.heard_s, 0, None
-
-    def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, False)
-        self.desk.opened(self)
-
-    def dataReceived(self, data):
-        if self.bad or not self.up:
-            return
-        before, self.heard_s = self.reader.unfinished(), self.desk.seconds()
-        try:
-            for kind, stream, payload in self.reader.feed(data):
-                if not self.known:
-                    self.desk.gate.spoke(self.place, self.desk.gate_ms())
-                self.known, self.begun_s = True, self.heard_s
-                self.heard(kind, stream, payload)
-                if self.senseless > MOST_SENSELESS:
-                    raise frames.BadFrame("too many requests that make no sense")
-            grown = self.reader.unfinished() - before
-            if not before:
-                self.begun_s = self.heard_s
-            if grown > 0 and not self.desk.fits(before + grown, before):
-                raise frames.BadFrame("too much that is not whole")
-            self.hold(grown)
-        except frames.BadFrame as bad:
-            self.hold(-before)
-            self.reader.held = None
-            self.ends(str(bad))
-
-    def hold(self, more):
-        """So many bytes more, or less, that it makes the front hold."""
-        if more:
-            self.desk.held += more
-            self.desk.gate.holds(self.place, more)
-
-    def gives_way(self):
-        """Its place goes to another one: what was taken on it gets its final answer now, then it is closed."""
-        self.desk.book.count("clients closed for room")
-        if not self.open:
-            self.tell_no_more()
-            return self.close()
-        self.ends("its place is needed by others", frames.DEFERRED)
-        for q in list(self.open.values()):
-            self.desk.admit.give_up(q)
-
-    def ends(self, why, code=frames.KILLED):
-        """Nothing more is read from it; what was taken on it is still answered."""
-        if self.bad:
-            return
-        self.desk.book.count("bad frames" if code == frames.KILLED else "busy clients closed for room")
-        self.desk.log("client", f"client: {why}; connection closed")
-        self.put(frames.answer(0, code, why.encode()))
-        self.bad = True
-        self.desk.gate.goes(self.place, self.desk.gate_ms())
-        if self.up:
-            self.transport.pauseProducing()
-        self.close_if_done()
-
-    def heard(self, kind, stream, payload):
-        if kind == frames.QUERY:
-            if stream == 0 or not self.used.use(stream):
-                raise frames.BadFrame(f"stream {stream} is not new")
-            if len(self.used.above) > MOST_STREAMS:
-                raise frames.BadFrame("too many numbers of streams left out")
-            request = frames.read_query(payload)
-            self.desk.book.count("queries taken in")
-            try:
-                q = self.desk.query(self, stream, *request)
-            except BadQuery as bad:
-                return self.makes_no_sense(stream, bad)
-            except Exception:       # risk: a fault met for one query ends the connection, and others with it
-                self.desk.book.count("faults")
-                self.desk.log("fault", traceback.format_exc())
-                self.desk.book.count("answers killed")
-                return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
-            self.open[stream] = self.desk.refs[q.ref] = q
-            self.desk.gate.asked(self.place, self.desk.gate_ms())
-            self.hold(len(q.statement))
-            self.desk.admit.take(q)
-        elif kind == frames.LEFT:
-            q = self.open.pop(stream, None)
-            if q is not None:
-                self.leave(q)
-        elif kind == frames.IS_READY:
-            frames.read_fields(payload)
-            self.put(frames.readiness(stream, 0 if self.desk.ready() else 1))
-        else:
-            raise frames.BadFrame(f"a frame of type {kind}")
-
-    def makes_no_sense(self, stream, why):
-        """Answered at once, and read on after a rest.
-        Risk: one that comes back at once with the same thing takes the turns of others."""
-        self.desk.book.count("queries that make no sense")
-        self.desk.book.count(self.desk.ANSWERS[why.code])
-        self.put(frames.answer(stream, why.code, str(why).encode()))
-        self.senseless += 1
-        if why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
-            raise frames.BadFrame("too many requests that make no sense")
-        if self.up and self.rests is None:
-            self.transport.pauseProducing()
-            self.rests = self.desk.reactor.callLater(REST_S, self.read_on)
-
-    def read_on(self):
-        self.rests = None
-        if self.up and not self.stuck and not self.bad:
-            self.transport.resumeProducing()
-
-    def answer(self, q, code, body):
-        if self.open.pop(q.stream, None) is not None:
-            self.let_go(q)
-            self.heard_s = self.desk.seconds()      # it is idle from now on
-            self.put(frames.answer(q.stream, code, *body))
-            self.desk.book.count(self.desk.ANSWERS[code])
-            self.close_if_done()
-
-    def leave(self, q):
-        self.let_go(q)
-        self.desk.admit.left(q)
-
-    def let_go(self, q):
-        """Risk: timers keep a query until its client's time is up, and with it a statement of any length and its
-        connection."""
-        self.hold(-len(q.statement))
-        self.desk.gate.answered(self.place, self.desk.gate_ms())
-        self.desk.refs.pop(q.ref, None)
-        q.statement, q.client = b"", None
-
-    def close_if_done(self):
-        if self.bad and not self.open:
-            self.close()
-
-    def put(self, data):
-        if not self.up:
-            return
-        rest = data if self.unsent else send_now(self.transport, data)
-        if not rest:
-            return
-        self.unsent += len(rest)
-        self.hold(len(rest))
-        if self.desk.held > self.desk.room:
-            self.desk.book.count("clients that do not read")
-            self.desk.log("client", "client: does not read its answers; connection closed")
-            return self.transport.abortConnection()
-        self.transport.write(rest)
-        if self.unsent > MOST_UNSENT:
-            self.stuck = True
-            self.transport.pauseProducing()
-
-    def resumeProducing(self):
-        self.hold(-self.unsent)
-        self.unsent = 0
-        if self.stuck:
-            self.stuck = False
-            if self.up and not self.bad and self.rests is None:
-                self.transport.resumeProducing()
-
-    def stopProducing(self):
-        self.up = False
-
-    def close(self):
-        """Ends the connection, on which nothing is open, once what is written has gone. A client that has more to
-        say gets our last words first: closing on unread bytes would take them back."""
-        if self.up:
-            self.up = False
-            self.desk.gate.goes(self.place, self.desk.gate_ms())
-            self.transport.unregisterProducer()
-            if self.bad:
-                self.transport.loseWriteConnection()
-            else:
-                self.transport.loseConnection()
-            self.desk.reactor.callLater(CLOSE_S, self.transport.abortConnection)
-
-    def tell_no_more(self):
-        if not self.told:
-            self.told = True
-            self.put(frames.frame(frames.NO_MORE, 0))
-
-    def connectionLost(self, reason):
-        self.up = False
-        self.hold(-self.unsent - self.reader.unfinished())
-        self.unsent, self.reader.held = 0, None
-        if self.rests is not None:
-            self.rests.cancel()
-            self.rests = None
-        queries, self.open = self.open, {}
-        for q in queries.values():      # what was taken on it ends at its engine
-            self.leave(q)
-        self.desk.closed(self)
-
-
 class TakeIn(Factory):
     """All clients' connections: at most `most` at a time; more wait to be accepted. What they make the front hold
     (open queries' statements, frames that are not whole, answers that are not read) has `room` bytes, all together."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -19,10 +19,10 @@
 from lichenquay.front import frames, http
 from lichenquay.front.book import Log
 from lichenquay.front.bulletin import BadList, Bulletin, read_rows
+from lichenquay.front.client_line import BadQuery, ClientLine
 from lichenquay.front.engines import Call, EngineLine, Engines, FrontEngine
 from lichenquay.front.service import Service
 from lichenquay.front.statement import tables_of
-from lichenquay.front.take_in import BadQuery, ClientLine
 from lichenquay.gate import decide
 from lichenquay.opening import Opening, Sheet, flat
 from lichenquay.simwire.codec import Fields
