Gate: holders, connections and their ranks move from decide to accounts

Change: what the gate keeps (Holder, Line, Ranks, how a connection stands) moves unchanged to gate/accounts.py, which imports nothing of ours; rules, verdicts and the gate stay in decide.py.

--- a/lichenquay/gate/decide.py
+++ b/lichenquay/gate/decide.py
@@ -8,10 +8,12 @@
 bucket: a sender with more addresses than that can have `burst` from each, and no more connections than any other.
 """
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from heapq import nsmallest
 from ipaddress import ip_address, ip_network
 
+from lichenquay.gate.accounts import BUSY, ENDING, GOING, IDLE, SILENT, Holder, Line, Ranks
+
 # answers
 TAKE, REFUSE = "take", "refuse"
 # states, by what is used up
@@ -21,9 +23,6 @@
 CONNECTIONS, RATE, QUERIES, BYTES, SENSELESS, NO_ROOM, OVERLOAD, LEAVING = (
     "connections of one address", "new connections a second", "open queries of one address", "bytes of one address",
     "requests that make no sense", "no room", "overload", "leaving")
-# in which a connection can stand: silent, idle and busy ones are given up in this order; ending ones have queries still to
-# be answered, going ones only last words to be sent
-SILENT, IDLE, BUSY, ENDING, GOING = "silent", "idle", "busy", "ending", "going"
 
 
 @dataclass(frozen=True)
@@ -62,41 +61,6 @@
     return tuple(ip_network(text, strict=False) for text in texts)
 
 
-@dataclass(eq=False)
-class Holder:
-    """An address or a prefix, and what it holds."""
-    name: str
-    known: bool
-    lines: OrderedDict = field(default_factory=OrderedDict)    # the one with the youngest query last
-    count: int = 0
-    active: int = 0             # of them, those that do not end
-    queries: int = 0
-    held: int = 0
-    tokens: float = 0.0
-    sense: float = 0.0
-    at_ms: float = 0.0
-    prefix: str = ""
-    wider: object = None
-
-    def fill(self, now, caps):
-        """Its buckets, filled up for the time that has passed; a clock that went back gives nothing."""
-        passed = max(0.0, now - self.at_ms) / 1000
-        self.at_ms = now
-        self.tokens = min(caps.burst, self.tokens + passed * caps.per_s)
-        self.sense = min(caps.senseless_per_s, self.sense + passed * caps.senseless_per_s)
-
-
-@dataclass(eq=False)
-class Line:
-    """A connection that was taken."""
-    holder: Holder
-    stands: str = SILENT
-    since_ms: float = 0.0
-    queries: int = 0
-    held: int = 0
-    what: object = None         # the connection, for who carries things out
-
-
 @dataclass(frozen=True)
 class Verdict:
     answer: str
@@ -106,28 +70,6 @@
     abort: Line = None          # one that ends already, to be cut off now
 
 
-class Ranks:
-    """Holders by how many connections they have; the one with the most at hand."""
-
-    def __init__(self):
-        self.by, self.top = {}, 0
-
-    def move(self, holder, was, now):
-        if was:
-            group = self.by[was]
-            del group[holder]
-            if not group:
-                del self.by[was]
-        if now:
-            self.by.setdefault(now, OrderedDict())[holder] = True
-            self.top = max(self.top, now)
-        while self.top and self.top not in self.by:
-            self.top -= 1
-
-    def most(self):
-        return next(iter(self.by[self.top])) if self.top else None
-
-
 class Gate:
     def __init__(self, rules, now):
         self.rules, self.now = rules, now
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -3,8 +3,9 @@
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from lichenquay.gate.decide import (BUSY, BYTES, CALM, CONNECTIONS, CRITICAL, ENDING, FULL, GOING, IDLE, LEAVING, NO_ROOM, OVERLOAD, QUERIES,
-                                    RATE, REFUSE, SILENT, STATES, TAKE, TIGHT, Caps, Gate, Rules, networks)
+from lichenquay.gate.accounts import BUSY, ENDING, GOING, IDLE, SILENT
+from lichenquay.gate.decide import (BYTES, CALM, CONNECTIONS, CRITICAL, FULL, LEAVING, NO_ROOM, OVERLOAD, QUERIES, RATE, REFUSE,
+                                    STATES, TAKE, TIGHT, Caps, Gate, Rules, networks)
 
 KNOWN = "10.9.0.1"
 
