Load: imports nothing of lab; what a query needs moves from lab.engine to load.task

Need: lab may import load, not the other way; load/worker.py imported Task and statement_of from lab/engine.py. Change: Task, statement_of, task_of and RUNNING move unchanged to load/task.py, where lab takes them from. load/proof.py stays: it imported nothing of lab.

--- a/lichenquay/lab/engine_host.py
+++ b/lichenquay/lab/engine_host.py
@@ -6,6 +6,7 @@
 from lichenquay.conf import lichenquay_pb2 as pb
 from lichenquay.lab import engine as model
 from lichenquay.lab.host import Host, now_ms
+from lichenquay.load.task import RUNNING, task_of
 
 # PROTOCOL: wait for news; a query that is not asked for; bytes of a page
 NEWS_MS, KEPT_MS, PAGE = 250.0, 2000.0, 6000
@@ -56,8 +57,8 @@
         try:
             if verb == "POST":
                 ref = headers["x-hop-id"]
-                task = model.task_of(ref, headers["x-sort"], body, float(headers.get("x-mem-limit", 0)),
-                                     int(headers.get("x-nice", 1)))
+                task = task_of(ref, headers["x-sort"], body, float(headers.get("x-mem-limit", 0)),
+                               int(headers.get("x-nice", 1)))
                 told = e.start(now, task)
                 if told == model.FULL:
                     self.lab.write("full", self.uid, ref)
@@ -88,14 +89,14 @@
 
     def news(self, line, task, now):
         task.keeps_until_ms = now + KEPT_MS
-        if task.ending == model.RUNNING and line is not None:
+        if task.ending == RUNNING and line is not None:
             note = self.engine.note_of(now, task)
             if note:
                 self.tell_note(line, note)
             else:
                 late = reactor.callLater(NEWS_MS / 1000 - 0.005, self.no_news, task, line)
                 self.waiting.setdefault(task, []).append((line, late))
-        elif task.ending != model.RUNNING:
+        elif task.ending != RUNNING:
             self.end(line, task)
         self.plan()
 
--- a/lichenquay/lab/flood.py
+++ b/lichenquay/lab/flood.py
@@ -13,7 +13,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from lichenquay.front import frames
-from lichenquay.lab.engine import Task, statement_of
+from lichenquay.load.task import Task, statement_of
 
 AGAIN_S = 0.1           # before a refused one comes back, whatever it was told
 
--- a/lichenquay/lab/siege.py
+++ b/lichenquay/lab/siege.py
@@ -12,9 +12,9 @@
 from lichenquay.conf.read import read_lab
 from lichenquay.front import frames
 from lichenquay.lab.audit import audit, read_ledger
-from lichenquay.lab.engine import Task, statement_of
 from lichenquay.lab.world import World
 from lichenquay.load.child import environment
+from lichenquay.load.task import Task, statement_of
 
 ALLOWED_MS = 4000
 KNOWN = "127.90.0.0/16"
--- a/lichenquay/load/worker.py
+++ b/lichenquay/load/worker.py
@@ -24,7 +24,7 @@
 from twisted.protocols.basic import LineReceiver
 
 from lichenquay.front import frames
-from lichenquay.lab.engine import Task, statement_of
+from lichenquay.load.task import Task, statement_of
 
 STREAMS = 32                    # PROTOCOL: open queries on a connection
 GRACE_MS = 400.0                # after its allowance a query without an answer counts as silent
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -11,9 +11,10 @@
 
 from lichenquay.conf.read import read_lab
 from lichenquay.lab import audit as a
-from lichenquay.lab.engine import FULL, RUNNING, Engine, Task, rows_of, statement_of, task_of
+from lichenquay.lab.engine import FULL, Engine, rows_of
 from lichenquay.lab.trial import trial
 from lichenquay.lab.world import ROOT, World
+from lichenquay.load.task import RUNNING, Task, statement_of, task_of
 
 
 def figures(**more):
