Tests: the stand-ins are split by what plays against them

Change: standins.py keeps the controller's fake front; engines and the bulletin move to loopback.py, the whole front with its clients to front_world.py, the fixture `world` to conftest.py, so that test_certainty imports no other test file. Nothing else changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
-"""What every test leaves as it found it."""
+"""What every test leaves as it found it, and the worlds that tests make."""
 import signal
 
 import pytest
 
+from front_world import World
+
 SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
 
 
@@ -16,3 +18,15 @@
     yield
     for s, handler in kept.items():
         signal.signal(s, handler)
+
+
+@pytest.fixture
+def world(tmp_path):
+    worlds = []
+
+    def make(**more):
+        worlds.append(World(tmp_path, **more))
+        return worlds[-1]
+    yield make
+    for w in worlds:
+        w.close()
--- a/tests/test_certainty.py
+++ b/tests/test_certainty.py
@@ -14,8 +14,8 @@
 from lichenquay.front import certainty as c
 from lichenquay.front import frames, http
 from lichenquay.front.engines import Call, EngineLine, Engines, FrontEngine
-from standins import BROKEN, StandInEngine, until, wait
-from test_front import RESULT, answered, world       # noqa: F401
+from front_world import BROKEN, RESULT, answered
+from loopback import StandInEngine, until, wait
 
 
 # the account alone
@@ -258,7 +258,7 @@
 
 @pytest.mark.parametrize("way", ["unread", "unread cut"])
 @pytest.mark.parametrize("group", ["status", "report", "manifest"])
-def test_what_came_whole_and_is_read_late_is_out_only_once(world, way, group):      # noqa: F811
+def test_what_came_whole_and_is_read_late_is_out_only_once(world, way, group):
     """Risk: 'unknown' to news, or an answered DELETE, is taken for proof while the POST lies unread at its engine."""
     w = world(engines=2)
     both(w, way)
@@ -268,7 +268,7 @@
     assert group == "status" or w.posts() == 1
 
 
-def test_an_engine_that_stands_still_reads_the_newest_first(world):     # noqa: F811
+def test_an_engine_that_stands_still_reads_the_newest_first(world):
     w = world(engines=2)
     clients = [w.client() for _ in range(4)]
     asked = []
@@ -279,7 +279,7 @@
     assert all(answered(*x)[0] == frames.FINISHED for x in asked) and not BROKEN
 
 
-def test_a_refusal_proves_nothing_while_a_connection_to_the_process_is_open(world):     # noqa: F811
+def test_a_refusal_proves_nothing_while_a_connection_to_the_process_is_open(world):
     """Risk: an engine that takes no more connections, and works on, is taken for gone."""
     w = world(engines=2)
     client, stream, busy = w.hold()
@@ -301,7 +301,7 @@
     assert w.service.book.counters["submissions reset"] == 0
 
 
-def test_a_stranger_at_the_address_proves_nothing_of_the_one_that_left(world):      # noqa: F811
+def test_a_stranger_at_the_address_proves_nothing_of_the_one_that_left(world):
     """Risk: an engine is cut off and its address given away; what the next one does not know still runs at the first."""
     w = world(engines=2)
     client, stream, old = w.hold()
@@ -323,7 +323,7 @@
     assert time.monotonic() - since > 2.0
 
 
-def test_its_time_counts_from_when_the_last_call_may_have_been_read(world):     # noqa: F811
+def test_its_time_counts_from_when_the_last_call_may_have_been_read(world):
     """Risk: an engine that stood still read a call for news later than it was written, and holds the query as much longer."""
     w = world(engines=2)
     client, stream, cut_off = w.hold()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -26,26 +26,8 @@
 from lichenquay.gate import decide
 from lichenquay.opening import Opening, Sheet, flat
 from lichenquay.simwire.codec import Fields
-from standins import PAGES, SETTINGS, SPOILT, STATEMENT, World, reactor_for, until, wait
-
-RESULT = b"".join(PAGES)
-
-
-@pytest.fixture
-def world(tmp_path):
-    worlds = []
-
-    def make(**more):
-        worlds.append(World(tmp_path, **more))
-        return worlds[-1]
-    yield make
-    for w in worlds:
-        w.close()
-
-
-def answered(client, stream, seconds=5.0):
-    until(lambda: stream in client.answers, seconds)
-    return client.answers[stream][:2]
+from front_world import RESULT, SETTINGS, STATEMENT, answered, reactor_for
+from loopback import SPOILT, until, wait
 
 
 # parsers
