--- /dev/null
+++ b/tests/test_front_parsers.py
@@ -0,0 +1,162 @@
+"""The front without connections: parsers at every split and with garbage, what is read of the settings, the log."""
+import io as text_io
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from lichenquay.admission import interface as io
+from lichenquay.front import frames, http
+from lichenquay.front.book import Log
+from lichenquay.front.bulletin import BadList, read_rows
+from lichenquay.front.statement import tables_of
+from lichenquay.opening import Opening, Sheet, flat
+from lichenquay.simwire.codec import Fields
+from front_world import SETTINGS
+
+
+def fed(reader, data, cuts):
+    got, last = [], 0
+    for cut in (*cuts, len(data)):
+        for kind, stream, payload in reader.feed(data[last:cut]):
+            got.append((kind, stream, bytes(payload)))
+        last = cut
+    return got
+
+
+def test_frames_are_whole_at_every_split():
+    fields = frames.write_fields([("service", "status"), ("ref", "é" * 3)])
+    data = frames.frame(2, 1, fields, b"body") + frames.frame(8, 7) + frames.answer(3, 14, b"a", b"b")
+    whole = fed(frames.FrameReader(), data, ())
+    assert whole == [(2, 1, fields + b"body"), (8, 7, b""), (4, 3, b"\x0e\x00ab")]
+    for cut in range(len(data)):
+        assert fed(frames.FrameReader(), data, (cut,)) == whole
+    assert fed(frames.FrameReader(), data, range(1, len(data))) == whole
+    pairs, body = frames.read_fields(memoryview(whole[0][2]))
+    assert pairs == [("service", "status"), ("ref", "ééé")] and body == b"body"
+
+
+@pytest.mark.parametrize("length", [0, 4, 262_145, 2 ** 32 - 1])
+def test_a_frame_of_no_length_is_told(length):
+    with pytest.raises(frames.BadFrame):
+        fed(frames.FrameReader(), length.to_bytes(4, "little") + b"\2\0\0\0\0", ())
+
+
+def test_garbage_is_no_frame_and_never_more():
+    chance = random.Random(5)
+    for _ in range(400):
+        data = bytes(chance.choice((0, 1, 2, 5, 200, 255)) for _ in range(chance.randrange(60)))
+        try:
+            for _, _, payload in fed(frames.FrameReader(), data, sorted(chance.choices(range(len(data) + 1), k=3))):
+                frames.read_fields(memoryview(payload))
+        except frames.BadFrame:
+            pass
+
+
+REPLIES = [b"HTTP/1.1 200 OK\r\nX-Parts: 2\r\nContent-Length: 5\r\n\r\nab\r\nc",
+           b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nab\r\r\n2\r\n\nc\r\n0\r\nT: 1\r\n\r\n",
+           b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length:5\r\nconnection: close\r\n\r\nab\r\nc"]
+
+
+@pytest.mark.parametrize("data", REPLIES)
+def test_answers_are_whole_at_every_split(data):
+    for cut in range(len(data)):
+        reader = http.ReplyReader()
+        reply = reader.feed(data[:cut]) if cut else None
+        assert reply is None
+        reply = reader.feed(data[cut:])
+        assert (reply.status, bytes(reply.body)) == (200, b"ab\r\nc") and not reply.more
+        assert reply.keep is (b"close" not in data) and reader.feed(data) is not None      # and the next one
+    reader, reply = http.ReplyReader(), None
+    for i in range(len(data)):
+        assert reply is None
+        reply = reader.feed(data[i:i + 1])
+    assert bytes(reply.body) == b"ab\r\nc"
+    reply = http.ReplyReader().feed(data + b"HTTP/1.1 500 X\r\n\r\n")
+    assert bytes(reply.body) == b"ab\r\nc" and reply.more and not reply.keep      # good, its connection is not
+
+
+def test_an_answer_until_the_connection_closes():
+    reader = http.ReplyReader()
+    assert reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab") is None and reader.feed(b"c") is None
+    reply = reader.closed()
+    assert reply.body == b"abc" and not reply.keep and http.ReplyReader().closed() is None
+
+
+@pytest.mark.parametrize("data", [b"nonsense\r\n\r\n", b"HTTP/1.1 20x OK\r\n\r\n", b"HTTP/1.1 200 OK\r\n no\r\n\r\n",
+                                  b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"x" * 20_000,
+                                  b"HTTP/1.1 200 OK\r\n\r\nab", b"HTTP/1.1 100 X\r\n\r\n" * 2000, b"HTTP/1.1 2000 OK\r\n\r\n",
+                                  b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+def test_what_is_no_answer_is_told(data):
+    with pytest.raises(http.BadReply):
+        http.ReplyReader().feed(data)
+
+
+def test_garbage_is_no_answer_and_never_more():
+    chance = random.Random(6)
+    for _ in range(600):
+        data = bytearray(chance.choice(REPLIES))
+        for _ in range(chance.randrange(1, 6)):
+            data[chance.randrange(len(data))] = chance.choice(b"\r\n:;0 9\xff")
+        cut, reader = chance.randrange(len(data)), http.ReplyReader()
+        try:
+            reader.feed(bytes(data[:cut])) or reader.feed(bytes(data[cut:]))
+        except http.BadReply:
+            pass
+
+
+@pytest.mark.parametrize("text, tables", [
+    ("select a from sales_17.orders", "17"),
+    ("SELECT id, 'from lake_0.decoy' as note -- from mart_1.old\nFROM \"sales_7\".\"orders\" o_2 where o_2.x = 1", "7"),
+    ("select o_1.a /* mart_1.old /* nested */ lake_2.x */ from sales_12.items o_1 join ops_12.t x_3 on x_3.i = o_1.i", "12"),
+    ("insert into staging.load select * from \"odd\"\"_4\".t", "4"), ("copy into staging.x from 's_3.t'", None),
+    ("update lake_5.t set a = 'it''s s_1.t' where b_2.c = 1.5", "5"), ("delete from ops_9.t", "9"),
+    ("with w as (select * from lake_3.stock) select id from w", "3"), ("select 1", None), ("", None),
+    ("select extract(day from o_1.at), $$ from q_2.r $$ from db.s_8.t o_1", "8"), ("from s_6 . t", "6"),
+    ("merge into `m_2`.t using u_2.v on true", "2"), ("select 'open from s_1.t", None), ("/* from s_1.t", None)])
+def test_the_group_of_tables(text, tables):
+    assert tables_of(text) == tables
+
+
+def test_the_lexer_takes_anything():
+    chance = random.Random(7)
+    for _ in range(500):
+        tables_of("".join(chance.choice(["'", '"', "/*", "*/", "--", "\n", "$$", "s_1", ".", "(", ")", " from ", "`", "é"])
+                          for _ in range(30)))
+
+
+def test_both_fronts_open_alike():
+    parts = flat(SETTINGS)
+    line = "hello\t" + "\t".join(f"{n}={v}" for n, v in parts.items())
+    one, other = Opening(Sheet(parts), 5), Opening(Fields(1, line), 5)
+    assert [vars(g) for g in one.groups.values()] == [vars(g) for g in other.groups.values()]
+    assert (one.gateway, one.licence, one.safeguards, one.make, one.makes) == (
+        other.gateway, other.licence, other.safeguards, other.make, other.makes)
+    assert one.groups["manifest"].effect == io.MUTATING and one.groups["manifest"].is_load
+    assert one.licence.most_submissions == 6 and one.makes == {"k": (8.0, 16384.0)}
+
+
+def test_reports_costs_and_rows():
+    def said(**headers):
+        return SimpleNamespace(headers={"x-" + n.replace("_", "-"): v for n, v in headers.items()})
+    assert http.report_of(said(report="inflight:7;util:0.61;odd;x:")) == {"active": 7.0, "cpu": 0.61}
+    assert http.report_of(said()) is None and http.report_of(said(report="odd")) is None
+    assert http.cost_of(said(cpu_ms="12.5", mem_used="64")) == (12.5, 64.0) and http.cost_of(said()) is None
+    assert http.cost_of(said(cpu_ms="inf", mem_used="64")) is None and http.report_of(said(report="inflight:-1")) is None
+    assert http.note_of(said(tell="held", amount="2")) == (io.WAITS, 2.0)
+    assert not any(http.note_of(said(**more)) for more in (
+        {}, dict(tell="held"), dict(tell="odd", amount="1"), dict(tell="share", amount="nan")))
+    for row in ({"uid": "a", "endpoint": "h:1", "state": "ASLEEP"}, {"uid": "a", "endpoint": "h", "state": "SERVING"}, 3):
+        with pytest.raises(BadList):
+            read_rows({"roster": {"all": False, "targets": [row]}})
+
+
+def test_lines_of_one_kind_are_few():
+    clock, out = SimpleNamespace(now=0.0), text_io.StringIO()
+    log = Log(lambda: clock.now, out)
+    for _ in range(100):
+        log("a", "same")
+    log("b", "other")
+    clock.now = 1.5
+    log("a", "later")
+    assert out.getvalue().count("same") == 5 and "95 more" in out.getvalue() and "later" in out.getvalue()
