--- /dev/null
+++ b/lichenquay/folder/reading.py
@@ -0,0 +1,146 @@
+"""What a folder's files say, taken together: the newest good snapshot, then the journals that follow it without a
+gap."""
+import errno
+import re
+from dataclasses import dataclass, field
+from os.path import join
+
+from lichenquay.folder import form
+from lichenquay.folder.disk import READ
+
+MOST_FILE = 64 << 20  # bytes read of one file; Folder makes none as large
+MOST_LOOKED_AT = 4096  # generations, newest first
+READ_TRIES = 3
+MOST_SAID = 8  # lines on what was left out
+OURS = re.compile(r"(bad\.)?(\d{12})\.(snapshot|journal)(\.new)?")
+LAST_GENERATION = 10 ** 12 - 1
+KINDS = {"snapshot": form.SNAPSHOT, "journal": form.JOURNAL}
+
+
+class BadFolder(Exception):
+    """A folder that this front must not use. One line."""
+
+
+@dataclass
+class Reading:
+    """`number`: of the last record in `state`. `generations`: the ones that `state` came from, ascending. `highest`:
+    of any good file. `bad`: files left out in part or whole; `left_out`: a line on each, the first few; `left_bytes`
+    in all."""
+    state: dict = field(default_factory=dict)
+    number: int = 0
+    generations: list = field(default_factory=list)
+    highest: int = 0
+    bad: set = field(default_factory=set)
+    left_out: list = field(default_factory=list)
+    left_bytes: int = 0
+    unreadable: bool = False
+
+    def leave_out(self, name, why, size):
+        self.bad.add(name)
+        self.left_bytes += size
+        if len(self.left_out) < MOST_SAID:
+            self.left_out.append(f"{name}: {why}")
+
+
+def file_name(generation, kind, new=False):
+    return f"{generation:012d}.{kind}" + (".new" if new else "")
+
+
+def ours(names):
+    """[(name, is bad, generation, kind, is new)] of the names that have our form."""
+    found = ((name, OURS.fullmatch(name)) for name in sorted(names))
+    return [(name, bool(m[1]), int(m[2]), m[3], bool(m[4])) for name, m in found if m]
+
+
+def read_folder(os, path, fleet, name):
+    """A Reading. BadFolder: some file is another fleet's or front's, or of a newer version. OSError: the folder
+    cannot be read now. A file that the disk cannot read (EIO) is a damaged one."""
+    reading = Reading()
+    headers = _headers(os, path, fleet, name, reading)
+    for generation in sorted((g for g, kind in headers if kind == "snapshot"), reverse=True):
+        its = file_name(generation, "snapshot")
+        data = _content(os, path, its, MOST_FILE, reading)
+        try:
+            header, reading.state = form.read_snapshot(data)
+        except form.Unreadable as why:
+            reading.leave_out(its, str(why), len(data))
+            continue
+        reading.number, reading.generations = header.base, [generation]
+        break
+    first = reading.generations[0] if reading.generations else 0
+    for generation in sorted(g for g, kind in headers if kind == "journal" and g >= first):
+        _follow(os, path, generation, headers[generation, "journal"], reading)
+    if reading.unreadable and not reading.generations:
+        raise OSError(errno.EIO, "nothing of it can be read")
+    return reading
+
+
+def _headers(os, path, fleet, name, reading):
+    """{(generation, kind): header} of the files with a whole header. All are looked at before anything is changed."""
+    headers = {}
+    files = [f for f in ours(os.listdir(path)) if not f[1] and not f[4]]
+    newest = sorted({f[2] for f in files})[-MOST_LOOKED_AT:]
+    for its, _, generation, kind, _ in files:
+        if generation not in newest:
+            continue
+        data = _content(os, path, its, form.MOST_HEADER, reading)
+        try:
+            header, _, _ = form.read_header(data)
+            if (header.kind, header.generation) != (KINDS[kind], generation):
+                raise form.Unreadable("it has another file's header")
+        except form.Newer as why:
+            raise BadFolder(f"folder {path}: {its} is of {why}") from None
+        except form.Unreadable as why:
+            reading.leave_out(its, str(why), len(data))
+            continue
+        if header.fleet != fleet:
+            raise BadFolder(f"folder {path} is of fleet {header.fleet!r}, not {fleet!r}")
+        if header.name != name:
+            raise BadFolder(f"folder {path} is of front {header.name!r}, not {name!r}")
+        headers[generation, kind] = header
+        reading.highest = max(reading.highest, generation)
+    return headers
+
+
+def _follow(os, path, generation, header, reading):
+    """Risk: a journal that does not begin where the state ends belongs to another past; taking it would mix the
+    two."""
+    its = file_name(generation, "journal")
+    data = _content(os, path, its, MOST_FILE, reading)
+    if header.base != reading.number:
+        reading.leave_out(its, f"it follows record {header.base}, the state ends at {reading.number}", len(data))
+        return
+    try:
+        journal = form.read_journal(data)
+    except form.Unreadable as why:
+        reading.leave_out(its, str(why), len(data))
+        return
+    for changes in journal.changes:
+        form.apply(reading.state, changes)
+    reading.number += len(journal.changes)
+    if generation not in reading.generations:
+        reading.generations.append(generation)
+    if journal.why:
+        why = f"{journal.left_bytes} bytes after record {reading.number}: {journal.why}"
+        reading.leave_out(its, why, journal.left_bytes)
+
+
+def _content(os, path, name, most, reading):
+    """Up to `most` bytes of a file. What the disk cannot read after some tries counts as cut off."""
+    for _ in range(READ_TRIES):
+        parts, left = [], most
+        try:
+            fd = os.open(join(path, name), READ)
+            try:
+                while left > 0 and (part := os.read(fd, min(left, 1 << 20))):
+                    parts.append(part)
+                    left -= len(part)
+            finally:
+                os.close(fd)
+            return b"".join(parts)
+        except OSError as why:
+            if why.errno not in (errno.EIO, errno.EISDIR):
+                raise
+            failed = why
+    reading.unreadable = reading.unreadable or failed.errno == errno.EIO
+    return b"".join(parts)
--- /dev/null
+++ b/tests/test_folder_form.py
@@ -0,0 +1,79 @@
+"""The form of a folder's files against hostile bytes."""
+import struct
+import tracemalloc
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lichenquay.folder import form
+
+HEADER = form.Header(form.JOURNAL, 7, 40, "fleet", "front")
+CHANGES = [{"a": b"1"}, {"b": bytes(300), "a": None}, {"c": b"x" * 20, "d": b""}]
+
+
+def journal_bytes(number=len(CHANGES)):
+    first, seed = form.header_bytes(HEADER)
+    return first + b"".join(form.frame(seed, 41 + i, form.CHANGE, form.changes_bytes(c))
+                            for i, c in enumerate(CHANGES[:number]))
+
+
+def read_either(data):
+    """Every reader; what a journal gives must be a beginning of what was written, whatever became of the bytes."""
+    for read in (form.read_snapshot, form.read_journal):
+        try:
+            found = read(data)
+        except (form.Unreadable, form.Newer):
+            continue
+        yield found
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.binary(max_size=400))
+def test_noise_is_nothing(data):
+    assert not list(read_either(data))
+    first, seed = form.header_bytes(HEADER)
+    journal = form.read_journal(first + data)
+    assert journal.changes == [] and (journal.why or not data) and journal.left_bytes == len(data)
+    try:
+        form.read_changes(data)
+    except form.Unreadable:
+        pass
+
+
+@settings(max_examples=600, deadline=None)
+@given(st.data())
+def test_flips_and_cuts_never_make_a_fact(data):
+    whole = journal_bytes()
+    bytes_ = bytearray(whole)
+    for at in data.draw(st.lists(st.integers(0, 8 * len(whole) - 1), max_size=3, unique=True)):
+        bytes_[at // 8] ^= 1 << at % 8
+    del bytes_[data.draw(st.integers(0, len(bytes_))):]
+    bytes_ += data.draw(st.binary(max_size=30))
+    for found in read_either(bytes(bytes_)):
+        assert found.header == HEADER and found.changes == CHANGES[:len(found.changes)]
+        assert found.why or bytes(bytes_) == journal_bytes(len(found.changes))
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=60), st.integers(0, 255), st.integers(0, 2 ** 64 - 1))
+def test_whole_records_with_hostile_content(payload, kind, number):
+    """Checksums are no defence against who can make them: no exception, and nothing that does not parse."""
+    first, seed = form.header_bytes(HEADER)
+    journal = form.read_journal(first + form.frame(seed, 41, kind, payload) + form.frame(seed, number, kind, payload))
+    assert len(journal.changes) <= 2 and (kind == form.CHANGE or not journal.changes)
+
+
+def test_a_hostile_length_takes_no_memory():
+    first, seed = form.header_bytes(HEADER)
+    tracemalloc.start()
+    journal = form.read_journal(first + struct.pack(">IQBI", 2 ** 32 - 1, 41, 1, 0) + bytes(1000))
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert journal.why == "cut off" and peak < 100_000
+
+
+def test_a_record_of_another_file_is_none_here():
+    first, _ = form.header_bytes(HEADER)
+    _, other = form.header_bytes(form.Header(form.JOURNAL, 8, 40, "fleet", "front"))
+    journal = form.read_journal(first + form.frame(other, 41, form.CHANGE, form.changes_bytes({"a": b"1"})))
+    assert not journal.changes and journal.why == "its checksum is wrong"
