--- a/lichenquay/folder/writer.py
+++ b/lichenquay/folder/writer.py
@@ -8,8 +8,21 @@
 from lichenquay.folder.folder import NotStored
 
 MOST_QUEUED = 1024  # stores
-SAY_EACH_MS = 60_000.0
-CLOSED = "closed"
+SAY_EACH_MS = 60_000.0  # at most one line of a kind
+
+
+class _Seldom:
+    """True once in SAY_EACH_MS, and how often it was asked since."""
+
+    def __init__(self):
+        self.last_ms, self.since = None, 0
+
+    def asks(self, now_ms, number=1):
+        self.since += number
+        if self.last_ms is not None and now_ms - self.last_ms < SAY_EACH_MS:
+            return 0
+        self.last_ms, since, self.since = now_ms, self.since, 0
+        return since
 
 
 class _Store:
@@ -37,8 +50,9 @@
         self._open_stores = deque()  # of the caller's thread alone: what has not been told its end
         self._busy_since_ms = None
         self._told_opened = folder.opened
+        self._full, self._refused = _Seldom(), _Seldom()
         self._said_ms, self._unsaid, self._was_trouble = -SAY_EACH_MS, 0, False
-        self.counts = dict(stored=0, failed=0, full=0, batches=0, failures=0, healed=0, longest_ms=0.0)
+        self.counts = dict(stored=0, failed=0, refused=0, full=0, batches=0, failures=0, healed=0, longest_ms=0.0)
         self.trouble = folder.trouble  # one line, or None
         if folder.left_out:
             self._log.warning("folder: files left out", files=folder.left_out, bytes=folder.left_bytes,
@@ -63,6 +77,10 @@
                 self._changed.notify()
         if not fits:
             self.counts["full"] += 1
+            now_ms = self._now_ms()
+            if not self._closing and (times := self._full.asks(now_ms)):
+                self._log.warning("folder: takes no more stores", not_taken=times,
+                                  stalled_ms=round(self.stalled(now_ms)))
             done(False)
 
     def stalled(self, now_ms):
@@ -146,7 +164,9 @@
             except NotStored:
                 pass
             except Exception as why:  # TooMuch; or keys and values that make no sense, which fail alone
-                self._log.warning("folder: a store refused", why=str(why))
+                self.counts["refused"] += 1
+                if times := self._refused.asks(now_ms):
+                    self._log.warning("folder: a store refused", why=str(why), times=times)
         try:
             if taken:
                 folder.flush(now_ms)
