--- /dev/null
+++ b/lichenquay/lab/watched.py
@@ -0,0 +1,62 @@
+"""A fleet of watches in the virtual network, with what its hosts do: those told that they are gone come again with a higher incarnation."""
+from lichenquay.lab.fleetnet import FleetNet, Weather
+from lichenquay.members.watch import Settings, Watch
+
+AGAIN_MS = 10
+
+
+class Watched:
+    """`log`: [(ms, host, table.Change)] of all hosts in the order in which they came."""
+
+    def __init__(self, names, seed, weather=Weather(), settings=Settings(), seeds=None, start=True, make=Watch):
+        self.names, self.settings, self.log, self.rejoined = list(names), settings, [], 0
+        self.net = FleetNet(seed, weather)
+        self.net.after = self._after
+        self.looks = []   # Called as look(host, watch, changes) after each call of a watch.
+        for name in self.names:
+            self.net.host(name, lambda h: {"members": make(h.name, h.incarnation, seeds or self.names, h.rng, settings, h.now_ms())},
+                          rate=self.net.rng.uniform(0.975, 1.025), offset_ms=self.net.rng.uniform(0, 1e9), start=False)
+            if start:
+                self.net.at(0, self.net.start, name)
+
+    def _after(self, host, _, watch):
+        changes = list(watch.changes)
+        watch.changes.clear()
+        self.log.extend((self.net.now_ms, host.name, c) for c in changes)
+        for look in self.looks:
+            look(host, watch, changes)
+        if watch.self_gone is not None:
+            self.net.at(self.net.now_ms + AGAIN_MS, self._again, host, watch)
+
+    def _again(self, host, watch):
+        if host.up and host.parts["members"] is watch:
+            self.rejoined += 1
+            self.net.start(host.name, watch.self_gone)
+
+    def watch(self, name):
+        return self.net.hosts[name].parts["members"]
+
+    def up(self):
+        return [h.parts["members"] for h in self.net.hosts.values() if h.up and not h.parts["members"].over]
+
+    def run(self, ms):
+        self.net.run(self.net.now_ms + ms)
+
+    def all_hold(self, name, state, besides=()):
+        return all(w.state_of(name) == state for w in self.up() if w.name != name and w.name not in besides)
+
+    def agree(self):
+        """Every front that runs is alive to all that run, and all hold one view."""
+        up = self.up()
+        return (len({w.view.digest for w in up}) == 1
+                and all(w.table.get(o.name) and w.table.get(o.name).incarnation == o.incarnation and w.table.get(o.name).state <= 1
+                        for w in up for o in up))
+
+    def until(self, what, most_ms, step_ms=50):
+        """Runs until what() or for `most_ms`; the time it took, None if it never was so."""
+        began = self.net.now_ms
+        while not what():
+            if self.net.now_ms - began >= most_ms:
+                return None
+            self.run(step_ms)
+        return self.net.now_ms - began
