--- a/lichenquay/lab/watched.py
+++ b/lichenquay/lab/watched.py
@@ -46,11 +46,11 @@
         return all(w.state_of(name) == state for w in self.up() if w.name != name and w.name not in besides)
 
     def agree(self):
-        """Every front that runs is alive to all that run, and all hold one view."""
+        """Those that run, and no others, are alive to all that run, in this incarnation, and all hold one view."""
         up = self.up()
+        running = sorted((w.name, w.incarnation) for w in up)
         return (len({w.view.digest for w in up}) == 1
-                and all(w.table.get(o.name) and w.table.get(o.name).incarnation == o.incarnation and w.table.get(o.name).state <= 1
-                        for w in up for o in up))
+                and all([(n, w.table.get(n).incarnation) for n in w.table.live()] == running for w in up))
 
     def until(self, what, most_ms, step_ms=50):
         """Runs until what() or for `most_ms`; the time it took, None if it never was so."""
