--- /dev/null
+++ b/lichenquay/fleet/host.py
@@ -0,0 +1,177 @@
+"""A front among the others of its installation: one socket, one disk, and the clock, round decisions that have no I/O.
+
+Off where the settings name no fleet. Each part has heard(now_ms, sender, message), tick(now_ms), due_ms and outbox; the host brings it
+datagrams and time, and takes out what it has to say. Times are milliseconds of CLOCK_BOOTTIME, which runs on while a machine is suspended.
+"""
+import random
+import signal
+import sys
+import time
+
+import structlog
+from twisted.internet.error import CannotListenError
+
+from lichenquay.conf.fleet import address_of, fingerprint, names_of
+from lichenquay.fleet.envelope import MEMBERS, Envelope
+from lichenquay.fleet.post import Post
+from lichenquay.folder.folder import Folder
+from lichenquay.folder.incarnation import next_incarnation
+from lichenquay.folder.reading import BadFolder
+from lichenquay.folder.writer import Writer
+from lichenquay.members import members_pb2
+from lichenquay.members.watch import Settings as MembersSettings, Watch
+
+FOLDER_MOST = 16 << 20          # bytes that a front's folder may take
+CLOSE_MS = 500.0                # for what the disk still has to do at the end
+LEAST_WAIT_MS = 1.0             # between two turns of the timer; risk: a part that is always due takes all turns
+
+
+def boot_ms():
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
+def logger():
+    """JSON lines on standard error: member, tenant, sitting and generation are keys."""
+    return structlog.wrap_logger(
+        structlog.PrintLogger(sys.stderr), processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                                             structlog.processors.JSONRenderer()])
+
+
+class Fleet:
+    def __init__(self, reactor, settings, seed, now_ms=boot_ms, unix_ms=lambda: time.time() * 1000, log=None):
+        self.reactor, self.settings, self.now_ms, self.unix_ms = reactor, settings, now_ms, unix_ms
+        self.log = (log or logger()).bind(front=settings.name)
+        self.rng = random.Random(f"{seed}:{settings.name}")
+        self.names = names_of(settings)
+        self.incarnation, self.folder, self.writer, self.port, self.timer = 0, None, None, None, None
+        self.parts, self.left, self.closed = {}, False, False
+        self.post = Post(Envelope(settings.fleet, fingerprint(settings), settings.name, self.names),
+                         {p.name: address_of(p.address) for p in settings.peers}, {MEMBERS: members_pb2.Message}, self.heard)
+
+    # from start to end
+
+    def open(self):
+        """Folder, incarnation, socket; one line where one of them cannot be had, else None. Nothing is said yet."""
+        s = self.settings
+        try:
+            if s.folder:
+                self.folder = Folder(s.folder, s.fleet, s.name, FOLDER_MOST, now_ms=self.now_ms())
+            self.rise(0)
+            self.port = self.reactor.listenUDP(address_of(s.listen)[1], self.post, interface=address_of(s.listen)[0])
+        except BadFolder as bad:
+            return str(bad)
+        except CannotListenError as bad:
+            return f"cannot listen on {s.listen} (UDP): {bad.socketError.strerror}"
+        return None
+
+    def rise(self, above):
+        """An incarnation that was never ours before: the folder's, and never under the clock."""
+        least = max(self.unix_ms(), above + 1, self.incarnation + 1)
+        self.incarnation, kept = next_incarnation(self.folder, least, self.now_ms()) if self.folder else (int(least), False)
+        if self.folder and not kept:
+            self.log.warning("incarnation not kept", incarnation=self.incarnation, why=self.folder.trouble)
+
+    def begin(self):
+        """The front serves: it tells the others."""
+        if self.folder:
+            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, range(1, signal.NSIG))   # risk: a signal goes to the writer's thread,
+            try:                                                                        # and the reactor sleeps on
+                self.writer = Writer(self.folder, self.reactor.callFromThread, self.now_ms, log=self.log)
+            finally:
+                signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
+        self.watch = self.parts[MEMBERS] = self.new_watch()
+        self.log.info("fleet", incarnation=self.incarnation, fleet=self.settings.fleet, peers=len(self.names) - 1)
+        self.turn()
+
+    def new_watch(self):
+        peers = [n for n in self.names if n != self.settings.name]
+        return Watch(self.settings.name, self.incarnation, peers, self.rng, MembersSettings(), self.now_ms())
+
+    def leave(self):
+        """SIGTERM: the others are told; what follows is `close`."""
+        if self.parts and not self.left:
+            self.left = True
+            self.watch.leave(self.now_ms())
+            self.turn()
+
+    def is_over(self):
+        """After `leave`: whether it has said all that it had to."""
+        return self.watch.over is not None
+
+    def close(self):
+        """What has been said stays to be seen (`lines`)."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer, self.closed = None, True
+        if self.port is not None:
+            self.port.stopListening()
+        if self.writer is not None:
+            self.writer.close(CLOSE_MS)
+        elif self.folder is not None:
+            self.folder.close()
+
+    # turns
+
+    def heard(self, layer, sender, message):
+        part = self.parts.get(layer)
+        if part is not None and not self.closed:
+            part.heard(self.now_ms(), sender, message)
+            self.flush()
+
+    def turn(self):
+        """What is due, then what it has to say."""
+        now = self.now_ms()
+        for part in list(self.parts.values()):
+            if part.due_ms <= now:
+                part.tick(now)
+        self.flush()
+
+    def flush(self):
+        for layer, part in list(self.parts.items()):
+            sent, part.outbox = part.outbox, []
+            for name, message in sent:
+                self.post.send(self.incarnation, name, layer, message)
+        self.tell_changes()
+        self.wait()
+
+    def wait(self):
+        """One timer, for whichever part is due next."""
+        if self.closed:
+            return
+        due = min(p.due_ms for p in self.parts.values())
+        active = self.timer is not None and self.timer.active()
+        if due == float("inf"):
+            if active:
+                self.timer.cancel()
+            return
+        wait_s = max(LEAST_WAIT_MS, due - self.now_ms()) / 1000
+        if active:
+            self.timer.reset(wait_s)
+        else:
+            self.timer = self.reactor.callLater(wait_s, self.turn)
+
+    def tell_changes(self):
+        changes, self.watch.changes[:] = list(self.watch.changes), []
+        for c in changes:
+            self.log.info("member", member=c.name, incarnation=c.incarnation, was=c.old, state=c.new, view=c.view)
+        if self.watch.over == "gone" and not self.left:
+            # Risk: it acts on as if nothing had happened. What it was is over for all others: it comes again as another one.
+            self.rise(self.watch.self_gone)
+            self.log.warning("gone, and back", incarnation=self.incarnation)
+            self.watch = self.parts[MEMBERS] = self.new_watch()
+            self.reactor.callLater(0, self.turn)
+
+    # what is seen
+
+    def lines(self):
+        if not self.parts:
+            return ["fleet: not begun"]
+        number, digest = self.watch.view
+        lines = [f"member {name} {incarnation} {state}" for name, incarnation, state in self.watch.members()]
+        lines += [f"view {number} {digest:016x}", f"reach {' '.join(self.watch.reach) or '-'}", *self.post.lines(),
+                  f"datagram bytes sent: {self.post.bytes_out}"]
+        if self.writer is not None:
+            counts = self.writer.counts
+            lines += [f"folder {what}: {n:.0f}" for what, n in counts.items()]
+            lines.append(f"folder trouble: {self.writer.trouble or 'none'}")
+        return lines
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -75,23 +75,31 @@
         raise CannotStart(f"configuration {path}: {type(bad).__name__}: {bad}") from None
 
 
-def read_gate(environment):
-    """The gate's settings, where this installation has some: None on the platform, which then imports nothing for it."""
+def read_more(environment):
+    """The settings of our own features, where this installation has some: None on the platform, which then imports nothing for it."""
     path = environment.get("LICHENQUAY_SETTINGS")
     if not path:
         return None
     from lichenquay.conf.read import BadSettings, read_file, read_settings
     try:
-        return read_file(path, read_settings).gate
+        return read_file(path, read_settings)
     except BadSettings as bad:
         raise CannotStart(str(bad)) from None
 
 
-def rules_for(gate, most):
-    if gate is None:
+def fleet_of(more, reactor, seed):
+    """This front among others, where its settings say so."""
+    if more is None or not more.HasField("fleet"):
+        return None
+    from lichenquay.fleet.host import Fleet
+    return Fleet(reactor, more.fleet, seed)
+
+
+def rules_for(more, most):
+    if more is None:
         return Rules(most, 0, lag_ms=0.0)
     from lichenquay.conf.read import rules_of
-    return rules_of(gate, most)
+    return rules_of(more.gate, most)
 
 
 class Service:
@@ -109,17 +117,19 @@
         self.send = Send(self.engines, self.relay, self.book, self.admit.wake, now_ms)
         self.route = self.admit.route = Route(self.send, self.relay)
         self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
-        self.bound(sockets, room, read_gate(environment))
+        self.more = read_more(environment)
+        self.bound(sockets, room)
+        self.fleet = fleet_of(self.more, reactor, seed)
         try:
             self.bulletin = Bulletin(known, self.news, self.log, self.admit.list_confirmed)
         except BadList as bad:
             raise CannotStart(f"known: {bad}") from None
 
-    def bound(self, sockets, room, gate):
+    def bound(self, sockets, room):
         """Shares of the configured limits: of descriptors for engines and clients, of memory for what clients send."""
         self.engines.budget = sockets - sockets // CLIENTS_SHARE - RESERVE
         self.sockets = sockets
-        self.clients.bound(room, rules_for(gate, sockets // CLIENTS_SHARE + RESERVE // 4))
+        self.clients.bound(room, rules_for(self.more, sockets // CLIENTS_SHARE + RESERVE // 4))
 
     def news(self, whole, rows):
         named, gone = [], set(self.by_uid.values()) if whole else set()
@@ -142,6 +152,10 @@
     # the phases
 
     def start(self):
+        if self.fleet is not None:
+            why = self.fleet.open()
+            if why:
+                raise CannotStart(why)
         try:
             self.clients.listen(*self.listen)
         except CannotListenError as bad:
@@ -164,6 +178,8 @@
         self.sweep()
         self.watch()
         self.state = SERVING
+        if self.fleet is not None:
+            self.fleet.begin()
         self.log("service", f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known; {self.engines.budget} "
                             f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them")
 
@@ -190,16 +206,18 @@
         try:
             listen, bulletin_at, sockets, room, seed, known, settings = read_config(self.environment)
             open_from(settings, seed)
-            gate = read_gate(self.environment)
+            more = read_more(self.environment)
             if read_events(known)[0] > self.bulletin.no:
                 self.bulletin.follow(known)
         except (CannotStart, BadList) as bad:
             self.book.count("configurations not taken")
             return self.log("service", f"{bad}; the old configuration stays in force")
         self.book.count("configurations read again")
-        if (listen, settings) != (self.listen, self.settings):
-            self.log("service", "new settings or another address to listen on: these count from the next start")
-        self.bound(sockets, room, gate)
+        fleets = [m.fleet if m is not None and m.HasField("fleet") else None for m in (more, self.more)]
+        if (listen, settings) != (self.listen, self.settings) or fleets[0] != fleets[1]:
+            self.log("service", "new settings, another address to listen on or another fleet: these count from the next start")
+        self.more = more
+        self.bound(sockets, room)
         if bulletin_at != self.bulletin_at:
             self.following.stop()
             self.bulletin_at = bulletin_at
@@ -219,6 +237,8 @@
         self.clients.port.stopListening()
         self.clients.port = None
         self.clients.tell_no_more()
+        if self.fleet is not None:
+            self.fleet.leave()
         self.engines.later(REQUESTS_ON_MS, self.drain)
 
     def drain(self):
@@ -227,9 +247,11 @@
         late = now_ms() > self.killed_ms - LAST_MS / 2
         if not self.admit.open and not self.admit.events and (self.book.out == 0 or late):
             self.clients.close_all()
-            if not self.clients.lines or late:
+            if late or not self.clients.lines and (self.fleet is None or self.fleet.is_over()):
                 self.state = ENDED
                 self.following.stopped = True
+                if self.fleet is not None:
+                    self.fleet.close()
                 return self.reactor.stop()
         self.engines.later(10.0, self.drain)
 
@@ -241,7 +263,8 @@
             f"descriptors: {len(os.listdir('/proc/self/fd'))}", f"cpu seconds: {time.process_time():.2f}",
             f"memory MB at most: {peak_mb()}", f"state: {self.state}", f"gate: {self.clients.gate.state}",
             *(f"holds most: {name}{' (known)' * known}: {lines} connections, {queries} queries, {held} bytes"
-              for name, known, lines, queries, held in self.clients.gate.top(5))]
+              for name, known, lines, queries, held in self.clients.gate.top(5)),
+            *(self.fleet.lines() if self.fleet is not None else ())]
         for line in counters:
             self.log.line(line)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,14 @@
 
 from front_world import World
 
+
+
+def pytest_addoption(parser):
+    parser.addoption("--figures", help="write what tests/fleet measured to this file, as JSON")
+    parser.addoption("--runs", type=int, default=1, help="seeded runs of each kind in tests/fleet")
+    parser.addoption("--seed", type=int, default=1, help="of the first of them")
+
+
 SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lichenquay.front import frames
-from standins import SETTINGS
+from front_world import SETTINGS
 
 ROOT = Path(__file__).resolve().parents[1]
 # runs the program as `python -m` does, and tells that its first line comes next
