--- /dev/null
+++ b/tests/owner_audit.py
@@ -0,0 +1,114 @@
+"""What must be true of a group after every step, whatever happens; and a world of such groups to try it on."""
+from random import Random
+
+from lichenquay.owner.group import Group
+from lichenquay.owner.owner_pb2 import Promise
+from lichenquay.owner.settings import Settings
+from virtual import World
+
+QUICK = Settings(lease_ms=1000, renew_ms=200, retry_ms=50, spread_ms=100, most_records=8)
+SIZE = 8                                # of a record: its number
+
+
+class Broken(AssertionError):
+    """An invariant does not hold."""
+
+
+def demand(true, what):
+    if not true:
+        raise Broken(what)
+
+
+class Audit:
+    """Knows all that was written, all answers, and every state that a holder was given."""
+
+    def __init__(self):
+        self.next, self.answers, self.made, self.never = 0, {}, [], set()
+        self.promised, self.held, self.most = {}, [], 0
+
+    def record(self, pad=0):
+        self.next += 1
+        self.answers[self.next] = []
+        return self.next.to_bytes(SIZE, "big") + bytes(pad)
+
+    def done(self, number, part, ok):
+        self.answers[number].append(ok)
+        demand(len(self.answers[number]) == 1, f"record {number}: answered twice, {self.answers[number]}")
+        if ok is True:
+            self.made.append(number)
+            self.right(part, f"record {number} said to be made")
+        elif ok is False:
+            self.never.add(number)
+
+    def right(self, part, when):
+        """The holder's state: no record twice, none that was refused, all that were made and in that order."""
+        base, records = part.state
+        whole = [int.from_bytes(r[:SIZE], "big") for r in [*split(base), *records]]
+        demand(len(set(whole)) == len(whole), f"{when}: a record twice in {whole}")
+        demand(not self.never & set(whole), f"{when}: a refused record in {whole}")
+        made = set(self.made)
+        demand([n for n in whole if n in made] == self.made, f"{when}: {whole} lacks some of {self.made} or their order")
+
+    def told(self, part, what, generation):
+        if what == "holds":
+            demand(generation not in self.held, f"generation {generation} held twice")
+            self.held.append(generation)
+            self.right(part, f"{part.name} holds {generation}")
+
+    def step(self, processes, local):
+        """processes: things with name, kept, part; local(process) its clock now."""
+        holders = [(p.name, p.part.generation) for p in processes if p.part is not None and p.part.holds(local(p))]
+        demand(len(holders) <= 1, f"two hold at once: {holders}")
+        for p in processes:
+            if "promise" in p.kept:
+                was, is_ = self.promised.get(p.name, 0), Promise.FromString(p.kept["promise"]).generation
+                demand(is_ >= was or p.born_blank, f"{p.name}: generation {was}, then {is_} on its disk")
+                self.promised[p.name] = is_
+
+
+def fold(base, records):
+    return base + b"".join(len(r).to_bytes(2, "big") + r for r in records)
+
+
+def split(base):
+    at = 0
+    while at < len(base):
+        size = int.from_bytes(base[at:at + 2], "big")
+        yield base[at + 2:at + 2 + size]
+        at += 2 + size
+
+
+def group_of(audit, name, incarnation, voters, now_ms, kept, seed=0, settings=QUICK, fresh=False, kind=Group):
+    made = []
+    part = kind("g", name, incarnation, voters, Random(f"{seed}/{name}/{incarnation}"), settings, now_ms, dict(kept), fresh=fresh,
+                fold=fold, told=lambda now, what: audit.told(made[0], what, made[0].generation))
+    made.append(part)
+    return part
+
+
+def world_of(voters, seed=0, settings=QUICK, more=(), fresh=True, kind=Group, **net):
+    """(world, audit): processes that all want the group; `more` are no voters."""
+    audit = Audit()
+
+    def make(p, local_ms):
+        part = group_of(audit, p.name, p.incarnation, voters, local_ms, p.kept, seed, settings,
+                        fresh=fresh and not p.born_blank, kind=kind)
+        part.want(local_ms, True)
+        return part
+    world = World([*voters, *more], make, seed, **net)
+    world.checks.append(lambda w: audit.step(w.all.values(), lambda p: p.local(w.now)))
+    return world, audit
+
+
+def write(world, audit, name, pad=0):
+    """One record by whoever thinks that it holds."""
+    def what(part, local_ms):
+        if part.holds(local_ms):
+            record = audit.record(pad)
+            number = audit.next
+            part.write(local_ms, record, lambda now, ok: audit.done(number, part, ok))
+    world.call(name, what)
+
+
+def holder(world):
+    return next((p.name for p in world.all.values() if p.part is not None and p.part.holds(p.local(world.now))), None)
--- /dev/null
+++ b/tests/owner_faults.py
@@ -0,0 +1,89 @@
+"""Seeded schedules of faults on a group in virtual time."""
+from random import Random
+
+from owner_audit import QUICK, holder, demand, world_of, write
+
+FAULTS = ("kill", "folder", "pause", "cut", "one_way", "disk", "leave", "loss")
+REST_MS = 15 * QUICK.lease_ms           # after the last fault: somebody holds, and a record is made
+
+
+def schedule(seed, voters=3, more=0, last_ms=30_000, faults=14, pad=0, **how):
+    """Runs one; returns its audit, and how long it took to come to rest. Broken where something does not hold."""
+    rng = Random(f"faults/{seed}")
+    names, others = "abcde"[:voters], "xyz"[:more]
+    everyone = [*names, *others]
+    net = {"loss": rng.choice((0, 0.05, 0.2)), "double": rng.choice((0, 0.1)), "late": rng.choice((0, 0.05))}
+    world, audit = world_of(names, seed, more=others, **net, **how)
+    for name in everyone:
+        world.at(rng.uniform(0, 300), lambda n=name: world.start(n))
+    at = 0
+    while at < last_ms:
+        at += rng.expovariate(1 / rng.choice((20, 150)))
+        world.at(at, lambda n=rng.choice(everyone): write(world, audit, n, rng.randrange(pad + 1)))
+    lost = set()                        # folders: fewer than a majority at a time
+    for _ in range(faults):
+        _fault(world, rng, rng.choice(FAULTS), rng.uniform(500, last_ms - 3000), everyone, names, lost)
+    world.run(last_ms)
+    _mend(world, everyone)
+    return audit, _rest(world, audit, everyone)
+
+
+def _fault(world, rng, what, at, everyone, voters, lost):
+    name, other = rng.sample(everyone, 2) if len(everyone) > 1 else everyone * 2
+    much = rng.choice((50, 900, 2500))
+
+    def kill(folder=True):
+        p = world.all[name]
+        if p.part is None:
+            return
+        if not folder:
+            # Fewer than a majority may be without their state at a time: that is what is assumed.
+            blank = [n for n in voters if n != name and (world.all[n].part is None or world.all[n].part.voter.birth)]
+            folder = name not in voters or len(blank) >= (len(voters) - 1) // 2
+        world.kill(name)
+        if not folder:
+            p.kept, p.born_blank = {}, True
+        world.at(world.now + much, lambda: world.start(name) if p.part is None else None)
+
+    def cut(*links):
+        world.cut.update(links)
+        world.at(world.now + much, lambda: world.cut.difference_update(links))
+
+    def disk(how):
+        world.all[name].disk = how
+        world.at(world.now + much, lambda: setattr(world.all[name], "disk", "well"))
+
+    def leave():
+        world.call(name, lambda part, ms: part.give_up(ms))
+        world.at(world.now + much, lambda: world.call(name, lambda part, ms: part.want(ms, True)))
+
+    def loss():
+        before, world.loss = world.loss, 0.6
+        world.at(world.now + much, lambda: setattr(world, "loss", before))
+    all_ = [(name, n) for n in everyone]
+    world.at(at, {"kill": kill, "folder": lambda: kill(False), "pause": lambda: world.pause(name, much),
+                  "cut": lambda: cut(*all_, *[(b, a) for a, b in all_]), "leave": leave, "loss": loss,
+                  "one_way": lambda: cut(*rng.choice([all_, [(name, other)], [(b, a) for a, b in all_]])),
+                  "disk": lambda: disk(rng.choice(("full", "unsure", "slow")))}[what])
+
+
+def _mend(world, everyone):
+    world.cut.clear()
+    world.loss = world.double = world.late = 0
+    for name in everyone:
+        p = world.all[name]
+        p.disk, p.paused_until = "well", min(p.paused_until, world.now)
+        if p.part is None:
+            world.start(name)
+        world.call(name, lambda part, ms: part.want(ms, True))
+
+
+def _rest(world, audit, everyone):
+    begun, made = world.now, len(audit.made)
+    while len(audit.made) == made and world.now < begun + REST_MS:
+        for name in everyone:
+            write(world, audit, name)
+        world.run(world.now + 50)
+    demand(len(audit.made) > made, f"no record made in {REST_MS} ms after the last fault; held by {holder(world)}")
+    world.run(world.now + 3 * QUICK.lease_ms)
+    return world.now - begun - 3 * QUICK.lease_ms
