--- a/lichenquay/owner/group.py
+++ b/lichenquay/owner/group.py
@@ -34,6 +34,10 @@
     return base + b"".join(records)
 
 
+def nothing(now_ms, what):
+    """Told of what happens, does nothing."""
+
+
 class Group:
     """`told(now_ms, what)`: 'holds' when this process got the group (see `state`), 'lost' when that is over."""
 
@@ -42,15 +46,13 @@
             raise ValueError(f"group {group_id}: voters need names of their own")
         self.group_id, self.name, self.incarnation, self.settings = group_id, name, incarnation, settings
         self.outbox, self.to_store = [], []
-        self._inner, self._waiting, self._number = deque(), {}, 0
+        self._inner, self._number = deque(), 0
         self._holder_seen = (None, 0)
         self.foreign = 0            # messages of other groups, or of no known kind
         self.voter = None
         if name in voters:
             self.voter = Voter(rng, settings, now_ms, kept, fresh, fold, self._send, self._store)
-        self._told = told or (lambda now_ms, what: None)
-        self.claimant = Holder(voters, rng, settings, now_ms, fold, self._send,
-                               lambda: self.voter and self.voter.log, self._told)
+        self.claimant = Holder(voters, rng, settings, now_ms, fold, self._send, self._own_log, told or nothing)
         if self.voter:
             self.claimant.seen = self.voter.promise.generation
 
@@ -124,9 +126,9 @@
 
     def stored(self, now_ms, number, ok):
         self.claimant.look(now_ms)
-        then = self._waiting.pop(number, None)
-        if then:
-            then(now_ms, ok)
+        # Risk: an answer to an earlier one must not pass for the one that is waited for.
+        if number == self._number and self.voter and self.voter.writing:
+            self.voter.stored(now_ms, ok)
         self._settle(now_ms)
 
     # Inside.
@@ -164,7 +166,9 @@
         else:
             self.outbox.append((name, message))
 
-    def _store(self, changes, then):
+    def _own_log(self):
+        return self.voter and self.voter.log
+
+    def _store(self, changes):
         self._number += 1
-        self._waiting[self._number] = then
         self.to_store.append((self._number, changes))
--- a/lichenquay/owner/voter.py
+++ b/lichenquay/owner/voter.py
@@ -18,7 +18,7 @@
 
 
 class Voter:
-    """`send(name, kind, **fields)` and `store(changes, then)` are its group's; then(now_ms, ok) may come late or never."""
+    """`send(name, kind, **fields)` and `store(changes)` are its group's; `stored(now_ms, ok)` may come late or never."""
 
     def __init__(self, rng, settings, now_ms, kept, fresh, fold, send, store):
         self.settings, self.fold, self.send, self.store = settings, fold, send, store
@@ -31,11 +31,14 @@
         self.sure = not kept or self.birth is None      # what is on disk is what `log` says
         # Risk: it may have answered a holder just before it stopped, and has forgotten when.
         self.lease_of = (self.promise.name, self.promise.incarnation)
-        self.waits_until_ms = self.blank_until_ms = now_ms + settings.wait_ms
+        # One that never knew the group answered nobody: an answer needs a promise on the disk.
+        self.blank_until_ms = now_ms + settings.wait_ms
+        self.waits_until_ms = now_ms if fresh and not kept else self.blank_until_ms
         self.over = 0                                   # highest generation that its holder gave up
-        self.writing = self.promising = False
+        self.flying = None                              # (promise, log, claim to be granted) on the way to the disk
         self.last = None                                # (name, generation, number, token) of the last round answered
         self.pull = self.frozen = None
+        self.tried = 0, ("", 0)                         # the latest promise that went to the disk, and whose
         self.counts = {"refused": 0, "disk_failed": 0, "senseless": 0}
 
     @property
@@ -67,13 +70,15 @@
         promised = self.promise.generation
         if m.generation == promised and sender == self._promised_to:
             self._grant(sender, m)
-        elif not promised < m.generation <= promised + MOST_JUMP:
+        elif not max(promised, self.tried[0]) < m.generation <= promised + MOST_JUMP and self.tried != (m.generation, sender):
             self._refuse(sender, m)
         elif now_ms < self.waits_until_ms and sender != self.lease_of and not founding:
             self._refuse(sender, m, wait_ms=self.waits_until_ms - now_ms)
         else:
+            # Risk: a promise that the disk said to have failed may be there; no lower one comes after it.
+            self.tried = m.generation, sender
             promise = Promise(generation=m.generation, name=sender[0], incarnation=sender[1])
-            self._write(promise, self.log, lambda: self._grant(sender, m))
+            self._write(promise, self.log, (sender, m))
 
     @property
     def _promised_to(self):
@@ -86,7 +91,7 @@
 
     def _refuse(self, sender, m, wait_ms=0.0):
         self.counts["refused"] += 1
-        self.send(sender[0], "refuse", generation=m.generation, token=m.token, promised=self.promise.generation,
+        self.send(sender[0], "refuse", generation=m.generation, token=m.token, promised=max(self.promise.generation, self.tried[0]),
                   wait_ms=wait_ms)
 
     def fetch(self, now_ms, sender, m):
@@ -99,7 +104,7 @@
     def round(self, now_ms, sender, m):
         blank = self.birth is not None
         # Risk: a round answered while a promise to somebody else is on its way to the disk would begin a lease beside his.
-        if self.promising or blank and now_ms < self.blank_until_ms:
+        if self._promising or blank and now_ms < self.blank_until_ms:
             return
         if blank and m.birth != self.birth:
             self.send(sender[0], "blank", generation=m.generation, token=m.token, birth=self.birth)
@@ -120,7 +125,7 @@
         self.last = (sender[0], m.generation, m.number, m.token)
         if new is not None:
             self.pull = None
-            self._write(self.promise, new, self._ack)
+            self._write(self.promise, new)
             return
         if m.whole.size and not self.writing and (blank or self._newer(Position.of(m.whole.position))):
             self._fetch_whole(now_ms, sender, m)
@@ -171,13 +176,12 @@
             return
         elif log.label != pull.generation or not self._newer(log.position):
             return
-        self._write(promise, log, self._ack)
+        self._write(promise, log)
 
-    def _ack(self, now_ms=None):
+    def _ack(self, now_ms):
         name, generation, number, token = self.last
         if generation != self.promise.generation:
             return
-        now_ms = self.now_ms if now_ms is None else now_ms
         # Risk: from here on the holder may count on this voter's waiting.
         self.lease_of, self.waits_until_ms = self._promised_to, now_ms + self.settings.wait_ms
         self.send(name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire())
@@ -190,22 +194,34 @@
 
     # The disk.
 
-    def _write(self, promise, log, then):
+    @property
+    def writing(self):
+        return self.flying is not None
+
+    @property
+    def _promising(self):
+        return self.writing and self.flying[0] is not self.promise
+
+    def _write(self, promise, log, claim=None):
+        """One at a time: what comes meanwhile is answered with what is on disk, or asked again."""
         if len(log.records) > self.settings.most_records:
             log.fold(self.fold, self.settings.most_records // 2)
         changes = log.changes(self.log, self.sure and self.birth is None)
         if promise is not self.promise:
             changes["promise"] = promise.SerializeToString()
-        self.writing, self.promising = True, promise is not self.promise
-
-        def written(now_ms, ok):
-            self.writing, self.promising, self.now_ms = False, False, now_ms
-            if not ok:
-                # Risk: it may be on disk nevertheless; the next one writes all anew.
-                self.sure = False
-                self.counts["disk_failed"] += 1
-                return
-            self.sure, self.birth = True, None
-            self.promise, self.log = promise, log
-            then()
-        self.store(changes, written)
+        self.flying = promise, log, claim
+        self.store(changes)
+
+    def stored(self, now_ms, ok):
+        (promise, log, claim), self.flying = self.flying, None
+        if not ok:
+            # Risk: it may be on disk nevertheless; the next one writes all anew.
+            self.sure = False
+            self.counts["disk_failed"] += 1
+            return
+        self.sure, self.birth = True, None
+        self.promise, self.log = promise, log
+        if claim:
+            self._grant(*claim)
+        else:
+            self._ack(now_ms)
--- /dev/null
+++ b/tests/owner_explore.py
@@ -0,0 +1,267 @@
+"""All interleavings of a small group on the real decision code: breadth first, each state once.
+
+A state is each process (as pickled), the folders, the messages under way, and what is left of the budget. From it: any message under
+way comes (and with `doubles` stays under way too); a disk answers (well, or with `fails` not); with `claims`, `writes`, `crashes` and
+`leaves` a process claims, writes, stops and starts with its folder, gives up; with `steps` time goes on by 0.6 of a lease for all, at each one's rate.
+A message that never comes is a lost one: that needs no step of its own. Nothing is sent again by time here, so that it ends.
+"""
+import copyreg
+import pickle
+from collections import deque
+from dataclasses import dataclass, replace
+
+from lichenquay.owner import owner_pb2
+from lichenquay.owner.group import Group
+from lichenquay.owner.owner_pb2 import Message, Promise
+from owner_audit import QUICK, Broken, demand, fold
+
+RATES = {"a": 0.95, "b": 1.05, "c": 1.05}
+STEP_MS = 0.6 * QUICK.lease_ms
+
+
+def wire(kind, data):
+    return getattr(owner_pb2, kind).FromString(data)
+
+
+def bare(message):
+    return wire, (type(message).__name__, message.SerializeToString())
+
+
+for one in ("Promise", "Claim", "Whole", "Position"):
+    copyreg.pickle(getattr(owner_pb2, one), bare)
+
+
+class Counter:
+    """Chance without chance: the n-th number drawn by a process in its incarnation."""
+
+    def __init__(self, start):
+        self.at = start
+
+    def getrandbits(self, bits):
+        self.at += 1
+        return self.at
+
+    def uniform(self, low, high):
+        return low
+
+
+class Node:
+    """One process; what it tells is read and emptied after each step."""
+
+    def __init__(self, kind, name, incarnation, now_ms, kept):
+        self.said, self.incarnation = [], incarnation
+        self.group = kind("g", name, incarnation, "abc", Counter((ord(name) << 32) + (incarnation << 16)), QUICK, now_ms, kept,
+                          fresh=True, fold=fold, told=self.told)
+
+    def told(self, now_ms, what):
+        self.said.append((what, self.group.state))
+
+    def done(self, now_ms, ok):
+        self.said.append(("done", ok))
+
+
+@dataclass(frozen=True)
+class Budget:
+    claims: tuple = ()              # who claims, in this order
+    writes: int = 0
+    crashes: int = 0
+    steps: int = 0
+    doubles: int = 0
+    fails: int = 0
+    leaves: int = 0
+    slow_disks: bool = False        # else a disk answers within the step
+
+
+@dataclass(frozen=True)
+class State:
+    nodes: tuple                    # of (name, pickled Node)
+    kept: tuple                     # of (name, sorted items)
+    disks: tuple                    # of (name, number, changes), under way
+    net: frozenset                  # of (sender, to, bytes)
+    budget: Budget
+    time: int = 0
+    asked: int = 0
+    made: tuple = ()
+
+
+class Explorer:
+    """kind: the class under test. explore() gives the number of states; Broken carries the way to it in `way`."""
+
+    def __init__(self, budget, kind=Group, begin=""):
+        self.budget, self.kind, self.begin = budget, kind, begin
+        self.memory, self._holds = {}, {}
+
+    def start(self):
+        nodes = {n: Node(self.kind, n, 1, 0.0, {}) for n in "abc"}
+        s = State(tuple((n, pickled(nodes[n])) for n in "abc"), tuple((n, ()) for n in "abc"), (), frozenset(), self.budget)
+        for name in self.begin:
+            # Before the exploration: it claims, and all goes well.
+            s = self.act(replace(s, budget=Budget()), name, claim, claim)
+            while s.net:
+                m = min(s.net)
+                s = self.act(replace(s, net=s.net - {m}), m[1], m, lambda n, now: n.group.heard(now, m[0], Message.FromString(m[2])))
+            demand(self.holds(dict(s.nodes)[name], 0), f"{name} does not hold")
+        return replace(s, budget=self.budget)
+
+    def explore(self, most):
+        first = self.start()
+        came, line, self.whole = {first: None}, deque([first]), True
+        while line:
+            if len(came) >= most:
+                self.whole = False
+                break
+            state = line.popleft()
+            for what, move in self.moves(state):
+                try:
+                    new = move()
+                except Broken as fault:
+                    fault.way = [*way(came, state), what]
+                    raise
+                if new is not None and new not in came:
+                    came[new] = (state, what)
+                    line.append(new)
+        return len(came)
+
+    def moves(self, s):
+        b = s.budget
+        for m in s.net:
+            sender, to, data = m
+            text = f"{to} hears {Message.FromString(data).WhichOneof('body')} of {sender[0]}"
+
+            def hear(n, now, m=m):
+                n.group.heard(now, m[0], Message.FromString(m[2]))
+            yield text, lambda m=m, hear=hear: self.act(replace(s, net=s.net - {m}), m[1], m, hear)
+            if b.doubles:
+                less = replace(s, budget=replace(b, doubles=b.doubles - 1))
+                yield text + ", and it stays", lambda m=m, hear=hear, less=less: self.act(less, m[1], m, hear)
+        for disk in s.disks:
+            yield f"{disk[0]}'s disk", lambda d=disk: self.disk(s, d, True)
+            if b.fails:
+                yield f"{disk[0]}'s disk fails", lambda d=disk: self.disk(
+                    replace(s, budget=replace(b, fails=b.fails - 1)), d, False)
+        if b.claims:
+            less = replace(s, budget=replace(b, claims=b.claims[1:]))
+            yield f"{b.claims[0]} claims", lambda: self.act(less, b.claims[0], claim, claim)
+        if b.steps:
+            yield "time", lambda: self.time(replace(s, budget=replace(b, steps=b.steps - 1), time=s.time + 1))
+        for name in "abc":
+            if b.crashes:
+                less = replace(s, budget=replace(b, crashes=b.crashes - 1))
+                yield f"{name} stops and starts", lambda n=name, less=less: self.crash(less, n)
+            if b.writes:
+                less = replace(s, budget=replace(b, writes=b.writes - 1), asked=s.asked + 1)
+                yield f"{name} writes", lambda n=name, less=less: self.act(less, n, write, write)
+            if b.leaves:
+                less = replace(s, budget=replace(b, leaves=b.leaves - 1))
+                yield f"{name} gives up", lambda n=name, less=less: self.act(less, n, leave, leave)
+
+    def act(self, s, name, key, what):
+        """One step of one process; the same step from the same state is taken from memory."""
+        now = s.time * STEP_MS * RATES[name]
+        data = dict(s.nodes)[name]
+        key = data, now, key
+        if key not in self.memory:
+            node = pickle.loads(data)
+            self.memory[key] = None if what(node, now) is False else self.taken(name, node)
+        return self.memory[key] and self.after(s, name, *self.memory[key])
+
+    def taken(self, name, node):
+        """(node pickled, messages, stores, told): taken out of the node."""
+        group = node.group
+        sent = frozenset(((name, node.incarnation), to, m.SerializeToString()) for to, m in group.outbox)
+        disks, said = tuple((name, no, tuple(c.items())) for no, c in group.to_store), node.said
+        group.outbox, group.to_store, node.said = [], [], []
+        group.claimant.counts = dict.fromkeys(group.claimant.counts, 0)
+        group.voter.counts = dict.fromkeys(group.voter.counts, 0)
+        return pickled(node), sent, disks, said
+
+    def after(self, s, name, node, sent, disks, said):
+        made = s.made
+        for what, it in said:
+            if what == "done" and it is True:
+                made += (s.asked,)
+            if what == "holds":
+                has = records(it)
+                demand([r for r in has if r in made] == list(made), f"{name} holds with {has}, made is {made}")
+        nodes = tuple((n, node if n == name else p) for n, p in s.nodes)
+        new = replace(s, nodes=nodes, net=s.net | sent, disks=s.disks + disks, made=made)
+        self.check(new)
+        if disks and not s.budget.slow_disks:
+            return self.disk(new, disks[-1], True)
+        return new
+
+    def disk(self, s, disk, ok):
+        name, number, changes = disk
+        kept = dict(s.kept)
+        if ok:
+            there = dict(kept[name])
+            for key, value in changes:
+                there.pop(key, None) if value is None else there.__setitem__(key, value)
+            was, now = (Promise.FromString(k.get("promise", b"")).generation for k in (dict(kept[name]), there))
+            demand(now >= was, f"{name}: generation {was}, then {now} on its disk")
+            kept[name] = tuple(sorted(there.items()))
+        s = replace(s, kept=tuple(kept.items()), disks=tuple(d for d in s.disks if d != disk))
+        return self.act(s, name, (number, ok), lambda n, now: n.group.stored(now, number, ok))
+
+    def crash(self, s, name):
+        node = pickle.loads(dict(s.nodes)[name])
+        now = s.time * STEP_MS * RATES[name]
+        new = Node(self.kind, name, node.incarnation + 1, now, dict(dict(s.kept)[name]))
+        return self.after(replace(s, disks=tuple(d for d in s.disks if d[0] != name)), name, *self.taken(name, new))
+
+    def time(self, s):
+        for name in "abc":
+            s = self.act(s, name, look, look)
+        return s
+
+    def check(self, s):
+        holders = [n for n, p in s.nodes if self.holds(p, s.time * STEP_MS * RATES[n])]
+        demand(len(holders) <= 1, f"two hold at once: {holders}")
+
+    def holds(self, data, now):
+        key = data, now
+        if key not in self._holds:
+            self._holds[key] = pickle.loads(data).group.holds(now)
+        return self._holds[key]
+
+
+
+def pickled(node):
+    return pickle.dumps(node, 5)
+
+
+def way(came, state):
+    steps = []
+    while came[state] is not None:
+        state, what = came[state]
+        steps.append(what)
+    return steps[::-1]
+
+
+def records(state):
+    from owner_audit import split
+    base, after = state
+    return [int.from_bytes(r, "big") for r in [*split(base), *after]]
+
+
+def claim(node, now):
+    if node.group.claimant.phase != "idle":
+        return False
+    node.group.claimant.claim(now)
+    node.group._settle(now)
+
+
+def look(node, now):
+    node.group.claimant.look(now)
+
+
+def write(node, now):
+    if not node.group.holds(now):
+        return False
+    node.group.write(now, (1).to_bytes(8, "big"), node.done)
+
+
+def leave(node, now):
+    if not node.group.holds(now):
+        return False
+    node.group.give_up(now)
