Quota: ledger, keeper and rights of a fleet's fronts, decisions without I/O

Need: with the fleet on, a tenant's quota is one account for all fronts; today each front judges by chance from what it alone takes. Change: lichenquay/quota with a ledger that is a pure state machine of records, its keeper, and escrowed rights at each front; a world in virtual time for tests.

--- /dev/null
+++ b/lichenquay/quota/keeper.py
@@ -0,0 +1,241 @@
+"""The keeper of the quota's ledger: at the front that holds the ledger's group, and at no other.
+
+No I/O: `heard` and `tick` bring time in, `outbox` takes answers out. What asks tell and want is gathered for a period, decided as one
+record, made by the group, and only then told. Two ledgers: `ahead` has what was decided, `made` what the group has made;
+they differ while a write is out. Where the end of a write is in doubt, the keeper is none until the group's next generation."""
+from typing import Callable, Protocol
+
+from lichenquay.quota import quota_pb2 as pb
+from lichenquay.quota.ledger import Ledger, Senseless
+
+DRIFT = 0.05                # two clocks' rates differ by no more
+CHUNK = 4                   # one ask is granted no more than this part of a bucket
+MOST_ASKS = 4096            # gathered in a period; the others are asked again by their fronts
+LOANS_AT_ONCE = 4           # of a tenant in a period, each from another lender
+ANY = 1 << 63               # no total is as large
+
+
+class Group(Protocol):
+    """What the keeper needs of the replicated group that the ledger is."""
+    generation: int
+
+    def holds(self, now_ms: float) -> bool: ...
+    def write(self, now_ms: float, record: bytes, done: Callable[[float, object], None]) -> None: ...
+    def snapshot(self) -> tuple: ...        # (state, records after it), in bytes: what the holder found and wrote
+
+
+def sense(ask):
+    """Whether a front can have said this."""
+    tenants = {(r.tenant, r.book) for r in ask.rows}
+    return bool(ask.book and ask.no) and len(tenants) == len(ask.rows) and all(
+        0 < r.book <= ask.book and (r.book == ask.book or r.sealed) and r.spent_us + r.returned_us <= r.known_us < ANY
+        and r.upto_us < ANY and r.need_us < ANY for r in ask.rows)
+
+
+class Keeper:
+    def __init__(self, group, figures, term_ms, period_ms=200.0):
+        self.group, self.figures, self.term_ms, self.period_ms = group, list(figures), term_ms, period_ms
+        self.silence_ms = term_ms * (1 + DRIFT)     # then a front's rights have surely lapsed
+        self.outbox, self.due_ms = [], 0.0
+        self.doubted = None         # generation in which a write's end is in doubt: this front does not act in it
+        self.out = None             # the write whose end is not known, and its generation
+        self.senseless = self.stray = self.barred = self.records = self.doubts = 0
+        self.leave()
+
+    def leave(self):
+        self.made = self.ahead = self.generation = None
+        self.last, self.newest, self.fronts = {}, {}, {}
+        self.asks, self.words, self.answering, self.scarce = {}, [], [], {}
+
+    def in_office(self, now_ms):
+        if not self.group.holds(now_ms) or self.group.generation == self.doubted:
+            if self.made:
+                self.leave()
+            return False
+        if self.made is None or self.generation != self.group.generation:
+            self.leave()
+            if self.out:            # Risk: a record of an office that was left is made after the state was read
+                return False
+            self.generation = self.group.generation
+            state, records = self.group.snapshot()
+            self.made, self.ahead = Ledger.load(state, records), Ledger.load(state, records)
+            self.office_ms = self.beat_ms = self.batch_ms = now_ms
+        return True
+
+    # what fronts say
+
+    def heard(self, now_ms, sender, ask):
+        """An ask. Totals count whenever they come; only the newest ask of a front's newest book is granted."""
+        if not self.in_office(now_ms):
+            self.stray += 1
+            return
+        if not sense(ask) or len(self.words) > MOST_ASKS:
+            self.senseless += 1
+            return
+        name, incarnation = sender
+        self.last[name, incarnation, ask.book] = now_ms
+        self.words += [(name, incarnation, row) for row in ask.rows]
+        at = incarnation, ask.book, ask.no
+        if at >= self.newest.get(name, at):
+            self.newest[name] = at
+            self.fronts[name] = now_ms, ask.pressed
+            self.asks[name] = incarnation, ask
+            if any(r.need_us for r in ask.rows):
+                self.due_ms = min(self.due_ms, max(now_ms, self.batch_ms + self.period_ms / 2))
+            self.due_ms = min(self.due_ms, max(now_ms, self.batch_ms + self.period_ms))
+
+    def tick(self, now_ms):
+        self.due_ms = now_ms + self.period_ms
+        if not self.in_office(now_ms) or self.out:
+            return
+        if self.asks or self.words or now_ms >= self.batch_ms + 5 * self.period_ms:
+            self.batch(now_ms)
+
+    # one batch: decided on `ahead`, made by the group, applied to `made`, told
+
+    def batch(self, now_ms):
+        self.batch_ms, changes = now_ms, []
+        asks, words, self.asks, self.words = self.asks, self.words, {}, []
+
+        def do(change):
+            if change is not None:
+                self.ahead.change(change)
+                changes.append(change)
+            return change is not None
+
+        for figures in self.figures:
+            do(self.ahead.decide_open(figures))
+        elapsed, self.beat_ms = self.elapsed(now_ms)
+        do(self.ahead.decide_beat(elapsed))
+        for name, incarnation, row in words:
+            try:
+                do(self.ahead.decide_word(name, incarnation, row))
+            except Senseless:
+                self.senseless += 1
+        for key in [k for k in self.ahead.books if k not in self.ahead.lapsed]:
+            if now_ms >= self.last.get(key, self.office_ms) + self.silence_ms:
+                do(self.ahead.decide_lapse(*key))
+        self.share_out(now_ms, asks, elapsed, do)
+        self.forget(now_ms)
+        self.answering = [(name, incarnation, ask) for name, (incarnation, ask) in asks.items()]
+        if not changes:
+            self.answer(now_ms)
+            return
+        record = pb.Record(no=self.made.no + 1, changes=changes)
+        self.ahead.no, self.out = record.no, (record, self.generation)
+        self.group.write(now_ms, record.SerializeToString(), lambda at_ms, ok: self.done(at_ms, record, ok))
+
+    def elapsed(self, now_ms):
+        """Whole milliseconds since the last beat, and when they ended."""
+        elapsed = int(now_ms - self.beat_ms)
+        return elapsed, self.beat_ms + elapsed
+
+    def done(self, now_ms, record, ok):
+        if not self.out or record is not self.out[0]:
+            return
+        generation, self.out = self.out[1], None
+        if not ok:
+            # Risk: what was decided may be made or not; whoever acts next must find out from the group.
+            self.doubts += 1
+            self.doubted = generation if ok is None else self.doubted
+            self.leave()
+        if self.made is None or self.generation != generation:
+            return
+        self.made.apply(record)
+        self.records += 1
+        if self.in_office(now_ms):
+            self.answer(now_ms)
+
+    def answer(self, now_ms):
+        answering, self.answering = self.answering, []
+        for name, incarnation, ask in answering:
+            out = pb.Answer(front=name, incarnation=incarnation, generation=self.generation, book=ask.book, no=ask.no,
+                            closed=not self.made.may_grant(name, incarnation, ask.book))
+            for row in ask.rows:
+                have = self.made.books.get((name, incarnation, row.book), {}).get(row.tenant)
+                told = out.rows.add(tenant=row.tenant, book=row.book, scarce=row.tenant in self.scarce, gone=have is None)
+                if have is not None:
+                    told.granted_us, told.spent_us, told.returned_us = have.granted, have.spent, have.returned
+            self.outbox.append((name, out))
+
+    def forget(self, now_ms):
+        """Risk: fronts that come and go fill the memory."""
+        old = now_ms - 2 * self.silence_ms
+        self.last = {k: at for k, at in self.last.items() if at > old or k in self.ahead.books}
+        self.fronts = {n: f for n, f in self.fronts.items() if f[0] > old}
+
+    # who gets what
+
+    def share_out(self, now_ms, asks, elapsed, do):
+        wants = self.wanted(asks)
+        keep = {}                   # what a debtor that asks keeps of this period, so that it never starves
+        for tenant in wants:
+            f = self.ahead.accounts[tenant].figures
+            if any(w.need for w in wants[tenant]):
+                keep[tenant] = f.rate_us * elapsed * (1000 - f.repay_permille) // 1000000
+        for tenant, rows in wants.items():
+            account = self.ahead.accounts[tenant]
+            while account.claims and (short := sum(w.need for w in rows) - account.pool) > 0:
+                if not do(self.ahead.decide_recall(tenant, short, keep)):
+                    break
+        for tenant, rows in wants.items():
+            self.portion(tenant, rows, "need", do)
+            if self.ahead.accounts[tenant].pool:
+                self.portion(tenant, rows, "want", do)
+        short = [t for t, rows in wants.items() if any(w.need for w in rows)]
+        self.scarce = {t: at for t, at in self.scarce.items() if at > now_ms - 10 * self.period_ms}
+        self.scarce |= dict.fromkeys(short, now_ms)
+        pressed = [p for at, p in self.fronts.values() if at > now_ms - self.silence_ms]
+        if 2 * sum(pressed) >= len(pressed):
+            return
+        for tenant in short:
+            roomy = [w for w in wants[tenant] if w.need and not w.pressed]
+            self.barred += bool(roomy) and self.ahead.overdue(tenant)
+            for _ in range(LOANS_AT_ONCE):
+                lacks = sum(w.need for w in roomy)
+                if not lacks or not do(self.ahead.decide_loan(tenant, lacks)):
+                    break
+                self.portion(tenant, roomy, "need", do)
+
+    def wanted(self, asks):
+        """What each ask still wants, by tenant. Wants are totals: an ask that comes twice is granted once."""
+        out = {}
+        for name, (incarnation, ask) in asks.items():
+            for row in ask.rows:
+                account = self.ahead.accounts.get(row.tenant)
+                if account is None or row.book != ask.book or row.sealed:
+                    continue
+                have = self.ahead.books.get((name, incarnation, ask.book), {}).get(row.tenant)
+                granted = have.granted if have else 0
+                want = min(max(0, row.upto_us - granted), account.figures.bucket_us // CHUNK)
+                need = min(max(0, row.need_us - (granted - row.known_us)), want)
+                if want and self.ahead.may_grant(name, incarnation, ask.book):
+                    out.setdefault(row.tenant, []).append(Want((name, incarnation, ask.book), ask.pressed, need, want))
+        return out
+
+    def portion(self, tenant, rows, what, do):
+        """All that is wanted, or of the pool as much as each wants of the whole."""
+        pool, total = self.ahead.accounts[tenant].pool, sum(getattr(w, what) for w in rows)
+        for w in rows:
+            amount = getattr(w, what)
+            part = amount if total <= pool else amount * pool // total
+            pool, total = pool - part, total - amount
+            if do(self.ahead.decide_grant(tenant, *w.key, part)):
+                w.need, w.want = max(0, w.need - part), w.want - part
+
+    # what is seen
+
+    def seen(self):
+        """Of each tenant: pool, held, spent, outstanding and limit, in milliseconds. Empty where this is no keeper."""
+        accounts = self.made.accounts if self.made else {}
+        return {t: tuple(v / 1000 for v in (a.pool, a.held, a.spent, a.owes, a.figures.limit_us))
+                for t, a in accounts.items()}
+
+
+class Want:
+    """What one ask still wants of one tenant's rights; `need` is part of `want`."""
+
+    __slots__ = ("key", "pressed", "need", "want")
+
+    def __init__(self, key, pressed, need, want):
+        self.key, self.pressed, self.need, self.want = key, pressed, need, want
--- /dev/null
+++ b/lichenquay/quota/rights.py
@@ -0,0 +1,238 @@
+"""A front's rights: what it may spend of each tenant's quota without asking anybody.
+
+No I/O. `take` when a query comes, `settle` when its work is told; `heard`, `tick`, `due_ms`, `outbox` for its talk with the keeper,
+whom the host names (`keeper`: (name, generation), None: not known). Rights are in a book; they last `term_ms` from the sending of
+the last ask that was answered, by this front's clock. A book that lapsed is sealed: nothing is taken from it again, and the
+keeper is told its totals until the ledger has them. Amounts are whole microseconds of engine work, times milliseconds."""
+from lichenquay.admission.rings import Ring
+from lichenquay.quota import quota_pb2 as pb
+
+MOST_ROWS = 16              # in one ask: a datagram
+WINDOW_MS = 8000.0          # of queries that tell what is wanted
+AHEAD = 4                   # this part of the window's work is held
+SENT = 16                   # asks remembered
+
+
+class Mine:
+    """One tenant's in one book: totals, and what open queries have reserved."""
+
+    __slots__ = ("known", "spent", "returned", "reserved", "noted", "sealed_no")
+
+    def __init__(self, sealed_no=None):
+        self.known = self.spent = self.returned = self.reserved = 0
+        self.noted, self.sealed_no = (0, 0), sealed_no
+
+    @property
+    def free(self):
+        return self.known - self.spent - self.returned - self.reserved
+
+    def seal(self, no):
+        """What is not reserved goes back; what is follows when its work is told."""
+        self.sealed_no, self.returned = no, self.returned + self.free
+
+
+class Rights:
+    def __init__(self, name, incarnation, stocks, term_ms, period_ms=250.0, chance=None):
+        """`stocks`: of each tenant the work in microseconds that is held where no query comes, too."""
+        self.name, self.incarnation, self.stocks = name, incarnation, dict(stocks)
+        self.term_ms, self.period_ms, self.chance = term_ms, period_ms, chance
+        self.book, self.no, self.valid_ms = 1, 0, float("-inf")
+        self.rows, self.old, self.tickets, self.debts = {}, {}, {}, {}     # old: {(book, tenant): Mine}, sealed
+        self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
+        self.largest = dict.fromkeys(self.stocks, 0)
+        self.scarce, self.sent, self.turn = set(), {}, 0
+        self.pressed = self.leaving = False
+        self.outbox, self.due_ms, self.asked_ms = [], float("inf"), float("-inf")
+        self.lapses = self.senseless = 0
+        self._keeper = None
+
+    @property
+    def keeper(self):
+        return self._keeper
+
+    @keeper.setter
+    def keeper(self, keeper):
+        """Who holds the ledger. Unknown: the front spends what it holds while that lasts."""
+        if keeper != self._keeper:
+            self._keeper = keeper
+            self.due_ms = float("-inf") if keeper else float("inf")
+
+    # queries
+
+    def take(self, now_ms, tenant, estimate_ms, ticket):
+        """Whether held rights cover a query; then its estimate is reserved until `settle` or `drop` of its ticket."""
+        self.lapse(now_ms)
+        if tenant not in self.stocks or self.leaving:
+            return False
+        amount = max(1, round(estimate_ms * 1000))
+        self.demand[tenant].add(now_ms, amount)
+        self.largest[tenant] = max(amount, self.largest[tenant] if self.demand[tenant].count(now_ms) > 1 else 0)
+        row = self.rows.get(tenant)
+        within = row is not None and now_ms < self.valid_ms and not self.debts.get(tenant) and row.free >= amount
+        if within:
+            row.reserved += amount
+            self.tickets[ticket] = tenant, row, amount
+        if not within or row.free < self.target(now_ms, tenant) // 2:
+            self.hurry(now_ms)
+        return within
+
+    def settle(self, now_ms, ticket, work_ms):
+        """The work told at a query's end: the rest comes back; work over the estimate is paid from what is held,
+        then by later grants. 0 for a query that no engine can have run. A ticket not known (beyond quota): nothing."""
+        self.lapse(now_ms)
+        tenant, row, amount = self.tickets.pop(ticket, (None, None, 0))
+        if row is None:
+            return
+        work = max(0, round(work_ms * 1000))
+        row.reserved -= amount
+        paid = min(work, row.free)          # of a sealed row: what this query had reserved
+        row.spent += paid
+        if row.sealed_no is not None:
+            row.returned += row.free
+        if work > paid:
+            self.debts[tenant] = self.debts.get(tenant, 0) + work - paid
+            self.pay(tenant)
+            self.hurry(now_ms)
+
+    def drop(self, now_ms, ticket):
+        """A query that was killed, or whose client left, and that may have run: its work is never told. It costs its
+        estimate. Risk: who leaves early runs for nothing."""
+        amount = self.tickets.get(ticket, (None, None, 0))[2]
+        self.settle(now_ms, ticket, amount / 1000)
+
+    def pay(self, tenant):
+        row, debt = self.rows.get(tenant), self.debts.get(tenant, 0)
+        if row is not None and debt:
+            paid = min(debt, row.free)
+            row.spent += paid
+            self.debts[tenant] = debt - paid
+
+    # books
+
+    def lapse(self, now_ms):
+        """Risk: a front that was cut off or paused spends what the keeper has written off."""
+        if self.valid_ms != float("-inf") and now_ms >= self.valid_ms:
+            self.lapses += 1
+            self.seal()
+            if self._keeper:
+                self.hurry(now_ms)
+
+    def seal(self):
+        for tenant, row in self.rows.items():
+            row.seal(self.no)
+            self.old[self.book, tenant] = row
+        self.rows, self.valid_ms = {}, float("-inf")
+        self.book += 1
+
+    def return_all(self, now_ms):
+        """The front leaves in order: nothing is taken any more, all that no open query has reserved goes back."""
+        self.leaving = True
+        self.seal()
+        if self._keeper:
+            self.due_ms = now_ms
+
+    @property
+    def returned(self):
+        """After `return_all`: whether the ledger has all of it."""
+        return self.leaving and not self.old
+
+    # talk with the keeper
+
+    def heard(self, now_ms, sender, answer):
+        """An answer. Totals only rise, so that one which is late, or comes twice, changes nothing."""
+        self.lapse(now_ms)
+        if (answer.front, answer.incarnation) != (self.name, self.incarnation) or answer.book > self.book or any(
+                r.tenant not in self.stocks or r.book > answer.book or r.spent_us + r.returned_us > r.granted_us
+                for r in answer.rows):
+            self.senseless += 1
+            return
+        current = answer.book == self.book and not self.leaving
+        if current and answer.closed:
+            self.seal()
+            current = False
+        elif current:
+            self.valid_ms = max(self.valid_ms, self.sent.get(answer.no, float("-inf")) + self.term_ms)
+        for told in answer.rows:
+            if told.book == self.book and current:
+                self.granted(told)
+            elif told.book < self.book:
+                self.closed(answer.no, told)
+        self.lapse(now_ms)
+        if current and self.due_ms > now_ms + self.pace(now_ms):
+            self.due_ms = now_ms + self.pace(now_ms)
+
+    def granted(self, told):
+        (self.scarce.add if told.scarce else self.scarce.discard)(told.tenant)
+        if told.gone:
+            return
+        row = self.rows.setdefault(told.tenant, Mine())
+        row.known = max(row.known, told.granted_us)
+        row.noted = max(row.noted, (told.spent_us, told.returned_us))
+        self.pay(told.tenant)
+
+    def closed(self, no, told):
+        """Of a sealed book. Risk: an answer from before the sealing says that a row is not there, and it was made later."""
+        key = told.book, told.tenant
+        row = self.old.get(key)
+        if told.gone and row is not None and no > row.sealed_no:
+            del self.old[key]
+        elif not told.gone and row is None:         # granted to it when it was sealed already: all of it goes back
+            self.old[key] = Mine(self.no)
+
+    def target(self, now_ms, tenant):
+        """What it wants to hold for the queries that come here."""
+        if not self.demand[tenant].count(now_ms):
+            return 0
+        return max(int(self.demand[tenant].total(now_ms)) // AHEAD, self.largest[tenant])
+
+    def row_of(self, now_ms, tenant):
+        """What an ask says of a tenant: first, what is over goes back."""
+        row, need = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant)
+        hold = need if tenant in self.scarce else 2 * need + self.stocks[tenant]
+        if row.free > hold * 3 // 2:
+            row.returned += row.free - hold
+        debt = self.debts.get(tenant, 0)
+        return pb.Row(tenant=tenant, book=self.book, known_us=row.known, spent_us=row.spent, returned_us=row.returned,
+                      upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt)
+
+    def told(self, now_ms):
+        """The rows of an ask: what queries lack, what is sealed, what the ledger has not noted; by turns if too many."""
+        rows = [] if self.leaving else [self.row_of(now_ms, t) for t in self.stocks]
+        rows = [r for r in rows if r.upto_us > r.known_us or r.known_us
+                and (r.spent_us, r.returned_us) != self.rows[r.tenant].noted]
+        rows += [pb.Row(tenant=t, book=b, known_us=m.known, spent_us=m.spent, returned_us=m.returned, sealed=True)
+                 for (b, t), m in self.old.items()]
+        if len(rows) > MOST_ROWS:
+            rows.sort(key=lambda r: not r.need_us)
+            first = [r for r in rows if r.need_us][:MOST_ROWS // 2]
+            rest, self.turn = rows[len(first):], self.turn + MOST_ROWS - len(first)
+            at = self.turn % len(rest)
+            rows = first + (rest[at:] + rest[:at])[:MOST_ROWS - len(first)]
+        return rows
+
+    def tick(self, now_ms):
+        self.lapse(now_ms)
+        if self._keeper is None or now_ms < self.due_ms:
+            return
+        self.no, self.asked_ms = self.no + 1, now_ms
+        rows = self.told(now_ms)
+        self.outbox.append((self._keeper[0], pb.Ask(book=self.book, no=self.no, pressed=self.pressed, rows=rows)))
+        if not self.leaving:
+            self.sent[self.no] = now_ms
+            self.sent.pop(self.no - SENT, None)
+        self.due_ms = now_ms + (self.pace(now_ms) if rows or self.leaving else self.term_ms / 4)
+
+    def pace(self, now_ms):
+        return self.period_ms * (0.9 + 0.2 * self.chance.random() if self.chance else 1.0)
+
+    def hurry(self, now_ms):
+        """An ask at once, but four a period at most."""
+        if self._keeper:
+            self.due_ms = min(self.due_ms, max(now_ms, self.asked_ms + self.period_ms / 4))
+
+    # what is seen
+
+    def seen(self, now_ms):
+        """Of each tenant with rights here: what may be spent now, and what was, in milliseconds."""
+        self.lapse(now_ms)
+        return {t: (r.free / 1000, r.spent / 1000) for t, r in self.rows.items()}
--- /dev/null
+++ b/tests/quota_world.py
@@ -0,0 +1,305 @@
+"""Virtual time for the quota's decision modules: fronts with clocks of their own, a group in memory that stands in for
+`owner`, a network with every fault, and an audit after every step that knows more than any front."""
+from heapq import heappop, heappush
+from random import Random
+
+from lichenquay.quota import quota_pb2 as pb
+from lichenquay.quota.keeper import Keeper
+from lichenquay.quota.ledger import Ledger
+from lichenquay.quota.rights import Rights
+
+TERM_MS, PERIOD_MS, STEP_MS = 2000.0, 200.0, 50.0
+
+
+def figures(tenant, rate=100, bucket=200, limit=100, term_ms=5000, repay=500, lend=250):
+    """Rate, bucket and limit in milliseconds of work."""
+    return pb.Open(tenant=tenant, rate_us=rate * 1000, bucket_us=bucket * 1000, limit_us=limit * 1000, term_ms=term_ms,
+                   repay_permille=repay, lend_permille=lend)
+
+
+class Violation(AssertionError):
+    pass
+
+
+def must(holds, what):
+    if not holds:
+        raise Violation(what)
+
+
+class Kept(dict):
+    """Sealed rows of a front; what it forgets, the audit keeps."""
+
+    def __init__(self):
+        super().__init__()
+        self.forgotten = []
+
+    def __delitem__(self, key):
+        self.forgotten.append((key, self[key]))
+        super().__delitem__(key)
+
+
+class Group:
+    """The ledger's group, as `owner` promises it: one holder, records in order, endings that are sometimes in doubt."""
+
+    def __init__(self, world):
+        self.world, self.generation, self.holder, self.out = world, 0, None, []
+        self.log, self.kept, self.compacted = [], b"", 0
+        self.audit = Ledger()           # all that was made, replayed
+        self.states = {0: self.audit.state()}
+        self.doubt = 0.0
+        self.delay = lambda: 5.0
+
+    def elect(self, front):
+        """A new generation. Writes that are out are kept or not, before the new holder reads; the old one is not told."""
+        for write in self.out:
+            self.end(write, None, self.world.random.random() < 0.5)
+        self.out, self.generation, self.holder = [], self.generation + 1, front
+
+    def write(self, seat, record, done):
+        write = [seat, record, done, self.generation]
+        self.out.append(write)
+        self.world.at(self.delay(), lambda: self.ended(write))
+
+    def ended(self, write):
+        if write in self.out:
+            self.out.remove(write)
+            doubt = self.world.random.random() < self.doubt
+            self.end(write, None if doubt else True, not doubt or self.world.random.random() < 0.5)
+            if doubt:
+                self.holder = None
+
+    def end(self, write, ok, made):
+        seat, record, done, generation = write
+        if made:
+            self.make(record)
+        front = self.world.fronts[seat.name]
+        if front.seat is seat:          # else its process has ended
+            front.call(lambda now_ms: done(now_ms, ok))
+
+    def make(self, record):
+        record = pb.Record.FromString(record)
+        if any(change.HasField("loan") for change in record.changes):
+            ledger = Ledger.load(self.states[self.audit.no])
+            for change in record.changes:
+                self.world.audit_change(ledger, change)
+                ledger.change(change)
+        must(self.audit.apply(record), "a record that was made before")
+        self.audit.check()
+        self.log.append(record.SerializeToString())
+        self.states[self.audit.no] = self.audit.state()
+
+    def snapshot(self):
+        """A state, and records of which some are in it already."""
+        if len(self.log) > 40:
+            self.compacted = len(self.log) - 10
+        start = max(0, self.compacted - 3)
+        return self.states[self.compacted], self.log[start:]
+
+
+class Seat:
+    """One process's view of the group."""
+
+    def __init__(self, group, name):
+        self.group, self.name = group, name
+
+    @property
+    def generation(self):
+        return self.group.generation
+
+    def holds(self, now_ms):
+        return self.group.holder == self.name
+
+    def write(self, now_ms, record, done):
+        self.group.write(self, record, done)
+
+    def snapshot(self):
+        return self.group.snapshot()
+
+
+class Front:
+    def __init__(self, world, name, rate, offset):
+        self.world, self.name, self.rate, self.offset, self.incarnation = world, name, rate, offset, 0
+        self.seat = None
+        self.lives, self.inbox, self.up, self.paused = [], [], False, False
+        self.start()
+
+    @property
+    def now_ms(self):
+        return self.world.now * self.rate + self.offset
+
+    def start(self):
+        world, self.incarnation, self.up, self.paused, self.inbox = self.world, self.incarnation + 1, True, False, []
+        stocks = {f.tenant: f.bucket_us // (2 * world.count) for f in world.figures}
+        self.seat = Seat(world.group, self.name)
+        self.keeper = world.make_keeper(self.seat, world.figures, TERM_MS, PERIOD_MS)
+        self.rights = world.make_rights(self.name, self.incarnation, stocks, TERM_MS, PERIOD_MS, world.random)
+        self.rights.old = Kept()
+        self.lives.append(self.rights)
+        self.known = None
+
+    def kill(self):
+        self.up, self.seat = False, None
+
+    def call(self, what):
+        """Something happens to the process: now, or when it runs again."""
+        if self.up and self.paused:
+            self.inbox.append(what)
+        elif self.up:
+            what(self.now_ms)
+
+    def resume(self):
+        self.paused, inbox, self.inbox = False, self.inbox, []
+        for what in inbox:
+            self.call(what)
+
+    def step(self):
+        if not self.up or self.paused:
+            return
+        now = self.now_ms
+        holder = self.world.group.holder
+        if (holder, self.world.group.generation) != self.known:
+            self.known = holder, self.world.group.generation
+            self.rights.keeper = self.known if holder else None
+        for part in (self.rights, self.keeper):
+            if now >= part.due_ms:
+                part.tick(now)
+            out, part.outbox[:] = list(part.outbox), []
+            for to, message in out:
+                self.world.send(self, to, message)
+
+
+class World:
+    def __init__(self, seed=0, fronts=3, accounts=(), keeper=Keeper, rights=Rights, drift=0.024):
+        self.random, self.now, self.events, self.number, self.count = Random(seed), 0.0, [], 0, fronts
+        self.figures, self.make_keeper, self.make_rights = list(accounts), keeper, rights
+        self.lose = self.double = self.late = 0.0
+        self.cut, self.sent, self.mutate = set(), 0, None
+        self.within, self.beyond, self.ticket = {}, {}, 0
+        self.group = Group(self)
+        spread = [1 + drift * (2 * i / max(1, fronts - 1) - 1) for i in range(fronts)]
+        self.fronts = {f"f{i}": Front(self, f"f{i}", spread[i], 1000.0 * i * i) for i in range(fronts)}
+
+    # time and network
+
+    def at(self, after_ms, what):
+        self.number += 1
+        heappush(self.events, (self.now + after_ms, self.number, what))
+
+    def run(self, until):
+        while self.now < until:
+            step = self.now + STEP_MS
+            while self.events and self.events[0][0] <= step:
+                at, _, what = heappop(self.events)
+                self.now = max(self.now, at)
+                what()
+            self.now = step
+            for front in self.fronts.values():
+                front.step()
+            self.audit()
+
+    def send(self, front, to, message):
+        """Each message has a number, so that a run can be repeated with one of them changed."""
+        self.sent += 1
+        link = (front.name, to)
+        copies = [(to, front.name, front.incarnation, message, 2 + 8 * self.random.random())]
+        if self.mutate:
+            copies = self.mutate(self.sent, copies)
+        for to, name, incarnation, message, delay in copies:
+            if link in self.cut or self.random.random() < self.lose:
+                continue
+            times = 2 if self.random.random() < self.double else 1
+            for _ in range(times):
+                more = self.random.expovariate(1 / 2000) if self.random.random() < self.late else 0.0
+                self.at(delay + more, lambda d=(to, name, incarnation, message.SerializeToString(), type(message)):
+                        self.deliver(*d))
+
+    def deliver(self, to, name, incarnation, raw, kind):
+        front = self.fronts.get(to)
+        if front is not None:
+            part = front.keeper if kind is pb.Ask else front.rights     # the process of then, not of later
+            front.call(lambda now_ms: part.heard(now_ms, (name, incarnation), kind.FromString(raw)))
+
+    # queries
+
+    def query(self, front, tenant, estimate_ms, work_ms=None, runs_ms=100.0, ends="settle"):
+        if not front.up or front.paused:
+            return None
+        self.ticket += 1
+        ticket, rights, now = self.ticket, front.rights, front.now_ms
+        within = rights.take(now, tenant, estimate_ms, ticket)
+        if within:
+            key = front.name, front.incarnation, rights.book
+            must(key not in self.group.audit.lapsed, f"{key} spends what was written off")
+            must(tenant in self.group.audit.books.get(key, {}), f"{key} spends what no record granted")
+            work = estimate_ms if work_ms is None else work_ms
+            end = (lambda t: rights.settle(t, ticket, work)) if ends == "settle" else (lambda t: rights.drop(t, ticket))
+            self.at(runs_ms, lambda: front.rights is rights and front.call(end))
+        counts = self.within if within else self.beyond
+        counts[tenant] = counts.get(tenant, 0) + 1
+        return within
+
+    # the audit
+
+    def audit_change(self, ledger, change):
+        """What a record may not do, by what was made before it."""
+        if change.HasField("loan"):
+            loan, to = change.loan, ledger.accounts[change.loan.borrower]
+            must(not ledger.overdue(loan.borrower), f"{loan.borrower} borrows while a loan is overdue")
+            must(to.owes + loan.amount_us <= to.figures.limit_us, f"{loan.borrower} borrows over its limit")
+
+    def spent(self, tenant):
+        """What fronts of all lives have spent and reserved: the truth, that no ledger knows in time."""
+        return sum(row.spent + row.reserved for f in self.fronts.values() for life in f.lives
+                   for (_, of), row in self.rows(life) if of == tenant)
+
+    @staticmethod
+    def rows(life):
+        yield from (((life.book, t), r) for t, r in life.rows.items())
+        yield from life.old.items()
+        yield from life.old.forgotten
+
+    def audit(self):
+        ledger = self.group.audit
+        for f in self.fronts.values():
+            for life in f.lives:
+                for (book, tenant), mine in self.rows(life):
+                    must(min(mine.free, mine.spent, mine.reserved, mine.returned) >= 0, f"{f.name} spends what it has not")
+                    row = ledger.books.get((f.name, life.incarnation, book), {}).get(tenant)
+                    if row is not None:
+                        must(mine.known <= row.granted, f"{f.name} holds what no record granted")
+                        must(mine.spent + mine.reserved <= row.granted - row.returned, f"{f.name} spends what went back")
+            made = f.keeper.made
+            if made is not None:
+                must(made.state() == self.group.states.get(made.no), f"the keeper at {f.name} has another ledger")
+        for tenant, a in ledger.accounts.items():
+            must(self.spent(tenant) <= a.spent + a.held + a.written + a.lost, f"{tenant}: spent what was not granted")
+            most = a.figures.bucket_us + a.figures.rate_us * self.now * 1.03 / 1000
+            must(a.issued <= most, f"{tenant}: more issued than its rate and bucket")
+            must(self.spent(tenant) <= most + a.owes, f"{tenant}: spent more than its rate, bucket and loans")
+
+    def rest(self, within_ms):
+        """No more faults, no more queries: all comes to rest. What fronts that live hold is what the ledger says."""
+        self.lose = self.double = self.late = self.group.doubt = 0.0
+        self.cut, self.mutate = set(), None
+        for f in self.fronts.values():
+            if not f.up:
+                f.start()
+            elif f.paused:
+                f.resume()
+        if self.group.holder is None:
+            self.group.elect("f0")
+        until = self.now + within_ms
+        self.run(until)
+        ledger = self.group.audit
+        must(not ledger.loans, "loans are not repaid in time")
+        for f in self.fronts.values():
+            must(not f.rights.old and not f.rights.tickets, f"{f.name} has sealed books that the ledger does not note")
+            must(not any(f.rights.debts.values()), f"{f.name} has debts")
+            for tenant, mine in f.rights.rows.items():
+                row = ledger.books.get((f.name, f.incarnation, f.rights.book), {}).get(tenant)
+                must((row.granted, row.spent, row.returned) == (mine.known, mine.spent, mine.returned) if row
+                     else not mine.known, f"{f.name} and the ledger differ on {tenant}")
+        for key in ledger.books:
+            now = self.fronts[key[0]]
+            must(key in ledger.lapsed or key[1:] == (now.incarnation, now.rights.book), f"book {key} was not closed")
+            must(key not in ledger.lapsed or key[1] < now.incarnation, f"book {key}: its front lives and has told")
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,377 @@
+import subprocess
+import sys
+from random import Random
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from quota_world import World, figures
+
+from lichenquay.quota import quota_pb2 as pb
+from lichenquay.quota.keeper import Keeper
+from lichenquay.quota.ledger import MOST_LAPSED, Ledger, LedgerError, Senseless
+from lichenquay.quota.make import HERE
+from lichenquay.quota.rights import Rights
+
+MS = 1000
+
+
+def test_what_is_generated_is_current(tmp_path):
+    code = f"from lichenquay.quota.make import make; from pathlib import Path; make(Path({str(tmp_path)!r}))"
+    subprocess.run([sys.executable, "-c", code], check=True)
+    assert (tmp_path / "quota_pb2.py").read_text() == (HERE / "quota_pb2.py").read_text()
+
+
+def ledger(*accounts):
+    out = Ledger()
+    for f in accounts or (figures("a"), figures("b")):
+        out.change(out.decide_open(f))
+    return out
+
+
+def do(led, change):
+    if change is not None:
+        led.apply(pb.Record(no=led.no + 1, changes=[change]))
+        led.check()
+    return change
+
+
+def word(tenant, known, spent, returned=0, sealed=False, book=1):
+    return pb.Row(tenant=tenant, book=book, known_us=known, spent_us=spent, returned_us=returned, sealed=sealed)
+
+
+# the ledger
+
+NAMES, FRONTS = st.sampled_from("abc"), st.sampled_from(["f0", "f1"])
+WORK = st.integers(0, 300 * MS)
+STEPS = st.one_of(
+    st.tuples(st.just("beat"), st.integers(0, 5000)),
+    st.tuples(st.just("grant"), NAMES, FRONTS, st.integers(1, 3), st.integers(1, 3), WORK),
+    st.tuples(st.just("word"), FRONTS, st.integers(1, 3), st.integers(1, 3), NAMES, st.floats(0, 1), st.floats(0, 1),
+              st.floats(0, 1), st.booleans()),
+    st.tuples(st.just("lapse"), FRONTS, st.integers(1, 3), st.integers(1, 3)),
+    st.tuples(st.just("loan"), NAMES, WORK),
+    st.tuples(st.just("recall"), NAMES, WORK),
+    st.tuples(st.just("open"), NAMES, st.integers(0, 300), st.integers(0, 300), st.integers(0, 200)))
+
+
+def decide(led, step):
+    kind, *of = step
+    if kind == "word":
+        front, incarnation, book, tenant, *shares, sealed = of
+        have = led.books.get((front, incarnation, book), {}).get(tenant)
+        if have is None:
+            return led.decide_word(front, incarnation, word(tenant, 0, 0, 0, sealed, book))
+        known = int(have.granted * shares[0])
+        spent = int(known * shares[1])
+        row = word(tenant, known, spent, int((known - spent) * shares[2]), sealed, book)
+        try:
+            return led.decide_word(front, incarnation, row)
+        except Senseless:
+            return None
+    if kind == "recall":
+        return led.decide_recall(*of, {})
+    if kind == "open":
+        return led.decide_open(figures(of[0], *of[1:]))
+    return getattr(led, f"decide_{kind}")(*of)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(STEPS, max_size=60))
+def test_whatever_is_decided_conserves_and_is_rebuilt_from_snapshot_and_records(steps):
+    """Any order of decisions; every record comes twice; a keeper that reads a snapshot of any age has the same."""
+    led, records, states = ledger(figures("a"), figures("b", limit=50), figures("c", rate=3)), [], []
+    for step in steps:
+        change = decide(led, step)
+        if change is None:
+            continue
+        states.append(led.state())
+        records.append(pb.Record(no=led.no + 1, changes=[change]))
+        assert led.apply(records[-1])
+        led.check()
+        assert not led.apply(records[-1])
+    for i in {0, len(states) // 2, len(states) - 1} & set(range(len(states))):
+        again = Ledger.load(states[i], [r.SerializeToString() for r in records[max(0, i - 2):]])
+        assert again.state() == led.state()
+
+
+def test_a_gap_in_the_records_and_a_newer_version_are_refused():
+    led = ledger()
+    with pytest.raises(LedgerError, match="record 2 after 0"):
+        led.apply(pb.Record(no=2))
+    with pytest.raises(LedgerError, match="kind that is not known"):
+        led.apply(pb.Record(no=1, changes=[pb.Change()]))
+    with pytest.raises(LedgerError, match="version 9"):
+        Ledger.load(pb.State(version=9).SerializeToString())
+
+
+def test_what_was_written_off_comes_back_once_whatever_is_told_and_how_often():
+    led = ledger()
+    do(led, led.decide_grant("a", "f0", 1, 1, 60 * MS))
+    do(led, led.decide_lapse("f0", 1, 1))
+    account = led.accounts["a"]
+    assert (account.held, account.written) == (0, 60 * MS) and account.pool == 140 * MS
+    assert led.decide_grant("a", "f0", 1, 1, MS) is None      # the book is closed
+    do(led, led.decide_word("f0", 1, word("a", 40 * MS, 10 * MS)))          # from before: not its last word
+    assert account.written == 50 * MS and account.pool == 140 * MS
+    last = word("a", 40 * MS, 25 * MS, 15 * MS, True)
+    do(led, led.decide_word("f0", 1, last))
+    assert (account.spent, account.written, account.pool) == (25 * MS, 0, 175 * MS)
+    assert led.decide_word("f0", 1, last) is None and not led.books
+
+
+def test_a_written_off_rest_comes_back_no_higher_than_the_bucket():
+    led = ledger()
+    do(led, led.decide_grant("a", "f0", 1, 1, 60 * MS))
+    do(led, led.decide_lapse("f0", 1, 1))
+    do(led, led.decide_beat(10000))
+    do(led, led.decide_word("f0", 1, word("a", 60 * MS, 10 * MS, 50 * MS, True)))
+    assert led.accounts["a"].pool == 200 * MS and led.accounts["a"].spilled == 50 * MS
+
+
+def test_rows_of_a_front_that_comes_and_goes_are_bounded():
+    led = ledger()
+    for incarnation in range(1, MOST_LAPSED + 20):
+        do(led, led.decide_beat(1000))
+        do(led, led.decide_grant("a", "f0", incarnation, 1, MS))
+        do(led, led.decide_lapse("f0", incarnation, 1))
+    assert len(led.books) == MOST_LAPSED and led.accounts["a"].lost == 19 * MS
+
+
+def test_loans_wait_for_an_empty_pool_stay_in_the_limit_and_are_barred_when_overdue():
+    led = ledger(figures("a"), figures("b"), figures("c", bucket=1000))
+    assert led.decide_loan("a", MS) is None                     # it has its own
+    do(led, led.decide_grant("a", "f0", 1, 1, 200 * MS))
+    assert do(led, led.decide_loan("a", 70 * MS)).loan.lender == "c"        # the most unused
+    do(led, led.decide_grant("a", "f0", 1, 1, 70 * MS))
+    assert do(led, led.decide_loan("a", 70 * MS)).loan.amount_us == 30 * MS
+    do(led, led.decide_grant("a", "f0", 1, 1, 30 * MS))
+    assert led.decide_loan("a", MS) is None                     # limit
+    a = led.accounts["a"]
+    for _ in range(51):
+        do(led, led.decide_beat(100))
+        do(led, led.decide_word("f0", 1, word("a", a.spent + a.held, a.spent + min(9 * MS, a.held))))
+        do(led, led.decide_grant("a", "f0", 1, 1, a.pool))
+    assert not led.loans                                        # half of 100 a second for 5 s
+    late = ledger(figures("a", term_ms=50), figures("b"))
+    do(late, late.decide_grant("a", "f0", 1, 1, 200 * MS))
+    do(late, late.decide_loan("a", 50 * MS))
+    do(late, late.decide_grant("a", "f0", 1, 1, 50 * MS))
+    do(late, late.decide_beat(60))
+    assert late.overdue("a") and late.decide_loan("a", MS) is None
+
+
+def test_repayment_takes_its_share_of_what_accrues_oldest_first_and_no_more():
+    led = ledger(figures("a", repay=300), figures("b"), figures("c"))
+    do(led, led.decide_grant("a", "f0", 1, 1, 200 * MS))
+    for amount in (20, 30):
+        do(led, led.decide_loan("a", amount * MS))
+        do(led, led.decide_grant("a", "f0", 1, 1, amount * MS))
+    do(led, led.decide_word("f0", 1, word("a", 250 * MS, 250 * MS)))
+    do(led, led.decide_beat(500))
+    assert led.accounts["a"].repaid == 15 * MS and led.accounts["a"].pool == 35 * MS
+    assert led.loans[1].repaid_us == 15 * MS and led.loans[2].repaid_us == 0
+    do(led, led.decide_beat(500))
+    assert list(led.loans) == [2] and led.loans[2].repaid_us == 10 * MS
+
+
+def test_a_lender_accrues_as_if_it_had_not_lent():
+    led, plain = ledger(figures("a"), figures("b")), ledger(figures("a"), figures("b"))
+    for x in led, plain:
+        do(x, x.decide_grant("a", "f0", 1, 1, 200 * MS))
+        do(x, x.decide_grant("b", "f0", 1, 1, 40 * MS))
+        do(x, x.decide_word("f0", 1, word("b", 40 * MS, 40 * MS)))
+    do(led, led.decide_loan("a", 60 * MS))
+    for x in led, plain:
+        for _ in range(100):
+            do(x, x.decide_beat(100))
+    assert not led.loans and led.accounts["b"].issued == plain.accounts["b"].issued
+
+
+# rights at a front
+
+def front(term_ms=2000.0, **stocks):
+    rights = Rights("f0", 3, stocks or {"a": 0}, term_ms, 200.0)
+    rights.keeper = ("f1", 1)
+    return rights
+
+
+def ask(rights, now_ms):
+    rights.due_ms = now_ms
+    rights.tick(now_ms)
+    return rights.outbox.pop()[1]
+
+
+def answer(rights, asked, **granted):
+    rows = [pb.Granted(tenant=t, book=asked.book, granted_us=g * MS) for t, g in granted.items()]
+    return pb.Answer(front="f0", incarnation=3, generation=1, book=asked.book, no=asked.no, rows=rows)
+
+
+def hold(rights, now_ms, **granted):
+    rights.heard(now_ms, ("f1", 1), answer(rights, ask(rights, now_ms), **granted))
+
+
+def test_a_front_spends_what_it_holds_and_only_until_its_last_answered_ask_lapses():
+    rights = front()
+    assert not rights.take(0.0, "a", 10.0, 0)
+    asked = ask(rights, 100.0)
+    assert asked.rows[0].need_us == 10 * MS
+    rights.heard(900.0, ("f1", 1), answer(rights, asked, a=25))
+    assert rights.take(900.0, "a", 10.0, 1) and rights.take(900.0, "a", 15.0, 2) and not rights.take(900.0, "a", 1.0, 3)
+    rights.settle(1000.0, 1, 4.0)
+    assert rights.take(2099.0, "a", 6.0, 4) and not rights.take(2100.0, "a", 0.001, 5)    # 2000 from the sending
+    assert rights.book == 2 and rights.lapses == 1
+    rights.settle(2200.0, 2, 5.0)
+    old = [r for r in ask(rights, 2300.0).rows if r.sealed]
+    assert [(r.book, r.known_us, r.spent_us, r.returned_us) for r in old] == [(1, 25 * MS, 9 * MS, 10 * MS)]
+
+
+def test_late_doubled_strange_and_older_answers_change_nothing():
+    rights = front()
+    rights.take(0.0, "a", 10.0, 0)
+    first, second = ask(rights, 0.0), ask(rights, 200.0)
+    for a in (answer(rights, second, a=30), answer(rights, first, a=20), answer(rights, second, a=30)):
+        rights.heard(300.0, ("f1", 1), a)
+    assert rights.rows["a"].known == 30 * MS and rights.valid_ms == 2200.0
+    for field, value in (("front", "f9"), ("incarnation", 2), ("incarnation", 4), ("book", 2)):
+        strange = answer(rights, second, a=99)
+        setattr(strange, field, value)
+        rights.heard(300.0, ("f1", 1), strange)
+    rights.heard(300.0, ("f1", 1), answer(rights, second, nobody=1))
+    assert rights.senseless == 5 and rights.rows["a"].known == 30 * MS
+
+
+def test_an_overrun_is_a_debt_that_the_next_grant_covers_first():
+    rights = front()
+    hold(rights, 0.0, a=20)
+    assert rights.take(10.0, "a", 20.0, 1)
+    rights.settle(50.0, 1, 50.0)
+    assert rights.debts == {"a": 30 * MS} and not rights.take(60.0, "a", 1.0, 2)
+    assert ask(rights, 60.0).rows[0].need_us >= 30 * MS
+    hold(rights, 70.0, a=45)
+    assert rights.debts == {"a": 5 * MS} and rights.rows["a"].spent == 45 * MS and not rights.take(80.0, "a", 1.0, 3)
+    hold(rights, 90.0, a=60)
+    assert rights.take(90.0, "a", 10.0, 4) and not rights.take(90.0, "a", 0.1, 5)
+
+
+def test_a_query_that_may_have_run_costs_its_estimate_and_one_that_cannot_have_nothing():
+    rights = front()
+    hold(rights, 0.0, a=30)
+    for ticket in (1, 2, 3):
+        assert rights.take(0.0, "a", 10.0, ticket)
+    rights.drop(10.0, 1)
+    rights.settle(10.0, 2, 0.0)
+    rights.settle(10.0, 2, 0.0)         # ended already
+    rights.drop(10.0, 99)               # beyond quota, or never seen
+    row = rights.rows["a"]
+    assert (row.spent, row.reserved, row.free) == (10 * MS, 10 * MS, 10 * MS)
+
+
+def test_asks_are_bounded_however_many_queries_find_nothing():
+    rights, count = front(a=10 * MS), 0
+    for ms in range(4000):
+        rights.take(float(ms), "a", 5.0, ms)
+        if ms >= rights.due_ms:
+            rights.tick(float(ms))
+            count += len(rights.outbox)
+            rights.outbox.clear()
+    assert 40 <= count <= 81            # four a period of 200
+    rights.keeper = None
+    rights.take(5000.0, "a", 5.0, "x")
+    assert rights.due_ms == float("inf")
+
+
+def test_many_tenants_are_told_by_turns():
+    rights = front(**{f"t{i}": 1000 for i in range(100)})
+    said = set()
+    for i in range(8):
+        rows = ask(rights, 200.0 * i).rows
+        assert len(rows) <= 16
+        said |= {r.tenant for r in rows}
+    assert len(said) == 100
+
+
+def test_leaving_in_order_gives_back_all_but_what_queries_hold_and_then_the_rest():
+    world = World(3, 2, [figures("a", rate=0, limit=0)])
+    world.group.elect("f0")
+    world.run(1500)
+    leaver = world.fronts["f1"]
+    assert world.query(leaver, "a", 20, 5, runs_ms=3000)
+    leaver.rights.return_all(leaver.now_ms)
+    assert world.query(leaver, "a", 1) is False
+    world.run(2500)
+    assert not leaver.rights.returned and world.group.audit.accounts["a"].written == 0
+    world.run(6000)
+    assert leaver.rights.returned
+    a = world.group.audit.accounts["a"]
+    assert a.spent == 5 * MS and a.pool + a.held == 195 * MS and not [k for k in world.group.audit.books if k[0] == "f1"]
+
+
+# the keeper
+
+def run_of(world, ms, rates, work=20):
+    """Queries by chance: `rates` of (front, tenant) a second."""
+    end, chance = world.now + ms, Random(7)
+    while world.now < end:
+        world.run(world.now + 50)
+        for (name, tenant), rate in rates.items():
+            if chance.random() < rate / 20:
+                world.query(world.fronts[name], tenant, work, work * (0.5 + chance.random()))
+
+
+def test_rights_move_to_where_the_queries_come():
+    world = World(5, 4, [figures("a", limit=0)])
+    world.group.elect("f0")
+    world.run(1000)
+    run_of(world, 10000, {("f2", "a"): 2})
+    assert world.beyond.get("a", 0) <= 0.1 * world.within["a"]
+    run_of(world, 10000, {("f3", "a"): 12})         # more than there is: all of it serves f3
+    issued, before = world.group.audit.accounts["a"], dict(world.within)
+    run_of(world, 10000, {("f3", "a"): 12})
+    assert world.within["a"] - before["a"] >= 0.9 * 1000 / 20 and issued.borrowed == 0
+
+
+def test_nothing_is_lent_when_half_of_the_fronts_are_pressed():
+    for pressed, lent in ((1, True), (2, False)):
+        world = World(5, 4, [figures("a"), figures("b")])
+        world.group.elect("f0")
+        for i in range(pressed):
+            world.fronts[f"f{3 - i}"].rights.pressed = True
+        run_of(world, 5000, {("f0", "a"): 20})
+        assert (world.group.audit.accounts["a"].borrowed > 0) == lent
+
+
+def test_a_front_that_is_pressed_borrows_nothing_itself():
+    world = World(5, 4, [figures("a"), figures("b")])
+    world.group.elect("f0")
+    world.fronts["f3"].rights.pressed = True
+    run_of(world, 5000, {("f3", "a"): 20})
+    assert world.group.audit.accounts["a"].borrowed == 0
+
+
+def test_a_lender_in_need_has_its_own_back_and_its_debtor_does_not_starve():
+    world = World(9, 3, [figures("a"), figures("b", limit=0)])
+    world.group.elect("f0")
+    run_of(world, 6000, {("f0", "a"): 20})
+    a, b = (world.group.audit.accounts[t] for t in "ab")
+    assert b.claims > 50 * MS
+    before = dict(world.within)
+    run_of(world, 20000, {("f0", "a"): 20, ("f1", "b"): 20})
+    assert b.claims == 0
+    spent = {t: world.within[t] - before.get(t, 0) for t in "ab"}
+    assert spent["b"] >= 0.8 * 2000 / 20 and spent["a"] >= 0.4 * 2000 / 20, spent
+
+
+def test_asks_that_make_no_sense_or_come_to_no_keeper_are_counted():
+    world = World(1, 1, [figures("a")])
+    keeper = world.fronts["f0"].keeper
+    keeper.heard(0.0, ("f0", 1), pb.Ask(book=1, no=1))
+    assert keeper.stray == 1 and keeper.seen() == {}
+    world.group.elect("f0")
+    for bad in (pb.Ask(book=0, no=1), pb.Ask(book=1, no=0), pb.Ask(book=1, no=1, rows=[word("a", 1, 2)]),
+                pb.Ask(book=1, no=1, rows=[word("a", 1, 1, book=2)]), pb.Ask(book=2, no=1, rows=[word("a", 1, 1)]),
+                pb.Ask(book=1, no=1, rows=[word("a", 0, 0), word("a", 0, 0)])):
+        keeper.heard(0.0, ("f0", 1), bad)
+    keeper.heard(0.0, ("f0", 1), pb.Ask(book=1, no=1, rows=[word("a", 5, 5), word("nobody", 5, 5)]))
+    world.run(500)
+    assert keeper.senseless == 6 and world.group.audit.accounts["a"].spent == 0
+    assert isinstance(keeper, Keeper) and set(keeper.seen()) == {"a"}
