--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -5,12 +5,15 @@
 they differ while a write is out. Where the end of a write is in doubt, the keeper is none until the group's next generation."""
 from typing import Callable, Protocol
 
+from google.protobuf.message import DecodeError
+
 from lichenquay.quota import quota_pb2 as pb
-from lichenquay.quota.ledger import Ledger, Senseless
+from lichenquay.quota.ledger import Ledger, LedgerError, Senseless
 
 DRIFT = 0.05                # two clocks' rates differ by no more
 CHUNK = 4                   # one ask is granted no more than this part of a bucket
 MOST_ASKS = 4096            # gathered in a period; the others are asked again by their fronts
+ASKS_AT_ONCE = 8            # of a front in a period
 LOANS_AT_ONCE = 4           # of a tenant in a period, each from another lender
 ANY = 1 << 63               # no total is as large
 
@@ -40,6 +43,7 @@
         self.doubted = None         # generation in which a write's end is in doubt: this front does not act in it
         self.out = None             # the write whose end is not known, and its generation
         self.senseless = self.stray = self.barred = self.records = self.doubts = 0
+        self.trouble = None         # why it is no keeper though its front holds the group
         self.leave()
 
     def leave(self):
@@ -57,15 +61,21 @@
             if self.out:            # Risk: a record of an office that was left is made after the state was read
                 return False
             self.generation = self.group.generation
-            state, records = self.group.snapshot()
-            self.made, self.ahead = Ledger.load(state, records), Ledger.load(state, records)
+            try:
+                state, records = self.group.snapshot()
+                self.made, self.ahead = Ledger.load(state, records), Ledger.load(state, records)
+            except (LedgerError, DecodeError) as e:
+                # Risk: a ledger of a newer version, or a spoilt one, is begun anew and all loans are forgiven.
+                self.trouble, self.doubted = f"the quota's ledger cannot be read: {e}", self.generation
+                self.leave()
+                return False
             self.office_ms = self.beat_ms = self.batch_ms = now_ms
         return True
 
     # what fronts say
 
     def heard(self, now_ms, sender, ask):
-        """An ask. Totals count whenever they come; only the newest ask of a front's newest book is granted."""
+        """An ask. Totals count whenever they come; only asks of a front's newest book are granted and answered."""
         if not self.in_office(now_ms):
             self.stray += 1
             return
@@ -76,10 +86,13 @@
         self.last[name, incarnation, ask.book] = now_ms
         self.words += [(name, incarnation, row) for row in ask.rows]
         at = incarnation, ask.book, ask.no
-        if at >= self.newest.get(name, at):
+        newest = self.newest.get(name, at)
+        if at >= newest:
             self.newest[name] = at
             self.fronts[name] = now_ms, ask.pressed
-            self.asks[name] = incarnation, ask
+        asks = self.asks.setdefault(name, [])
+        if at[:2] >= newest[:2] and len(asks) < ASKS_AT_ONCE:
+            asks.append((incarnation, ask))
             if any(r.need_us for r in ask.rows):
                 self.due_ms = min(self.due_ms, max(now_ms, self.batch_ms + self.period_ms / 2))
             self.due_ms = min(self.due_ms, max(now_ms, self.batch_ms + self.period_ms))
@@ -117,7 +130,7 @@
                 do(self.ahead.decide_lapse(*key))
         self.share_out(now_ms, asks, elapsed, do)
         self.forget(now_ms)
-        self.answering = [(name, incarnation, ask) for name, (incarnation, ask) in asks.items()]
+        self.answering = [(name, *said) for name, told in asks.items() for said in told]
         if not changes:
             self.answer(now_ms)
             return
@@ -153,7 +166,10 @@
                             closed=not self.made.may_grant(name, incarnation, ask.book))
             for row in ask.rows:
                 have = self.made.books.get((name, incarnation, row.book), {}).get(row.tenant)
-                told = out.rows.add(tenant=row.tenant, book=row.book, scarce=row.tenant in self.scarce, gone=have is None)
+                told, account = out.rows.add(tenant=row.tenant, book=row.book), self.made.accounts.get(row.tenant)
+                told.gone, told.scarce = have is None, row.tenant in self.scarce
+                if account is not None:
+                    told.owes_us, told.limit_us = account.owes, account.figures.limit_us
                 if have is not None:
                     told.granted_us, told.spent_us, told.returned_us = have.granted, have.spent, have.returned
             self.outbox.append((name, out))
@@ -198,9 +214,9 @@
                 self.portion(tenant, roomy, "need", do)
 
     def wanted(self, asks):
-        """What each ask still wants, by tenant. Wants are totals: an ask that comes twice is granted once."""
+        """What each front still wants, by tenant. Wants are totals: an ask that comes twice is granted once."""
         out = {}
-        for name, (incarnation, ask) in asks.items():
+        for name, incarnation, ask in [(name, *said) for name, told in asks.items() for said in told]:
             for row in ask.rows:
                 account = self.ahead.accounts.get(row.tenant)
                 if account is None or row.book != ask.book or row.sealed:
@@ -209,9 +225,11 @@
                 granted = have.granted if have else 0
                 want = min(max(0, row.upto_us - granted), account.figures.bucket_us // CHUNK)
                 need = min(max(0, row.need_us - (granted - row.known_us)), want)
-                if want and self.ahead.may_grant(name, incarnation, ask.book):
-                    out.setdefault(row.tenant, []).append(Want((name, incarnation, ask.book), ask.pressed, need, want))
-        return out
+                key = name, incarnation, ask.book
+                if want and self.ahead.may_grant(*key):
+                    w = out.setdefault(row.tenant, {}).setdefault(key, Want(key, ask.pressed, 0, 0))
+                    w.need, w.want = max(w.need, need), max(w.want, want)
+        return {tenant: list(rows.values()) for tenant, rows in out.items()}
 
     def portion(self, tenant, rows, what, do):
         """All that is wanted, or of the pool as much as each wants of the whole."""
--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -7,10 +7,17 @@
 from lichenquay.admission.rings import Ring
 from lichenquay.quota import quota_pb2 as pb
 
-MOST_ROWS = 16              # in one ask: a datagram
+MOST_ROWS = 8               # in one ask: a datagram of under 1,200 bytes
+ASKS_AT_ONCE = 4
 WINDOW_MS = 8000.0          # of queries that tell what is wanted
 AHEAD = 4                   # this part of the window's work is held
-SENT = 16                   # asks remembered
+SENT = 64                   # asks remembered
+
+
+def stocks_of(figures, fronts):
+    """What each of so many fronts holds of each tenant without any query: a quarter of the bucket for all of them. Risk:
+    more is missed where the queries come, less by the first ones of a front."""
+    return {f.tenant: f.bucket_us // (4 * fronts) for f in figures}
 
 
 class Mine:
@@ -40,7 +47,7 @@
         self.rows, self.old, self.tickets, self.debts = {}, {}, {}, {}     # old: {(book, tenant): Mine}, sealed
         self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
         self.largest = dict.fromkeys(self.stocks, 0)
-        self.scarce, self.sent, self.turn = set(), {}, 0
+        self.scarce, self.credit, self.sent, self.turn = set(), {}, {}, 0
         self.pressed = self.leaving = False
         self.outbox, self.due_ms, self.asked_ms = [], float("inf"), float("-inf")
         self.lapses = self.senseless = 0
@@ -166,6 +173,7 @@
 
     def granted(self, told):
         (self.scarce.add if told.scarce else self.scarce.discard)(told.tenant)
+        self.credit[told.tenant] = told.owes_us / 1000, told.limit_us / 1000
         if told.gone:
             return
         row = self.rows.setdefault(told.tenant, Mine())
@@ -200,29 +208,31 @@
                       upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt)
 
     def told(self, now_ms):
-        """The rows of an ask: what queries lack, what is sealed, what the ledger has not noted; by turns if too many."""
+        """What asks say: what queries lack, what is sealed, what the ledger has not noted; by turns if too many."""
         rows = [self.row_of(now_ms, t) for t in self.stocks if not self.leaving or self.debts.get(t)]
         rows = [r for r in rows if r.upto_us > r.known_us or r.known_us
                 and (r.spent_us, r.returned_us) != self.rows[r.tenant].noted]
         rows += [pb.Row(tenant=t, book=b, known_us=m.known, spent_us=m.spent, returned_us=m.returned, sealed=True)
                  for (b, t), m in self.old.items()]
-        if len(rows) > MOST_ROWS:
-            rows.sort(key=lambda r: not r.need_us)
-            first = [r for r in rows if r.need_us][:MOST_ROWS // 2]
-            rest, self.turn = rows[len(first):], self.turn + MOST_ROWS - len(first)
-            at = self.turn % len(rest)
-            rows = first + (rest[at:] + rest[:at])[:MOST_ROWS - len(first)]
+        most = MOST_ROWS * ASKS_AT_ONCE
+        if len(rows) > most:
+            at, self.turn = self.turn % len(rows), self.turn + most // 2
+            rows = rows[at:] + rows[:at]
+            first = [r for r in rows if r.need_us][:most // 2]
+            rows = first + [r for r in rows if r not in first][:most - len(first)]
         return rows
 
     def tick(self, now_ms):
         self.lapse(now_ms)
         if self._keeper is None or now_ms < self.due_ms:
             return
-        self.no, self.asked_ms = self.no + 1, now_ms
-        rows = self.told(now_ms)
-        self.outbox.append((self._keeper[0], pb.Ask(book=self.book, no=self.no, pressed=self.pressed, rows=rows)))
-        self.sent[self.no] = now_ms
-        self.sent.pop(self.no - SENT, None)
+        self.asked_ms, rows = now_ms, self.told(now_ms)
+        for at in range(0, max(1, len(rows)), MOST_ROWS):
+            self.no += 1
+            self.outbox.append((self._keeper[0], pb.Ask(book=self.book, no=self.no, pressed=self.pressed,
+                                                        rows=rows[at:at + MOST_ROWS])))
+            self.sent[self.no] = now_ms
+            self.sent.pop(self.no - SENT, None)
         self.due_ms = now_ms + (self.pace(now_ms) if rows or self.leaving else self.term_ms / 4)
 
     def pace(self, now_ms):
@@ -236,6 +246,7 @@
     # what is seen
 
     def seen(self, now_ms):
-        """Of each tenant with rights here: what may be spent now, and what was, in milliseconds."""
+        """Of each tenant with rights here: what may be spent now and what was, here; what it owes and may owe, in the
+        fleet as last heard. In milliseconds."""
         self.lapse(now_ms)
-        return {t: (r.free / 1000, r.spent / 1000) for t, r in self.rows.items()}
+        return {t: (r.free / 1000, r.spent / 1000, *self.credit.get(t, (0.0, 0.0))) for t, r in self.rows.items()}
