--- a/lichenquay/quota/figures.py
+++ b/lichenquay/quota/figures.py
@@ -5,8 +5,8 @@
 
 
 def figures_of(tenant, rate_ms, bucket_ms, limit_ms=0.0, term_ms=60000.0, repay_share=0.5, lend_share=0.25):
-    """`rate_ms` of engine work a second, up to `bucket_ms`; loans up to `limit_ms`, for `term_ms`, repaid by `repay_share` of
-    what it accrues. It lends what is over `lend_share` of its bucket."""
+    """`rate_ms` of engine work a second, up to `bucket_ms`; loans up to `limit_ms`, for `term_ms`, repaid by
+    `repay_share` of what it accrues. It lends what is over `lend_share` of its bucket."""
     def must(holds, what):
         if not holds:
             raise ValueError(f"quota of {tenant!r}: {what}")
--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -1,8 +1,9 @@
 """The keeper of the quota's ledger: at the front that holds the ledger's group, and at no other.
 
-No I/O: `heard` and `tick` bring time in, `outbox` takes answers out. What asks tell and want is gathered for a period, decided as one
-record, made by the group, and only then told. Two ledgers: `ahead` has what was decided, `made` what the group has made;
-they differ while a write is out. Where the end of a write is in doubt, the keeper is none until the group's next generation."""
+No I/O: `heard` and `tick` bring time in, `outbox` takes answers out. What asks tell and want is gathered for a
+period, decided as one record, made by the group, and only then told. Two ledgers: `ahead` has what was decided,
+`made` what the group has made; they differ while a write is out. Where the end of a write is in doubt, the keeper is
+none until the group's next generation."""
 from typing import Callable, Protocol
 
 from google.protobuf.message import DecodeError
--- a/lichenquay/quota/ledger.py
+++ b/lichenquay/quota/ledger.py
@@ -1,8 +1,8 @@
 """The quota's ledger: a state machine without time or chance of its own.
 
-What may change it is a `Change`. The `decide_` methods look and return one, or None; a `Record` of changes is then made
-durable by others, and `apply` brings it in. Amounts are whole microseconds of engine work, so that sums are exact. For each tenant
-and after each record, `check` holds it to
+What may change it is a `Change`. The `decide_` methods look and return one, or None; a `Record` of changes is then
+made durable by others, and `apply` brings it in. Amounts are whole microseconds of engine work, so that sums are
+exact. For each tenant and after each record, `check` holds it to
 
     issued + borrowed + given back = pool + held + spent + lent + repaid + written off + spilled
     pool + held + what it lent and has not back <= bucket + what it owes
@@ -46,8 +46,8 @@
 
     @property
     def room(self):
-        """Up to its bucket; under 0 while it has borrowed over that. What it lent still counts, so that a lender accrues
-        as if it had not lent."""
+        """Up to its bucket; under 0 while it has borrowed over that. What it lent still counts, so that a lender
+        accrues as if it had not lent."""
         return self.figures.bucket_us - self.pool - self.held - self.claims
 
     @property
@@ -135,8 +135,8 @@
         return any(x.borrower == tenant and x.age_ms > term for x in self.loans.values())
 
     def decide_loan(self, borrower, amount_us):
-        """From the one with the most unused that owes nothing itself. A loan is at least a part of the limit, so that there
-        are few at a time; less where the limit or the lender has less."""
+        """From the one with the most unused that owes nothing itself. A loan is at least a part of the limit, so
+        that there are few at a time; less where the limit or the lender has less."""
         to = self.accounts.get(borrower)
         if to is None or to.pool or self.overdue(borrower):
             return None
--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -1,9 +1,10 @@
 """A front's rights: what it may spend of each tenant's quota without asking anybody.
 
-No I/O. `take` when a query comes, `settle` when its work is told; `heard`, `tick`, `due_ms`, `outbox` for its talk with the keeper,
-whom the host names (`keeper`: (name, generation), None: not known). Rights are in a book; they last `term_ms` from the sending of
-the last ask that was answered, by this front's clock. A book that lapsed is sealed: nothing is taken from it again, and the
-keeper is told its totals until the ledger has them. Amounts are whole microseconds of engine work, times milliseconds."""
+No I/O. `take` when a query comes, `settle` when its work is told; `heard`, `tick`, `due_ms`, `outbox` for its talk
+with the keeper, whom the host names (`keeper`: (name, generation), None: not known). Rights are in a book; they last
+`term_ms` from the sending of the last ask that was answered, by this front's clock. A book that lapsed is sealed:
+nothing is taken from it again, and the keeper is told its totals until the ledger has them. Amounts are whole
+microseconds of engine work, times milliseconds."""
 from lichenquay.admission.rings import Ring
 from lichenquay.quota import quota_pb2 as pb
 
@@ -15,8 +16,8 @@
 
 
 def stocks_of(figures, fronts):
-    """What each of so many fronts holds of each tenant without any query: a quarter of the bucket for all of them. Risk:
-    more is missed where the queries come, less by the first ones of a front."""
+    """What each of so many fronts holds of each tenant without any query: a quarter of the bucket for all of them.
+    Risk: more is missed where the queries come, less by the first ones of a front."""
     return {f.tenant: f.bucket_us // (4 * fronts) for f in figures}
 
 
@@ -182,7 +183,8 @@
         self.pay(told.tenant)
 
     def closed(self, no, told):
-        """Of a sealed book. Risk: an answer from before the sealing says that a row is not there, and it was made later."""
+        """Of a sealed book. Risk: an answer from before the sealing says that a row is not there, and it was made
+        later."""
         key = told.book, told.tenant
         row = self.old.get(key)
         if told.gone and row is not None and no > row.sealed_no:
