Quota of the fleet in the front: rights before the controller, the ledger at whoever holds it

Need: one account of each tenant for all fronts instead of each front's chance (beyond_share). Off on the platform.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -150,14 +150,18 @@
             seen.report, seen.report_ms, seen.due_ms = report, self.door.now_ms, 0.0
 
     def beyond_share(self, q, now):
-        """Whether a query counts beyond its tenant's share, by chance, of what this gateway takes."""
-        if q.tenant is None:
-            return False
+        """Whether a query counts beyond its tenant's share: as an account of all tells, else by chance, of what comes here."""
+        if q.tenant is None or q.beyond is not None:
+            return bool(q.beyond)
         self.traffic[q.tenant].add(now, 1)
         mine = self.traffic[q.tenant].count(now)
         all_of = sum(r.count(now) for r in self.traffic.values())
         return mine > 10 and self.picker.chance() > q.tenant.share * all_of / mine
 
+    def pressed(self):
+        """Whether the fleet has no room for what is beyond quota."""
+        return self.slots.short(self.door.now_ms)
+
     def finish(self, q):
         """The final answer of a query that did not finish; at the latest when its client's time is up."""
         left = q.ends_ms - self.door.now_ms
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -71,6 +71,7 @@
     tables: Optional[str] = None
     submissions: list = field(default_factory=list)
     over: bool = False              # finished, deferred, killed, or its client left
+    beyond: Optional[bool] = None   # its tenant's quota, where an account of many fronts tells; None: nobody tells
 
     @property
     def target_ms(self):
--- a/lichenquay/admission/slots.py
+++ b/lichenquay/admission/slots.py
@@ -50,14 +50,17 @@
         return (self.full_use(seen) or now - seen.full_ms < g.target_ms or own_load(seen) > THREADS_A_CORE
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
+    def short(self, now):
+        """Pressure of the fleet: a full mean report, or a third of our submissions told to wait for memory."""
+        return self.told.mean(now, 0.0) > 1 / 3 or self.picker.used >= 0.95
+
     def pool_kind(self, q, now):
-        """Under pressure of the fleet (a full mean report, or a third of our submissions told to wait for
-        memory), pooled groups together keep to our share of its threads and memory, and to their slots."""
+        """Under pressure of the fleet, pooled groups together keep to our share of its threads and memory, and to their slots."""
         threads, granted = sum(s.threads[0] for s in self.busy), sum(s.granted for s in self.busy)
         fleet = self.fleet.values()
         cores, memory = sum(s.cores for s in fleet), sum(s.memory_mb for s in fleet)
         fits = granted < 0.9 * memory * self.share
-        if self.told.mean(now, 0.0) <= 1 / 3 and self.picker.used < 0.95:
+        if not self.short(now):
             return MAX if fits or self.make.when_short != "swap" else None
         open_ = fits and threads < THREADS_A_CORE * cores * self.share
         return self.kind(q, next(iter(fleet)), now) if open_ else None
--- /dev/null
+++ b/lichenquay/fleet/accounts.py
@@ -0,0 +1,177 @@
+"""A front's part in the fleet's quota: its rights, the group that keeps the ledger where it is a voter, and the keeper while it holds it.
+
+Two parts of the host: `owner` (the group's messages) and itself (asks and answers). No I/O: the host brings time, messages and the disk.
+"""
+from lichenquay.conf.fleet import USUAL_LEASE_MS, USUAL_TERM_MS, account_of, names_of, voters_of
+from lichenquay.owner.group import Group
+from lichenquay.owner.settings import Settings as OwnerSettings
+from lichenquay.quota import kept as ledger_kept, quota_pb2 as pb
+from lichenquay.quota.figures import figures_of
+from lichenquay.quota.keeper import Keeper
+from lichenquay.quota.ledger import LedgerError
+from lichenquay.quota.rights import Rights
+
+LEDGER = "ledger"
+PREFIX = "owner/ledger/"            # of its sections in the folder
+MOST_STATE = 1 << 20                # bytes of the ledger
+STOCKS = 8                          # of a bucket, one part of so many lies at the fronts where no query comes
+LOOK_MS = 250.0                     # between two looks at who holds the ledger
+DEAF_MS = 1000.0                    # an ask that nobody answers goes to another voter
+HANDS = 64                          # messages to itself in a turn, at most
+
+
+def figures(account):
+    tenant, rate_ms, bucket_ms, credit_ms, due_ms, repay_share, lend_share = account_of(account)
+    return figures_of(tenant, rate_ms, bucket_ms, credit_ms, due_ms, repay_share, 1.0 - lend_share)
+
+
+class Accounts:
+    """`state_of(name)`: what membership holds of a front; `pressed()`: whether the controller has no room beyond quota."""
+
+    def __init__(self, settings, incarnation, rng, now_ms, kept, state_of, pressed, log):
+        self.name, self.incarnation, self.rng, self.log = settings.name, incarnation, rng, log
+        self.state_of, self.pressed, self.voters = state_of, pressed, voters_of(settings)
+        self.fronts = len(names_of(settings))
+        self.figures = [figures(a) for a in settings.accounts]
+        self.term_ms = settings.term_ms or USUAL_TERM_MS
+        self.group = self.keeper = None
+        if self.name in self.voters:
+            lease_ms = settings.lease_ms or USUAL_LEASE_MS
+            owner = OwnerSettings(lease_ms=lease_ms, renew_ms=lease_ms / 6, retry_ms=lease_ms / 15, spread_ms=lease_ms / 10,
+                                  most_state=MOST_STATE)
+            self.group = Group(LEDGER, self.name, incarnation, self.voters, rng, owner, now_ms, kept, fold=ledger_kept.fold, told=self.told)
+            self.keeper = Keeper(ledger_kept.Seat(self.group), self.figures, self.term_ms)
+        self.rights = self.new_rights()
+        self.outbox, self.leaving, self.look_ms = [], False, now_ms
+        self.asked_of, self.deaf_since_ms = rng.choice(self.voters), None
+        self.answered = (None, 0)       # the keeper that last answered us, and its generation
+
+    def new_rights(self):
+        # Risk: the first queries of a tenant that come to a front count as beyond quota. So a little is held everywhere.
+        stocks = {f.tenant: f.bucket_us // (STOCKS * self.fronts) for f in self.figures}
+        return Rights(self.name, self.incarnation, stocks, self.term_ms, chance=self.rng)
+
+    def reborn(self, incarnation):
+        """The front goes on as another one: what it held as the old one is not spent any more. Risk: debts are left behind."""
+        debts, self.incarnation = self.rights.debts, incarnation
+        self.rights = self.new_rights()
+        self.rights.debts = debts
+        if self.group is not None:
+            self.group.incarnation = incarnation
+
+    def told(self, now_ms, what):
+        self.log.info("ledger", what=what, generation=self.group.generation)
+
+    # queries
+
+    def take(self, now_ms, q, work_ms):
+        """Whether the query is within its tenant's quota (credit included)."""
+        self.rights.pressed = self.pressed()
+        return q.tenant is None or self.rights.take(now_ms, q.tenant.name, work_ms, q)
+
+    # the host's calls
+
+    @property
+    def due_ms(self):
+        return min(self.look_ms, self.rights.due_ms, self.keeper.due_ms if self.keeper and self.group.generation else float("inf"))
+
+    def tick(self, now_ms):
+        if now_ms >= self.look_ms:
+            self.look(now_ms)
+        if self.keeper and self.group.generation and now_ms >= self.keeper.due_ms:
+            self.keeper.tick(now_ms)
+        if now_ms >= self.rights.due_ms:
+            self.rights.pressed = self.pressed()
+            self.rights.tick(now_ms)
+        self.hand_over(now_ms)
+
+    def heard(self, now_ms, sender, message):
+        kind = message.WhichOneof("what")
+        if kind == "ask" and self.keeper:
+            self.keeper.heard(now_ms, sender, message.ask)
+        elif kind == "answer":
+            self.deaf_since_ms = None
+            if message.answer.generation >= self.answered[1]:
+                self.answered = sender[0], message.answer.generation
+            self.rights.heard(now_ms, sender, message.answer)
+        self.hand_over(now_ms)
+
+    def hand_over(self, now_ms):
+        """What its own parts say to each other, and to others."""
+        for _ in range(HANDS):
+            rights, self.rights.outbox = self.rights.outbox, []
+            answers = []
+            if self.keeper:
+                answers, self.keeper.outbox = self.keeper.outbox, []
+            if rights and self.deaf_since_ms is None:
+                self.deaf_since_ms = now_ms
+            said = [(n, pb.Message(ask=m)) for n, m in rights] + [(n, pb.Message(answer=m)) for n, m in answers]
+            own = [m for n, m in said if n == self.name]
+            self.outbox += [(n, m) for n, m in said if n != self.name]
+            if not own:
+                return
+            for m in own:
+                self.heard_own(now_ms, m)
+
+    def heard_own(self, now_ms, message):
+        if message.HasField("ask"):
+            if self.keeper:
+                self.keeper.heard(now_ms, (self.name, self.incarnation), message.ask)
+        else:
+            self.deaf_since_ms, self.answered = None, (self.name, message.answer.generation)
+            self.rights.heard(now_ms, (self.name, self.incarnation), message.answer)
+
+    def look(self, now_ms):
+        """Who holds the ledger, as far as known here; and whether it should be us."""
+        self.look_ms = now_ms + LOOK_MS
+        holder = (None, 0)
+        if self.group is not None:
+            holder = self.group.holder
+            away = holder[0] is None or holder[0] != self.name and self.state_of(holder[0]) in (None, "cut", "left", "gone")
+            self.group.want(now_ms, not self.leaving and (away or holder[0] == self.name) and self.state_of(self.name) == "alive")
+        self.rights.keeper = self.keeper_now(now_ms, holder)
+
+    def keeper_now(self, now_ms, holder):
+        """A voter knows the holder; any other front asks one voter after the other until one answers."""
+        if holder[0] is not None and holder[1] >= self.answered[1]:
+            return holder
+        if self.deaf_since_ms is not None and now_ms - self.deaf_since_ms > DEAF_MS:
+            others = [v for v in self.voters if v != self.asked_of and v != self.name]
+            self.asked_of, self.answered, self.deaf_since_ms = self.rng.choice(others or self.voters), (None, self.answered[1]), now_ms
+        return self.answered if self.answered[0] else (self.asked_of, 0)
+
+    # the end
+
+    def leave(self, now_ms):
+        self.leaving = True
+        self.rights.return_all(now_ms)
+        if self.group is not None:
+            self.group.give_up(now_ms)
+
+    @property
+    def over(self):
+        return self.leaving and self.rights.returned and not (self.group and self.group.generation)
+
+    # what is seen
+
+    def conserved(self):
+        """Risk: a fault of ours that makes rights out of nothing goes unseen."""
+        try:
+            if self.keeper.made is None:
+                return "not in office"
+            self.keeper.made.check()
+        except LedgerError as bad:
+            return str(bad)
+        return "yes"
+
+    def lines(self, now_ms):
+        lines = [f"quota {t} {free:.1f} {spent:.1f} {owes:.1f} {limit:.1f}"
+                 for t, (free, spent, owes, limit) in sorted(self.rights.seen(now_ms).items())]
+        known = self.rights.keeper or ("-", 0)
+        lines += [f"keeper {known[0]} {known[1]}", f"rights lapsed: {self.rights.lapses}",
+                  f"quota messages that make no sense: {self.rights.senseless}"]
+        if self.keeper and self.group.generation:
+            lines += [f"ledger {t} {' '.join(f'{v:.1f}' for v in seen)}" for t, seen in sorted(self.keeper.seen().items())]
+            lines += [f"ledger records: {self.keeper.records}", f"ledger in doubt: {self.keeper.doubts}",
+                      f"ledger conserved: {self.conserved()}", f"loans barred: {self.keeper.barred}", f"ledger trouble: {self.keeper.trouble or 'none'}"]
+        return lines
--- a/lichenquay/fleet/host.py
+++ b/lichenquay/fleet/host.py
@@ -12,14 +12,18 @@
 from twisted.internet.error import CannotListenError
 
 from lichenquay.conf.fleet import address_of, fingerprint, names_of
-from lichenquay.fleet.envelope import MEMBERS, Envelope
+from lichenquay.fleet.accounts import PREFIX, Accounts
+from lichenquay.fleet.envelope import MEMBERS, OWNER, QUOTA, Envelope
 from lichenquay.fleet.post import Post
 from lichenquay.folder.folder import Folder
 from lichenquay.folder.incarnation import next_incarnation
 from lichenquay.folder.reading import BadFolder
 from lichenquay.folder.writer import Writer
+from lichenquay.fleet.tenants import Tenants
 from lichenquay.members import members_pb2
 from lichenquay.members.watch import Settings as MembersSettings, Watch
+from lichenquay.owner import owner_pb2
+from lichenquay.quota import quota_pb2
 
 FOLDER_MOST = 16 << 20          # bytes that a front's folder may take
 CLOSE_MS = 500.0                # for what the disk still has to do at the end
@@ -38,15 +42,15 @@
 
 
 class Fleet:
-    def __init__(self, reactor, settings, seed, now_ms=boot_ms, unix_ms=lambda: time.time() * 1000, log=None):
-        self.reactor, self.settings, self.now_ms, self.unix_ms = reactor, settings, now_ms, unix_ms
+    def __init__(self, reactor, settings, seed, pressed, now_ms=boot_ms, unix_ms=lambda: time.time() * 1000, log=None):
+        self.reactor, self.settings, self.pressed, self.now_ms, self.unix_ms = reactor, settings, pressed, now_ms, unix_ms
         self.log = (log or logger()).bind(front=settings.name)
         self.rng = random.Random(f"{seed}:{settings.name}")
         self.names = names_of(settings)
         self.incarnation, self.folder, self.writer, self.port, self.timer = 0, None, None, None, None
-        self.parts, self.left, self.closed = {}, False, False
+        self.parts, self.left, self.closed, self.accounts, self.quota = {}, False, False, None, None
         self.post = Post(Envelope(settings.fleet, fingerprint(settings), settings.name, self.names),
-                         {p.name: address_of(p.address) for p in settings.peers}, {MEMBERS: members_pb2.Message}, self.heard)
+                         {p.name: address_of(p.address) for p in settings.peers}, {MEMBERS: members_pb2.Message, OWNER: owner_pb2.Message, QUOTA: quota_pb2.Message}, self.heard)
 
     # from start to end
 
@@ -80,9 +84,20 @@
             finally:
                 signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
         self.watch = self.parts[MEMBERS] = self.new_watch()
+        if self.settings.accounts:
+            self.keep_accounts()
         self.log.info("fleet", incarnation=self.incarnation, fleet=self.settings.fleet, peers=len(self.names) - 1)
         self.turn()
 
+    def keep_accounts(self):
+        # A folder that could not be read yet is as good as lost: a voter without promises asks the others for what there is.
+        kept = {k[len(PREFIX):]: v for k, v in self.folder.state.items() if k.startswith(PREFIX)} if self.folder.opened else {}
+        self.accounts = self.parts[QUOTA] = Accounts(self.settings, self.incarnation, self.rng, self.now_ms(), kept,
+                                                     lambda name: self.watch.state_of(name), self.pressed, self.log)
+        if self.accounts.group is not None:
+            self.parts[OWNER] = self.accounts.group
+        self.quota = Tenants(self.accounts, self.now_ms, self.wait)
+
     def new_watch(self):
         peers = [n for n in self.names if n != self.settings.name]
         return Watch(self.settings.name, self.incarnation, peers, self.rng, MembersSettings(), self.now_ms())
@@ -92,11 +107,13 @@
         if self.parts and not self.left:
             self.left = True
             self.watch.leave(self.now_ms())
+            if self.accounts is not None:
+                self.accounts.leave(self.now_ms())
             self.turn()
 
     def is_over(self):
         """After `leave`: whether it has said all that it had to."""
-        return self.watch.over is not None
+        return self.watch.over is not None and (self.accounts is None or self.accounts.over)
 
     def close(self):
         """What has been said stays to be seen (`lines`)."""
@@ -131,9 +148,22 @@
             sent, part.outbox = part.outbox, []
             for name, message in sent:
                 self.post.send(self.incarnation, name, layer, message)
+        if OWNER in self.parts:
+            self.store()
         self.tell_changes()
         self.wait()
 
+    def store(self):
+        group = self.accounts.group
+        wanted, group.to_store = group.to_store, []
+        for number, changes in wanted:
+            self.writer.store({PREFIX + k: v for k, v in changes.items()}, lambda ok, number=number: self.stored(number, ok))
+
+    def stored(self, number, ok):
+        if not self.closed:
+            self.accounts.group.stored(self.now_ms(), number, ok)
+            self.flush()
+
     def wait(self):
         """One timer, for whichever part is due next."""
         if self.closed:
@@ -159,6 +189,8 @@
             self.rise(self.watch.self_gone)
             self.log.warning("gone, and back", incarnation=self.incarnation)
             self.watch = self.parts[MEMBERS] = self.new_watch()
+            if self.accounts is not None:
+                self.accounts.reborn(self.incarnation)
             self.reactor.callLater(0, self.turn)
 
     # what is seen
@@ -170,6 +202,8 @@
         lines = [f"member {name} {incarnation} {state}" for name, incarnation, state in self.watch.members()]
         lines += [f"view {number} {digest:016x}", f"reach {' '.join(self.watch.reach) or '-'}", *self.post.lines(),
                   f"datagram bytes sent: {self.post.bytes_out}"]
+        if self.accounts is not None:
+            lines += self.accounts.lines(self.now_ms()) + self.quota.lines()
         if self.writer is not None:
             counts = self.writer.counts
             lines += [f"folder {what}: {n:.0f}" for what, n in counts.items()]
--- /dev/null
+++ b/lichenquay/fleet/tenants.py
@@ -0,0 +1,36 @@
+"""What the front's queries tell the fleet's account: taken, finished with so much work, or over without."""
+from lichenquay.admission import interface as io
+from lichenquay.admission.guards import work_of
+
+
+class Tenants:
+    def __init__(self, accounts, now_ms, wait):
+        self.accounts, self.now_ms, self.wait = accounts, now_ms, wait
+        self.taken = {f.tenant: [0, 0.0, 0] for f in accounts.figures}     # within quota, their work in ms; beyond it
+
+    def take(self, q):
+        """Whether it is within its tenant's quota; its work is then set aside until it is over."""
+        within = self.accounts.take(self.now_ms(), q, work_of(q))
+        if q.tenant is not None and q.tenant.name in self.taken:
+            taken = self.taken[q.tenant.name]
+            taken[0 if within else 2] += 1
+            taken[1] += work_of(q) * within
+        self.wait()             # it may ask for more, now
+        return within
+
+    def finished(self, q, cost):
+        """`cost`: (work in ms, memory in MB), None where engines do not tell."""
+        if cost is None:
+            self.accounts.rights.drop(self.now_ms(), q)
+        else:
+            self.accounts.rights.settle(self.now_ms(), q, cost[0])
+
+    def lines(self):
+        return [f"taken {t} within {n} of {ms:.1f} ms, beyond {beyond}" for t, (n, ms, beyond) in sorted(self.taken.items())]
+
+    def over(self, q):
+        """Not finished. What surely never ran costs nothing; anything else its estimate."""
+        if all(s.ending in io.NEVER_RAN for s in q.submissions):
+            self.accounts.rights.settle(self.now_ms(), q, 0.0)
+        else:
+            self.accounts.rights.drop(self.now_ms(), q)
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -32,7 +32,7 @@
         self.events, self.timers, self.timed, self.next = [], [], 0, None
         self.now_ms = self.turned_ms = now_ms()
         self.open, self.numbers = set(), 0
-        self.route = None
+        self.route = self.quota = None      # quota: the fleet's account of what tenants may spend, where there is one
         self.controller = opening.controller(self)
 
     # what happens, from the network's side
@@ -51,6 +51,8 @@
         """Risk: hundreds of queries taken back at once go out to engines and are called off there."""
         if not q.over:
             q.told = True
+            if self.quota is not None:
+                q.beyond = not self.quota.take(q)
             self.controller.take(q)
 
     def left(self, q):
@@ -58,6 +60,8 @@
         if not q.over:
             q.over = True
             self.open.discard(q)
+            if self.quota is not None:
+                self.quota.over(q)
             self.book.count("queries left by their clients")
             self.happen(self.gone, q)
 
@@ -82,6 +86,8 @@
 
     def ended(self, sub, ending, took, cost, report):
         sub.ending = ending
+        if self.quota is not None and ending == io.FINISHED:
+            self.quota.finished(sub.query, cost)
         self.controller.answered(sub, took, cost, report)
 
     def listed(self, engines, whole):
@@ -175,6 +181,8 @@
         if not q.over:
             q.over = True
             self.open.discard(q)
+            if self.quota is not None and code != frames.FINISHED:
+                self.quota.over(q)
             q.client.answer(q, code, body)
             q.client = q.flight = None      # risk: timers keep a query for long after its end, and all that it holds
 
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -87,12 +87,12 @@
         raise CannotStart(str(bad)) from None
 
 
-def fleet_of(more, reactor, seed):
+def fleet_of(more, reactor, seed, pressed):
     """This front among others, where its settings say so."""
     if more is None or not more.HasField("fleet"):
         return None
     from lichenquay.fleet.host import Fleet
-    return Fleet(reactor, more.fleet, seed)
+    return Fleet(reactor, more.fleet, seed, pressed)
 
 
 def rules_for(more, most):
@@ -119,7 +119,7 @@
         self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
         self.more = read_more(environment)
         self.bound(sockets, room)
-        self.fleet = fleet_of(self.more, reactor, seed)
+        self.fleet = fleet_of(self.more, reactor, seed, self.admit.controller.pressed)
         try:
             self.bulletin = Bulletin(known, self.news, self.log, self.admit.list_confirmed)
         except BadList as bad:
@@ -180,6 +180,7 @@
         self.state = SERVING
         if self.fleet is not None:
             self.fleet.begin()
+            self.admit.quota = self.fleet.quota
         self.log("service", f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known; {self.engines.budget} "
                             f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them")
 
--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -8,10 +8,10 @@
 
 from google.protobuf.message import DecodeError
 
+from lichenquay.owner.settings import DRIFT
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.ledger import Ledger, LedgerError, Senseless
 
-DRIFT = 0.05                # two clocks' rates differ by no more
 CHUNK = 4                   # one ask is granted no more than this part of a bucket
 MOST_ASKS = 4096            # gathered in a period; the others are asked again by their fronts
 ASKS_AT_ONCE = 8            # of a front in a period
