--- a/lichenquay/members/hear.py
+++ b/lichenquay/members/hear.py
@@ -1,8 +1,9 @@
 """What a member does with a message: its rows first, then what it asks. What is dropped is counted by its cause.
 
-Dropped: unreadable (no kind, or parts that cannot be), range (a row or sender out of bounds), own (our own name), older
-(an incarnation before the one known), final (one that left or is gone: it is told so), full, misrouted (meant for
-another), late (an answer to nothing that is under way), busy (more pings for others than we make at a time).
+Dropped: unreadable (no kind, or parts that cannot be), range (a row or sender out of bounds), own (our own name),
+older (an incarnation before the one known), final (one that left or is gone; these two are told so), full, misrouted
+(meant for another), late (an answer to nothing that is under way), busy (more pings for others than we make at a
+time).
 """
 from lichenquay.members import members_pb2 as pb
 from lichenquay.members.table import CUT, LEFT, SUSPECT
@@ -20,17 +21,16 @@
         head = pb.Row(name=name, incarnation=incarnation, word=message.word, state=message.state)
         if name == self.name:
             self.counts["own"] += 1
-            if incarnation > self.incarnation and good_row(head):
+            if incarnation > self.incarnation and good_row(head, incarnation):
                 self._about_me(head)
             return
         m = self.table.get(name)
         if m and (incarnation < m.incarnation or (incarnation == m.incarnation and m.state >= LEFT)):
-            older = incarnation < m.incarnation
-            self.counts["older" if older else "final"] += 1
-            if not older and kind != "leave" and message.state < LEFT:
+            self.counts["older" if incarnation < m.incarnation else "final"] += 1
+            if kind != "leave" and message.state < LEFT:
                 self.send(name, pb.Message(gossip=pb.Gossip()), [m], rumours=False)
             return
-        if not self._row(head, True):
+        if not self._row(head, True, incarnation):
             return
         for row in message.rows:
             self._row(row, kind != "piece")
@@ -38,9 +38,10 @@
                 return
         getattr(self, "_heard_" + kind)(name, getattr(message, kind), message)
 
-    def _row(self, row, news):
+    def _row(self, row, news, known=0):
         """One row; False if it is out of bounds or of a name for which there is no room."""
-        if not good_row(row):
+        m = self.table.get(row.name)
+        if not good_row(row, known or (m.incarnation if m else 0)):
             self.counts["range"] += 1
             return False
         if row.name == self.name:
--- a/lichenquay/members/table.py
+++ b/lichenquay/members/table.py
@@ -33,8 +33,8 @@
 
 
 def rank(incarnation, word, state):
-    """The larger wins. Left and gone are final for their incarnation, and gone is over left."""
-    return (incarnation, 1, state, word) if state >= LEFT else (incarnation, 0, word, state)
+    """The larger wins. Left and gone are final for their incarnation, whatever the word, and gone is over left."""
+    return (incarnation, 1, 0, state) if state >= LEFT else (incarnation, 0, word, state)
 
 
 def mark(*what):
@@ -100,8 +100,8 @@
                 self._change(name, m.incarnation, STATES[old], STATES[GONE])
             old = None
             m.fresh(now_ms)
-        m.incarnation, m.word, m.state = incarnation, word, state
-        row_mark = mark(name, incarnation, word, state)
+        m.incarnation, m.word, m.state = incarnation, word if state < LEFT else 0, state
+        row_mark = mark(name, incarnation, m.word, state)
         self.digests[m.part] ^= m.row_mark ^ row_mark
         view_mark = mark(name, incarnation, max(state, SUSPECT))
         self.digest ^= m.view_mark ^ view_mark
