--- a/lichenquay/folder/folder.py
+++ b/lichenquay/folder/folder.py
@@ -12,6 +12,7 @@
 
 SHARES = 8  # of the bound: three snapshots and two journals may be there at once, and three bad files kept aside
 MOST_ASIDE = 3
+PATIENT_TRIES = 6  # of reading, 16 s, before bytes that cannot be read are given up
 FIRST_WAIT_MS, LONGEST_WAIT_MS = 250.0, 30_000.0
 CHUNK = 256 << 10  # bytes written at a time
 
@@ -51,7 +52,7 @@
         self.opened = self.sure = self.closed = False
         self.trouble, self.due_ms, self._wait_ms = None, 0.0, FIRST_WAIT_MS
         self.left_out, self.left_bytes, self.generation = [], 0, 0
-        self.failures = 0
+        self.failures = self._tries = 0  # in all; since the last success
         self.incarnation = 0  # the last one given, see incarnation.py
         try:
             self._open()
@@ -146,13 +147,14 @@
         for _, changes, _ in self._pending:
             form.apply(self._state, changes)
         self._pending, self._pending_bytes, self._pending_sizes = [], 0, {}
-        self.trouble, self.sure, self._wait_ms = None, True, FIRST_WAIT_MS
+        self.trouble, self.sure, self._wait_ms, self._tries = None, True, FIRST_WAIT_MS, 0
 
     def _failed(self, now_ms, why):
         """Risk: what a failed write or fsync left is unknown: part of a record, or all of it in the page cache alone.
         So its journal is never written again, and the next generation begins from memory under a number that
         continues no journal."""
         self.failures += 1
+        self._tries += 1
         self.trouble = str(why) if isinstance(why, BadFolder) else f"folder {self.path}: {why.strerror or why}"
         self._close(self._journal)
         self._journal = None
@@ -167,7 +169,7 @@
 
     def _open(self):
         self._enter()
-        reading = read_folder(self._os, self.path, self.fleet, self.name)
+        reading = self._read()
         self._state.update(reading.state)
         self._size = sum(form.section_size(k, v) for k, v in reading.state.items())
         self.number = max(self.number, reading.number)
@@ -176,11 +178,20 @@
         self.opened = True
         # Risk: what was read may be in the page cache alone, left by a process that was killed before its fsync: all is
         # written anew.
-        self._begin()
-        if reading.bad:
-            self._begin()  # the files aside can be fallen back to no more: there are two good generations again
+        try:
+            self._begin()
+            if reading.bad:
+                self._begin()  # the files aside can be fallen back to no more: there are two good generations again
+        except OSError:
+            if reading.unreadable:  # the disk fails as a whole: its files may be good
+                self.opened = False
+                self._state.clear()
+            raise
         self._stored()
 
+    def _read(self):
+        return read_folder(self._os, self.path, self.fleet, self.name, bears_errors=self._tries >= PATIENT_TRIES)
+
     def _enter(self):
         """The folder is there, and it is ours alone."""
         os = self._os
@@ -226,7 +237,7 @@
 
     def _same_past(self):
         """Risk: the folder was replaced while this process ran, and another one of our name has written there."""
-        found = read_folder(self._os, self.path, self.fleet, self.name)
+        found = self._read()
         if found.highest > self._highest:
             raise BadFolder(f"folder {self.path}: another process has written it meanwhile")
         self._bad = found.bad
--- a/lichenquay/folder/reading.py
+++ b/lichenquay/folder/reading.py
@@ -10,7 +10,6 @@
 
 MOST_FILE = 64 << 20  # bytes read of one file; Folder makes none as large
 MOST_LOOKED_AT = 4096  # generations, newest first
-READ_TRIES = 3
 MOST_SAID = 8  # lines on what was left out
 OURS = re.compile(r"(bad\.)?(\d{12})\.(snapshot|journal)(\.new)?")
 LAST_GENERATION = 10 ** 12 - 1
@@ -33,7 +32,8 @@
     bad: set = field(default_factory=set)
     left_out: list = field(default_factory=list)
     left_bytes: int = 0
-    unreadable: bool = False
+    bears_errors: bool = False
+    unreadable: bool = False  # some bytes, and that was borne
 
     def leave_out(self, name, why, size):
         self.bad.add(name)
@@ -52,10 +52,13 @@
     return [(name, bool(m[1]), int(m[2]), m[3], bool(m[4])) for name, m in found if m]
 
 
-def read_folder(os, path, fleet, name):
-    """A Reading. BadFolder: some file is another fleet's or front's, or of a newer version. OSError: the folder
-    cannot be read now. A file that the disk cannot read (EIO) is a damaged one."""
-    reading = Reading()
+def read_folder(os, path, fleet, name, bears_errors=False):
+    """A Reading. BadFolder: some file is another fleet's or front's, or of a newer version. OSError: the folder cannot
+    be read now.
+
+    bears_errors: a file that the disk cannot read (EIO) is a damaged one. Risk: a disk that fails as a whole for a
+    while would cost the newest generation; so the first tries bear none."""
+    reading = Reading(bears_errors=bears_errors)
     headers = _headers(os, path, fleet, name, reading)
     for generation in sorted((g for g, kind in headers if kind == "snapshot"), reverse=True):
         its = file_name(generation, "snapshot")
@@ -126,21 +129,25 @@
 
 
 def _content(os, path, name, most, reading):
-    """Up to `most` bytes of a file. What the disk cannot read after some tries counts as cut off."""
-    for _ in range(READ_TRIES):
-        parts, left = [], most
-        try:
-            fd = os.open(join(path, name), READ)
-            try:
-                while left > 0 and (part := os.read(fd, min(left, 1 << 20))):
-                    parts.append(part)
-                    left -= len(part)
-            finally:
-                os.close(fd)
-            return b"".join(parts)
-        except OSError as why:
-            if why.errno not in (errno.EIO, errno.EISDIR):
-                raise
-            failed = why
-    reading.unreadable = reading.unreadable or failed.errno == errno.EIO
+    """Up to `most` bytes of a file. Where errors are to be borne, what the disk cannot read counts as cut off."""
+    parts, fd = [], None
+    try:
+        fd = os.open(join(path, name), READ)
+        while most > 0 and (part := os.read(fd, min(most, 1 << 20))):
+            parts.append(part)
+            most -= len(part)
+    except OSError as why:
+        if why.errno != errno.EISDIR and not (why.errno == errno.EIO and reading.bears_errors):
+            raise
+        reading.unreadable = reading.unreadable or why.errno == errno.EIO
+    finally:
+        if fd is not None:
+            _close(os, fd)
     return b"".join(parts)
+
+
+def _close(os, fd):
+    try:
+        os.close(fd)
+    except OSError:  # what was read was read
+        pass
--- a/tests/folder_measure.py
+++ b/tests/folder_measure.py
@@ -1,4 +1,4 @@
-"""Times of a folder on this machine's disk: python tests/folder_measure.py FOLDER. Not a test: nothing passes or fails here."""
+"""Times of a folder on this machine's disk, not a test: python tests/folder_measure.py FOLDER."""
 import queue
 import sys
 import tempfile
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -200,6 +200,20 @@
         found.close()
         again = make(path)
         assert again.state == found.state and not again.left_out
+        again.close()
+
+
+def test_after_damage_there_are_two_good_generations_again(tmp_path):
+    """The next damage is borne as the first one was."""
+    generation = filled(tmp_path / "f", 6).generation
+    damage(tmp_path / "f", file_name(generation, "journal"), "noise", random.Random(1))
+    found = make(tmp_path / "f")
+    found.close()
+    assert found.generation == generation + 2
+    for kind in ("snapshot", "journal"):
+        (tmp_path / "f" / file_name(found.generation, kind)).write_bytes(b"")
+    again = make(tmp_path / "f")
+    assert again.state == found.state and again.state
 
 
 def test_few_files_are_kept_aside(tmp_path):
--- a/tests/test_folder_crash.py
+++ b/tests/test_folder_crash.py
@@ -8,7 +8,7 @@
 
 from folder_sim import Disk, Model, PowerOff, SimOs
 from lichenquay.folder.folder import Folder, NotStored
-from lichenquay.folder.reading import BadFolder
+from lichenquay.folder.reading import BadFolder, file_name
 
 RUNS = int(os.environ.get("LICHENQUAY_FOLDER_RUNS", "1"))  # a longer search by a larger number
 SMALL = 4096 * 8  # the least bound: a journal of 4 KiB, so that compactions come by size too
@@ -168,6 +168,51 @@
     assert dict(found.state) == {"a": b"1", "b": b"4"}
 
 
+def rot(disk, name):
+    """One bit of a file flips, on disk for good."""
+    write = disk.nodes[disk.find(f"{PATH}/{name}")].writes[0]
+    write[1] = write[1][:-1] + bytes([write[1][-1] ^ 1])
+
+
+def test_what_failed_never_comes_back_between_later_records():
+    """A failed record lies whole in the old journal, the snapshot after it rots: the later journal does not follow."""
+    disk, bad = Disk(), []
+    folder = opened(SimOs(disk, fails=lambda n, name: errno.EIO if name == "fsync" and bad and bad.pop() else None))
+    folder.append({"a": b"1"})
+    folder.flush(0.0)
+    bad.append(True)
+    folder.append({"failed": b"2"})
+    with pytest.raises(NotStored):
+        folder.flush(1.0)
+    folder.append({"later": b"3"})
+    folder.flush(1000.0)
+    left = disk.after_kill()
+    assert opened(SimOs(left)).state == {"a": b"1", "later": b"3"}
+    left = disk.after_kill()
+    rot(left, file_name(folder.generation, "snapshot"))
+    assert dict(opened(SimOs(left)).state) in ({"a": b"1"}, {"a": b"1", "failed": b"2"})
+
+
+def test_a_journal_after_a_gap_is_not_taken():
+    disk = Disk()
+    folder = opened(SimOs(disk))
+    for i in range(4):
+        folder.append({f"k{i}": b"1"})
+        folder.flush(0.0)
+        if i == 1:
+            older = folder.generation
+            folder.compact(0.0)
+    folder.close()
+    whole = disk.after_kill()
+    rot(whole, file_name(folder.generation, "snapshot"))
+    assert sorted(opened(SimOs(whole)).state) == ["k0", "k1", "k2", "k3"]  # by the journal before
+    rot(disk, file_name(folder.generation, "snapshot"))
+    journal = disk.nodes[disk.find(f"{PATH}/{file_name(older, 'journal')}")]
+    journal.writes[-1][1] = bytes(len(journal.writes[-1][1]))
+    found = opened(SimOs(disk))
+    assert sorted(found.state) == ["k0"] and any("it follows record 2" in line for line in found.left_out)
+
+
 def test_tries_back_off():
     full = []
     os_ = SimOs(Disk(), fails=lambda n, name: errno.ENOSPC if full and name == "write" else None)
@@ -222,10 +267,30 @@
         return read(fd, size)
 
     os_.read = sector
-    found = opened(os_)
+    found, tries = opened(os_), 1
+    while not found.opened and tries < 10:
+        assert not found.state and "Input/output error" in found.trouble
+        found.heal(found.due_ms)
+        tries += 1
+    assert 10_000.0 < found.due_ms < 20_000.0  # a disk that fails for a while has time to come back
     assert found.state == {"a": b"5"} and found.sure and len(found.left_out) == 1
 
 
+def test_a_disk_that_fails_as_a_whole_costs_no_generation():
+    """Reads and writes fail for a minute while a folder is opened: nothing is given up or set aside meanwhile."""
+    disk, fails = Disk(), [True]
+    folder = opened(SimOs(disk))
+    for i in range(3):
+        folder.append({"a": b"%d" % i})
+        folder.flush(0.0)
+    folder.close()
+    late = opened(SimOs(disk, fails=lambda n, name: errno.EIO if fails and name in ("read", "write") else None))
+    while late.due_ms < 90_000.0:
+        assert not late.opened and not late.state and not late.heal(late.due_ms)
+    fails.clear()
+    assert late.heal(late.due_ms) and late.state == {"a": b"2"} and not late.left_out
+
+
 def test_lock_of_one_process():
     disk = Disk()
     first = opened(SimOs(disk))
--- a/tests/test_folder_form.py
+++ b/tests/test_folder_form.py
@@ -77,3 +77,28 @@
     _, other = form.header_bytes(form.Header(form.JOURNAL, 8, 40, "fleet", "front"))
     journal = form.read_journal(first + form.frame(other, 41, form.CHANGE, form.changes_bytes({"a": b"1"})))
     assert not journal.changes and journal.why == "its checksum is wrong"
+
+
+def test_a_record_out_of_its_order_ends_the_journal():
+    """A block that the disk put elsewhere is whole, and still no next record."""
+    first, seed = form.header_bytes(HEADER)
+    frames = [form.frame(seed, 41 + i, form.CHANGE, form.changes_bytes(c)) for i, c in enumerate(CHANGES)]
+    for order in ((0, 2), (0, 0, 1), (0, 2, 1), (1, 2)):
+        journal = form.read_journal(first + b"".join(frames[i] for i in order))
+        assert journal.changes == (CHANGES[:1] if order[0] == 0 else []) and "where" in journal.why
+
+
+def test_a_snapshot_is_whole_or_nothing():
+    state = {f"k{i}": b"%d" % i for i in range(5)}
+    header = form.Header(form.SNAPSHOT, 7, 40, "fleet", "front")
+    parts = list(form.snapshot_parts(header, state))
+    whole = b"".join(parts)
+    assert form.read_snapshot(whole) == (header, state)
+    wrong = [whole[:i] for i in range(len(whole))] + [whole + b"\0", whole + parts[-1]]
+    wrong += [b"".join(parts[:i] + parts[i + 1:]) for i in range(len(parts))]
+    for data in wrong:
+        try:
+            form.read_snapshot(data)
+        except form.Unreadable:
+            continue
+        raise AssertionError(f"{len(data)} bytes of {len(whole)} were taken for a snapshot")
