Folder's writer: nothing is stored over a folder that its host has not read

Risk: a folder that could only be opened later (its disk was away at the start) holds sections of an earlier life; a store that came before the host was told them would have written over them.

Change: such stores are told no at once and counted ('early') until the state was told. Test beside it.

--- a/lichenquay/folder/writer.py
+++ b/lichenquay/folder/writer.py
@@ -49,10 +49,11 @@
         self._queue, self._queued_bytes, self._closing = deque(), 0, False
         self._open_stores = deque()  # of the caller's thread alone: what has not been told its end
         self._busy_since_ms = None
-        self._told_opened = folder.opened
+        self._known = self._told_opened = folder.opened  # of the caller's thread; of the writer's
         self._full, self._refused = _Seldom(), _Seldom()
         self._said_ms, self._unsaid, self._was_trouble = -SAY_EACH_MS, 0, False
-        self.counts = dict(stored=0, failed=0, refused=0, full=0, batches=0, failures=0, healed=0, longest_ms=0.0)
+        self.counts = dict(stored=0, failed=0, refused=0, full=0, early=0, batches=0, failures=0, healed=0,
+                           longest_ms=0.0)
         self.trouble = folder.trouble  # one line, or None
         if folder.left_out:
             self._log.warning("folder: files left out", files=folder.left_out, bytes=folder.left_bytes,
@@ -64,7 +65,11 @@
 
     def store(self, changes, done):
         """Risk: a disk that stalls while stores come on. The queue is bounded; what does not fit is done(False) at
-        once."""
+        once. Risk: a store over sections that nobody has read yet. It is done(False) until `opened` was told."""
+        if not self._known:
+            self.counts["early"] += 1
+            done(False)
+            return
         size = sum(len(key) * 4 + len(value or b"") + 32 for key, value in changes.items())
         with self._changed:
             fits = (not self._closing and len(self._queue) < self._most_queued
@@ -113,6 +118,11 @@
         while self._open_stores and self._open_stores[0].settled:
             self._open_stores.popleft()
 
+    def _tell_opened(self, state):
+        self._known = True
+        if self._opened:
+            self._opened(state)
+
     # From here on: the writer's thread.
 
     def _run(self):
@@ -186,8 +196,7 @@
         self.trouble = folder.trouble
         if folder.opened and not self._told_opened:
             self._told_opened = True
-            if self._opened:
-                self._call(self._opened, dict(folder.state))
+            self._call(self._tell_opened, dict(folder.state))
         if folder.trouble:
             self._unsaid += len(batch) - stored
             self._say_trouble(ended_ms)
--- a/tests/test_folder_writer.py
+++ b/tests/test_folder_writer.py
@@ -221,16 +221,20 @@
 
     host = Host(tmp_path / "f", Unread())
     host.store("early", a=b"1")
-    host.until(1)
     assert host.told == [("early", False)] and not host.late
     host.os.gone = False
+    deadline = time.monotonic() + 5
+    while host.writer.trouble and time.monotonic() < deadline:
+        time.sleep(0.01)
+    host.store("read, not told yet", old=b"2")
+    assert host.told[1:] == [("read, not told yet", False)]
     host.turn()
     assert host.late == [{"old": b"1"}]
     host.store("later", a=b"1")
-    host.until(2)
-    assert host.told[-1] == ("later", True)
+    host.until(3)
+    assert host.told[-1] == ("later", True) and host.writer.counts["early"] == 2
     host.writer.close(5000)
-    assert len(host.late) == 1
+    assert len(host.late) == 1 and reread(tmp_path / "f") == {"old": b"1", "a": b"1"}
 
 
 def test_files_left_out_are_said_in_one_line(tmp_path):
