Quota: rights follow the last second's queries too; buckets of two sizes compared

Need: where queries begin to come, a window of 8 s knows nothing of them for long. Change: a second window of one second; the largest query of late fades; a pool with something left is not called scarce.

--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -199,6 +199,8 @@
             self.portion(tenant, rows, "need", do)
             if self.ahead.accounts[tenant].pool:
                 self.portion(tenant, rows, "want", do)
+            if self.ahead.accounts[tenant].pool:
+                self.scarce.pop(tenant, None)
         short = [t for t, rows in wants.items() if any(w.need for w in rows)]
         self.scarce = {t: at for t, at in self.scarce.items() if at > now_ms - 10 * self.period_ms}
         self.scarce |= dict.fromkeys(short, now_ms)
--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -47,6 +47,7 @@
         self.book, self.no, self.valid_ms = 1, 0, float("-inf")
         self.rows, self.old, self.tickets, self.debts = {}, {}, {}, {}     # old: {(book, tenant): Mine}, sealed
         self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
+        self.latest = {t: Ring(250.0, 4) for t in self.stocks}
         self.largest = dict.fromkeys(self.stocks, 0)
         self.scarce, self.credit, self.sent, self.turn = set(), {}, {}, 0
         self.pressed = self.leaving = False
@@ -74,7 +75,8 @@
             return False
         amount = max(1, round(estimate_ms * 1000))
         self.demand[tenant].add(now_ms, amount)
-        self.largest[tenant] = max(amount, self.largest[tenant] if self.demand[tenant].count(now_ms) > 1 else 0)
+        self.latest[tenant].add(now_ms, amount)
+        self.largest[tenant] = max(amount, self.largest[tenant] * 7 // 8)
         row = self.rows.get(tenant)
         within = row is not None and now_ms < self.valid_ms and not self.debts.get(tenant) and row.free >= amount
         if within:
@@ -193,18 +195,21 @@
             self.old[key] = Mine(self.no)
 
     def target(self, now_ms, tenant):
-        """What it wants to hold for the queries that come here."""
+        """What it wants to hold for the queries that come here: a quarter of the window's work, the last second's, or the
+        largest of late. Risk: where queries begin to come, the window knows nothing of them for long."""
         if not self.demand[tenant].count(now_ms):
             return 0
-        return max(int(self.demand[tenant].total(now_ms)) // AHEAD, self.largest[tenant])
+        return max(int(self.demand[tenant].total(now_ms)) // AHEAD, int(self.latest[tenant].total(now_ms)),
+                   self.largest[tenant])
 
     def row_of(self, now_ms, tenant):
         """What an ask says of a tenant: first, what is over goes back."""
         row, need = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant)
-        hold = need if tenant in self.scarce else 2 * need + self.stocks[tenant]
-        need, hold = (0, 0) if self.leaving else (need, hold)
-        if row.free > hold * 3 // 2:
-            row.returned += row.free - hold
+        need, stock = (0, 0) if self.leaving else (need, 0 if tenant in self.scarce else self.stocks[tenant])
+        hold = 2 * need + stock
+        keep = hold if stock else need
+        if row.free > keep * 3 // 2:
+            row.returned += row.free - keep
         debt = self.debts.get(tenant, 0)
         return pb.Row(tenant=tenant, book=self.book, known_us=row.known, spent_us=row.spent, returned_us=row.returned,
                       upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt)
