--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -12,12 +12,7 @@
 from lichenquay.lab.watched import Watched
 from lichenquay.members import members_pb2 as pb
 from lichenquay.members.ask import MAX_EXTRA, MAX_RELAYS
-<<<<<<< HEAD
-from lichenquay.members.table import LEFT, MAX_MEMBERS, STATES, Table, rank
-=======
-from lichenquay.members.make import HERE, make
 from lichenquay.members.table import LEFT, MAX_MEMBERS, Table, rank
->>>>>>> 74134e8 (Members: told rows are bounded apart from heard ones, final rows carry no word; rival detectors)
 from lichenquay.members.watch import Settings, Watch
 from lichenquay.members.wire import MAX_BODY, MAX_INCARNATION, MAX_TOLD, MAX_WORD, good_row
 
@@ -76,12 +71,8 @@
 def test_decisions_need_neither_a_network_nor_the_rest_of_the_program():
     code = "import sys, lichenquay.members.watch; print([m for m in sys.modules if m.split('.')[0] == 'twisted' " \
            "or m.startswith(('lichenquay.front', 'lichenquay.lab', 'lichenquay.admission'))])"
-<<<<<<< HEAD
-    assert subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT).stdout.strip() == "[]"
-=======
-    ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=HERE.parents[1])
+    ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
     assert ran.stdout.strip() == "[]"
->>>>>>> 74134e8 (Members: told rows are bounded apart from heard ones, final rows carry no word; rival detectors)
 
 
 def test_fronts_find_each_other_by_seeds_that_only_some_know():
