Members: those that are out are probed by pings whose answer counts

Need: fronts that each hold themselves for cut waited for an answer that none asked for (found by a schedule by chance). Change: slow probes are tracked pings. Measured: the schedule comes to rest; a test of its own.

--- a/lichenquay/members/ask.py
+++ b/lichenquay/members/ask.py
@@ -53,10 +53,13 @@
         self.at = (self.at + 1) % len(self.turn)
         return self.turn[self.at]
 
-    def probe(self, name, length_ms):
+    def probe(self, name, length_ms, once=False):
+        """Asks, unless it is asked already; `once`: by one ping, as is enough for one that is out."""
         if any(p.name == name for p in self.probes.values()) or len(self.probes) > MAX_EXTRA:
             return
         p = Probe(self._number(), name, self.watch.now_ms, length_ms)
+        if once:
+            p.step, p.step_ms = len(STEPS) - 1, p.sent_ms + length_ms
         self.probes[p.no] = p
         self._ping(p)
 
--- a/lichenquay/members/hear.py
+++ b/lichenquay/members/hear.py
@@ -90,7 +90,7 @@
     def _heard_ack(self, name, ack, _):
         p, direct, ours = self.ask.acked(name, ack)
         if p is None and not ours:
-            self.counts["late"] += ack.no != 0
+            self.counts["late"] += 1
             return
         m = self.table.get(ack.name)
         if p is not None and ack.incarnation == m.incarnation:
--- a/lichenquay/members/watch.py
+++ b/lichenquay/members/watch.py
@@ -233,14 +233,15 @@
         self.probe_ms = self.now_ms + self.jitter(length_ms)
 
     def _slow(self):
-        """Risk: without it, two parts of a fleet that have cut each other never hear of one another again."""
+        """Risk: without it, two parts of a fleet that have cut each other never hear of one another again, and those that
+        each hold themselves for cut wait for an answer that none of them asks for."""
         out = [n for n in self.table.cut if n != self.name] + [n for n in self.seeds if self.table.get(n) is None]
         if out:
             name = self.rng.choice(sorted(out))
             if self.table.get(name) is None:
                 self.send(name, pb.Message(join=pb.Join()))
             else:
-                self.send_about(name, pb.Message(ping=pb.Ping(no=0, name=name)))
+                self.ask.probe(name, self.settings.period_ms, once=True)
         share = max(1, len(self.table.live()) / (4 * max(1, len(out))))
         self.slow_ms = self.now_ms + self.jitter(self.settings.slow_ms) * share
 
