Quota: an older book's ask is not granted beside a newer one's; a cheaper take

Need: a front's cost is paid by each query. Change: the mark under which an ask goes out at once is set with each ask.

--- a/lichenquay/lab/quotas.py
+++ b/lichenquay/lab/quotas.py
@@ -205,8 +205,9 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--bucket-ms", type=float, default=500.0)
     args = parser.parse_args()
+    ways = compare(args.seeds, args.seconds, args.bucket_ms)
     print(json.dumps({"seeds": args.seeds, "seconds": args.seconds, "fronts": FRONTS, "rate_ms": RATE,
-                      "bucket_ms": args.bucket_ms, "work_ms": WORK_MS, "ways": compare(args.seeds, args.seconds, args.bucket_ms)}, indent=1))
+                      "bucket_ms": args.bucket_ms, "work_ms": WORK_MS, "ways": ways}, indent=1))
 
 
 if __name__ == "__main__":
--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -115,6 +115,7 @@
     def batch(self, now_ms):
         self.batch_ms, changes = now_ms, []
         asks, words, self.asks, self.words = self.asks, self.words, {}, []
+        asks = {name: [(i, a) for i, a in told if (i, a.book) >= self.newest[name][:2]] for name, told in asks.items()}
 
         def do(change):
             if change is not None:
--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -49,7 +49,7 @@
         self.rows, self.old, self.tickets, self.debts = {}, {}, {}, {}     # old: {(book, tenant): Mine}, sealed
         self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
         self.latest = {t: Ring(250.0, 4) for t in self.stocks}
-        self.largest = dict.fromkeys(self.stocks, 0)
+        self.largest, self.low = dict.fromkeys(self.stocks, 0), {}     # `low`: under it, an ask goes out at once
         self.scarce, self.credit, self.sent, self.turn = set(), {}, {}, 0
         self.pressed = self.leaving = False
         self.outbox, self.due_ms, self.asked_ms = [], float("inf"), float("-inf")
@@ -83,7 +83,7 @@
         if within:
             row.reserved += amount
             self.tickets[ticket] = tenant, row, amount
-        if not within or row.free < self.target(now_ms, tenant) // 2:
+        if not within or row.free < self.low.get(tenant, 0):
             self.hurry(now_ms)
         return within
 
@@ -213,12 +213,19 @@
 
     def row_of(self, now_ms, tenant):
         """What an ask says of a tenant: first, what is over goes back."""
+<<<<<<< HEAD
         row, hold, need = self.rows.setdefault(tenant, Mine()), 2 * self.target(now_ms, tenant), self.lack(now_ms, tenant)
         keep = hold // 2
         if self.leaving or self.credit.get(tenant, (0, 0))[0]:      # a debtor holds no more than it needs now
             hold = keep = need = 0 if self.leaving else need
         elif tenant not in self.scarce:
             keep = hold = hold + self.stocks[tenant]
+=======
+        row, need = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant)
+        need, stock = (0, 0) if self.leaving else (need, 0 if tenant in self.scarce else self.stocks[tenant])
+        hold, self.low[tenant] = 2 * need + stock, need // 2
+        keep = hold if stock else need
+>>>>>>> 4b1797d (Quota: an older book's ask is not granted beside a newer one's; a cheaper take)
         if row.free > keep * 3 // 2:
             row.returned += row.free - keep
         debt = self.debts.get(tenant, 0)
