--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -50,7 +50,7 @@
         self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
         self.latest = {t: Ring(250.0, 4) for t in self.stocks}
         self.largest, self.low = dict.fromkeys(self.stocks, 0), {}     # `low`: under it, an ask goes out at once
-        self.scarce, self.credit, self.sent, self.turn = set(), {}, {}, 0
+        self.scarce, self.credit, self.sent, self.turn = {}, {}, {}, 0
         self.pressed = self.leaving = False
         self.outbox, self.due_ms, self.asked_ms = [], float("inf"), float("-inf")
         self.lapses = self.senseless = 0
@@ -167,7 +167,11 @@
             self.valid_ms = max(self.valid_ms, self.sent.get(answer.no, float("-inf")) + self.term_ms)
         for told in answer.rows:
             if told.book == self.book and current:
+<<<<<<< HEAD
                 self.granted(answer.no, told)
+=======
+                self.granted(now_ms, told)
+>>>>>>> e8abdb1 (Quota: a front asks again for what was scarce)
             elif told.book < self.book:
                 self.closed(answer.no, told)
         self.lapse(now_ms)
@@ -176,8 +180,13 @@
         if current and self.due_ms > now_ms + self.pace(now_ms):
             self.due_ms = now_ms + self.pace(now_ms)
 
+<<<<<<< HEAD
     def granted(self, no, told):
         (self.scarce.add if told.scarce else self.scarce.discard)(told.tenant)
+=======
+    def granted(self, now_ms, told):
+        self.scarce[told.tenant] = now_ms + 10 * self.period_ms if told.scarce else now_ms
+>>>>>>> e8abdb1 (Quota: a front asks again for what was scarce)
         self.credit[told.tenant] = told.owes_us / 1000, told.limit_us / 1000
         row = self.rows.get(told.tenant) if told.gone else self.rows.setdefault(told.tenant, Mine())
         if row is not None:
@@ -222,7 +231,9 @@
             keep = hold = hold + self.stocks[tenant]
 =======
         row, need = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant)
-        need, stock = (0, 0) if self.leaving else (need, 0 if tenant in self.scarce else self.stocks[tenant])
+        # Risk: a front that wants nothing of what was scarce asks nothing, and never hears that there is some again.
+        scarce = now_ms < self.scarce.get(tenant, now_ms)
+        need, stock = (0, 0) if self.leaving else (need, 0 if scarce else self.stocks[tenant])
         hold, self.low[tenant] = 2 * need + stock, need // 2
         keep = hold if stock else need
 >>>>>>> 4b1797d (Quota: an older book's ask is not granted beside a newer one's; a cheaper take)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -110,6 +110,15 @@
     assert (row.spent, row.reserved, row.free) == (10 * MS, 10 * MS, 10 * MS)
 
 
+def test_a_front_hears_again_of_what_was_scarce():
+    rights = front(a=10 * MS)
+    asked = ask(rights, 0.0)
+    told = answer(rights, asked, a=0)
+    told.rows[0].scarce = True
+    rights.heard(0.0, ("f1", 1), told)
+    assert not ask(rights, 500.0).rows and ask(rights, 2000.0).rows[0].upto_us == 10 * MS
+
+
 def test_asks_are_bounded_however_many_queries_find_nothing():
     rights, count = front(a=10 * MS), 0
     for ms in range(4000):
