Quota: what was scarce or owing is so for a time only, and asked about again

Need: a front that wants nothing of a tenant asks nothing, and never heard that its debt was paid or that there was some again.

--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -50,7 +50,7 @@
         self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
         self.latest = {t: Ring(250.0, 4) for t in self.stocks}
         self.largest, self.low = dict.fromkeys(self.stocks, 0), {}     # `low`: under it, an ask goes out at once
-        self.scarce, self.credit, self.sent, self.turn = {}, {}, {}, 0
+        self.scarce, self.owing, self.credit, self.sent, self.turn = {}, {}, {}, {}, 0      # the first two: until when
         self.pressed = self.leaving = False
         self.outbox, self.due_ms, self.asked_ms = [], float("inf"), float("-inf")
         self.lapses = self.senseless = 0
@@ -167,11 +167,7 @@
             self.valid_ms = max(self.valid_ms, self.sent.get(answer.no, float("-inf")) + self.term_ms)
         for told in answer.rows:
             if told.book == self.book and current:
-<<<<<<< HEAD
-                self.granted(answer.no, told)
-=======
-                self.granted(now_ms, told)
->>>>>>> e8abdb1 (Quota: a front asks again for what was scarce)
+                self.granted(now_ms, answer.no, told)
             elif told.book < self.book:
                 self.closed(answer.no, told)
         self.lapse(now_ms)
@@ -180,13 +176,10 @@
         if current and self.due_ms > now_ms + self.pace(now_ms):
             self.due_ms = now_ms + self.pace(now_ms)
 
-<<<<<<< HEAD
-    def granted(self, no, told):
-        (self.scarce.add if told.scarce else self.scarce.discard)(told.tenant)
-=======
-    def granted(self, now_ms, told):
-        self.scarce[told.tenant] = now_ms + 10 * self.period_ms if told.scarce else now_ms
->>>>>>> e8abdb1 (Quota: a front asks again for what was scarce)
+    def granted(self, now_ms, no, told):
+        until_ms = now_ms + 10 * self.period_ms
+        self.scarce[told.tenant] = until_ms if told.scarce else now_ms
+        self.owing[told.tenant] = until_ms if told.owes_us else now_ms
         self.credit[told.tenant] = told.owes_us / 1000, told.limit_us / 1000
         row = self.rows.get(told.tenant) if told.gone else self.rows.setdefault(told.tenant, Mine())
         if row is not None:
@@ -222,21 +215,15 @@
 
     def row_of(self, now_ms, tenant):
         """What an ask says of a tenant: first, what is over goes back."""
-<<<<<<< HEAD
-        row, hold, need = self.rows.setdefault(tenant, Mine()), 2 * self.target(now_ms, tenant), self.lack(now_ms, tenant)
-        keep = hold // 2
-        if self.leaving or self.credit.get(tenant, (0, 0))[0]:      # a debtor holds no more than it needs now
+        row, need, target = self.rows.setdefault(tenant, Mine()), self.lack(now_ms, tenant), self.target(now_ms, tenant)
+        # Risk: a front that wants nothing of what was scarce, or owing, asks nothing, and never hears that it is over. So both are for a time.
+        scarce, owing = (now_ms < told.get(tenant, now_ms) for told in (self.scarce, self.owing))
+        if self.leaving or owing:           # a debtor holds no more than it needs now
             hold = keep = need = 0 if self.leaving else need
-        elif tenant not in self.scarce:
-            keep = hold = hold + self.stocks[tenant]
-=======
-        row, need = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant)
-        # Risk: a front that wants nothing of what was scarce asks nothing, and never hears that there is some again.
-        scarce = now_ms < self.scarce.get(tenant, now_ms)
-        need, stock = (0, 0) if self.leaving else (need, 0 if scarce else self.stocks[tenant])
-        hold, self.low[tenant] = 2 * need + stock, need // 2
-        keep = hold if stock else need
->>>>>>> 4b1797d (Quota: an older book's ask is not granted beside a newer one's; a cheaper take)
+        else:
+            hold = 2 * target + (0 if scarce else self.stocks[tenant])
+            keep = target if scarce else hold
+        self.low[tenant] = need // 2
         if row.free > keep * 3 // 2:
             row.returned += row.free - keep
         debt = self.debts.get(tenant, 0)
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -204,11 +204,7 @@
 
     class AddingRights(Rights):
         """Takes totals for further grants."""
-<<<<<<< HEAD
-        def granted(self, no, told):
-=======
-        def granted(self, now_ms, told):
->>>>>>> e8abdb1 (Quota: a front asks again for what was scarce)
+        def granted(self, now_ms, no, told):
             mine = self.rows.setdefault(told.tenant, Mine())
             mine.known += told.granted_us
 
