Clients: what the machine does not take of an answer at once goes on, instead of being cut off

Seen: TypeError 'Data must be bytes' in ClientLine.put on a front that had stood still; the rest of an answer never went. Cause: client_line.py handed the transport the memoryview that send_now gives back; engines.py makes bytes of it. Met with the fleet off. Ruled out: the fleet; the older test plays a transport that takes anything. Change: bytes(rest).

--- a/lichenquay/front/client_line.py
+++ b/lichenquay/front/client_line.py
@@ -189,7 +189,7 @@
             self.desk.book.count("clients that do not read")
             self.desk.log("client", "client: does not read its answers; connection closed")
             return self.transport.abortConnection()
-        self.transport.write(rest)
+        self.transport.write(bytes(rest))       # risk: anything else is refused there, and an answer is cut off
         if self.unsent > MOST_UNSENT:
             self.stuck = True
             self.transport.pauseProducing()
--- a/tests/test_front_clients.py
+++ b/tests/test_front_clients.py
@@ -1,6 +1,7 @@
 """Clients before the whole front: what makes no sense, who is taken and told, what they make the front hold."""
 import errno
 import time
+import socket
 from types import SimpleNamespace
 
 import pytest
@@ -229,3 +230,30 @@
         x.transport.abortConnection()
     until(lambda: desk.held == 0)
     assert answered(c, c.ask())[0] == frames.FINISHED
+
+
+def test_a_client_that_reads_late_gets_every_answer_whole(world):
+    """Risk: what the machine does not take at once never goes, and what follows cannot be read."""
+    w = world(engines=1)
+    w.engines[0].ways = ["ok"]
+    with socket.create_connection(("127.0.0.1", w.port)) as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        until(lambda: w.service.clients.lines)
+        line = next(iter(w.service.clients.lines))
+        line.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+        line.known = True
+        bodies = [bytes([65 + i]) * 30_000 for i in range(4)]
+        for i, body in enumerate(bodies):
+            line.put(frames.answer(i + 1, frames.FINISHED, body))
+        assert line.unsent > 0
+        client.setblocking(False)
+        reader, got = frames.FrameReader(), []
+
+        def read():
+            try:
+                got.extend(bytes(payload[2:]) for _, _, payload in reader.feed(client.recv(65_536)))
+            except BlockingIOError:
+                pass
+            return len(got) == len(bodies)
+        until(read)
+    assert got == bodies and line.unsent == 0 and not w.service.book.counters["faults"]
