The ledger is claimed when its holder is silent, whatever membership says of it

Change: three leases without a round make a voter want the group; whoever lapsed waits a lease before it claims; group lines in SIGUSR1.

--- a/lichenquay/fleet/accounts.py
+++ b/lichenquay/fleet/accounts.py
@@ -17,6 +17,7 @@
 STOCKS = 8                          # of a bucket, one part of so many lies at the fronts where no query comes
 LOOK_MS = 250.0                     # between two looks at who holds the ledger
 DEAF_MS = 1000.0                    # an ask that nobody answers goes to another voter
+SILENT = 3.0                        # leases without a word of the ledger's holder; then others claim it
 HANDS = 64                          # messages to itself in a turn, at most
 
 
@@ -127,8 +128,10 @@
         holder = (None, 0)
         if self.group is not None:
             holder = self.group.holder
-            away = holder[0] is None or holder[0] != self.name and self.state_of(holder[0]) in (None, "cut", "left", "gone")
-            self.group.want(now_ms, not self.leaving and (away or holder[0] == self.name) and self.state_of(self.name) == "alive")
+            # Risk: one that is alive but holds no more is waited for by all. So silence counts, whatever membership says.
+            silent = now_ms - self.group.round_ms > SILENT * self.group.settings.lease_ms
+            away = silent or holder[0] in (None, self.name) or self.state_of(holder[0]) in (None, "cut", "left", "gone")
+            self.group.want(now_ms, away and not self.leaving and self.state_of(self.name) == "alive")
         self.rights.keeper = self.keeper_now(now_ms, holder)
 
     def keeper_now(self, now_ms, holder):
@@ -170,6 +173,12 @@
         known = self.rights.keeper or ("-", 0)
         lines += [f"keeper {known[0]} {known[1]}", f"rights lapsed: {self.rights.lapses}",
                   f"quota messages that make no sense: {self.rights.senseless}"]
+        if self.group is not None:
+            voter, claimant = self.group.voter, self.group.claimant
+            lines.append(f"group {LEDGER} {claimant.phase} generation {claimant.generation} promised {voter.promise.generation} to "
+                         f"{voter.promise.name or '-'} wanted {claimant.wanted} failed {claimant.failed} "
+                         f"{'blank ' * (voter.birth is not None)}waits {max(0.0, voter.waits_until_ms - now_ms):.0f} "
+                         f"claims in {claimant.claim_ms - now_ms:.0f} counts {claimant.counts} {voter.counts}")
         if self.keeper and self.group.generation:
             lines += [f"ledger {t} {' '.join(f'{v:.1f}' for v in seen)}" for t, seen in sorted(self.keeper.seen().items())]
             lines += [f"ledger records: {self.keeper.records}", f"ledger in doubt: {self.keeper.doubts}",
--- a/lichenquay/owner/group.py
+++ b/lichenquay/owner/group.py
@@ -48,6 +48,7 @@
         self.outbox, self.to_store = [], []
         self._inner, self._number = deque(), 0
         self._holder_seen = (None, 0)
+        self.round_ms = now_ms      # when a holder's round last came, or the group began
         self.foreign = 0            # messages of other groups, or of no known kind
         self.voter = None
         if name in voters:
@@ -140,6 +141,7 @@
             return
         body = getattr(message, kind)
         if kind == "round" and sender[0] != self.name:
+            self.round_ms = now_ms
             # Whoever sends rounds holds the group, or soon will: not the time to claim it.
             self.claimant.claim_ms = max(self.claimant.claim_ms, now_ms + self.settings.lease_ms)
             if body.generation >= self._holder_seen[1]:
--- a/lichenquay/owner/holder.py
+++ b/lichenquay/owner/holder.py
@@ -73,6 +73,8 @@
         if self.phase == HOLDING and now_ms >= self.until_ms:
             self.counts["lapsed"] += 1
             self._drop(now_ms)
+            # Risk: one that stood still claims before it has heard of who holds now, and takes a voter from him.
+            self.claim_ms = max(self.claim_ms, now_ms + self.settings.lease_ms)
         elif self.phase in (CLAIMING, TAKING, SPREADING) and now_ms >= self.begun_ms + self.settings.lease_ms:
             self._fail(now_ms)
 
