--- a/tests/test_folder_writer.py
+++ b/tests/test_folder_writer.py
@@ -2,8 +2,11 @@
 import errno
 import queue
 import random
+import subprocess
+import sys
 import threading
 import time
+from pathlib import Path
 
 import pytest
 from structlog.testing import CapturingLogger
@@ -289,3 +292,8 @@
         last = max((i for i in yes if i % 7 == k), default=None)
         found = int(state[f"k{k}"]) if f"k{k}" in state else -1
         assert found == last or found > last and found not in yes
+
+
+def test_it_needs_no_reactor():
+    code = "import sys, lichenquay.folder.writer, lichenquay.folder.incarnation\nassert 'twisted.internet.reactor' not in sys.modules"
+    subprocess.run([sys.executable, "-c", code], cwd=Path(__file__).parent.parent, check=True)
