--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -35,7 +35,7 @@
     tenants = {(r.tenant, r.book) for r in ask.rows}
     return bool(ask.book and ask.no) and len(tenants) == len(ask.rows) and all(
         0 < r.book <= ask.book and (r.book == ask.book or r.sealed) and r.spent_us + r.returned_us <= r.known_us < ANY
-        and r.upto_us < ANY and r.need_us < ANY for r in ask.rows)
+        and r.upto_us < ANY and max(r.need_us, r.lack_us) < ANY for r in ask.rows)
 
 
 class Keeper:
@@ -214,13 +214,13 @@
         if 2 * sum(pressed) >= len(pressed):
             return
         for tenant in short:
-            roomy = [w for w in wants[tenant] if w.need and not w.pressed]
+            roomy = [w for w in wants[tenant] if w.lack and not w.pressed]
             self.barred += bool(roomy) and self.ahead.overdue(tenant)
             for _ in range(LOANS_AT_ONCE):
-                lacks = sum(w.need for w in roomy)
+                lacks = sum(w.lack for w in roomy)
                 if not lacks or not do(self.ahead.decide_loan(tenant, lacks)):
                     break
-                self.portion(tenant, roomy, "need", do)
+                self.portion(tenant, roomy, "lack", do)
 
     def wanted(self, asks):
         """What each front still wants, by tenant. Wants are totals: an ask that comes twice is granted once."""
@@ -234,10 +234,10 @@
                 granted = have.granted if have else 0
                 want = min(max(0, row.upto_us - granted), account.figures.bucket_us // CHUNK)
                 need = min(max(0, row.need_us - (granted - row.known_us)), want)
-                key = name, incarnation, ask.book
+                lack, key = min(row.lack_us, need), (name, incarnation, ask.book)
                 if want and self.ahead.may_grant(*key):
-                    w = out.setdefault(row.tenant, {}).setdefault(key, Want(key, ask.pressed, 0, 0))
-                    w.need, w.want = max(w.need, need), max(w.want, want)
+                    w = out.setdefault(row.tenant, {}).setdefault(key, Want(key, ask.pressed))
+                    w.lack, w.need, w.want = max(w.lack, lack), max(w.need, need), max(w.want, want)
         return {tenant: list(rows.values()) for tenant, rows in out.items()}
 
     def portion(self, tenant, rows, what, do):
@@ -248,7 +248,7 @@
             part = amount if total <= pool else amount * pool // total
             pool, total = pool - part, total - amount
             if do(self.ahead.decide_grant(tenant, *w.key, part)):
-                w.need, w.want = max(0, w.need - part), w.want - part
+                w.lack, w.need, w.want = max(0, w.lack - part), max(0, w.need - part), w.want - part
 
     # what is seen
 
@@ -260,9 +260,9 @@
 
 
 class Want:
-    """What one ask still wants of one tenant's rights; `need` is part of `want`."""
+    """What one front still wants of one tenant's rights; `need` is part of `want`, and `lack` of `need`."""
 
-    __slots__ = ("key", "pressed", "need", "want")
+    __slots__ = ("key", "pressed", "lack", "need", "want")
 
-    def __init__(self, key, pressed, need, want):
-        self.key, self.pressed, self.need, self.want = key, pressed, need, want
+    def __init__(self, key, pressed):
+        self.key, self.pressed, self.lack, self.need, self.want = key, pressed, 0, 0, 0
--- a/lichenquay/quota/ledger.py
+++ b/lichenquay/quota/ledger.py
@@ -195,7 +195,8 @@
             share = 0
             if a.owes:
                 share, a.part_repay = divmod(a.figures.repay_permille * accrued + a.part_repay, 1000)
-                share = min(share, a.owes, accrued)
+                over = accrued - a.room if a.room >= 0 else 0       # what the bucket cannot take costs it nothing
+                share = min(max(share, over), a.owes, accrued)
             issue = max(0, min(accrued, a.room + share))
             a.issued, a.pool = a.issued + issue, a.pool + issue
             share = min(share, a.pool)
--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -226,9 +226,10 @@
         self.low[tenant] = need // 2
         if row.free > keep * 3 // 2:
             row.returned += row.free - keep
-        debt = self.debts.get(tenant, 0)
+        debt, now = self.debts.get(tenant, 0), 0 if self.leaving else int(self.latest[tenant].total(now_ms))
         return pb.Row(tenant=tenant, book=self.book, known_us=row.known, spent_us=row.spent, returned_us=row.returned,
-                      upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt)
+                      upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt,
+                      lack_us=max(0, now - row.free) + debt)
 
     def told(self, now_ms):
         """What asks say: what queries lack, what is sealed, what the ledger has not noted; by turns if too many."""
