--- a/lichenquay/lab/detectors.py
+++ b/lichenquay/lab/detectors.py
@@ -14,6 +14,7 @@
 
 from lichenquay.lab.fleetnet import FleetNet, Weather
 from lichenquay.lab.rivals import Phi, Rapid
+from lichenquay.lab.watched import Watched
 from lichenquay.members.table import ALIVE
 from lichenquay.members.watch import Settings, Watch
 
@@ -113,6 +114,17 @@
     return {"episodes": t.episodes, "split_ms": round(t.split_ms + sum(t.net.now_ms - s for s in t.since.values()))}
 
 
+def agreement(n, seed, loss=0.1):
+    """Watches only: two parts apart for 20 s, then mended: the time until all hold one view with all fronts alive."""
+    fleet = Watched([f"f{i}" for i in range(n)], seed, Weather(loss=loss))
+    fleet.until(fleet.agree, 60_000)
+    fleet.run(WARM_MS)
+    fleet.net.split(fleet.names[:2], fleet.names[2:])
+    fleet.run(20_000)
+    fleet.net.mend()
+    return fleet.until(fleet.agree, 60_000, 10)
+
+
 def poisson(k, hours):
     """The rate an hour with its interval (Wilson and Hilferty's approximation of the exact one)."""
     def edge(k, z):
@@ -145,6 +157,8 @@
             if not pauses:
                 row[f"sent_a_second_{round(100 * loss)}"] = [round(sum(r[i] for r in runs) / seeds, 1) for i in (1, 2)]
     row["one_sided"] = [one_sided(kind, n, seed) for seed in range(seeds)]
+    if kind == "members" and n <= 20:
+        row["views_agree_ms"] = interval([agreement(n, seed) for seed in range(kills // 3)], 0.99, rng)
     row["cpu_s"] = round(time.process_time() - began, 1)
     return row
 
