Members: two tests of what a pause must not lead to

Need: of 13 rules broken on purpose two were not found (suspicions and answers not started afresh after a pause; probes from before it counted). Change: a test for each.

--- a/lichenquay/members/watch.py
+++ b/lichenquay/members/watch.py
@@ -233,8 +233,8 @@
         self.probe_ms = self.now_ms + self.jitter(length_ms)
 
     def _slow(self):
-        """Risk: without it, two parts of a fleet that have cut each other never hear of one another again, and those that
-        each hold themselves for cut wait for an answer that none of them asks for."""
+        """Risk: without it, two parts of a fleet that have cut each other never hear of one another again, and fronts
+        that each hold themselves for cut wait for an answer that none of them asks for."""
         out = [n for n in self.table.cut if n != self.name] + [n for n in self.seeds if self.table.get(n) is None]
         if out:
             name = self.rng.choice(sorted(out))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -190,6 +190,40 @@
     assert fleet.watch("f4").counts["stood_still"] >= 1 and fleet.agree()
 
 
+def test_when_all_stood_still_nobody_concludes_anything_from_it():
+    for seed in range(3):
+        fleet = ruled(5, seed)
+        fleet.run(500)
+        fleet.net.kill("f4")
+        assert fleet.until(lambda: fleet.all_hold("f4", "suspect"), 3_000) is not None  # One whose time is running.
+        fleet.net.start("f4")
+        for name in fleet.names:
+            fleet.net.pause(name, 30_000)
+        fleet.run(40_000)
+        assert not [v for v in verdicts(fleet) if (v[2], v[3]) != ("f4", "gone")] and fleet.agree()
+
+
+def test_a_probe_from_before_a_pause_is_asked_again_before_it_accuses():
+    w, now = Watch("me", 1, ["a", "b", "c"], random.Random(4), Settings(), 0.0), 1.0
+    for name in "abc":
+        w.heard(now, (name, 1), pb.Message(join=pb.Join()))
+    while not w.ask.probes:
+        now = w.due_ms
+        w.tick(now)
+    silent = next(iter(w.ask.probes.values())).name
+    until = now + 2_000 + 100
+    now += 2_000
+    w.outbox.clear()
+    while now < until:  # All but the silent one answer at once.
+        w.tick(now)
+        for name, m in [(n, m) for n, m in w.outbox if m.WhichOneof("kind") == "ping" and n != silent]:
+            ack = pb.Ack(no=m.ping.no, name=name, incarnation=1, ok=True)
+            w.heard(now + 0.5, (name, 1), pb.Message(ack=ack))
+        w.outbox.clear()
+        now = w.due_ms
+    assert w.well() and w.state_of(silent) == "alive"
+
+
 def test_pauses_of_two_seconds_and_a_fifth_lost_cut_nobody():
     for seed in range(4):
         fleet = ruled(5, seed, Weather(loss=0.2))
