Quota: what queries need, what they lack now and what a debtor may hold are three things

Change: need as before (a window's part), lack the last second's (loans alone), a debtor holds its lack.

--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -215,21 +215,21 @@
 
     def row_of(self, now_ms, tenant):
         """What an ask says of a tenant: first, what is over goes back."""
-        row, need, target = self.rows.setdefault(tenant, Mine()), self.lack(now_ms, tenant), self.target(now_ms, tenant)
+        row, need, lack = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant), self.lack(now_ms, tenant)
         # Risk: a front that wants nothing of what was scarce, or owing, asks nothing, and never hears that it is over. So both are for a time.
         scarce, owing = (now_ms < told.get(tenant, now_ms) for told in (self.scarce, self.owing))
         if self.leaving or owing:           # a debtor holds no more than it needs now
-            hold = keep = need = 0 if self.leaving else need
+            hold = keep = need = 0 if self.leaving else lack
         else:
-            hold = 2 * target + (0 if scarce else self.stocks[tenant])
-            keep = target if scarce else hold
+            hold = 2 * need + (0 if scarce else self.stocks[tenant])
+            keep = need if scarce else hold
         self.low[tenant] = need // 2
         if row.free > keep * 3 // 2:
             row.returned += row.free - keep
-        debt, now = self.debts.get(tenant, 0), 0 if self.leaving else int(self.latest[tenant].total(now_ms))
+        debt = self.debts.get(tenant, 0)
         return pb.Row(tenant=tenant, book=self.book, known_us=row.known, spent_us=row.spent, returned_us=row.returned,
                       upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt,
-                      lack_us=max(0, now - row.free) + debt)
+                      lack_us=max(0, min(need, lack) - row.free) + debt)
 
     def told(self, now_ms):
         """What asks say: what queries lack, what is sealed, what the ledger has not noted; by turns if too many."""
