--- a/lichenquay/owner/kept.py
+++ b/lichenquay/owner/kept.py
@@ -140,6 +140,10 @@
         self.position, self.size, self.crc = Position.of(whole.position), whole.size, whole.crc
         self.got, self.asked_ms, self.asked, self.news_ms = {}, now_ms, -1, now_ms
 
+    def same(self, other):
+        mine, its = ((p.source, p.generation, p.birth, p.position, p.size, p.crc) for p in (self, other))
+        return mine == its
+
     @classmethod
     def sane(cls, whole, settings):
         return 0 < whole.size <= settings.most_state * 2 and Position.of(whole.position) is not None
--- a/lichenquay/owner/voter.py
+++ b/lichenquay/owner/voter.py
@@ -155,10 +155,10 @@
         return position[:2] > self.log.position[:2]
 
     def _fetch_whole(self, now_ms, sender, m):
-        old = self.pull
-        if old and (old.source, old.generation, old.crc, old.birth) == (sender[0], m.generation, m.whole.crc, m.birth):
+        new = Pull(now_ms, sender[0], m.generation, m.whole, self.settings, m.birth)
+        if self.pull and self.pull.same(new):
             return
-        self.pull = Pull(now_ms, sender[0], m.generation, m.whole, self.settings, m.birth)
+        self.pull = new
         self.pull_from = sender
         self.send(sender[0], "fetch", **self.pull.ask(now_ms))
 
--- a/tests/fleet/cluster.py
+++ b/tests/fleet/cluster.py
@@ -30,9 +30,9 @@
 class Cluster:
     """A context: `count` fronts named a, b, c, ...; each with its own folder, configuration and settings under `path`."""
 
-    def __init__(self, path, count, seed=1, more="", bulletin="127.0.0.1:9", known=None, settings=SETTINGS, folders=True, env=None):
+    def __init__(self, path, count, seed=1, more="", bulletin="127.0.0.1:9", known=None, settings=SETTINGS, folders=True, env=None, fleet=True):
         self.path, self.seed, self.more, self.bulletin, self.known = Path(path), seed, more, bulletin, known or {"no": 0, "items": []}
-        self.settings, self.folders, self.env = settings, folders, env or {}
+        self.settings, self.folders, self.env, self.fleet = settings, folders, env or {}, fleet
         self.names = [chr(97 + i) for i in range(count)]
         self.doors = dict(zip(self.names, free_ports(count)))
         self.ports = dict(zip(self.names, free_ports(count, socket.SOCK_DGRAM)))
@@ -72,14 +72,16 @@
             "settings": {**self.settings, "replicas_of_me": len(self.names)}}))
         text.write_text(self.fleet_text(name))
         self.starts[name] += 1
+        more = {"LICHENQUAY_SETTINGS": str(text)} if self.fleet else {}
         with open(self.path / f"{name}.log", "a", encoding="utf-8") as out:
             self.running[name] = subprocess.Popen(
                 [sys.executable, "-m", "lichenquay.front"], stdin=subprocess.DEVNULL, stdout=out, stderr=out, cwd=ROOT,
-                env={**os.environ, **self.env, "BALANCER_CONFIG": str(config), "LICHENQUAY_SETTINGS": str(text)})
+                env={**os.environ, **self.env, "BALANCER_CONFIG": str(config), **more})
 
     def begun(self, name, seconds=15.0):
         """Waits until the latest start has its fleet on. Risk: a signal before a front's first line ends it."""
-        until(lambda: self.running[name].poll() is not None or len(self.events(name, "fleet")) >= self.starts[name], seconds)
+        until(lambda: self.running[name].poll() is not None or len(
+            self.events(name, "fleet")) >= self.starts[name] or not self.fleet and "serving on" in self.log(name), seconds)
         assert self.running[name].poll() is None, self.log(name)[-2000:]
 
     # what is done to them
--- a/tests/owner_audit.py
+++ b/tests/owner_audit.py
@@ -24,7 +24,7 @@
 
     def __init__(self):
         self.next, self.answers, self.made, self.never = 0, {}, [], set()
-        self.promised, self.held, self.answered = {}, [], {}
+        self.promised, self.held, self.answered, self.taken = {}, [], {}, []
 
     def record(self, pad=0):
         self.next += 1
@@ -48,12 +48,16 @@
         demand(not self.never & set(whole), f"{when}: a refused record in {whole}")
         made = set(self.made)
         demand([n for n in whole if n in made] == self.made, f"{when}: {whole} lacks some of {self.made} or their order")
+        return whole
 
     def told(self, part, what, generation):
         if what == "holds":
             demand(generation not in self.held, f"generation {generation} held twice")
             self.held.append(generation)
-            self.right(part, f"{part.name} holds {generation}")
+            whole = self.right(part, f"{part.name} holds {generation}")
+            # What one holder began with, in doubt or not, is the beginning for all later ones.
+            demand(whole[:len(self.taken)] == self.taken, f"{part.name} holds {generation} with {whole}, one before with {self.taken}")
+            self.taken = whole
 
     def step(self, processes, local):
         """processes: things with name, kept, part; local(process) its clock now."""
--- a/tests/owner_broken.py
+++ b/tests/owner_broken.py
@@ -4,6 +4,7 @@
 
 from lichenquay.owner import group, holder, voter
 from lichenquay.owner.kept import Position
+from lichenquay.owner.owner_pb2 import Promise
 
 V, H = voter.Voter, holder.Holder
 BROKEN = {}
@@ -138,8 +139,9 @@
 
 def grants_equals(old):
     def new(self, now_ms, sender, m):
-        if m.generation == self.promise.generation and sender != self._promised_to and not self.writing and self.birth is None:
-            self._grant(sender, m)
+        same = m.generation == self.promise.generation and sender != self._promised_to
+        if same and not self.writing and self.birth is None and now_ms >= self.waits_until_ms:
+            self._write(Promise(generation=m.generation, name=sender[0], incarnation=sender[1]), self.log, (sender, m))
         else:
             old(self, now_ms, sender, m)
     return new
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -32,6 +32,7 @@
         self.rng, self.make, self.now = Random(seed), make, 0.0
         self.delay, self.loss, self.double, self.late = delay, loss, double, late
         self.cut, self.checks, self.heeds, self.steps, self.sent = set(), [], [], 0, 0
+        self.slow = {}                  # (from, to) -> ms more
         self.on_send = None             # (sender, name, message, deliver) -> True: taken care of
         self._heap, self._no = [], 0
         self.all = {n: Process(n, self.rng.choice([1 - drift, 1 + drift, self.rng.uniform(1 - drift, 1 + drift)]),
@@ -132,7 +133,7 @@
             return
         for _ in range(1 + (self.rng.random() < self.double)):
             late = self.rng.uniform(0, 5000) if self.rng.random() < self.late else 0
-            self.at(self.now + self.rng.uniform(*self.delay) + late, deliver)
+            self.at(self.now + self.rng.uniform(*self.delay) + late + self.slow.get((p.name, name), 0), deliver)
 
     # Disks.
 
