--- a/lichenquay/owner/holder.py
+++ b/lichenquay/owner/holder.py
@@ -72,14 +72,8 @@
         """Before everything else: what has lapsed is over."""
         if self.phase == HOLDING and now_ms >= self.until_ms:
             self.counts["lapsed"] += 1
-<<<<<<< HEAD
-            self._drop(now_ms)
-            # Risk: one that stood still claims before it has heard of who holds now, and takes a voter from him.
-            self.claim_ms = max(self.claim_ms, now_ms + self.settings.lease_ms)
-=======
             # It may have been paused: it listens for another holder before it claims, or its claim would only disturb him.
             self._drop(now_ms, 2 * self.settings.renew_ms)
->>>>>>> fe07141 (owner: plain cases tested; a state offered with another size is another offer)
         elif self.phase in (CLAIMING, TAKING, SPREADING) and now_ms >= self.begun_ms + self.settings.lease_ms:
             self._fail(now_ms)
 
