--- a/lichenquay/owner/group.py
+++ b/lichenquay/owner/group.py
@@ -54,8 +54,7 @@
         if name in voters:
             self.voter = Voter(rng, settings, now_ms, kept, fresh, fold, self._send, self._store)
         self.claimant = Holder(voters, rng, settings, now_ms, fold, self._send, self._own_log, told or nothing)
-        if self.voter:
-            self.claimant.seen = self.voter.promise.generation
+        self._settle(now_ms)
 
     # What the application asks.
 
@@ -155,7 +154,9 @@
             getattr(self.claimant, kind)(now_ms, sender, body)
 
     def _settle(self, now_ms):
-        """What it sent to itself. Bounded, as every loop."""
+        """What it promised is known to its own claims; what it sent to itself. Bounded, as every loop."""
+        if self.voter:
+            self.claimant.seen = max(self.claimant.seen, self.voter.promise.generation)
         for _ in range(MOST_INNER):
             if not self._inner:
                 return
