--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,15 @@
     parser.addoption("--seed", type=int, default=1, help="of the first of them")
 
 
+TOGETHER = ("test_members", "test_folder", "test_owner", "test_quota", "test_moves", "test_fleet", "test_start")
+
+
+def pytest_collection_modifyitems(items):
+    for item in items:
+        if item.path.name.startswith(TOGETHER):
+            item.add_marker("together")
+
+
 SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)
 
 
