--- a/lichenquay/owner/group.py
+++ b/lichenquay/owner/group.py
@@ -1,21 +1,25 @@
-"""This process's part in one group: a voter (where it is named as one), and a candidate for the group or its holder. No I/O.
+"""This process's part in one group: a voter (where it is named as one), and a candidate for the group or its holder.
+No I/O.
 
     heard(now_ms, sender, message)   sender: (name, incarnation) as the envelope said
     tick(now_ms)                     wanted at `due_ms`
     outbox                           [(name, message)], emptied by the host after each call
-    to_store                         [(number, {key: bytes or None})], emptied likewise; each is to be on disk whole or not at all
-    stored(now_ms, number, ok)       the host's answer, late or never; `ok`: fsynced with its folder. False: it may be there or not
+    to_store                         [(number, {key: bytes or None})], emptied likewise; each is to be on disk whole
+    or not at all stored(now_ms, number, ok)       the host's answer, late or never; `ok`: fsynced with its folder.
+    False: it may be there or not
 
 Times are milliseconds of the process's own monotonic clock, which runs on through a suspension. What is assumed:
 
-- Clocks keep within DRIFT of each other. Nobody forges messages; what was cut off or flipped is lost (the envelope's checksum).
+- Clocks keep within DRIFT of each other. Nobody forges messages; what was cut off or flipped is lost (the envelope's
+  checksum).
 - One process at a time has a name, its folder and its incarnation, and each start has a higher one.
 - `kept` is all that was answered `ok`, or nothing at all with fresh=False (see `voter`).
-- `fold(base, records) -> base` is the application's, without side effects, the same in all processes: it makes of a base (b"" at
-  first) and the records after it a base that says the same. State and records stay within `most_state` bytes; `write` refuses past it.
+- `fold(base, records) -> base` is the application's, without side effects, the same in all processes: it makes of a
+  base (b"" at first) and the records after it a base that says the same. State and records stay within `most_state`
+  bytes; `write` refuses past it.
 
-A lease says who may act *now*. Between asking `holds` and the act a process may be paused for any time: what must not happen then
-has to carry `generation` to whoever can refuse it.
+A lease says who may act *now*. Between asking `holds` and the act a process may be paused for any time: what must not
+happen then has to carry `generation` to whoever can refuse it.
 """
 from collections import deque
 
@@ -41,7 +45,8 @@
 class Group:
     """`told(now_ms, what)`: 'holds' when this process got the group (see `state`), 'lost' when that is over."""
 
-    def __init__(self, group_id, name, incarnation, voters, rng, settings, now_ms, kept, fresh=False, fold=keep_all, told=None):
+    def __init__(self, group_id, name, incarnation, voters, rng, settings, now_ms, kept,
+                 fresh=False, fold=keep_all, told=None):
         if len(set(voters)) != len(voters) or not voters:
             raise ValueError(f"group {group_id}: voters need names of their own")
         self.group_id, self.name, self.incarnation, self.settings = group_id, name, incarnation, settings
@@ -85,15 +90,16 @@
         return self.claimant.wanted
 
     def want(self, now_ms, wanted):
-        """Whether to claim the group while it does not hold it. Claims are spread by chance, and give way to a holder that is heard."""
+        """Whether to claim the group while it does not hold it. Claims are spread by chance, and give way to a holder
+        that is heard."""
         claimant = self.claimant
         if wanted and not claimant.wanted:
             claimant.claim_ms = max(claimant.claim_ms, now_ms + claimant.rng.uniform(0, self.settings.spread_ms))
         claimant.wanted = wanted
 
     def write(self, now_ms, record, done):
-        """Appends a record of up to `round_bytes` (ValueError beyond). done(now_ms, ok), at once or later, exactly once:
-        True: a majority has it on disk, and the lease holds; every later holder has it. False: it was not taken.
+        """Appends a record of up to `round_bytes` (ValueError beyond). done(now_ms, ok), at once or later, exactly
+        once: True: a majority has it on disk, and the lease holds; every later holder has it. False: it was not taken.
         None: in doubt, the group was lost meanwhile; a later holder may have it or not."""
         claimant = self.claimant
         claimant.look(now_ms)
@@ -101,7 +107,8 @@
         self._settle(now_ms)
 
     def give_up(self, now_ms):
-        """In order: once the records under way are made, others may claim at once. Until then it holds; it is not wanted again."""
+        """In order: once the records under way are made, others may claim at once. Until then it holds; it is not
+        wanted again."""
         self.claimant.look(now_ms)
         self.claimant.give_up(now_ms)
         self._settle(now_ms)
--- a/lichenquay/owner/holder.py
+++ b/lichenquay/owner/holder.py
@@ -2,10 +2,11 @@
 
     idle -> claiming -> taking -> spreading -> holding -> idle
 
-Claiming: promises of a majority are gathered. Taking: the state of the highest (label, index) among them is fetched. Spreading: a
-majority is made to keep it under the new generation. Only then it holds, and while a majority's answers to rounds that it sent less
-than `lease_ms` ago say that they wait. What has lapsed is never taken up again under the same generation: it is claimed anew. A claim
-that does not hold after `lease_ms` is dropped (the voters' rule for lost folders counts on both).
+Claiming: promises of a majority are gathered. Taking: the state of the highest (label, index) among them is fetched.
+Spreading: a majority is made to keep it under the new generation. Only then it holds, and while a majority's answers
+to rounds that it sent less than `lease_ms` ago say that they wait. What has lapsed is never taken up again under the
+same generation: it is claimed anew. A claim that does not hold after `lease_ms` is dropped (the voters' rule for lost
+folders counts on both).
 """
 from collections import OrderedDict
 
@@ -72,7 +73,8 @@
         """Before everything else: what has lapsed is over."""
         if self.phase == HOLDING and now_ms >= self.until_ms:
             self.counts["lapsed"] += 1
-            # It may have been paused: it listens for another holder before it claims, or its claim would only disturb him.
+            # It may have been paused: it listens for another holder before it claims, or its claim would only disturb
+            # him.
             self._drop(now_ms, 2 * self.settings.renew_ms)
         elif self.phase in (CLAIMING, TAKING, SPREADING) and now_ms >= self.begun_ms + self.settings.lease_ms:
             self._fail(now_ms)
@@ -219,7 +221,8 @@
         peer = self.peers[name]
         known, peer.birth, peer.position = peer.birth, m.birth, None
         if self.phase == CLAIMING and not self.founding and all(p.birth for p in self.peers.values()):
-            # All were blank when this claim was sent, since each is for `wait_ms` before it says so: nothing is to be lost.
+            # All were blank when this claim was sent, since each is for `wait_ms` before it says so: nothing is to be
+            # lost.
             self.founding = {n: p.birth for n, p in self.peers.items()}
             for other, p in self.peers.items():
                 p.birth = 0
--- a/lichenquay/owner/kept.py
+++ b/lichenquay/owner/kept.py
@@ -105,7 +105,8 @@
         return cls.of(state, state.base, state.records)
 
     def changes(self, old, sure=True):
-        """What must be written, at once, to come from the log `old` to this one; not `sure`: `old` may not be what is on disk."""
+        """What must be written, at once, to come from the log `old` to this one; not `sure`: `old` may not be what is
+        on disk."""
         changes = {f"record/{i}": None for i in range(old.base_index + 1, old.index + 1)
                    if not self.base_index < i <= self.index}
         first = self.base_index
--- a/lichenquay/owner/voter.py
+++ b/lichenquay/owner/voter.py
@@ -1,16 +1,19 @@
 """A voter of a group: what it promised and what it accepted, on its disk before it says so. No I/O.
 
-A voter that finds nothing in its folder may have lost it, and with it promises and records. It is *blank*: it grants nothing, accepts
-nothing and is counted nowhere, until either
-
-- a holder brings it the whole state. It asks for that (by a number drawn at its own start, so that no message sent before can
-  answer) only after `wait_ms`: by then every lease that it had supported and every claim that it had granted is over, whoever holds
-  then was elected by others, and whoever had been elected with its forgotten grant holds, or has lapsed for good; or
-- all voters of the group are blank at once: a claim found that, and says so with each one's number. There is nothing to be lost.
-
-`fresh` is the host's word that its folder was not lost: it is whole, and never knew this group. Such a voter votes from the empty
-state on. A folder that may have lost its end is a folder lost: its host must give nothing of it (kept = {}, fresh = False). With a
-majority blank and others not, the group stands still until as many folders are back: stated, not mended.
+A voter that finds nothing in its folder may have lost it, and with it promises and records. It is *blank*: it grants
+nothing, accepts nothing and is counted nowhere, until either
+
+- a holder brings it the whole state. It asks for that (by a number drawn at its own start, so that no message sent
+  before can answer) only after `wait_ms`: by then every lease that it had supported and every claim that it had
+  granted is over, whoever holds then was elected by others, and whoever had been elected with its forgotten grant
+  holds, or has lapsed for good; or
+- all voters of the group are blank at once: a claim found that, and says so with each one's number. There is nothing
+  to be lost.
+
+`fresh` is the host's word that its folder was not lost: it is whole, and never knew this group. Such a voter votes
+from the empty state on. A folder that may have lost its end is a folder lost: its host must give nothing of it (kept
+= {}, fresh = False). With a majority blank and others not, the group stands still until as many folders are back:
+stated, not mended.
 """
 from lichenquay.owner.kept import Frozen, Log, Position, Pull, load
 from lichenquay.owner.owner_pb2 import Promise
@@ -18,7 +21,8 @@
 
 
 class Voter:
-    """`send(name, kind, **fields)` and `store(changes)` are its group's; `stored(now_ms, ok)` may come late or never."""
+    """`send(name, kind, **fields)` and `store(changes)` are its group's; `stored(now_ms, ok)` may come late or
+    never."""
 
     def __init__(self, rng, settings, now_ms, kept, fresh, fold, send, store):
         self.settings, self.fold, self.send, self.store = settings, fold, send, store
@@ -70,7 +74,8 @@
         promised = self.promise.generation
         if m.generation == promised and sender == self._promised_to:
             self._grant(sender, m)
-        elif not max(promised, self.tried[0]) < m.generation <= promised + MOST_JUMP and self.tried != (m.generation, sender):
+        elif (not max(promised, self.tried[0]) < m.generation <= promised + MOST_JUMP
+              and self.tried != (m.generation, sender)):
             self._refuse(sender, m)
         elif now_ms < self.waits_until_ms and sender != self.lease_of and not founding:
             self._refuse(sender, m, wait_ms=self.waits_until_ms - now_ms)
@@ -91,11 +96,12 @@
 
     def _refuse(self, sender, m, wait_ms=0.0):
         self.counts["refused"] += 1
-        self.send(sender[0], "refuse", generation=m.generation, token=m.token, promised=max(self.promise.generation, self.tried[0]),
-                  wait_ms=wait_ms)
+        promised = max(self.promise.generation, self.tried[0])
+        self.send(sender[0], "refuse", generation=m.generation, token=m.token, promised=promised, wait_ms=wait_ms)
 
     def fetch(self, now_ms, sender, m):
-        if self.frozen and (m.generation, sender) == (self.promise.generation, self._promised_to) and m.crc == self.frozen.crc:
+        his = (m.generation, sender) == (self.promise.generation, self._promised_to)
+        if his and self.frozen and m.crc == self.frozen.crc:
             for offset, data in self.frozen.pieces(m.offset, self.settings):
                 self.send(sender[0], "piece", generation=m.generation, crc=m.crc, offset=offset, data=data)
 
@@ -103,7 +109,8 @@
 
     def round(self, now_ms, sender, m):
         blank = self.birth is not None
-        # Risk: a round answered while a promise to somebody else is on its way to the disk would begin a lease beside his.
+        # Risk: a round answered while a promise to somebody else is on its way to the disk would begin a lease beside
+        # his.
         if self._promising or blank and now_ms < self.blank_until_ms:
             return
         if blank and m.birth != self.birth:
--- a/tests/owner_audit.py
+++ b/tests/owner_audit.py
@@ -47,7 +47,8 @@
         demand(len(set(whole)) == len(whole), f"{when}: a record twice in {whole}")
         demand(not self.never & set(whole), f"{when}: a refused record in {whole}")
         made = set(self.made)
-        demand([n for n in whole if n in made] == self.made, f"{when}: {whole} lacks some of {self.made} or their order")
+        demand([n for n in whole if n in made] == self.made,
+               f"{when}: {whole} lacks some of {self.made} or their order")
         return whole
 
     def told(self, part, what, generation):
@@ -56,7 +57,8 @@
             self.held.append(generation)
             whole = self.right(part, f"{part.name} holds {generation}")
             # What one holder began with, in doubt or not, is the beginning for all later ones.
-            demand(whole[:len(self.taken)] == self.taken, f"{part.name} holds {generation} with {whole}, one before with {self.taken}")
+            demand(whole[:len(self.taken)] == self.taken,
+                   f"{part.name} holds {generation} with {whole}, one before with {self.taken}")
             self.taken = whole
 
     def step(self, processes, local):
@@ -75,7 +77,8 @@
         """What a voter says is on its disk first."""
         kind = message.WhichOneof("body")
         if kind == "grant":
-            demand(promise_of(p.kept) >= message.grant.generation, f"{p.name} grants {message.grant.generation} before its disk has it")
+            demand(promise_of(p.kept) >= message.grant.generation,
+                   f"{p.name} grants {message.grant.generation} before its disk has it")
         if kind == "ack":
             said = message.ack.position.label, message.ack.position.index
             demand(position_of(p.kept) >= said, f"{p.name} answers for {said}, its disk has {position_of(p.kept)}")
@@ -109,8 +112,8 @@
 
 def group_of(audit, name, incarnation, voters, now_ms, kept, seed=0, settings=QUICK, fresh=False, kind=Group):
     made = []
-    part = kind("g", name, incarnation, voters, Random(f"{seed}/{name}/{incarnation}"), settings, now_ms, dict(kept), fresh=fresh,
-                fold=fold, told=lambda now, what: audit.told(made[0], what, made[0].generation))
+    part = kind("g", name, incarnation, voters, Random(f"{seed}/{name}/{incarnation}"), settings, now_ms, dict(kept),
+                fresh=fresh, fold=fold, told=lambda now, what: audit.told(made[0], what, made[0].generation))
     made.append(part)
     return part
 
--- a/tests/owner_broken.py
+++ b/tests/owner_broken.py
@@ -39,6 +39,13 @@
     return lambda old: lambda self, *args: value
 
 
+def of_any_generation(old):
+    def new(self, now_ms):
+        name, generation, number, token = self.last
+        self.send(name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire())
+    return new
+
+
 def no_wait_at_start(self, rng, settings, now_ms, *more):
     self.waits_until_ms = now_ms
 
@@ -130,7 +137,10 @@
     return new
 
 
-rule((V, "_behind", says(False)))("no fence by generation")
+# Tried too, and found by nothing in the short form, as other rules cover for them or the case is rare: half a state
+# labelled as the new one, rounds answered while a promise is written, grants of another claim, any end taken for the
+# holder's.
+rule((V, "_behind", says(False)), (V, "_ack", of_any_generation))("no fence by generation")
 rule((V, "__init__", then(no_wait_at_start)))("no wait after the voter's own start")
 rule((V, "_ack", then(no_wait_after_answer)))("no wait after an answer to the holder")
 rule((group.Group, "_store", without_promise))("promise not stored")
--- a/tests/owner_explore.py
+++ b/tests/owner_explore.py
@@ -1,10 +1,10 @@
 """All interleavings of a small group on the real decision code: breadth first, each state once.
 
-A state is each process (as pickled), the folders, the messages under way, and what is left of the budget. From it: any message under
-way comes (and with `doubles` stays under way too); a disk answers (well, or with `fails` not); with `claims`, `writes`, `crashes` and
-`leaves` a process claims, writes, stops and starts with its folder, gives up; with `steps` time goes on by `step` of a lease for all, at
-each one's rate, and what is due is done (renewals, asking again). A message that never comes is a lost one: that needs no step;
-`cut` links (from, to) take nothing.
+A state is each process (as pickled), the folders, the messages under way, and what is left of the budget. From it:
+any message under way comes (and with `doubles` stays under way too); a disk answers (well, or with `fails` not); with
+`claims`, `writes`, `crashes` and `leaves` a process claims, writes, stops and starts with its folder, gives up; with
+`steps` time goes on by `step` of a lease for all, at each one's rate, and what is due is done (renewals, asking
+again). A message that never comes is a lost one: that needs no step; `cut` links (from, to) take nothing.
 """
 import copyreg
 import pickle
@@ -50,7 +50,8 @@
 
     def __init__(self, kind, name, incarnation, now_ms, kept):
         self.said, self.incarnation = [], incarnation
-        self.group = kind("g", name, incarnation, "abc", Counter((ord(name) << 32) + (incarnation << 16)), QUICK, now_ms, kept,
+        chance = Counter((ord(name) << 32) + (incarnation << 16))
+        self.group = kind("g", name, incarnation, "abc", chance, QUICK, now_ms, kept,
                           fresh=True, fold=fold, told=self.told)
 
     def told(self, now_ms, what):
@@ -99,13 +100,15 @@
 
     def start(self):
         nodes = {n: Node(self.kind, n, 1, 0.0, {}) for n in "abc"}
-        s = State(tuple((n, pickled(nodes[n])) for n in "abc"), tuple((n, ()) for n in "abc"), (), frozenset(), self.budget)
+        s = State(tuple((n, pickled(nodes[n])) for n in "abc"), tuple((n, ()) for n in "abc"), (), frozenset(),
+                  self.budget)
         for name in self.begin:
             # Before the exploration: it claims, and all goes well.
             s = self.act(replace(s, budget=Budget()), name, claim, claim)
             while s.net:
                 m = min(s.net)
-                s = self.act(replace(s, net=s.net - {m}), m[1], m, lambda n, now: n.group.heard(now, m[0], Message.FromString(m[2])))
+                s = self.act(replace(s, net=s.net - {m}), m[1], m,
+                             lambda n, now: n.group.heard(now, m[0], Message.FromString(m[2])))
             demand(self.holds(dict(s.nodes)[name], 0), f"{name} does not hold")
         return replace(s, budget=self.budget)
 
@@ -129,7 +132,8 @@
         return len(came)
 
     def follow(self, names):
-        """One way only: the moves of these names, of messages that of the latest round; what cannot be done is left out."""
+        """One way only: the moves of these names, of messages that of the latest round; what cannot be done is left
+        out."""
         s, self.done = self.start(), []
         for name in names:
             moves = [(latest, move()) for what, move, latest in self.named(s) if what == name]
@@ -201,7 +205,8 @@
         for _, _, data in sent:
             m = Message.FromString(data)
             if m.WhichOneof("body") == "grant":
-                demand(promise_of(kept) >= m.grant.generation, f"{name} grants {m.grant.generation} before its disk has it")
+                demand(promise_of(kept) >= m.grant.generation,
+                       f"{name} grants {m.grant.generation} before its disk has it")
             elif m.WhichOneof("body") == "ack":
                 at = m.ack.position.label, m.ack.position.index
                 demand(position_of(kept) >= at, f"{name} answers for {at}, its disk has {position_of(kept)}")
@@ -212,7 +217,8 @@
                 has = records(it)
                 demand([r for r in has if r in made] == list(made), f"{name} holds with {has}, made is {made}")
         nodes = tuple((n, node if n == name else p) for n, p in s.nodes)
-        new = replace(s, nodes=nodes, net=s.net | {m for m in sent if (m[0][0], m[1]) not in s.budget.cut}, disks=s.disks + disks, made=made)
+        net = s.net | {m for m in sent if (m[0][0], m[1]) not in s.budget.cut}
+        new = replace(s, nodes=nodes, net=net, disks=s.disks + disks, made=made)
         self.check(new)
         if disks and not s.budget.slow_disks:
             return self.disk(new, disks[-1], True)
--- a/tests/owner_mutation.py
+++ b/tests/owner_mutation.py
@@ -1,30 +1,36 @@
 """One scenario on a group, recorded; then once more for every message in it and every mutation of that one.
 
-The scenario: claim, write, renew, a process stops and starts, another claims, a folder is lost and its state comes back in pieces, the
-holder gives up and another takes over. All chance is a process's own, so that a run differs only by its mutation.
+The scenario: claim, write, renew, a process stops and starts, another claims, a folder is lost and its state comes
+back in pieces, the holder gives up and another takes over. All chance is a process's own, so that a run differs only
+by its mutation.
 
-Fields whose neighbour would be a lie that no receiver can tell from truth (the assumption 'nobody forges messages') are left out:
+Fields whose neighbour would be a lie that no receiver can tell from truth (the assumption 'nobody forges messages')
+are left out:
 
-- `Grant.whole` and `Grant.position` together lowered: a position alone is found out by its mark; both as of an older state are not.
-- `Ack` of a round with that round's own number, token, and a position that the holder knows: the voter's word for its disk is all there is.
+- `Grant.whole` and `Grant.position` together lowered: a position alone is found out by its mark; both as of an older
+  state are not.
+- `Ack` of a round with that round's own number, token, and a position that the holder knows: the voter's word for its
+  disk is all there is.
 - `Blank.birth` as the voter's own number: it is the voter's own word.
 
-No mutation of one field gives any of these: a position carries a digest of its parts and of the records, a round and a claim a number
-drawn by chance that its answer must bring back. So every single field is tried.
+No mutation of one field gives any of these: a position carries a digest of its parts and of the records, a round and
+a claim a number drawn by chance that its answer must bring back. So every single field is tried.
 """
 from google.protobuf.message import DecodeError
 
 from lichenquay.owner.owner_pb2 import Message
 from owner_audit import QUICK, Broken, demand, holder, world_of, write
 
-EDGES = {"uint64": (0, 1, 2 ** 32, 2 ** 64 - 1), "fixed64": (0, 2 ** 64 - 1), "uint32": (0, 2 ** 32 - 1), "fixed32": (0, 2 ** 32 - 1)}
+EDGES = {"uint64": (0, 1, 2 ** 32, 2 ** 64 - 1), "fixed64": (0, 2 ** 64 - 1), "uint32": (0, 2 ** 32 - 1),
+         "fixed32": (0, 2 ** 32 - 1)}
 WHOLE = ("lost", "doubled", "late past the next", "late past the incarnation", "swapped with the next", "to another",
          "cut off", "flipped")
 NAMES = "abc"
 
 
 def scenario(seed, at=None, change=None):
-    """Runs it with the `at`-th message changed; gives (messages sent, audit). Broken (also: did not come to rest) with its cause."""
+    """Runs it with the `at`-th message changed; gives (messages sent, audit). Broken (also: did not come to rest)
+    with its cause."""
     world, audit = world_of(NAMES, seed, delay=(2, 2.5), drift=0.02)
     sent, held = [], []
 
@@ -160,22 +166,26 @@
 
 
 def _damaged(name):
-    """What the envelope's checksum finds is lost; read all the same, it must not throw anything but what says that it cannot be read."""
+    """What the envelope's checksum finds is lost; read all the same, it must not throw anything but what says that it
+    cannot be read."""
     def change(world, sender, to, message, deliver, held):
         data = message.SerializeToString()
         for at in range(len(data)):
             try:
-                Message.FromString(data[:at] if name == "cut off" else data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:])
+                flipped = data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:]
+                Message.FromString(data[:at] if name == "cut off" else flipped)
             except DecodeError:
                 pass
     return change
 
 
-WAYS = {"lost": _lost, "doubled": _doubled, "late": _late, "swapped": _swapped, "to": _to, "cut": _damaged, "flipped": _damaged}
+WAYS = {"lost": _lost, "doubled": _doubled, "late": _late, "swapped": _swapped, "to": _to, "cut": _damaged,
+        "flipped": _damaged}
 
 
 def run(seed, take=None, first=False):
-    """(messages, mutants, faults): all of them, or those of which `take(n)` is true. A fault: (message, mutation, what)."""
+    """(messages, mutants, faults): all of them, or those of which `take(n)` is true. A fault: (message, mutation,
+    what)."""
     sent, _ = scenario(seed)
     mutants, faults, no = 0, [], 0
     for at, (sender, to, message) in enumerate(sent):
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -1,5 +1,6 @@
-"""One owner at a time, by faults: seeded schedules, all interleavings of a small group, one message changed at a time; and that these
-find rules broken on purpose. Short here; longer by OWNER_RUNS (schedules), OWNER_STATES (of each exploration), OWNER_MUTANTS=all."""
+"""One owner at a time, by faults: seeded schedules, all interleavings of a small group, one message changed at a
+time; and that these find rules broken on purpose. Short here; longer by OWNER_RUNS (schedules), OWNER_STATES (of each
+exploration), OWNER_MUTANTS=all."""
 import os
 
 import pytest
@@ -30,10 +31,12 @@
 EXPLORED = {"no wait after the voter's own start": SMALL[1],
             "lease counted from the answer": ("a", Budget(claims=("b",), steps=4, step=0.45, cut=(("a", "b"),)), True)}
 WAYS = {"no fence by generation": ("a", Budget(claims=("c",), steps=4, step=0.45), (
-    "time", "c hears round of a", "a hears ack of c", "time", "time", "c claims", "b hears claim of c", "c hears grant of b",
+    "time", "c hears round of a", "a hears ack of c", "time", "time", "c claims", "b hears claim of c",
+    "c hears grant of b",
     "b hears round of a", "a hears ack of b", "time", "b hears round of c", "c hears ack of b"))}
 # Seeds of schedules that find a rule, tried first.
-SEEDS = {"an old offer taken": (2,), "record made at one voter": (9,), "the end said before the last record is made": (25,),
+SEEDS = {"an old offer taken": (2,), "record made at one voter": (9,),
+         "the end said before the last record is made": (25,),
          "an old round's answer counted for the latest": (26,), "state of the first grant": (1,),
          "a voter without its folder votes": (16,), "acts before a majority keeps the state": (46,)}
 
@@ -55,7 +58,7 @@
     explorer = Explorer(budget, begin=begin)
     states = explorer.explore(STATES)
     with capsys.disabled():
-        print(f"\nowner: {states} states, {'all' if explorer.whole else 'cut off'}: {begin or 'nobody'} holds, {budget}")
+        print(f"\nowner: {states} states, {'all' if explorer.whole else 'cut'}: {begin or 'nobody'} holds, {budget}")
     assert explorer.whole or not whole and states >= STATES
 
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -1,6 +1,8 @@
-"""Parts of the one form (heard, tick, due_ms, outbox, to_store, stored) in virtual time: every message, clock, disk and pause in hand.
+"""Parts of the one form (heard, tick, due_ms, outbox, to_store, stored) in virtual time: every message, clock, disk
+and pause in hand.
 
-Times are milliseconds of true time; each process has a clock of its own with rate and offset. All chance comes from one seed.
+Times are milliseconds of true time; each process has a clock of its own with rate and offset. All chance comes from
+one seed.
 """
 import heapq
 from random import Random
@@ -149,4 +151,5 @@
                 p.kept.pop(key, None) if value is None else p.kept.__setitem__(key, value)
         self.at(begun, write)
         ok = how in ("well", "slow")
-        self.at(begun + self.rng.uniform(0, 1), lambda: self._in(p, starts, lambda part, ms: part.stored(ms, number, ok)))
+        self.at(begun + self.rng.uniform(0, 1), 
+                lambda: self._in(p, starts, lambda part, ms: part.stored(ms, number, ok)))
