--- a/lichenquay/owner/holder.py
+++ b/lichenquay/owner/holder.py
@@ -197,8 +197,10 @@
         name = sender[0]
         if not self._mine(name, m) or not (m.token == self.token or self._round_of(name, m.token)):
             return
-        if m.promised <= self.seen + MOST_JUMP:
-            self.seen = max(self.seen, m.promised)
+        if m.promised > self.seen + MOST_JUMP:
+            self.counts["senseless"] += 1
+            return
+        self.seen = max(self.seen, m.promised)
         peer = self.peers[name]
         # Not over the longest wait that a voter can mean (and not `nan`).
         most = self.settings.wait_ms
