Quota: an answer about book 0 makes no sense

Need: a right datagram with a row of book 0 (one field of a message to its edge) was kept as a sealed book of that number. Every later ask told of it, the keeper dropped each as senseless, and the front's rights lapsed for good: found by the mutation of messages. Change: such an answer is dropped and counted, as the keeper drops such an ask. Result: tests/test_quota.py has it; the mutant comes to rest.

--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -155,7 +155,7 @@
         """An answer. Totals only rise, so that one which is late, or comes twice, changes nothing."""
         self.lapse(now_ms)
         if (answer.front, answer.incarnation) != (self.name, self.incarnation) or answer.book > self.book or any(
-                r.tenant not in self.stocks or r.book > answer.book or r.spent_us + r.returned_us > r.granted_us
+                r.tenant not in self.stocks or not 0 < r.book <= answer.book or r.spent_us + r.returned_us > r.granted_us
                 for r in answer.rows):
             self.senseless += 1
             return
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -81,7 +81,10 @@
         setattr(strange, field, value)
         rights.heard(300.0, ("f1", 1), strange)
     rights.heard(300.0, ("f1", 1), answer(rights, second, nobody=1))
-    assert rights.senseless == 5 and rights.rows["a"].known == 30 * MS
+    spoilt = answer(rights, second, a=30)
+    spoilt.rows[0].book = 0             # no book of ours; kept as a sealed one, every later ask would make no sense
+    rights.heard(300.0, ("f1", 1), spoilt)
+    assert rights.senseless == 6 and rights.rows["a"].known == 30 * MS and not rights.old
 
 
 def test_an_overrun_is_a_debt_that_the_next_grant_covers_first():
