Fleet: whole hosts run in virtual time, audited after every step

Need: the layers are proved each by itself; joined as the host joins them they were only tried on real processes, where no message is in hand. Change: the host takes what makes its folder and its writer (behaviour stays); tests/fleet/virtual_fleet.py gives it a reactor, clocks, a network and disks; an audit knows more than any front; a scenario goes from joining to borrowing, a cut, a kill, leaving and restarts. The writer's signal mask is of valid signals only: a warning less at each start.

--- a/lichenquay/fleet/host.py
+++ b/lichenquay/fleet/host.py
@@ -42,8 +42,12 @@
 
 
 class Fleet:
-    def __init__(self, reactor, settings, seed, pressed, now_ms=boot_ms, unix_ms=lambda: time.time() * 1000, log=None):
+    """`folder`, `writer`: what makes them; a test in virtual time has its own, as it has its own reactor and clocks."""
+
+    def __init__(self, reactor, settings, seed, pressed, now_ms=boot_ms, unix_ms=lambda: time.time() * 1000, log=None,
+                 folder=Folder, writer=Writer):
         self.reactor, self.settings, self.pressed, self.now_ms, self.unix_ms = reactor, settings, pressed, now_ms, unix_ms
+        self.new_folder, self.new_writer = folder, writer
         self.log = (log or logger()).bind(front=settings.name)
         self.rng = random.Random(f"{seed}:{settings.name}")
         self.names = names_of(settings)
@@ -59,7 +63,7 @@
         s = self.settings
         try:
             if s.folder:
-                self.folder = Folder(s.folder, s.fleet, s.name, FOLDER_MOST, now_ms=self.now_ms())
+                self.folder = self.new_folder(s.folder, s.fleet, s.name, FOLDER_MOST, now_ms=self.now_ms())
             self.rise(0)
             self.port = self.reactor.listenUDP(address_of(s.listen)[1], self.post, interface=address_of(s.listen)[0])
         except BadFolder as bad:
@@ -78,9 +82,9 @@
     def begin(self):
         """The front serves: it tells the others."""
         if self.folder:
-            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, range(1, signal.NSIG))   # risk: a signal goes to the writer's thread,
+            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals()) # risk: a signal goes to the writer's thread,
             try:                                                                        # and the reactor sleeps on
-                self.writer = Writer(self.folder, self.reactor.callFromThread, self.now_ms, log=self.log)
+                self.writer = self.new_writer(self.folder, self.reactor.callFromThread, self.now_ms, log=self.log)
             finally:
                 signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
         self.watch = self.parts[MEMBERS] = self.new_watch()
--- /dev/null
+++ b/tests/fleet/fleet_audit.py
@@ -0,0 +1,198 @@
+"""What must be true of fronts in virtual time after every step, and at rest; it knows more than any front. Amounts are microseconds."""
+from hashlib import blake2b
+
+from lichenquay.members.table import LEFT
+from lichenquay.quota.ledger import Ledger, LedgerError
+from virtual_fleet import ACCOUNTS
+
+LIMITS = {a[0]: a[3] * 1000 for a in ACCOUNTS}
+FAST = 1.05             # no clock is faster
+
+
+class Broken(AssertionError):
+    """An invariant does not hold."""
+
+
+class Kept(dict):
+    """Sealed rows of a front; what it forgets, the audit keeps."""
+
+    def __init__(self, old):
+        super().__init__(old)
+        self.forgotten = []
+
+    def __delitem__(self, key):
+        self.forgotten.append((key, self[key]))
+        super().__delitem__(key)
+
+
+class Audit:
+    def __init__(self):
+        self.ledger, self.digests, self.rows, self.closed = Ledger(), {}, {}, set()
+        self.lapsed, self.spent, self.found, self.generations = set(), {}, [], {}
+        self.within = self.beyond = 0
+        self.most_owed, self.lent, self.repaid = 0, 0, 0
+
+    def broken(self, what):
+        """Risk: a part that bears every error bears ours. So what was found is kept, and looked at by the run."""
+        self.found.append(what)
+        raise Broken(what)
+
+    def must(self, holds, what, *more):
+        if not holds:
+            self.broken(what.format(*more))
+
+    # after every step
+
+    def step(self, p):
+        holders = [q for q in self.world.all.values() if q.fleet is not None and q.fleet.accounts is not None
+                   and q.fleet.accounts.group.holds(q.now_ms())]
+        if holders:
+            self.must(len(holders) < 2, "two hold the ledger: {}", [q.name for q in holders])
+            q = holders[0]
+            g = q.fleet.accounts.group.generation
+            first = self.generations.setdefault(g, (q.name, q.starts))
+            self.must(first == (q.name, q.starts), "generation {} is held by {} and {}", g, first, q.name)
+        if p.fleet is None:
+            return
+        self.members(p)
+        self.keeper(p)
+        self.rights(p)
+
+    def members(self, p):
+        watch, seen = p.fleet.watch, getattr(p, "seen_of", None)
+        if seen is None or seen[0] is not watch:
+            seen = p.seen_of = [watch, 0, {}]
+            if watch.incarnation not in p.incarnations:
+                p.incarnations.append(watch.incarnation)
+        for name, m in watch.table.members.items():
+            now = (m.incarnation, m.state >= LEFT, 0 if m.state >= LEFT else m.word, m.state)
+            old = seen[2].get(name)
+            if now == old:
+                continue
+            self.must(old is None or now > old, "{} goes back on {}: {} after {}", p.name, name, now, old)
+            of = self.world.all.get(name)
+            self.must(of and m.incarnation in of.incarnations, "{} holds {} {}, who never was", p.name, name, m.incarnation)
+            self.must(m.state != LEFT or m.incarnation in of.left, "{} holds {} for left, which it has not", p.name, name)
+            self.must(old is None or watch.view.number >= seen[1], "{}: a lower view", p.name)
+            seen[2][name] = now
+        seen[1] = watch.view.number
+
+    def keeper(self, p):
+        made, old = p.fleet.accounts.keeper.made, getattr(p, "made_of", (None, 0))
+        if made is None or made is old[0] and made.no == old[1]:
+            return
+        fresh = made is not old[0]
+        p.made_of = made, made.no
+        try:
+            made.check()
+        except LedgerError as bad:
+            self.broken(f"the ledger at {p.name}: {bad}")
+        state = made.state()
+        digest = blake2b(state, digest_size=8).digest()
+        self.must(not fresh or made.no >= self.ledger.no, "{} begins at record {}, {} was made", p.name, made.no, self.ledger.no)
+        self.must(self.digests.setdefault(made.no, digest) == digest, "record {} is another one at {}", made.no, p.name)
+        if made.no > self.ledger.no:
+            self.learn(Ledger.load(state))
+
+    def learn(self, ledger):
+        """Another record was made."""
+        for key, rows in ledger.books.items():
+            for tenant, row in rows.items():
+                at = *key, tenant
+                before = self.rows.get(at)
+                if before:
+                    self.must(row.granted >= before.granted and row.spent >= before.spent and row.returned >= before.returned,
+                              "totals of {} fall", at)
+                self.must(key not in self.lapsed or before and row.granted == before.granted, "{} is granted to after it was written off", at)
+                self.rows[at] = row
+        self.lapsed |= ledger.lapsed
+        for tenant, a in ledger.accounts.items():
+            old = self.ledger.accounts.get(tenant)
+            self.must(a.owes <= LIMITS[tenant], "{} owes more than its limit", tenant)
+            self.must(old is None or a.spent >= old.spent, "the work of {} falls", tenant)
+            self.must(a.issued <= self.most(a), "more of {} is issued than its rate and bucket", tenant)
+            self.most_owed, self.lent = max(self.most_owed, a.owes), max(self.lent, a.lent)
+            self.repaid = max(self.repaid, a.repaid)
+        self.ledger = ledger
+        self.truths()
+
+    def most(self, account):
+        return account.figures.bucket_us + account.figures.rate_us * self.world.now * FAST / 1000
+
+    def rights(self, p):
+        rights = p.fleet.accounts.rights
+        if not p.lives or p.lives[-1][1] is not rights:
+            rights.old = Kept(rights.old)
+            p.lives.append((rights.incarnation, rights))
+        for (book, tenant), mine in [((rights.book, t), m) for t, m in rights.rows.items()] + list(rights.old.items()):
+            used = mine.spent + mine.reserved
+            self.must(min(mine.free, mine.spent, mine.reserved, mine.returned) >= 0, "{} spends what it has not", p.name)
+            if mine.known or used:
+                row = self.rows.get((p.name, rights.incarnation, book, tenant))
+                self.must(row and mine.known <= row.granted, "{} holds what no record granted", p.name)
+                self.must(used <= row.granted - row.returned, "{} spends what went back", p.name)
+
+    def took(self, p, tenant, within):
+        self.within, self.beyond = self.within + within, self.beyond + (not within)
+        if within:
+            rights = p.fleet.accounts.rights
+            key = p.name, rights.incarnation, rights.book
+            self.must(key not in self.lapsed, "{} spends what was written off", key)
+            self.must((*key, tenant) in self.rows, "{} spends what no record granted", key)
+            self.truths()
+
+    def truth(self, tenant, told=False):
+        """What fronts of all lives have spent, and reserved."""
+        total = 0
+        for p in self.world.all.values():
+            for _, rights in p.lives:
+                rows = [m for t, m in rights.rows.items() if t == tenant]
+                rows += [m for (_, t), m in [*rights.old.items(), *rights.old.forgotten] if t == tenant]
+                total += sum(m.spent + (0 if told else m.reserved) for m in {id(m): m for m in rows}.values())
+        return total
+
+    def truths(self):
+        for tenant, a in self.ledger.accounts.items():
+            truth = self.truth(tenant)
+            self.must(truth <= a.spent + a.held + a.written + a.lost, "{}: taken as within quota, and not granted", tenant)
+            self.must(truth <= self.most(a) + a.owes, "{}: taken beyond rate, bucket and credit", tenant)
+            self.must(a.spent <= self.truth(tenant, True), "{}: counted as spent, and nobody did", tenant)
+
+    # at rest
+
+    def unrest(self):
+        """What has not come to rest, or None."""
+        up = [p for p in self.world.all.values() if p.fleet is not None]
+        holders = [p for p in up if p.fleet.accounts.group.holds(p.now_ms())]
+        if len(holders) != 1 or holders[0].fleet.accounts.keeper.made is None:
+            return "no keeper in office"
+        if len({p.fleet.watch.view.digest for p in up}) > 1:
+            return f"views differ: {[(p.name, p.fleet.watch.members()) for p in up]}"
+        group = holders[0].fleet.accounts.group
+        for p in up:
+            states = {n: p.fleet.watch.state_of(n) for n in self.world.all}
+            for q in self.world.all.values():
+                if states[q.name] not in (("alive",) if q.fleet is not None else ("left", "cut", "gone")):
+                    return f"{p.name} holds {q.name} for {states[q.name]}"
+            rights = p.fleet.accounts.rights
+            if p.fleet.left or rights.old or rights.tickets or any(rights.debts.values()):
+                return f"{p.name}: {'leaves' if p.fleet.left else 'sealed books, open queries or debts'}"
+            if rights.keeper != (holders[0].name, group.generation):
+                return f"{p.name} takes {rights.keeper} for the keeper"
+            for tenant, mine in rights.rows.items():
+                row = self.ledger.books.get((p.name, rights.incarnation, rights.book), {}).get(tenant)
+                if (row and (row.granted, row.spent, row.returned) or (0, 0, 0)) != (mine.known, mine.spent, mine.returned):
+                    return f"{p.name} and the ledger differ on {tenant}"
+        if self.ledger.loans:
+            return "loans are not repaid"
+        for key in self.ledger.books:
+            q = self.world.all[key[0]]
+            if key not in self.ledger.lapsed and not (q.fleet and key[1:] == (q.fleet.incarnation, q.fleet.accounts.rights.book)):
+                return f"book {key} is not closed"
+        for p in self.world.all.values():
+            for incarnation, rights in p.lives:
+                for (book, tenant), mine in rights.old.forgotten:
+                    row = self.rows.get((p.name, incarnation, book, tenant))
+                    self.must(mine.spent <= (row.granted if row else 0), "{} spent other than was noted", p.name)
+        return None
+
