Tests: each message of a fleet's scenario changed, one at a time

Change: mutations on the way and of each field, run by forks of one run; what provably ends like another mutant is not run on. Broken rules of all layers, and the mutant that finds each.

--- /dev/null
+++ b/tests/fleet/fleet_marks.py
@@ -0,0 +1,60 @@
+"""A digest of what a front in virtual time holds: two runs that agree on it (and on all that was sent) go on alike.
+
+Counters are left out: nothing is decided by them. So is what is set anew by whatever comes next (`now_ms`).
+"""
+from hashlib import blake2b
+from random import Random
+
+from google.protobuf.message import Message
+
+SKIP = {"counts", "counters", "senseless", "foreign", "stray", "crowded", "barred", "records_made", "doubts", "lapses", "now_ms", "figures", "log",
+        "settings", "names", "send", "store", "fold", "told", "state_of", "pressed", "done", "_send", "_store", "rng", "random", "chance",
+        "demand", "latest_queries"}
+PLAIN = (bool, int, str, bytes, type(None))
+
+
+def mark(process):
+    """Of one process; None where it does not run."""
+    f = process.fleet
+    if f is None:
+        return (process.name, None)
+    out, seen = [], set()
+    timer = f.timer.due if f.timer is not None and f.timer.active() else None
+    for part in (process.deaf, f.incarnation, f.left, timer, process.disk.free_ms, process.disk.state, f.watch, f.accounts.group, f.accounts.keeper,
+                 f.accounts.rights, f.accounts.answered, f.accounts.deaf_since_ms, f.accounts.look_ms, f.accounts.asked_of, f.rng):
+        walk(part, out, seen)
+    return process.name, blake2b(repr(out).encode(), digest_size=12).hexdigest()
+
+
+def walk(x, out, seen):
+    if isinstance(x, PLAIN):
+        out.append(x)
+    elif isinstance(x, float):
+        out.append(round(x, 3))
+    elif isinstance(x, Message):
+        out.append(x.SerializeToString(deterministic=True))
+    elif isinstance(x, Random):
+        out.append(hash(x.getstate()))
+    elif id(x) in seen:
+        out.append("again")
+    elif isinstance(x, dict):
+        seen.add(id(x))
+        out.append(len(x))
+        for key, value in x.items():
+            walk(key, out, seen)
+            walk(value, out, seen)
+    elif isinstance(x, (set, frozenset)):
+        out.append(sorted(map(repr, x)))
+    elif isinstance(x, (list, tuple)) or hasattr(x, "popleft"):
+        out.append(len(x))
+        for value in x:
+            walk(value, out, seen)
+    elif callable(x):
+        out.append("call")
+    else:
+        seen.add(id(x))
+        out.append(type(x).__name__)
+        names = list(getattr(x, "__dict__", ())) + [n for c in type(x).__mro__ for n in getattr(c, "__slots__", ())]
+        for name in names:
+            if name not in SKIP:
+                walk(getattr(x, name, None), out, seen)
--- /dev/null
+++ b/tests/fleet/test_fleet_mutation.py
@@ -0,0 +1,131 @@
+"""One message at a time is changed: of a recorded scenario, every datagram by every mutation, and all invariants after every step.
+
+The short form takes a seeded sample. `--runs N` with N from 2 to 9 takes every mutation of N - 1 eighths of the messages: 9 is all of it.
+"""
+import json
+import os
+import subprocess
+import sys
+from collections import Counter
+from random import Random
+
+import broken_rules
+import fleet_scenario as scenario
+import pytest
+from fleet_mutants import end_of
+from fleet_mutations import WAYS, kind_of, mutations
+from outside import OUTSIDE, outside
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+SEED, SAMPLE, EIGHTHS, WORKERS = broken_rules.SEED, 80, 8, 2
+WITHIN_S = 3600
+
+
+@pytest.fixture(scope="module")
+def record():
+    """The scenario as it is: nothing broken, and it comes to rest."""
+    broken, stuck, world = scenario.run(seed=SEED, record=True)
+    assert (broken, stuck) == (None, None)
+    return world
+
+
+def every(world, numbers=None):
+    """[(number, mutation)] of the messages; what is outside the assumptions is left out."""
+    return [(mail.no, name) for mail in world.mails if numbers is None or mail.no in numbers
+            for name, _ in mutations(mail, world.starts) if not outside(kind_of(mail.data), name)]
+
+
+def mutants(picked, tmp_path):
+    """What became of each: [number, kind, mutation, same as, broken, stuck]."""
+    path = tmp_path / "picked.json"
+    path.write_text(json.dumps(picked))
+    root = os.path.dirname(os.path.dirname(HERE))
+    env = {**os.environ, "PYTHONPATH": os.pathsep.join((root, HERE)), "PYTHONHASHSEED": "0"}
+    workers, out = [], []
+    for i in range(WORKERS):
+        with open(tmp_path / f"out{i}", "w") as file:
+            workers.append(subprocess.Popen([sys.executable, os.path.join(HERE, "fleet_mutants.py"), str(SEED), str(i), str(WORKERS), str(path)],
+                                            stdout=file, stderr=subprocess.PIPE, text=True, env=env))
+    for i, worker in enumerate(workers):
+        _, errors = worker.communicate(timeout=WITHIN_S)
+        assert worker.returncode == 0, errors
+        out += [json.loads(line) for line in (tmp_path / f"out{i}").read_text().splitlines()]
+    return out
+
+
+def test_scenario_has_all_of_it(record):
+    """Risk: a mutation of a scenario in which nothing happens finds nothing."""
+    audit, kinds = record.audit, Counter(kind_of(m.data) for m in record.mails)
+    assert audit.most_owed > 0 and audit.repaid == audit.lent > 0
+    assert len(audit.generations) >= 4 and len({name for name, _ in audit.generations.values()}) >= 2
+    assert audit.within > 100 and audit.beyond > 10 and audit.lapsed
+    assert sum(len(p.incarnations) for p in record.all.values()) >= 6 and any(p.left for p in record.all.values())
+    assert {"owner claim", "owner grant", "owner round", "owner ack", "owner ended", "quota ask", "quota answer", "members ping",
+            "members leave"} <= set(kinds)
+
+
+def test_same_every_time(record):
+    _, _, again = scenario.run(seed=SEED, record=True)
+    assert [(m.at, m.to, m.data) for m in again.mails] == [(m.at, m.to, m.data) for m in record.mails]
+
+
+def test_each_mutant_holds_and_comes_to_rest(record, request, tmp_path, figures):
+    runs = request.config.getoption("--runs")
+    if runs == 1:
+        picked = Random(f"mutants/{request.config.getoption('--seed')}").sample(every(record), SAMPLE)
+    else:
+        picked = every(record, {m.no for m in record.mails if m.no % EIGHTHS < runs - 1})
+    out = mutants(picked, tmp_path)
+    ends, found = [o for o in out if o[0] == 0], [o for o in out if o[0]]
+    broken, stuck = [o for o in found if o[4]], [o for o in found if o[5]]
+    figures("mutation").update(messages=len({no for no, _ in picked}), messages_recorded=len(record.mails), mutants=len(found),
+                               run_on=sum(not o[3] for o in found), violations=len(broken), stuck=len(stuck), outside=len(OUTSIDE))
+    assert ends == [[0, "none", "none", "", None, None]] * WORKERS      # after all the forks, the scenario itself
+    assert sorted((o[0], o[2]) for o in found) == sorted(picked)
+    assert not broken, broken[:20]
+    assert not stuck, stuck[:20]
+
+
+def test_outside_is_not_empty_talk(record):
+    """Each entry of the list is of a change that the scenario has, and none is of what happens on the way."""
+    kinds = [(kind_of(m.data), name) for m in record.mails for name, _ in mutations(m, record.starts)]
+    taken = {pair for pair in set(kinds) if outside(*pair)}
+    assert all(name not in WAYS for _, name in taken)
+    for entry in OUTSIDE:
+        assert any(outside(*pair, (entry,)) for pair in taken), entry
+
+
+@pytest.mark.parametrize("rule", broken_rules.FOUND)
+def test_broken_rule_is_found(rule, record, figures):
+    """By the mutant known to find it; without that mutation the same broken rule goes unseen, unless the table says 'every run'."""
+    number, kind, name = broken_rules.FOUND[rule]
+    end_ms = end_of(record.mails[number - 1], name, record.starts) if number else scenario.END_MS
+    planted = figures("mutation")
+    planted["broken_rules_planted"] = planted.get("broken_rules_planted", 0) + 1
+    with broken_rules.RULES[rule]():
+        if not number:
+            broken, stuck, _ = scenario.run(seed=SEED)
+        else:
+            assert scenario.run(seed=SEED, end_ms=end_ms)[:2] == (None, None)
+            broken, stuck, of = one(number, name, record)
+            assert of == kind
+    print(f"{rule}: found by message {number} ({kind}), {name}: {broken or stuck}")
+    assert broken or stuck
+    planted["broken_rules_found"] = planted.get("broken_rules_found", 0) + 1
+
+
+@pytest.mark.parametrize("rule", [r for r, f in broken_rules.FOUND.items() if f[0]])
+def test_mutant_that_finds_it_is_borne_by_the_rule_itself(rule, record):
+    number, kind, name = broken_rules.FOUND[rule]
+    assert one(number, name, record) == (None, None, kind)
+
+
+def one(number, name, record):
+    """(broken, stuck, kind of the message) of one mutant."""
+    kinds, end_ms = [], end_of(record.mails[number - 1], name, record.starts)
+
+    def change(world, mail):
+        kinds.append(kind_of(mail.data))
+        dict(mutations(mail, record.starts))[name](world, mail)
+    broken, stuck, _ = scenario.run({number: change}, SEED, end_ms=end_ms)
+    return broken, stuck, kinds[0]
