--- a/tests/fleet/outside.py
+++ b/tests/fleet/outside.py
@@ -3,6 +3,7 @@
 
 OUTSIDE = (                 # (kind of message, field and change, why): patterns of whole texts
     ("members .*", r"(rows\[\d\]|ack)\.incarnation (\+1|most)", "nobody started that front"),
+    ("members .*", r"(rows\[\d\]\.)?state LEFT", "it never left"),
     ("quota answer", r"answer\.rows\[\d\]\.granted_us (\+1|most)", "nobody granted it"),
     ("quota ask", r"ask\.rows\[\d\]\.spent_us (\+1|most)", "nobody spent it"),
     ("quota ask", r"ask\.rows\[\d\]\.sealed other", "its front still spends from that book"),
