Tests: a mutant is spared only where all that was sent is the same, too

Need: a ping with another number was held for the same run: its answer differs, and the digest counted datagrams only. Change: the digest takes in what was sent.

--- a/tests/fleet/virtual_fleet.py
+++ b/tests/fleet/virtual_fleet.py
@@ -212,6 +212,7 @@
     def __init__(self, audit, seed=1, names="abc", mutate=None):
         self.seed, self.rng, self.now, self.audit, self.mutate = seed, Random(f"fleet/{seed}"), 0.0, audit, mutate or {}
         self.heap, self.count, self.sent, self.steps, self.mails = [], 0, 0, 0, None
+        self.said = 0                                   # a digest of all that was sent
         self.cut, self.waiting, self.held, self.starts = set(), {}, [], {n: [] for n in names}
         self.end_ms, self.child, self.resting = 0.0, None, False     # a fork sets the first two to its own
         self.ports = {7001 + i: name for i, name in enumerate(names)}
@@ -247,6 +248,7 @@
 
     def send(self, process, to, data):
         self.sent += 1
+        self.said = hash((self.said, self.now, to, data))
         mail = SimpleNamespace(no=self.sent, sender=process.name, to=to, data=data, at=self.now,
                                delay=self.rng.uniform(1, 6))
         if self.mails is not None:
