--- /dev/null
+++ b/tests/test_moves_book.py
@@ -0,0 +1,243 @@
+"""The book's laws, who takes what, what an earlier ref is answered, and bad input."""
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from lichenquay.moves import moves_pb2 as pb
+from lichenquay.moves.book import (GONE, HELD, MOST_BYTES, MOST_NAME, MOST_SITTINGS, MOST_STONES, SITTING_BYTES, Book,
+                                   BookError)
+from lichenquay.moves.choose import LEAVES, WANTS, Member, in_order, may_leave, taker
+from lichenquay.moves.desk import Desk
+from lichenquay.moves.kept import Seat, fold_of
+from lichenquay.quota.kept import split
+
+
+class Alone:
+    """A group of one process, as `owner` gives it: makes what is written at once, in the pieces that a group keeps."""
+
+    def __init__(self, home):
+        self.home, self.generation, self.held, self.ok = home, 1, True, True
+        self.base, self.records, self.waiting = b"", [], None
+
+    def holds(self, now_ms):
+        return self.held
+
+    @property
+    def state(self):
+        return self.base, list(self.records)
+
+    def write(self, now_ms, record, done):
+        assert len(record) <= 800
+        if self.ok:
+            self.records.append(record)
+        if len(self.records) > 20:
+            self.base, self.records = fold_of(self.home)(self.base, self.records[:15]), self.records[15:]
+        done(now_ms, self.ok)
+
+
+def desk_of(home="f0"):
+    return Desk(home, Seat(Alone(home)))
+
+
+def ask(method, *args):
+    out = []
+    method(0.0, *args, lambda now_ms, answer: out.append(answer))
+    assert len(out) == 1
+    return out[0]
+
+
+def opened(desk, tenant="t", name="s"):
+    return ask(desk.open, tenant, name).id
+
+
+def test_an_earlier_ref():
+    desk = desk_of()
+    id, other = opened(desk), opened(desk, "u", "s")
+    assert id != other and opened(desk) == id
+    assert ask(desk.take, "t", id, "m", True, "e1", 500).word == "go"
+    assert ask(desk.take, "t", id, "r", False, "e2", 500).word == "go"
+    answer = desk.attach(1.0, "t", id, "m")
+    assert (answer.word, answer.engine, answer.mutating) == ("attach", "e1", True)
+    assert ask(desk.take, "t", id, "m", True, "e1", 500).word == "attach"
+    assert desk.attach(1.0, "t", id, "never").word == "unknown"
+    assert desk.attach(1.0, "u", id, "m").word == "refused"           # another tenant's sitting
+    assert desk.attach(1.0, "u", other, "m").word == "refused"        # its own sitting, another's ref
+    assert desk.ended(1.0, "t", id, "r", "done") and not desk.ended(1.0, "t", id, "r", "failed")
+    assert desk.attach(1.0, "t", id, "r").outcome == "done"
+    # Taken by this office: not yet given up for an engine's word.
+    assert ask(desk.again, "t", id, "m", "e1", 500).word == "attach"
+    # The next office does not know whether it ran: read-only ones may run again, mutating ones never.
+    assert ask(desk.take, "t", id, "r2", False, "e2", 500).word == "go"
+    desk.group.group.generation = 2
+    assert ask(desk.again, "t", id, "r2", "e1", 500).word == "go"
+    assert ask(desk.again, "t", id, "m", "e1", 500)[::5] == ("ended", "failed")
+    assert ask(desk.again, "t", id, "m", "e1", 500).word == "ended"
+
+
+def test_no_office_no_act():
+    desk = desk_of()
+    id = opened(desk)
+    desk.group.group.held = False
+    assert ask(desk.take, "t", id, "m", True, "e", 1).word == "lost" and desk.attach(0.0, "t", id, "m").word == "lost"
+    desk.group.group.held, desk.group.group.ok = True, None           # in doubt
+    assert ask(desk.take, "t", id, "m", True, "e", 1).word == "lost"
+    desk.group.group.ok = True
+    assert ask(desk.take, "t", id, "m2", True, "e", 1).word == "lost"     # not in this generation
+    desk.group.group.generation = 2
+    assert ask(desk.take, "t", id, "m2", True, "e", 1).word == "go"
+
+
+@pytest.mark.parametrize("tenant, name", [("t", ""), ("", "s"), ("t", "s" * (MOST_NAME + 1)), ("t", "é" * 33)])
+def test_names(tenant, name):
+    assert ask(desk_of().open, tenant, name).word == "refused"
+
+
+def test_too_many_the_oldest_idle_goes():
+    desk = desk_of()
+    first, busy = opened(desk, name="first"), opened(desk, name="busy")
+    assert ask(desk.take, "t", busy, "m", True, "e", 1).word == "go"
+    for i in range(MOST_SITTINGS):
+        assert opened(desk, name=f"n{i}")
+    assert desk.dropped == 2 and len(desk.made.live) == MOST_SITTINGS
+    assert desk.attach(0.0, "t", first, "x").word == "unknown" and desk.attach(0.0, "t", busy, "m").word == "attach"
+
+
+def test_a_full_sitting_forgets_what_ended_never_what_may_run():
+    desk = desk_of()
+    id, words = opened(desk), []
+    for i in range(40):
+        words.append(ask(desk.take, "t", id, f"ref-{i:040}", True, "engine", 1).word)
+    full = words.index("full")
+    assert set(words[:full]) == {"go"} and set(words[full:]) == {"full"} and full >= 8
+    desk.ended(0.0, "t", id, f"ref-{3:040}", "done")
+    assert ask(desk.take, "t", id, "next", True, "engine", 1).word == "go"
+    assert desk.attach(0.0, "t", id, f"ref-{3:040}").word == "unknown"
+    assert desk.attach(0.0, "t", id, f"ref-{4:040}").word == "attach"
+    assert desk.made.sittings[id].size <= SITTING_BYTES
+
+
+def test_another_homes_book_or_a_newer_one():
+    book = Book("f0")
+    with pytest.raises(BookError):
+        Book.load("f1", book.state())
+    newer = pb.State.FromString(book.state())
+    newer.version = 9
+    desk = desk_of()
+    desk.group.snapshot = lambda: (newer.SerializeToString(), [])
+    assert ask(desk.open, "t", "s").word == "lost" and "version 9" in desk.trouble
+
+
+def test_hand_over_is_taken_once_though_all_about_it_is_forgotten():
+    book = Book("f1")
+    wire = pb.Sitting(tenant="t", id="s@f0.1", generation=2, state=HELD)
+    change = book.decide_accept("f0", 1, 1, wire)
+    book.change(change)
+    book.change(book.decide_drop())
+    assert "s@f0.1" not in book.sittings and book.decide_accept("f0", 1, 1, wire) is None
+    with pytest.raises(BookError):
+        book.change(change)
+    again = Book.load("f1", book.state())
+    assert again.has_taken("f0", 1) and not again.has_taken("f0", 2)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 11), st.integers(0, 5), st.sampled_from(["f1", "f2"])), max_size=120))
+def test_any_decisions(steps):
+    """Whatever is decided in whatever order: the laws hold, and it is the same from any snapshot and the records after."""
+    book, records, states, no = Book("f0"), [], [], 0
+
+    def change_of(kind, i, to):
+        ids = list(book.sittings)
+        id = ids[i % len(ids)] if ids else "x@f0.9"
+        s = book.sittings.get(id)
+        return [lambda: book.decide_open("t", f"n{i}"), lambda: book.decide_pin(id, "e", i),
+                lambda: book.decide_took(id, f"r{i}", i % 2 == 0, "e", 1, 5), lambda: book.decide_ended(id, f"r{i}", "done"),
+                lambda: book.decide_freeze(id), lambda: book.decide_offer(id, to), lambda: book.decide_gone(id, to),
+                lambda: s and book.decide_told(id, s.to, s.no), lambda: book.decide_back(id), book.decide_drop,
+                lambda: book.decide_accept(to, i + 1, max(1, i - 1), pb.Sitting(tenant="t", id=f"z@{to}.{i}", generation=2)),
+                lambda: s and book.decide_accept(to, 9 + i, 3, pb.Sitting(tenant="t", id=id, generation=s.generation + i)),
+                ][kind]()
+    for step in steps:
+        change = change_of(*step)
+        if change is not None:
+            no += 1
+            states.append(book.state())
+            record = pb.Record(no=no, changes=[change])
+            records.append(record.SerializeToString())
+            assert book.apply(record) and not book.apply(record)
+            book.check()
+    for at in (0, len(states) // 2):
+        if states:
+            assert Book.load("f0", states[at], records[max(0, at - 3):]).state() == book.state()
+
+
+def test_fold_keeps_the_same_book():
+    book, parts = Book("f0"), []
+    for no in range(1, 60):
+        change = book.decide_open("t", "n" * 60)
+        record = pb.Record(no=no, changes=[change])
+        book.apply(record)
+        parts += split(record.SerializeToString() + b"")
+    fold = fold_of("f0")
+    from lichenquay.quota.kept import read
+    state, records = read(fold(fold(b"", parts[:13]), parts[13:40]), parts[40:])
+    assert Book.load("f0", state, records).state() == book.state()
+
+
+def test_stones_are_few():
+    book = Book("f0")
+    for _ in range(MOST_STONES + 9):
+        id = book.decide_open("t", "s").opened.id
+        for decide in (lambda: book.decide_open("t", "s"), lambda: book.decide_freeze(id),
+                       lambda: book.decide_offer(id, "f1"), lambda: book.decide_gone(id, "f1")):
+            book.change(decide())
+        s = book.sittings[id]
+        book.change(book.decide_told(id, "f1", s.no))
+        book.check()
+    assert len(book.sittings) == MOST_STONES and book.where("s@f0.1") == (None, "f0")
+    assert book.where(f"s@f0.{MOST_STONES + 9}") == (GONE, "f1")
+
+
+ROOM = [Member("a", 9000, zone="x"), Member("b", 9000, zone="y"), Member("c", 9000, new=True, zone="y"),
+        Member("d", 9000, new=True, ready=False, zone="x"), Member("e", 10), Member("g", 9000, word=LEAVES),
+        Member("h", 9000, alive=False)]
+
+
+def test_who_takes_what():
+    assert taker("s", 100, "x", ROOM) == "a" and taker("s", 100, "y", ROOM) == "c"
+    assert taker("s", 100, "", ROOM) == "c" and taker("s", 100, "y", ROOM, {"c"}) == "b"
+    assert taker("s", 100, "", ROOM, {"a", "b", "c"}) is None
+
+
+def test_spread_by_weight():
+    members = [Member("a", 1000), Member("b", 1000, weight=3.0), Member("c", 2000)]
+    takers = [taker(f"s{i}", 10, "", members) for i in range(3000)]
+    share = {n: takers.count(n) / 3000 for n in "abc"}
+    assert abs(share["a"] - 1 / 6) < 0.03 and abs(share["b"] - 3 / 6) < 0.03 and abs(share["c"] - 2 / 6) < 0.03
+    # One that is away moves only its own.
+    rest = [taker(f"s{i}", 10, "", members[:2]) for i in range(3000)]
+    assert all(r == t for r, t in zip(rest, takers) if t != "c")
+
+
+def test_a_share_leaves_at_a_time():
+    fleet = [Member(f"f{i}", 1000) for i in range(8)]
+    wanting = [m._replace(word=WANTS) if m.name in ("f1", "f4", "f6") else m for m in fleet]
+    assert [may_leave(n, wanting, 0.25) for n in ("f1", "f4", "f6")] == [True, True, False]
+    leaving = [m._replace(word=LEAVES) if m.name in ("f1", "f4") else m for m in wanting]
+    assert not may_leave("f6", leaving, 0.25)
+    assert may_leave("f6", [m._replace(word="", alive=m.name != "f1") for m in leaving], 0.25)
+    assert not may_leave("f0", [Member("f0", 9, word=WANTS)], 1.0)    # nobody would stay
+
+
+def test_idle_first_mutating_last():
+    desk = desk_of()
+    write, read, idle = (opened(desk, name=n) for n in ("w", "r", "i"))
+    ask(desk.take, "t", write, "m", True, "e", 1)
+    ask(desk.take, "t", read, "q", False, "e", 1)
+    assert [s.id for s in in_order(desk.made.live)] == [idle, read, write]
+
+
+def test_room():
+    book = Book("f0")
+    assert book.free == MOST_BYTES
+    book.change(book.decide_open("t", "s"))
+    assert MOST_BYTES - 100 < book.free < MOST_BYTES
