--- a/tests/moves_world.py
+++ b/tests/moves_world.py
@@ -141,7 +141,7 @@
         self.lose = self.double = self.late = self.false = 0.0
         self.cut, self.sent, self.mutate, self.kinds = set(), 0, None, []
         self.opened, self.dropped, self.submitted, self.refs, self.goes = {}, set(), {}, {}, 0
-        self.runs, self.clients, self.moved, self.gone_ms, self.new = {}, [], 0, {}, set()
+        self.runs, self.clients, self.moved, self.frozen_ms, self.freezes, self.new = {}, [], 0, {}, [], set()
         names = [f"f{i}" for i in range(homes)]
         self.groups = {n: Group(self, n) for n in names}
         self.processes = {n: Process(self, n, 1 + 0.05 * (i / homes - 0.5)) for i, n in enumerate(names)}
@@ -289,10 +289,11 @@
                 self.opened[change.opened.id] = change.opened.tenant
             elif kind == "dropped":
                 self.dropped.add(change.dropped.id)
-            elif kind == "gone":
-                self.gone_ms[change.gone.id] = self.now
+            elif kind == "frozen":
+                self.frozen_ms[change.frozen.id] = self.now
             elif kind == "accepted":
                 self.moved += 1
+                self.freezes.append(self.now - self.frozen_ms[change.accepted.sitting.id])
         self.owners()
 
     def owners(self):
--- a/tests/test_moves_book.py
+++ b/tests/test_moves_book.py
@@ -1,4 +1,6 @@
 """The book's laws, who takes what, what an earlier ref is answered, and bad input."""
+from random import Random
+
 import pytest
 from hypothesis import given, settings, strategies as st
 
@@ -8,6 +10,8 @@
 from lichenquay.moves.choose import LEAVES, WANTS, Member, in_order, may_leave, taker
 from lichenquay.moves.desk import Desk, marked
 from lichenquay.moves.kept import MOST_STATE, Seat, fold_of
+from lichenquay.owner.group import Group
+from lichenquay.owner.settings import Settings as GroupSettings
 from lichenquay.quota.kept import read, split
 
 
@@ -34,6 +38,54 @@
         done(now_ms, self.ok)
 
 
+def test_on_a_real_group():
+    """The desk on `owner`'s Group with one voter and a disk that answers at once; then the same folder, a life later."""
+    kept = {}
+
+    def life(incarnation, now_ms):
+        group = Group("moves/f0", "f0", incarnation, ["f0"], Random(1), GroupSettings(most_state=MOST_STATE), now_ms,
+                      dict(kept), fresh=not kept, fold=fold_of("f0"))
+        desk = Desk("f0", Seat(group))
+        group.want(now_ms, True)
+
+        def until(enough, now_ms):
+            for _ in range(20_000):
+                stores, group.to_store[:] = list(group.to_store), []
+                for number, changes in stores:
+                    kept.update(changes)
+                    for key in [k for k, v in changes.items() if v is None]:
+                        del kept[key]
+                    group.stored(now_ms, number, True)
+                if not stores and enough(now_ms):
+                    return now_ms
+                now_ms += 0 if stores else 10
+                for part in (group, desk):
+                    if now_ms >= part.due_ms:
+                        part.tick(now_ms)
+            raise AssertionError("it does not come")
+        return group, desk, until
+
+    group, desk, until = life(1, 0.0)
+    now = until(group.holds, 0.0)
+    said = []
+    desk.open(now, "t", "s", lambda at, answer: said.append(answer))
+    now = until(lambda at: said, now)
+    id = said.pop().id
+    for i in range(150):                # past several folds
+        desk.take(now, "t", id, f"m{i}", True, "e", 500, lambda at, answer: said.append(answer))
+        now = until(lambda at: said, now)
+        assert said.pop().word == "go" and desk.ended(now, "t", id, f"m{i}", "done")
+        now = until(lambda at: desk.out is None, now)
+    desk.take(now, "t", id, "last", True, "e", 500, lambda at, answer: said.append(answer))
+    now = until(lambda at: said, now)
+    group, desk, until = life(2, now)
+    now = until(lambda at: group.holds(at) and desk.in_office(at), now)
+    assert desk.attach(now, "t", id, "last").word == "attach" and desk.attach(now, "t", id, "m148").outcome == "done"
+    desk.again(now, "t", id, "last", "e", 500, lambda at, answer: said.append(answer))
+    now = until(lambda at: len(said) > 1, now)
+    assert said[-1].outcome == "failed"
+
+
 def desk_of(home="f0"):
     return Desk(home, Seat(Alone(home)))
 
