--- a/tests/test_moves_book.py
+++ b/tests/test_moves_book.py
@@ -39,7 +39,7 @@
 
 
 def test_on_a_real_group():
-    """The desk on `owner`'s Group with one voter and a disk that answers at once; then the same folder, a life later."""
+    """With one voter and a disk that answers at once; then the same folder, a life later."""
     kept = {}
 
     def life(incarnation, now_ms):
