--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -150,7 +150,7 @@
             seen.report, seen.report_ms, seen.due_ms = report, self.door.now_ms, 0.0
 
     def beyond_share(self, q, now):
-        """Whether a query counts beyond its tenant's share: as an account of all tells, else by chance, of what comes here."""
+        """Whether a query counts beyond its tenant's share: as an account of all tells, else by chance."""
         if q.tenant is None or q.beyond is not None:
             return bool(q.beyond)
         self.traffic[q.tenant].add(now, 1)
--- a/lichenquay/admission/slots.py
+++ b/lichenquay/admission/slots.py
@@ -51,11 +51,12 @@
                 or bool(seen.pace and self.best and seen.pace > 2 * self.best))
 
     def short(self, now):
-        """Pressure of the fleet: a full mean report, or a third of our submissions told to wait for memory."""
+        """Pressure of the fleet: a full mean report, or a third of our submissions to wait for memory."""
         return self.told.mean(now, 0.0) > 1 / 3 or self.picker.used >= 0.95
 
     def pool_kind(self, q, now):
-        """Under pressure of the fleet, pooled groups together keep to our share of its threads and memory, and to their slots."""
+        """Under pressure of the fleet, pooled groups together keep to our share of its threads and
+        memory, and to their slots."""
         threads, granted = sum(s.threads[0] for s in self.busy), sum(s.granted for s in self.busy)
         fleet = self.fleet.values()
         cores, memory = sum(s.cores for s in fleet), sum(s.memory_mb for s in fleet)
