--- a/tests/fleet/sitecustomize.py
+++ b/tests/fleet/sitecustomize.py
@@ -1,5 +1,5 @@
 """For fronts that tests start with LICHENQUAY_TEST_FULL: while the file of that name is there, their folders' disk is full; while the
-file of that name and `.slow` is there, every fsync takes five seconds."""
+file of that name and `.slow` is there, every fsync takes five seconds. With LICHENQUAY_TEST_CLOCK_BACK_S their Unix clock is back by so much."""
 import errno
 import os
 import time
@@ -25,3 +25,8 @@
         return fsync(fd)
 
     os.write, os.fsync = full_write, full_fsync
+
+BACK_S = float(os.environ.get("LICHENQUAY_TEST_CLOCK_BACK_S", 0))
+if BACK_S:
+    unix = time.time
+    time.time = lambda: unix() - BACK_S
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -2,6 +2,8 @@
 
 `--runs N --seed S` for more of each; the figures go to --figures.
 """
+import os
+import shutil
 import signal
 import socket
 import time
@@ -166,3 +168,25 @@
                 c.running["b"] = running
         c.signal("a", signal.SIGHUP)
         until(lambda: "configurations read again: 1" in " ".join(" ".join(w) for w in c.told("a")))
+
+
+def test_a_folder_of_another_front_is_refused_and_a_clock_set_back_changes_nothing(tmp_path):
+    """Risk: two fronts with one past; an incarnation that was somebody's before."""
+    with Cluster(tmp_path, 2, 8) as c:
+        all_there(c)
+        first = c.members("a")["b"][0]
+        c.kill("b")
+        (tmp_path / "folder-b").rename(tmp_path / "kept")
+        shutil.copytree(tmp_path / "folder-a", tmp_path / "folder-b")
+        before = len(c.log("b"))
+        c.start("b")
+        assert c.running["b"].wait(10) == 1
+        lines = c.log("b")[before:].strip().splitlines()
+        assert len(lines) == 1 and "folder-b" in lines[0] and "a" in lines[0], lines
+        shutil.rmtree(tmp_path / "folder-b")
+        (tmp_path / "kept").rename(tmp_path / "folder-b")
+        c.starts["b"] -= 1
+        c.env = {"PYTHONPATH": os.path.dirname(__file__), "LICHENQUAY_TEST_CLOCK_BACK_S": "86400"}
+        c.back("b")
+        all_there(c)
+        assert c.members("a")["b"][0] == first + 1 > time.time() * 1000 - 86_400_000
