A front that others hold for gone takes its next incarnation through the folder's writer

Seen on reading: host.rise wrote the folder from the reactor's thread while the writer's thread owned it (host.py, rise from tell_changes). Change: the incarnation goes through the writer, and counts once it is stored or known not to be.

--- a/lichenquay/fleet/host.py
+++ b/lichenquay/fleet/host.py
@@ -16,7 +16,7 @@
 from lichenquay.fleet.envelope import MEMBERS, OWNER, QUOTA, Envelope
 from lichenquay.fleet.post import Post
 from lichenquay.folder.folder import Folder
-from lichenquay.folder.incarnation import next_incarnation
+from lichenquay.folder.incarnation import next_incarnation, section
 from lichenquay.folder.reading import BadFolder
 from lichenquay.folder.writer import Writer
 from lichenquay.fleet.tenants import Tenants
@@ -41,6 +41,9 @@
                                              structlog.processors.JSONRenderer()])
 
 
+KINDS = {MEMBERS: members_pb2.Message, OWNER: owner_pb2.Message, QUOTA: quota_pb2.Message}
+
+
 class Fleet:
     """`folder`, `writer`: what makes them; a test in virtual time has its own, as it has its own reactor and clocks."""
 
@@ -51,10 +54,10 @@
         self.log = (log or logger()).bind(front=settings.name)
         self.rng = random.Random(f"{seed}:{settings.name}")
         self.names = names_of(settings)
-        self.incarnation, self.folder, self.writer, self.port, self.timer = 0, None, None, None, None
+        self.incarnation, self.folder, self.writer, self.port, self.timer, self.rising = 0, None, None, None, None, None
         self.parts, self.left, self.closed, self.accounts, self.quota = {}, False, False, None, None
         self.post = Post(Envelope(settings.fleet, fingerprint(settings), settings.name, self.names),
-                         {p.name: address_of(p.address) for p in settings.peers}, {MEMBERS: members_pb2.Message, OWNER: owner_pb2.Message, QUOTA: quota_pb2.Message}, self.heard)
+                         {p.name: address_of(p.address) for p in settings.peers}, KINDS, self.heard)
 
     # from start to end
 
@@ -64,7 +67,7 @@
         try:
             if s.folder:
                 self.folder = self.new_folder(s.folder, s.fleet, s.name, FOLDER_MOST, now_ms=self.now_ms())
-            self.rise(0)
+            self.rise()
             self.port = self.reactor.listenUDP(address_of(s.listen)[1], self.post, interface=address_of(s.listen)[0])
         except BadFolder as bad:
             return str(bad)
@@ -72,18 +75,18 @@
             return f"cannot listen on {s.listen} (UDP): {bad.socketError.strerror}"
         return None
 
-    def rise(self, above):
+    def rise(self):
         """An incarnation that was never ours before: the folder's, and never under the clock."""
-        least = max(self.unix_ms(), above + 1, self.incarnation + 1)
-        self.incarnation, kept = next_incarnation(self.folder, least, self.now_ms()) if self.folder else (int(least), False)
+        now = int(self.unix_ms())
+        self.incarnation, kept = next_incarnation(self.folder, now, self.now_ms()) if self.folder else (now, False)
         if self.folder and not kept:
             self.log.warning("incarnation not kept", incarnation=self.incarnation, why=self.folder.trouble)
 
     def begin(self):
         """The front serves: it tells the others."""
         if self.folder:
-            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals()) # risk: a signal goes to the writer's thread,
-            try:                                                                        # and the reactor sleeps on
+            blocked = signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+            try:            # risk: a signal goes to the writer's thread, and the reactor sleeps on
                 self.writer = self.new_writer(self.folder, self.reactor.callFromThread, self.now_ms, log=self.log)
             finally:
                 signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
@@ -188,14 +191,24 @@
         changes, self.watch.changes[:] = list(self.watch.changes), []
         for c in changes:
             self.log.info("member", member=c.name, incarnation=c.incarnation, was=c.old, state=c.new, view=c.view)
-        if self.watch.over == "gone" and not self.left:
-            # Risk: it acts on as if nothing had happened. What it was is over for all others: it comes again as another one.
-            self.rise(self.watch.self_gone)
-            self.log.warning("gone, and back", incarnation=self.incarnation)
-            self.watch = self.parts[MEMBERS] = self.new_watch()
-            if self.accounts is not None:
-                self.accounts.reborn(self.incarnation)
-            self.reactor.callLater(0, self.turn)
+        if self.watch.over == "gone" and not self.left and self.rising is None:
+            # Risk: it acts on as if nothing had happened. What it was is over for all others: it comes again as another one,
+            # once its folder has that (the folder is the writer's by now).
+            self.rising = max(int(self.unix_ms()), self.watch.self_gone + 1, self.incarnation + 1)
+            if self.writer is None:
+                self.reactor.callLater(0, self.risen, False)
+            else:
+                self.writer.store(section(self.rising), lambda kept: self.reactor.callLater(0, self.risen, kept))
+
+    def risen(self, kept):
+        if self.closed or self.left:
+            return
+        self.incarnation, self.rising = self.rising, None
+        self.log.warning("gone, and back", incarnation=self.incarnation, kept=kept)
+        self.watch = self.parts[MEMBERS] = self.new_watch()
+        if self.accounts is not None:
+            self.accounts.reborn(self.incarnation)
+        self.turn()
 
     # what is seen
 
--- a/lichenquay/folder/incarnation.py
+++ b/lichenquay/folder/incarnation.py
@@ -9,6 +9,11 @@
 MOST = 2 ** 63 - 1  # what a protobuf int64 holds
 
 
+def section(number):
+    """The change of a folder that keeps an incarnation."""
+    return {KEY: _NUMBER.pack(number)}
+
+
 def next_incarnation(folder, unix_ms, now_ms=0.0):
     """(number, kept). Higher than any kept or given before, never lower than `unix_ms`; stored before it is returned.
 
@@ -23,7 +28,7 @@
         raise BadFolder(f"folder {folder.path}: its incarnation {before} leaves no higher one")
     folder.incarnation = number
     try:
-        folder.append({KEY: _NUMBER.pack(number)})
+        folder.append(section(number))
         folder.flush(now_ms)
     except (NotStored, TooMuch):
         return number, False
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -12,6 +12,8 @@
 import pytest
 
 from cluster import CUT, Cluster, until
+from lichenquay.conf.fleet import fingerprint
+from lichenquay.conf.read import read_file, read_settings
 from lichenquay.fleet.envelope import MEMBERS, Envelope
 from lichenquay.members import members_pb2
 
@@ -190,3 +192,24 @@
         c.back("b")
         all_there(c)
         assert c.members("a")["b"][0] == first + 1 > time.time() * 1000 - 86_400_000
+
+
+def test_a_front_that_others_hold_for_gone_comes_back_as_another_one(tmp_path):
+    """Told by one datagram of a front that has gone wrong: it takes a higher incarnation, on disk before it says so, and queries go on."""
+    with Cluster(tmp_path, 3, 9) as c:
+        all_there(c)
+        first = c.members("a")["b"][0]
+        row = members_pb2.Row(name="b", incarnation=first, word=0, state=members_pb2.GONE)
+        said = members_pb2.Message(gossip=members_pb2.Gossip(), rows=[row])
+        path = tmp_path / "a.textproto"
+        settings = read_file(path, read_settings).fleet
+        data = Envelope("yard", fingerprint(settings), "a", c.names).seal(c.members("b")["a"][0], "b", MEMBERS, said.SerializeToString())
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
+            s.sendto(data, c.relay.targets["b"])
+        until(lambda: [e for e in c.events("b", "gone, and back") if e["kept"]], 10)
+        until(lambda: c.agree(states=dict.fromkeys("abc", "alive")) and c.members("a")["b"][0] > first, 15)
+        second = c.members("a")["b"][0]
+        c.kill("b")
+        c.back("b")
+        all_there(c)
+        assert c.members("a")["b"][0] > second and "Traceback" not in c.log("b")
