Tenants without an account are judged as before, by what comes to each front

Cause: with accounts set, a tenant that had none counted as beyond quota always (rights know nothing of it). Change: Tenants.beyond tells None there, and the controller judges by chance.

--- a/lichenquay/fleet/accounts.py
+++ b/lichenquay/fleet/accounts.py
@@ -62,7 +62,7 @@
     def take(self, now_ms, q, work_ms):
         """Whether the query is within its tenant's quota (credit included)."""
         self.rights.pressed = self.pressed()
-        return q.tenant is None or self.rights.take(now_ms, q.tenant.name, work_ms, q)
+        return self.rights.take(now_ms, q.tenant.name, work_ms, q)
 
     # the host's calls
 
--- a/lichenquay/fleet/tenants.py
+++ b/lichenquay/fleet/tenants.py
@@ -8,15 +8,15 @@
         self.accounts, self.now_ms, self.wait = accounts, now_ms, wait
         self.taken = {f.tenant: [0, 0.0, 0] for f in accounts.figures}     # within quota, their work in ms; beyond it
 
-    def take(self, q):
-        """Whether it is within its tenant's quota; its work is then set aside until it is over."""
-        within = self.accounts.take(self.now_ms(), q, work_of(q))
-        if q.tenant is not None and q.tenant.name in self.taken:
-            taken = self.taken[q.tenant.name]
-            taken[0 if within else 2] += 1
-            taken[1] += work_of(q) * within
+    def beyond(self, q):
+        """Whether it is beyond its tenant's quota; if not, its work is set aside until it is over. None: no account tells."""
+        if q.tenant is None or q.tenant.name not in self.taken:
+            return None
+        within, taken = self.accounts.take(self.now_ms(), q, work_of(q)), self.taken[q.tenant.name]
+        taken[0 if within else 2] += 1
+        taken[1] += work_of(q) * within
         self.wait()             # it may ask for more, now
-        return within
+        return not within
 
     def finished(self, q, cost):
         """`cost`: (work in ms, memory in MB), None where engines do not tell."""
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -52,7 +52,7 @@
         if not q.over:
             q.told = True
             if self.quota is not None:
-                q.beyond = not self.quota.take(q)
+                q.beyond = self.quota.beyond(q)
             self.controller.take(q)
 
     def left(self, q):
