Tokens and keys of clients go on to engines; without a token nothing is sent again

Ruled out by changing one figure at a time: priorities, notes, expiry, impatience; clean with the class read-only. The front's print of the fields showed 'replay', which frames.FIELDS left out, http.start did not send, and TakeIn.query with its key '' could not (nor 'lookup'). Change: both are read, checked as plain words, and go on with every submission; Query.effect is mutating where a token is missing.

--- a/lichenquay/admission/guards.py
+++ b/lichenquay/admission/guards.py
@@ -42,7 +42,7 @@
     def may_submit(self, q, now):
         if not q.submissions or q.over:
             return not q.over
-        ended = io.NEVER_RAN if q.group.effect == io.MUTATING else io.ENDINGS
+        ended = io.NEVER_RAN if q.effect == io.MUTATING else io.ENDINGS
         if len(q.submissions) >= self.most or any(s.ending not in ended for s in q.submissions):
             return False
         free, part = self.rules.further_free, self.rules.further_share
@@ -52,7 +52,7 @@
         e, g = seen.engine, q.group
         if e.state != io.LISTED or g.places and e.place not in g.places or g.kinds and e.kind not in g.kinds:
             return False
-        ran = [s for s in q.submissions if s.ending not in io.NEVER_RAN] if g.effect == io.TOKENED else ()
+        ran = [s for s in q.submissions if s.ending not in io.NEVER_RAN] if q.effect == io.TOKENED else ()
         if any(now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
                or g.dedup == "zone" and s.engine.place != e.place
                or g.dedup == "cell" and s.engine.cell != e.cell for s in ran):
@@ -74,5 +74,5 @@
 
     def may_defer(self, q):         # a deferral says that trying again is harmless
         g = q.group
-        return (g.effect == io.READ_ONLY or (g.effect == io.TOKENED and g.dedup == "all")
+        return (q.effect == io.READ_ONLY or (q.effect == io.TOKENED and g.dedup == "all")
                 or all(s.ending in io.NEVER_RAN for s in q.submissions))
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -70,9 +70,15 @@
     memory_mb: float = 0.0          # estimate; 0: none
     tables: Optional[str] = None
     submissions: list = field(default_factory=list)
+    tokened: bool = True            # it carries a token by which engines drop its repeats, where its group says so
     over: bool = False              # finished, deferred, killed, or its client left
     beyond: Optional[bool] = None   # its tenant's quota, where an account of many fronts tells; None: nobody tells
 
+    @property
+    def effect(self):
+        """Risk: a query of a tokened group without its token is sent again, and runs twice."""
+        return self.group.effect if self.tokened or self.group.effect != TOKENED else MUTATING
+
     @property
     def target_ms(self):
         return self.group.target_ms + self.group.stretch * self.work_ms / self.group.threads
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -15,6 +15,7 @@
     client: object = None
     stream: int = 0
     ref: str = ""
+    token: str = ""                 # by which engines drop its repeats
     statement: bytes = b""
     grant_mb: float = 0.0           # of its next submissions
     rank_asked: int | None = None
--- a/lichenquay/front/frames.py
+++ b/lichenquay/front/frames.py
@@ -8,7 +8,8 @@
 FINISHED, DEFERRED, KILLED = 0, 14, 2           # the codes of an answer
 # the fields of a request, in our words
 FIELDS = {"service": "group", "ref": "ref", "allow": "allowed", "project": "tenant", "effort": "work",
-          "memory": "memory"}
+          "memory": "memory", "replay": "token", "lookup": "key"}
+OPTIONAL = {"token", "key"}                     # said where a query's class is tokened, or its queries keep an order
 LEAST, MOST = 5, 262_144                        # PROTOCOL: what `length` may count
 LENGTH, HEAD, SIZE = struct.Struct("<I"), struct.Struct("<IBI"), struct.Struct("<H")
 
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -163,8 +163,12 @@
 
 # what is said to engines
 
-def start(host, ref, group, patience_ms, grant_mb, rank, statement):
+def start(host, ref, group, patience_ms, grant_mb, rank, statement, token="", key=""):
     headers = [("X-Hop-Id", ref), ("X-Sort", group), ("X-Budget", max(1, int(patience_ms)))]
+    if token:       # by it, engines drop repeats
+        headers.append(("X-Replay-Key", token))
+    if key:
+        headers.append(("X-Thing", key))
     if grant_mb > 0:
         headers.append(("X-Mem-Limit", f"{grant_mb:.1f}"))
     if rank is not None:
--- a/lichenquay/front/route.py
+++ b/lichenquay/front/route.py
@@ -44,7 +44,7 @@
         q = sub.query
         flight = Flight(sub, sub.sent_ms + patience_ms)
         self.send.down(flight, http.start(flight.host, q.ref, q.group.name, patience_ms, q.grant_mb, q.rank_asked,
-                                          q.statement))
+                                          q.statement, q.token, q.key))
         return flight
 
     def rerank(self, flight, rank):
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -14,6 +14,7 @@
 
 MOST_OPEN = 32                  # PROTOCOL: open requests on one connection
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
+MARK = re.compile(r"[!-~]{0,256}\Z")       # a token or key; risk: another header, or another call, is said in it
 IDLE_S = 4.5                    # PROTOCOL: clients close idle connections after 4 s; some hold theirs for good
 WHOLE_S = 2.0                   # for a first frame, and for one that has begun: LATER owes an answer or a close within 3 s
 QUIET_S = 0.02                  # a client that has something to say says it by then, when there is no room for others
@@ -159,13 +160,16 @@
         if twice:
             raise BadQuery(f"{twice}: said twice")
         for name in frames.FIELDS.values():
-            if name not in said and (name != "tenant" or self.tenants):
+            if name not in said and name not in frames.OPTIONAL and (name != "tenant" or self.tenants):
                 raise BadQuery(f"{name}: missing")
         group, tenant = self.groups.get(said["group"]), self.tenants.get(said.get("tenant"))
         if group is None:
             raise BadQuery(f"group: {said['group'][:40]!r}")
         if tenant is None and self.tenants:
             raise BadQuery(f"tenant: {said['tenant'][:40]!r}")
+        token, key = said.get("token", ""), said.get("key", "")
+        if not MARK.match(token) or not MARK.match(key):
+            raise BadQuery(f"token or key: {token[:40]!r}, {key[:40]!r}")
         if not REF.match(said["ref"]):
             raise BadQuery(f"ref: {said['ref'][:40]!r}")
         if said["ref"] in self.refs:        # risk: one query's result becomes the answer to another statement
@@ -179,10 +183,10 @@
             self.admit.give_up(next(reversed(verdict.end.what.open.values())))
         now, statement = self.now_ms(), bytes(body)         # it outlives the buffer
         longest = group.timeout_ms or MOST_MS
-        return FrontQuery(0, group, now, now + min(longest, amount(said, "allowed", 2 * longest)), tenant, "",
+        return FrontQuery(0, group, now, now + min(longest, amount(said, "allowed", 2 * longest)), tenant, key,
                           amount(said, "work", MOST_MS), amount(said, "memory", MOST_MB),
                           tables_of(str(statement, "utf-8", "replace")),
-                          client=line, stream=stream, ref=said["ref"], statement=statement)
+                          tokened=bool(token), client=line, stream=stream, ref=said["ref"], token=token, statement=statement)
 
     def fits(self, size, had=0):
         """Risk: a few that send much take the room of the many that send little."""
