One last look at a submission in the instant before its first byte

Cause: Guards.allows judges at the decision, the POST is written when a connection is up (three tries) or a descriptor free; Call.void looked again only at owner and engine state. A call given up before its first byte ended as 'not connected' (Call.withdraw), which blames the engine. Ruled out: drains (looked at before), leaving. Change: Controller.may_go decides, Call.stands asks before the first byte on idle and new connections; refused is never sent; sent_ms is the write's.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -114,6 +114,9 @@
         if seen is not None:
             self.reported(seen, report)
             if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
+    def may_go(self, sub, now):
+        return self.guards.may_go(sub, self.fleet.get(sub.engine), now)
+
                 self.heard(seen, now)
             elif sub.ending in (io.NOT_CONNECTED, io.RESET):
                 self.unheard(seen, now)
--- a/lichenquay/admission/guards.py
+++ b/lichenquay/admission/guards.py
@@ -45,20 +45,38 @@
         ended = io.NEVER_RAN if q.effect == io.MUTATING else io.ENDINGS
         if len(q.submissions) >= self.most or any(s.ending not in ended for s in q.submissions):
             return False
+        return self.rationed(now)
+
+    def rationed(self, now):        # whether one further submission more is within their budget
         free, part = self.rules.further_free, self.rules.further_share
         return free is None or self.further.total(now) + 1 <= free + part * self.taken.total(now)
 
-    def allows(self, q, seen, now):
+    def allows(self, q, seen, now, due=None):       # due: decided already, about to be written
         e, g = seen.engine, q.group
         if e.state != io.LISTED or g.places and e.place not in g.places or g.kinds and e.kind not in g.kinds:
             return False
-        ran = [s for s in q.submissions if s.ending not in io.NEVER_RAN] if q.effect == io.TOKENED else ()
+        tokened = q.submissions if q.effect == io.TOKENED else ()
+        ran = [s for s in tokened if s is not due and s.ending not in io.NEVER_RAN]
         if any(now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
                or g.dedup == "zone" and s.engine.place != e.place
                or g.dedup == "cell" and s.engine.cell != e.cell for s in ran):
             return False                # sent again only where and while its repeat is dropped
         warmth = self.warmth(e, now)
-        return warmth >= 1 or seen.cold_sent.total(now) + self.weight(q) <= self.cold_budget(e, warmth)
+        more = 0.0 if due and now - due.sent_ms < self.rules.cold_window_ms else self.weight(q)
+        return warmth >= 1 or seen.cold_sent.total(now) + more <= self.cold_budget(e, warmth)
+
+    def may_go(self, sub, seen, now):
+        """The last look, in the instant before a submission's first byte. Risk: its connection took long, or
+        it waited for a descriptor, and it is not right any more. It counts in the windows it goes out in."""
+        q, late = sub.query, now - sub.sent_ms
+        again = sub.number and late > self.further.width_ms
+        if (not seen or q.over or sub.ending or now >= q.ends_ms or not self.allows(q, seen, now, sub)
+                or again and not self.rationed(now)):
+            return False
+        seen.cold_sent.add(now, self.weight(q)) if late > seen.cold_sent.width_ms else None
+        self.further.add(now, 1) if again else None
+        sub.sent_ms = now
+        return True
 
     def cold_budget(self, e, warmth):
         """Risk: all fronts push a cold engine over. Ours is one share of the budget, a fifth of it kept back.
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -167,6 +167,10 @@
         if q.flight is not None:
             self.route.rerank(q.flight, priority)
 
+    def may_go(self, flight):
+        """The controller's last look at a submission, at the time that it is by now."""
+        return self.controller.may_go(flight.sub, max(self.now_ms, self.clock_ms()))
+
     def cancel(self, sub):
         flight = sub.query.flight
         if flight is not None and flight.sub is sub:
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -34,6 +34,11 @@
         self.refused = refused
 
 
+class NeverSent(Exception):
+    """It was given up, or is no longer allowed, before a byte was written. Risk: an engine is blamed for it as for one that
+    cannot be reached, and is left alone."""
+
+
 class Broken(Exception):
     """The connection ended after bytes had been written, and before the answer was whole."""
 
@@ -53,20 +58,20 @@
     `on_late`: told instead when there is no answer in time; the call stays out, for its answer still settles something."""
 
     __slots__ = ("engine", "address", "owner", "data", "fits", "urgent", "fresh", "new", "line", "carrier", "went_on", "on_written",
-                 "on_late", "answer", "written", "tries")
+                 "on_late", "may_go", "answer", "written", "tries")
 
     def __init__(self, engine, data, fits, urgent=False, fresh=False, new=False, line=None, on_written=None, on_late=None,
-                 address=None, owner=None):
+                 may_go=None, address=None, owner=None):
         self.engine, self.address, self.data, self.fits = engine, address or engine.address, data, fits
         self.owner = owner              # the submission that it is for
         self.urgent, self.fresh, self.new, self.line = urgent, fresh, new, line
-        self.on_written, self.on_late, self.carrier, self.went_on = on_written, on_late, None, None
+        self.on_written, self.on_late, self.may_go, self.carrier, self.went_on = on_written, on_late, may_go, None, None
         self.answer, self.written, self.tries = Deferred(), False, 0
 
     def withdraw(self):
         """True if nothing of it has been written; then nothing will be."""
         if not self.written:
-            self.end(NotConnected())
+            self.end(NeverSent())
         return not self.written
 
     def abandon(self):
@@ -76,12 +81,19 @@
             self.carrier.drop()
 
     def void(self):
-        """Nobody waits for it; or it would start something on an engine that drains or is gone.
-        Risk: a drain is told while the connection is still on its way."""
-        if self.new and self.engine.state != io.LISTED:
+        """Nobody waits for it; or it would start something on an engine that drains or is gone, or at an address that the engine
+        has left. Risk: a drain is told while the connection is still on its way."""
+        if self.new and (self.engine.state != io.LISTED or self.engine.address != self.address):
             self.withdraw()
         return self.answer is None
 
+    def stands(self):
+        """Asked in the instant before its first byte: whether it still may go. Risk: what was decided when the connection was
+        asked for is not right any more once it is up."""
+        if not self.void() and self.may_go is not None and not self.may_go():
+            self.withdraw()
+        return self.answer is not None
+
     def end(self, outcome):
         answer, self.answer = self.answer, None
         if answer is not None:
@@ -115,7 +127,7 @@
         self.hub.lines.add(self)
         if self.clean():
             call, self.call = self.call, None
-            self.hub.free(self) if call.void() else self.put(call)
+            self.put(call) if call.stands() else self.hub.free(self)
         else:
             self.drop(Broken("reset when new"))
 
@@ -282,8 +294,9 @@
             return True
         while (line := self.idle(call)) is not None:
             if line.clean():
-                line.engine.idle.remove(line)
-                line.put(call)
+                if call.stands():
+                    line.engine.idle.remove(line)
+                    line.put(call)
                 return True
             line.drop()
         if self.open >= self.budget + (self.reserve if call.urgent else 0) and not self.spare():
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -3,12 +3,13 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front import http
-from lichenquay.front.engines import NotConnected, Silent
+from lichenquay.front.engines import NeverSent, NotConnected, Silent
 
 
 class Send:
-    def __init__(self, engines, relay, book, wake, now_ms):
+    def __init__(self, engines, relay, book, wake, may_go, now_ms):
         self.engines, self.relay, self.book, self.wake, self.now_ms = engines, relay, book, wake, now_ms
+        self.may_go = may_go
 
     def down(self, flight, call):
         self.book.opened()
@@ -21,11 +22,14 @@
         when it is late: it may not have been read, and its answer tells that it has."""
         first = Deferred()
         flight.call = self.engines.call(flight.engine, call, http.is_news, new=True, address=flight.host, owner=flight,
+                                        may_go=lambda: self.may_go(flight),
                                         on_written=lambda: flight.life.wrote(self.now_ms()),
                                         on_late=lambda: first.callback(Silent()))
         flight.call.answer.addCallbacks(lambda reply: self.answered(flight, first, reply),
                                         lambda failure: self.broke(flight, first, failure))
         reply = yield first
+        if isinstance(reply, NeverSent):
+            return self.book.end(flight, io.NEVER_SENT)
         if isinstance(reply, NotConnected):
             return self.book.end(flight, io.NOT_CONNECTED)
         if isinstance(reply, Exception):
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -114,7 +114,7 @@
                                opening.make.connect_timeout_ms or NEWS_MS, SILENT_MS, opening.idle_ms or 4 * NEWS_MS)
         self.admit = Admit(opening, reactor, self.engines, now_ms, self.book, self.log)
         self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, self.log)
-        self.send = Send(self.engines, self.relay, self.book, self.admit.wake, now_ms)
+        self.send = Send(self.engines, self.relay, self.book, self.admit.wake, self.admit.may_go, now_ms)
         self.route = self.admit.route = Route(self.send, self.relay)
         self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
         self.more = read_more(environment)
--- /dev/null
+++ b/tests/crossings/hooks.py
@@ -0,0 +1,73 @@
+"""What tests of crossings own: the instant in which a connection comes up, a descriptor is free, or a byte is read."""
+import socket
+import time
+
+from loopback import until, wait
+
+
+class HeldConnects:
+    """Connections to engines are asked for, and come up when a test says so."""
+
+    def __init__(self, world):
+        self.reactor, self.held = world.service.engines.reactor, []
+        self.real, self.reactor.connectTCP = self.reactor.connectTCP, lambda *call, **more: self.held.append((call, more))
+
+    def come_up(self, of=None):
+        """Those held now, or the first `of` of them; what is asked for after `go_on` is not held any more."""
+        held, self.held = self.held[:of], self.held[of:] if of else []
+        for call, more in held:
+            self.real(*call, **more)
+
+    def go_on(self):
+        self.reactor.connectTCP = self.real
+        self.come_up()
+
+
+class PlainClient:
+    """A client's socket without a reactor: it reads, writes, ends and resets when a test says so."""
+
+    def __init__(self, port, receives=None):
+        self.socket = socket.socket()
+        if receives:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receives)
+        self.socket.connect(("127.0.0.1", port))
+        self.socket.setblocking(False)
+        self.got, self.ended = b"", None
+
+    def read(self):
+        """All that has come; `ended`: "end" or "reset" once it has."""
+        while self.ended is None:
+            try:
+                some = self.socket.recv(65_536)
+            except BlockingIOError:
+                break
+            except ConnectionResetError:
+                self.ended = "reset"
+                break
+            if not some:
+                self.ended = "end"
+            self.got += some
+        return self.got
+
+    def reset(self):
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.socket.close()
+
+
+def told(w, what):
+    return w.service.book.counters[what]
+
+
+def over(w, seconds=5.0):
+    """All that was taken has ended, and nothing is held for it any more."""
+    service = w.service
+    until(lambda: not service.admit.open and not service.book.out and not service.engines.waiting, seconds)
+    assert not service.book.counters["faults"] and not service.clients.refs
+
+
+def stays(w, seconds=0.25):
+    """Nothing more is submitted for so long."""
+    before, end = w.posts(), time.monotonic() + seconds
+    while time.monotonic() < end:
+        wait(0.02)
+        assert w.posts() == before, "submitted after all"
