A restarted front spends no share of a cold engine twice, and is ready without its bulletin

Service.is_ready went by the bulletin's first answer, though the module serves by the last list 7 s after the start. SIGHUP was not heard while leaving. Ruled out: watches silent before, in, behind an answer; old bulletin's events after SIGHUP; EMFILE by idle clients. Change: three quarters of the share count as spent for a window for engines known at the start; ready where the module serves; SIGHUP is heard until the end. The test of drawing a cold engine first waits a window now, as the rule asks of a front that starts; it asserts the same.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -34,11 +34,14 @@
 
     def list_news(self, engines, whole):
         now = self.door.now_ms
+        new = not self.fleet or now < self.guards.doubt_ms
         for e in engines:
             seen = self.fleet.get(e)
             if seen is None:
                 cold_sent = Ring(self.rules.cold_window_ms / 8 or 1.0, 9)
                 self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), cold_sent, Ring(2 * self.bucket, 8))
+                if new and e.started_ms:    # Risk: a front that starts again spends its share twice.
+                    cold_sent.add(now, 0.75 * self.guards.cold_budget(e, self.guards.warmth(e, now)))
             elif e.started_ms and e.started_ms > seen.heard_ms:  # a new start: forget the old one
                 seen.silent, seen.report, seen.heard_ms = False, None, now
         for e in list(self.fleet):
@@ -56,6 +59,9 @@
         last one is in force."""
         self.guards.doubt_ms = self.door.now_ms + most_ms
 
+    def in_doubt(self, now):
+        return now < self.guards.doubt_ms
+
     def list_confirmed(self):
         self.guards.doubt_ms = 0.0
         self.slots.stir(self.door.now_ms)
@@ -108,15 +114,15 @@
             if ran >= self.make.note_every_ms and pace > 4 * max(1.0, seen.pace or 1.0):
                 self.move(run)      # far behind the estimate: a bad plan
 
+    def may_go(self, sub, now):
+        return self.guards.may_go(sub, self.fleet.get(sub.engine), now)
+
     def answered(self, sub, took, cost, report):
         now, q, seen = self.awake(), sub.query, self.fleet.get(sub.engine)
         run = seen.runs.get(sub) if seen else None
         if seen is not None:
             self.reported(seen, report)
             if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
-    def may_go(self, sub, now):
-        return self.guards.may_go(sub, self.fleet.get(sub.engine), now)
-
                 self.heard(seen, now)
             elif sub.ending in (io.NOT_CONNECTED, io.RESET):
                 self.unheard(seen, now)
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -185,7 +185,9 @@
                             f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them")
 
     def is_ready(self):
-        return self.state == SERVING and bool(self.by_uid) and self.bulletin.answered
+        """Risk: with the bulletin out of reach for long, a front that would serve by its last list is never taken in."""
+        return (self.state == SERVING and bool(self.by_uid)
+                and (self.bulletin.answered or not self.admit.controller.in_doubt(now_ms())))
 
     def sweep(self):
         self.engines.later(SWEEP_MS, self.sweep)
@@ -202,7 +204,7 @@
     def read_again(self):
         """SIGHUP: bulletin and limits as the configuration now has them, or nothing where any of it cannot be read.
         Risk: half of a new configuration, or none and no bulletin either. Nothing that is open is touched."""
-        if self.state != SERVING:
+        if self.state in (STARTING, ENDED):
             return
         try:
             listen, bulletin_at, sockets, room, seed, known, settings = read_config(self.environment)
--- a/tests/crossings/hooks.py
+++ b/tests/crossings/hooks.py
@@ -1,9 +1,14 @@
 """What tests of crossings own: the instant in which a connection comes up, a descriptor is free, or a byte is read."""
+import os
 import socket
 import time
+from pathlib import Path
 
+from lichenquay.front import frames
 from loopback import until, wait
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 class HeldConnects:
     """Connections to engines are asked for, and come up when a test says so."""
@@ -71,3 +76,22 @@
     while time.monotonic() < end:
         wait(0.02)
         assert w.posts() == before, "submitted after all"
+
+
+def free_port():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return free.getsockname()[1]
+
+
+def environment(config):
+    return {**os.environ, "PYTHONPATH": str(ROOT), "BALANCER_CONFIG": str(config)}
+
+
+def is_ready(port):
+    """What a front says of itself; it may have to be asked again."""
+    client = PlainClient(port)
+    client.socket.sendall(frames.frame(frames.IS_READY, 1, b"\0"))
+    until(lambda: client.read() or client.ended)
+    client.socket.close()
+    return any(kind == frames.READINESS and payload[0] == 0 for kind, _, payload in frames.FrameReader().feed(client.got))
--- a/tests/test_controller_slots.py
+++ b/tests/test_controller_slots.py
@@ -240,6 +240,7 @@
         engines = [engine("cold", started=1000.0), *(engine(f"e{i}") for i in range(40))]
         door = FakeDoor([g], engines, fronts=200, number=(100 * (not ours) - crc32(b"cold")) % 200)
         assert (engines[0] in [s.engine for s in door.c.picker.near]) == ours
+        door.until(1000.0 + 1.2 * door.rules.cold_window_ms)    # what the process before it may have sent counts no more
         for _ in range(30):
             door.take(g, work=300.0)
         assert (engines[0] in {s.engine for s in door.subs}) == ours
