Closing keeps last words, reads on to see a client leave; leaving takes what waits at the door

Cause, by reading and loopback tests that force each instant: ClientLine.close aborted after 0.3 s whatever the client had taken; ends() paused reading for good, so a leaving client was not seen; NoRoom counted as nonsense; close_door reset what was not accepted; drain never answered what came after time_up; now_ms and the reactor went by the wall clock. Ruled out (tests pass before): bytes at the instant of a close, crossing requests, last-moment requests, signals on the heels of each other.

--- a/lichenquay/front/__main__.py
+++ b/lichenquay/front/__main__.py
@@ -8,12 +8,17 @@
 
 import os  # noqa: E402
 import sys  # noqa: E402
+import time  # noqa: E402
 
 from twisted.internet import reactor  # noqa: E402
 
 from lichenquay.front.service import CannotStart, Service  # noqa: E402
 
 
+# Risk: the reactor's own clock is the wall's; where that steps back an hour, nothing due happens for an hour.
+reactor.seconds = time.monotonic
+
+
 def main():
     try:
         service = Service(reactor, os.environ)
--- a/lichenquay/front/client_line.py
+++ b/lichenquay/front/client_line.py
@@ -1,4 +1,7 @@
 """A client's connection: what is said on it, in order, and the answers back to it."""
+import fcntl
+import struct
+import termios
 import traceback
 
 from twisted.internet.protocol import Protocol
@@ -6,12 +9,20 @@
 from lichenquay.front import frames
 from lichenquay.front.engines import send_now
 
-CLOSE_S = 0.3                   # for the last bytes of a connection that is being closed
+CLOSE_S = 0.3                   # for the other side to close as well; then again, while it still reads its last answers
 REST_S, MOST_SENSELESS = 0.05, 16   # after a request that makes no sense; so many of them end a connection
 MOST_STREAMS = 4096             # numbers of streams that are kept of a connection
 MOST_UNSENT = 65_536            # bytes of answers that a client has not read before it is read no further
 
 
+def untaken(transport):
+    """Bytes that the machine holds for a connection whose other side has not taken them; 0 where it does not say."""
+    try:
+        return struct.unpack("i", fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]
+    except OSError:
+        return 0
+
+
 class BadQuery(ValueError):
     """A well-formed request that makes no query; the text says why."""
 
@@ -46,6 +57,7 @@
         self.place = desk.gate.opened(address, desk.gate_ms(), self)
         self.up, self.stuck, self.bad, self.told, self.heard_s = True, False, False, False, desk.seconds()
         self.known, self.begun_s, self.senseless, self.rests = False, self.heard_s, 0, None
+        self.wanted_ms, self.ending = 0.0, None     # until when its last answers are waited for; a timer once it closes
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -54,7 +66,7 @@
 
     def dataReceived(self, data):
         if self.bad or not self.up:
-            return
+            return self.rest()      # risk: unread, it hides that the client leaves, or resets our last words on closing
         before, self.heard_s = self.reader.unfinished(), self.desk.seconds()
         try:
             for kind, stream, payload in self.reader.feed(data):
@@ -100,8 +112,6 @@
         self.put(frames.answer(0, code, why.encode()))
         self.bad = True
         self.desk.gate.goes(self.place, self.desk.gate_ms())
-        if self.up:
-            self.transport.pauseProducing()
         self.close_if_done()
 
     def heard(self, kind, stream, payload):
@@ -141,22 +151,27 @@
         self.desk.book.count("queries that make no sense")
         self.desk.book.count(self.desk.ANSWERS[why.code])
         self.put(frames.answer(stream, why.code, str(why).encode()))
-        self.senseless += 1
+        self.senseless += why.code == frames.KILLED
         if why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
             raise frames.BadFrame("too many requests that make no sense")
-        if self.up and self.rests is None:
+        self.rest()
+
+    def rest(self):
+        """Read on after a while. Risk: what nobody wants, at full speed, takes the turns of others."""
+        if self.rests is None:
             self.transport.pauseProducing()
             self.rests = self.desk.reactor.callLater(REST_S, self.read_on)
 
     def read_on(self):
         self.rests = None
-        if self.up and not self.stuck and not self.bad:
+        if not self.stuck:
             self.transport.resumeProducing()
 
     def answer(self, q, code, body):
         if self.open.pop(q.stream, None) is not None:
             self.let_go(q)
             self.heard_s = self.desk.seconds()      # it is idle from now on
+            self.wanted_ms = max(self.wanted_ms, q.ends_ms)
             self.put(frames.answer(q.stream, code, *body))
             self.desk.book.count(self.desk.ANSWERS[code])
             self.close_if_done()
@@ -199,24 +214,39 @@
         self.unsent = 0
         if self.stuck:
             self.stuck = False
-            if self.up and not self.bad and self.rests is None:
+            if self.rests is None:
                 self.transport.resumeProducing()
+        if self.ending is not None:
+            self.shut()
 
     def stopProducing(self):
         self.up = False
 
     def close(self):
-        """Ends the connection, on which nothing is open, once what is written has gone. A client that has more to
-        say gets our last words first: closing on unread bytes would take them back."""
+        """Ends the connection, on which nothing is open: our side once what is written has gone, all of it once the client
+        has ended its own, or after a while. Risk: closing on unread bytes, or at a fixed time, takes back last words that a
+        client has not read yet."""
         if self.up:
             self.up = False
             self.desk.gate.goes(self.place, self.desk.gate_ms())
-            self.transport.unregisterProducer()
-            if self.bad:
-                self.transport.loseWriteConnection()
-            else:
-                self.transport.loseConnection()
-            self.desk.reactor.callLater(CLOSE_S, self.transport.abortConnection)
+            self.ending = self.desk.reactor.callLater(CLOSE_S, self.over)
+            if not self.unsent:
+                self.shut()
+
+    def shut(self):
+        """No more comes from this side."""
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+
+    def over(self):
+        """What a slow client has not taken is waited for as long as its queries might have taken."""
+        rest = self.unsent or untaken(self.transport)
+        if rest and self.desk.now_ms() < self.wanted_ms:
+            self.ending = self.desk.reactor.callLater(CLOSE_S, self.over)
+        elif rest:
+            self.transport.abortConnection()
+        else:
+            self.transport.loseConnection()
 
     def tell_no_more(self):
         if not self.told:
@@ -227,9 +257,9 @@
         self.up = False
         self.hold(-self.unsent - self.reader.unfinished())
         self.unsent, self.reader.held = 0, None
-        if self.rests is not None:
-            self.rests.cancel()
-            self.rests = None
+        for timer in (self.rests, self.ending):
+            if timer is not None and timer.active():
+                timer.cancel()
         queries, self.open = self.open, {}
         for q in queries.values():      # what was taken on it ends at its engine
             self.leave(q)
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -20,6 +20,7 @@
 from lichenquay.gate.decide import Rules
 from lichenquay.opening import Opening, Sheet, Unreadable, flat
 
+STARTED_S = time.time() - time.monotonic()      # risk: the wall clock steps, and no timer fires, or all at once
 STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
 NEWS_MS = 250.0                 # PROTOCOL: an engine answers a call for news after this at the latest
 SILENT_MS = 1.2 * NEWS_MS       # then it is asked on another connection, before its query is late or counts as lost
@@ -52,7 +53,7 @@
 
 
 def now_ms():
-    return time.time() * 1000
+    return (STARTED_S + time.monotonic()) * 1000
 
 
 def read_config(environment):
@@ -108,7 +109,7 @@
         self.listen, self.bulletin_at, sockets, room, seed, known, self.settings = read_config(environment)
         opening = open_from(self.settings, seed)
         self.opening, self.by_uid = opening, {}
-        self.log = Log(time.time)
+        self.log = Log(time.monotonic)
         self.book = Book(lambda *ending: self.admit.back(*ending))
         self.engines = Engines(reactor, RESERVE // 2,
                                opening.make.connect_timeout_ms or NEWS_MS, SILENT_MS, opening.idle_ms or 4 * NEWS_MS)
@@ -140,6 +141,8 @@
             if e.address != address:
                 self.engines.close_idle(e)
                 e.address = address
+            # Risk: the clock that it started by has stepped since this front took its own from it.
+            started += now_ms() - time.time() * 1000 if started else 0.0
             self.opening.describe(e, place, kind, cell, state, units, started)
             named.append(e)
             (gone.add if state == io.WITHDRAWN else gone.discard)(e)
@@ -230,16 +233,14 @@
         """SIGTERM: listen on for as long as PROTOCOL says; answer all that is taken; tell clients to go."""
         if self.state != SERVING:
             return
-        longest = max((g.timeout_ms for g in self.opening.groups.values()), default=0.0)
+        longest = max(g.timeout_ms or DEADLINE_MS for g in self.opening.groups.values())
         self.state, self.killed_ms = LEAVING, now_ms() + min(DEADLINE_MS, longest) + KILLED_MS
         self.clients.tell_no_more()
         self.engines.later(LISTEN_ON_MS, self.close_door)
         self.engines.later(self.killed_ms - LAST_MS - now_ms(), self.admit.time_up)
 
     def close_door(self):
-        self.clients.port.stopListening()
-        self.clients.port = None
-        self.clients.tell_no_more()
+        self.clients.close_door()
         if self.fleet is not None:
             self.fleet.leave()
         self.engines.later(REQUESTS_ON_MS, self.drain)
@@ -247,8 +248,12 @@
     def drain(self):
         """Until all that was taken is answered, what was given up is over, and the answers have gone."""
         self.state = DRAINING
-        late = now_ms() > self.killed_ms - LAST_MS / 2
-        if not self.admit.open and not self.admit.events and (self.book.out == 0 or late):
+        left_ms = self.killed_ms - now_ms()
+        late = left_ms < LAST_MS / 2
+        if left_ms < LAST_MS:       # risk: what came since `time_up` ends with the program, without an answer
+            self.clients.full = True
+            self.admit.time_up()
+        if (not self.admit.open and not self.admit.events or left_ms < 0) and (self.book.out == 0 or late):
             self.clients.close_all()
             if late or not self.clients.lines and (self.fleet is None or self.fleet.is_over()):
                 self.state = ENDED
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -67,6 +67,7 @@
         self.reactor, self.seconds = reactor, reactor.seconds
         self.lines, self.refs, self.port, self.accept, self.most_lines = {}, {}, None, None, 0
         self.most = self.room = self.held = self.turned = self.waits = 0
+        self.full = False           # nothing more is taken in: the front ends
         self.turned_s = 0.0         # since when `turned` counts refusals, for a second
         self.gate, self.waits_s = decide.Gate(decide.Rules(0, 0), self.gate_ms()), None
 
@@ -80,16 +81,21 @@
 
     def listen(self, host, port):
         self.port = self.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
-        self.accept, self.port.doRead = self.port.doRead, self.accept_some
+        self.accept, self.port.doRead = self.port.doRead, self.come
         self.in_hand = os.open(os.devnull, os.O_RDONLY)
 
-    def accept_some(self):
-        """Accepts what has come; the gate says what is taken. Risk: what waits in the listening queue is told nothing.
-        Room that comes in a moment, as those before have had their time to speak, is waited for, but not in a flood."""
+    def come(self):
+        """Risk: what is returned to the reactor here ends the listening."""
+        self.accept_some()
+
+    def accept_some(self, last=False):
+        """Accepts what has come; the gate says what is taken. True if more may wait. Risk: what waits in the listening queue is
+        told nothing. Room that comes in a moment, as those before have had their time to speak, is waited for, but not in a
+        flood, nor as the door closes (`last`)."""
         now, taken = self.seconds(), 0
         if now - self.turned_s > 1.0:
             self.turned_s, self.turned, self.waits = now, 0, 0
-        if (self.turned < FLOOD and self.waits < MOST_WAITS and self.gate.is_full() and self.gate.soon(now * 1000)
+        if (not last and self.turned < FLOOD and self.waits < MOST_WAITS and self.gate.is_full() and self.gate.soon(now * 1000)
                 and now - (self.waits_s or now) < PATIENCE_S):
             self.waits_s, self.waits = self.waits_s or now, self.waits + 1
             self.port.pauseProducing()
@@ -100,9 +106,9 @@
             try:
                 skt, address = self.port.socket.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as why:
-                return self.no_descriptor() if why.errno in (errno.EMFILE, errno.ENFILE) else None
+                return self.no_descriptor() if why.errno in (errno.EMFILE, errno.ENFILE) else False
             verdict = self.gate.arrives(address[0], self.gate_ms())
             if verdict.answer == decide.REFUSE:
                 self.turned += 1
@@ -119,7 +125,17 @@
                 skt.close()
             taken += 1
             if taken == ACCEPTS:
-                return
+                break
+        return True
+
+    def close_door(self):
+        """No more connections. Risk: what the machine accepted, and nobody here, is reset with the door."""
+        for _ in range(BACKLOG):
+            if not self.accept_some(last=True):
+                break
+        self.port.stopListening()
+        self.port = None
+        self.tell_no_more()
 
     def no_descriptor(self):
         """Risk: at the limit, what waits to be accepted waits for ever and keeps the reactor busy. The descriptor in hand is
@@ -128,9 +144,11 @@
         os.close(self.in_hand)
         try:
             refuse(self.port.socket.accept()[0], b"no descriptor; come back in 1000 ms")
+            return True
         except OSError:
-            pass
-        self.in_hand = os.open(os.devnull, os.O_RDONLY)
+            return False
+        finally:
+            self.in_hand = os.open(os.devnull, os.O_RDONLY)
 
     def make_way(self, verdict):
         if verdict.abort is not None:
@@ -155,6 +173,8 @@
         self.gate.closed(line.place, self.gate_ms())
 
     def query(self, line, stream, said, twice, body):
+        if self.full:
+            raise NoRoom("this front ends")
         if len(line.open) >= MOST_OPEN:
             raise NoRoom(f"more than {MOST_OPEN} open requests")
         if twice:
