--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -171,7 +171,9 @@
             return self.drop(Garbled("the same answer as another query's before"))
         call, self.call, reply.line = self.call, None, self
         call.carrier = None
-        if reply.keep and self.whole and not self.late:     # risk: more may come late on one on which an answer did
+        # Risk: more may come late on one on which an answer did. Or a copy of a refusal or an error, which names no query, would
+        # be the answer to the next POST there: 'never ran' of one that runs, and a mutating query is sent again.
+        if reply.keep and self.whole and not self.late and reply.status < 500:
             self.hub.free(self)
         else:
             self.drop()
--- /dev/null
+++ b/tests/crossings/test_engine_connections.py
@@ -0,0 +1,148 @@
+"""Bytes, an end or a reset on an engine's connection in the instant in which it is taken, in an answer, or behind one."""
+import socket
+
+import pytest
+from twisted.internet.error import ConnectionAborted
+from twisted.python.failure import Failure
+
+from lichenquay.front import frames, http
+from lichenquay.front.engines import REST_S
+from front_world import RESULT, answered
+from hooks import HeldConnects, over, told
+from loopback import PAGES, until, wait
+
+
+def settled(w):
+    """The connections to engines rest."""
+    until(lambda: w.service.engines.lines and all(x.call is None for x in w.service.engines.lines))
+    wait(2 * REST_S)
+
+
+@pytest.mark.parametrize("group", ["report", "manifest"])
+@pytest.mark.parametrize("comes", ["bytes", "end", "reset"])
+def test_what_comes_in_the_instant_in_which_a_resting_connection_is_taken(world, comes, group):
+    """Risk: a POST goes out on a connection that is closing, or takes what came on it for its answer."""
+    w = world(engines=1)
+    c, e = w.client(), w.engines[0]
+    assert answered(c, c.ask())[0] == frames.FINISHED
+    settled(w)
+    hub, real = w.service.engines, w.service.engines.idle
+
+    def idle(call):
+        line = real(call)
+        if line is not None and e.lines:        # chosen, not yet looked at
+            hub.idle = real
+            far = next(iter(e.lines))
+            if comes == "bytes":
+                far.transport.socket.send(b"HTTP/1.1 503 X\r\nX-No-Effect: 1\r\nContent-Length: 0\r\n\r\n")
+            elif comes == "end":
+                far.transport.socket.shutdown(socket.SHUT_RDWR)
+            else:
+                far.transport.connectionLost(Failure(ConnectionAborted()))
+        return line
+    hub.idle = idle
+    assert answered(c, c.ask(group, allow=4000)) == (frames.FINISHED, RESULT)
+    assert w.posts() == 2 and hub.idle == real
+    over(w)
+
+
+@pytest.mark.parametrize("status", [503, 504, 500])
+def test_a_late_copy_of_a_refusal_is_no_answer_to_another_query(world, status):
+    """Risk: a second answer, later than connections rest between two queries, says 'full' of a mutating query that runs: it is sent again."""
+    w = world(engines=2)
+    w.tell(w.engines[1], "DRAINING")
+    until(lambda: w.service.bulletin.no == 2)
+    c, e = w.client(), w.engines[0]
+    real, lines = e.start, []
+
+    def first(line, ref, way):
+        e.start = real
+        lines.append(line)
+        w.out.discard(ref)
+        e.runs.pop(ref)
+        line.answer(status, [("X-No-Effect", "1")] if status != 500 else [])
+    e.start = first
+    e.ways = ["refused", "hold"]
+    stream = c.ask("status", allow=300)
+    until(lambda: w.posts() == 1)
+    c.transport.write(frames.frame(frames.LEFT, stream))
+    wait(2 * REST_S)
+    w.out.clear()
+    e.ways, e.still = ["ok"], True
+    second = c.ask("manifest", allow=4000)
+    until(lambda: any(call[1] == "POST" for call in e.held))
+    if lines[0].transport.connected:        # the copy, before the engine has read what came on the connection since
+        lines[0].answer(status, [("X-No-Effect", "1")] if status != 500 else [])
+    wait(0.05)
+    e.go_on()
+    assert answered(c, second) == (frames.FINISHED, RESULT)
+    assert sum(headers["X-Sort"] == "manifest" for headers, _ in e.posts) == 1
+    over(w)
+
+
+@pytest.mark.parametrize("group", ["report", "manifest"])
+def test_an_answer_whole_in_the_same_read_as_its_reset(world, group):
+    w = world(engines=1)
+    c, e = w.client(), w.engines[0]
+
+    def first(line, ref, way):
+        e.start = type(e).start.__get__(e)
+        w.out.discard(ref)
+        said = b"HTTP/1.1 200 X\r\nX-Parts: 1\r\nX-Cpu-Ms: 1\r\nX-Mem-Used: 8\r\nContent-Length: %d\r\n\r\n" % len(PAGES[0]) + PAGES[0]
+        line.transport.socket.send(said)
+        line.transport.connectionLost(Failure(ConnectionAborted()))
+    e.start = first
+    e.ways = ["ok"]
+    assert answered(c, c.ask(group, allow=4000))[0] == frames.FINISHED and w.posts() == 1
+    over(w)
+
+
+@pytest.mark.parametrize("where", ["answer", "page"])
+@pytest.mark.parametrize("group", ["report", "manifest"])
+def test_a_hang_in_the_middle_of_an_answer(world, where, group):
+    """The engine says half of it, says nothing to anyone for a second, and goes on: the query ends, once."""
+    w = world(engines=1)
+    c, e = w.client(), w.engines[0]
+    hung = []
+
+    def half(line, *_):
+        if not hung:
+            hung.append(line)
+            e.mute = True
+            line.transport.write(b"HTTP/1.1 200 OK\r\nX-Parts: 3\r\nContent-Length: 5000\r\n\r\n1\ta\tb\n")
+        else:
+            (type(e).start if where == "answer" else type(e).page)(e, line, *_)
+    setattr(e, "start" if where == "answer" else "page", half)
+    stream = c.ask(group, allow=4000)
+    until(lambda: hung)
+    if where == "answer":
+        e.runs[next(iter(e.runs))] = "ok"
+    wait(1.0)
+    assert stream not in c.answers
+    e.mute = False
+    assert answered(c, stream) == (frames.FINISHED, RESULT)
+    assert w.posts() == 1 or group == "report"      # what may run again is moved, once the first surely is over
+    over(w)
+
+
+def test_a_connection_that_comes_up_late_for_a_call_withdrawn_has_an_end(world):
+    w = world(engines=1)
+    connects, c = HeldConnects(w), w.client()
+    streams = [c.ask("report") for _ in range(3)]
+    until(lambda: len(connects.held) == 3)
+    for stream in streams:
+        c.transport.write(frames.frame(frames.LEFT, stream))
+    until(lambda: told(w, "queries left by their clients") == 3)
+    connects.go_on()
+    hub = w.service.engines
+    until(lambda: len(hub.lines) == 3)
+    assert hub.open == 3 and all(x.call is None for x in hub.lines) and not w.posts()
+    hub.close_idle(next(iter(w.service.by_uid.values())))
+    until(lambda: hub.open == 0)
+    over(w)
+
+
+def test_copies_of_204_and_202_start_and_end_nothing():
+    """What such a copy may be taken for: news of nothing, or a priority heard. Neither ends a submission or starts one."""
+    assert not http.is_full(http.Reply(204, {}, True)) and not http.is_news(http.Reply(204, {}, True))
+    assert not http.is_done(http.Reply(202, {}, True))
