From a client that reads no answers requests are kept, and all else it says is heard

Cause: ClientLine.put paused reading over 64 KB of unread answers; a cancel then waited in the machine while the query could be sent again, and the time of requests that waited there was counted from when they were read at last, too late by the wait. Change: requests are kept while it is stuck, 64 KB of them before reading stops; cancels are heard; a kept request's time counts from its reading.

--- a/lichenquay/front/client_line.py
+++ b/lichenquay/front/client_line.py
@@ -12,7 +12,8 @@
 CLOSE_S = 0.3                   # for the other side to close as well; then again, while it still reads its last answers
 REST_S, MOST_SENSELESS = 0.05, 16   # after a request that makes no sense; so many of them end a connection
 MOST_STREAMS = 4096             # numbers of streams that are kept of a connection
-MOST_UNSENT = 65_536            # bytes of answers that a client has not read before it is read no further
+MOST_UNSENT = 65_536            # bytes of answers that a client has not read before nothing more is taken in from it, and
+                                # bytes of requests that wait for that before it is read no further
 
 
 def untaken(transport):
@@ -49,14 +50,16 @@
 
 
 class ClientLine(Protocol):
-    """One client's connection. It stops being read while it does not read its own answers: `unsent` bytes of them
-    wait in the transport, which asks for more (`resumeProducing`) once it is empty."""
+    """One client's connection. While it does not read its own answers it is `stuck`: `unsent` bytes of them wait in the transport,
+    which asks for more (`resumeProducing`) once it is empty. Until then its requests are `kept`; what else it says is heard. Risk:
+    with nothing read, a cancel waits in the machine while its query is sent again."""
 
     def __init__(self, desk, address):
         self.desk, self.reader, self.open, self.unsent, self.used = desk, frames.FrameReader(), {}, 0, Streams()
         self.place = desk.gate.opened(address, desk.gate_ms(), self)
         self.up, self.stuck, self.bad, self.told, self.heard_s = True, False, False, False, desk.seconds()
         self.known, self.begun_s, self.senseless, self.rests = False, self.heard_s, 0, None
+        self.kept, self.kept_size = {}, 0           # requests that wait while it is stuck, by stream
         self.wanted_ms, self.ending = 0.0, None     # until when its last answers are waited for; a timer once it closes
 
     def connectionMade(self):
@@ -73,9 +76,10 @@
                 if not self.known:
                     self.desk.gate.spoke(self.place, self.desk.gate_ms())
                 self.known, self.begun_s = True, self.heard_s
-                self.heard(kind, stream, payload)
-                if self.senseless > MOST_SENSELESS:
-                    raise frames.BadFrame("too many requests that make no sense")
+                if self.stuck and kind == frames.QUERY:
+                    self.keep(stream, payload)
+                else:
+                    self.heard(kind, stream, payload)
             grown = self.reader.unfinished() - before
             if not before:
                 self.begun_s = self.heard_s
@@ -87,6 +91,31 @@
             self.reader.held = None
             self.ends(str(bad))
 
+    def keep(self, stream, payload):
+        self.use(stream)
+        self.kept[stream] = bytes(payload), self.desk.now_ms()
+        self.count_kept(len(payload))
+        if self.kept_size > MOST_UNSENT:
+            self.transport.pauseProducing()
+
+    def count_kept(self, more):
+        self.kept_size += more
+        self.hold(more)
+
+    def forget(self, *streams):
+        for stream in streams:
+            self.count_kept(-len(self.kept.pop(stream)[0]))
+
+    def hear_kept(self):
+        """In turn, what was kept; its time counts from when it was read."""
+        try:
+            while self.kept and not self.stuck and self.up and not self.bad:
+                stream, (payload, read_ms) = next(iter(self.kept.items()))
+                self.forget(stream)
+                self.taken(stream, payload, read_ms)
+        except frames.BadFrame as bad:
+            self.ends(str(bad))
+
     def hold(self, more):
         """So many bytes more, or less, that it makes the front hold."""
         if more:
@@ -96,7 +125,7 @@
     def gives_way(self):
         """Its place goes to another one: what was taken on it gets its final answer now, then it is closed."""
         self.desk.book.count("clients closed for room")
-        if not self.open:
+        if self.is_idle():
             self.tell_no_more()
             return self.close()
         self.ends("its place is needed by others", frames.DEFERRED)
@@ -111,40 +140,51 @@
         self.desk.log("client", f"client: {why}; connection closed")
         self.put(frames.answer(0, code, why.encode()))
         self.bad = True
+        for stream in list(self.kept):      # taken, for its client: it gets its answer, if it reads
+            self.forget(stream)
+            self.put(frames.answer(stream, code, why.encode()))
         self.desk.gate.goes(self.place, self.desk.gate_ms())
         self.close_if_done()
 
     def heard(self, kind, stream, payload):
         if kind == frames.QUERY:
-            if stream == 0 or not self.used.use(stream):
-                raise frames.BadFrame(f"stream {stream} is not new")
-            if len(self.used.above) > MOST_STREAMS:
-                raise frames.BadFrame("too many numbers of streams left out")
-            request = frames.read_query(payload)
-            self.desk.book.count("queries taken in")
-            try:
-                q = self.desk.query(self, stream, *request)
-            except BadQuery as bad:
-                return self.makes_no_sense(stream, bad)
-            except Exception:       # risk: a fault met for one query ends the connection, and others with it
-                self.desk.book.count("faults")
-                self.desk.log("fault", traceback.format_exc())
-                self.desk.book.count("answers killed")
-                return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
-            self.open[stream] = self.desk.refs[q.ref] = q
-            self.desk.gate.asked(self.place, self.desk.gate_ms())
-            self.hold(len(q.statement))
-            self.desk.admit.take(q)
+            self.use(stream)
+            self.taken(stream, payload, self.desk.now_ms())
         elif kind == frames.LEFT:
             q = self.open.pop(stream, None)
             if q is not None:
                 self.leave(q)
+            elif stream in self.kept:
+                self.forget(stream)
         elif kind == frames.IS_READY:
             frames.read_fields(payload)
             self.put(frames.readiness(stream, 0 if self.desk.ready() else 1))
         else:
             raise frames.BadFrame(f"a frame of type {kind}")
 
+    def use(self, stream):
+        if stream == 0 or not self.used.use(stream):
+            raise frames.BadFrame(f"stream {stream} is not new")
+        if len(self.used.above) > MOST_STREAMS:
+            raise frames.BadFrame("too many numbers of streams left out")
+
+    def taken(self, stream, payload, read_ms):
+        request = frames.read_query(payload)
+        self.desk.book.count("queries taken in")
+        try:
+            q = self.desk.query(self, stream, *request, read_ms)
+        except BadQuery as bad:
+            return self.makes_no_sense(stream, bad)
+        except Exception:       # risk: a fault met for one query ends the connection, and others with it
+            self.desk.book.count("faults")
+            self.desk.log("fault", traceback.format_exc())
+            self.desk.book.count("answers killed")
+            return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
+        self.open[stream] = self.desk.refs[q.ref] = q
+        self.desk.gate.asked(self.place, self.desk.gate_ms())
+        self.hold(len(q.statement))
+        self.desk.admit.take(q)
+
     def makes_no_sense(self, stream, why):
         """Answered at once, and read on after a rest.
         Risk: one that comes back at once with the same thing takes the turns of others."""
@@ -152,7 +192,7 @@
         self.desk.book.count(self.desk.ANSWERS[why.code])
         self.put(frames.answer(stream, why.code, str(why).encode()))
         self.senseless += why.code == frames.KILLED
-        if why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
+        if self.senseless > MOST_SENSELESS or why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
             raise frames.BadFrame("too many requests that make no sense")
         self.rest()
 
@@ -164,7 +204,7 @@
 
     def read_on(self):
         self.rests = None
-        if not self.stuck:
+        if self.kept_size <= MOST_UNSENT:
             self.transport.resumeProducing()
 
     def answer(self, q, code, body):
@@ -188,6 +228,10 @@
         self.desk.refs.pop(q.ref, None)
         q.statement, q.client = b"", None
 
+    def is_idle(self):
+        """Nothing that was taken on it waits for an answer."""
+        return not self.open and not self.kept
+
     def close_if_done(self):
         if self.bad and not self.open:
             self.close()
@@ -205,16 +249,15 @@
             self.desk.log("client", "client: does not read its answers; connection closed")
             return self.transport.abortConnection()
         self.transport.write(bytes(rest))       # risk: anything else is refused there, and an answer is cut off
-        if self.unsent > MOST_UNSENT:
-            self.stuck = True
-            self.transport.pauseProducing()
+        self.stuck = self.stuck or self.unsent > MOST_UNSENT
 
     def resumeProducing(self):
         self.hold(-self.unsent)
         self.unsent = 0
         if self.stuck:
             self.stuck = False
-            if self.rests is None:
+            self.hear_kept()
+            if self.rests is None and self.kept_size <= MOST_UNSENT:
                 self.transport.resumeProducing()
         if self.ending is not None:
             self.shut()
@@ -257,6 +300,7 @@
         self.up = False
         self.hold(-self.unsent - self.reader.unfinished())
         self.unsent, self.reader.held = 0, None
+        self.forget(*self.kept)
         for timer in (self.rests, self.ending):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -172,7 +172,7 @@
         self.lines.pop(line, None)
         self.gate.closed(line.place, self.gate_ms())
 
-    def query(self, line, stream, said, twice, body):
+    def query(self, line, stream, said, twice, body, now):
         if self.full:
             raise NoRoom("this front ends")
         if len(line.open) >= MOST_OPEN:
@@ -201,7 +201,7 @@
             raise NoRoom(f"{verdict.why}; come back in {max(1.0, verdict.again_ms):.0f} ms")
         if verdict.end is not None:         # the youngest of its queries has its final answer now
             self.admit.give_up(next(reversed(verdict.end.what.open.values())))
-        now, statement = self.now_ms(), bytes(body)         # it outlives the buffer
+        statement = bytes(body)         # it outlives the buffer
         longest = group.timeout_ms or MOST_MS
         return FrontQuery(0, group, now, now + min(longest, amount(said, "allowed", 2 * longest)), tenant, key,
                           amount(said, "work", MOST_MS), amount(said, "memory", MOST_MB),
@@ -222,10 +222,10 @@
         for line in [x for x in self.lines if x.up and not x.bad]:
             if now - line.begun_s > WHOLE_S and (not line.known or line.reader.unfinished()):
                 line.ends("no whole frame in time")
-            elif not line.open and now - line.heard_s > IDLE_S:
+            elif line.is_idle() and now - line.heard_s > IDLE_S:
                 line.tell_no_more()
                 line.close()
 
     def close_all(self):
-        for line in [x for x in self.lines if not x.open]:
+        for line in [x for x in self.lines if x.is_idle()]:
             line.close()
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -166,6 +166,31 @@
     assert w.service.clients.held == 0
 
 
+@pytest.mark.parametrize("after", [0, 2])
+def test_a_cancel_from_a_client_that_does_not_read_is_heard(world, after):
+    """Risk: nothing is read from it, and its query is sent again for nobody. `after`: it lies behind so many more requests."""
+    w = world(engines=1)
+    client, line = slow(w)
+    w.service.route.send.down = type(w.service.send).down.__get__(w.service.send)
+    w.engines[0].ways = ["hold"] * 3
+    ask(client, 5, "report", allow=4000)
+    until(lambda: w.posts() == 1)
+    for _ in range(2):
+        line.put(frames.answer(0, 0, BIG))
+    assert line.stuck
+    for stream in range(6, 6 + after):
+        ask(client, stream, "report", allow=4000)
+    client.socket.sendall(frames.frame(frames.LEFT, 5))
+    until(lambda: told(w, "queries left by their clients") == 1, 0.1)
+    until(lambda: w.engines[0].deletes)
+    assert w.posts() == 1 and len(line.kept) == after
+    w.engines[0].ways = []
+    until(lambda: {6, 7} <= set(answers(client)) if after else True, 5)     # once it reads, what was kept is taken in
+    client.socket.close()
+    over(w)
+    until(lambda: w.service.clients.held == 0)
+
+
 def test_half_a_frame_as_the_connection_closes(world):
     w = world(engines=1)
     client = PlainClient(w.port)
