--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -26,8 +26,8 @@
 class Admit:
     """The controller's door. What happens is kept for the next turn; turns are `step_ms` apart at least."""
 
-    def __init__(self, opening, reactor, engines, now_ms, book, log):
-        self.reactor, self.engines, self.clock_ms, self.book, self.log_line = reactor, engines, now_ms, book, log
+    def __init__(self, opening, reactor, engines, now_ms, metrics, log):
+        self.reactor, self.engines, self.clock_ms, self.metrics, self.log_line = reactor, engines, now_ms, metrics, log
         self.step_ms, self.most = opening.gateway.step_ms, opening.licence.most_submissions
         self.tells_cost = opening.make.tells_cost
         self.events, self.timers, self.timed, self.next = [], [], 0, None
@@ -63,7 +63,7 @@
             self.open.discard(q)
             if self.quota is not None:
                 self.quota.over(q)
-            self.book.count("queries left by their clients")
+            self.metrics.count("queries left by their clients")
             self.happen(self.gone, q)
 
     def gone(self, q):
@@ -140,7 +140,7 @@
         try:
             call(*what)
         except Exception:
-            self.book.count("faults")
+            self.metrics.count("faults")
             self.log_line("fault", traceback.format_exc())
             if not what:        # it was to happen at a time: the beat must not end with it
                 self.wake(self.now_ms + FAULT_MS, call)
@@ -156,7 +156,7 @@
         sub = io.Submission(q, len(q.submissions), engine, self.now_ms)
         q.submissions.append(sub)
         if q.over or len(q.submissions) > self.most or patience_ms <= 0:
-            self.book.count("submissions never sent")
+            self.metrics.count("submissions never sent")
             self.happen(self.ended, sub, io.NEVER_SENT, 0.0, None, None)
         else:
             q.flight = self.route.down(sub, patience_ms)
--- a/lichenquay/front/client_line.py
+++ b/lichenquay/front/client_connection.py
@@ -49,7 +49,7 @@
         return True
 
 
-class ClientLine(Protocol):
+class ClientConnection(Protocol):
     """One client's connection. While it does not read its own answers it is `stuck`: `unsent` bytes of them wait in the transport,
     which asks for more (`resumeProducing`) once it is empty. Until then its requests are `kept`; what else it says is heard. Risk:
     with nothing read, a cancel waits in the machine while its query is sent again."""
@@ -124,7 +124,7 @@
 
     def gives_way(self):
         """Its place goes to another one: what was taken on it gets its final answer now, then it is closed."""
-        self.desk.book.count("clients closed for room")
+        self.desk.metrics.count("clients closed for room")
         if self.is_idle():
             self.tell_no_more()
             return self.close()
@@ -136,7 +136,7 @@
         """Nothing more is read from it; what was taken on it is still answered."""
         if self.bad:
             return
-        self.desk.book.count("bad frames" if code == frames.KILLED else "busy clients closed for room")
+        self.desk.metrics.count("bad frames" if code == frames.KILLED else "busy clients closed for room")
         self.desk.log("client", f"client: {why}; connection closed")
         self.put(frames.answer(0, code, why.encode()))
         self.bad = True
@@ -170,15 +170,15 @@
 
     def taken(self, stream, payload, read_ms):
         request = frames.read_query(payload)
-        self.desk.book.count("queries taken in")
+        self.desk.metrics.count("queries taken in")
         try:
             q = self.desk.query(self, stream, *request, read_ms)
         except BadQuery as bad:
             return self.makes_no_sense(stream, bad)
         except Exception:       # risk: a fault met for one query ends the connection, and others with it
-            self.desk.book.count("faults")
+            self.desk.metrics.count("faults")
             self.desk.log("fault", traceback.format_exc())
-            self.desk.book.count("answers killed")
+            self.desk.metrics.count("answers killed")
             return self.put(frames.answer(stream, frames.KILLED, b"a fault in the front"))
         self.open[stream] = self.desk.refs[q.ref] = q
         self.desk.gate.asked(self.place, self.desk.gate_ms())
@@ -188,8 +188,8 @@
     def makes_no_sense(self, stream, why):
         """Answered at once, and read on after a rest.
         Risk: one that comes back at once with the same thing takes the turns of others."""
-        self.desk.book.count("queries that make no sense")
-        self.desk.book.count(self.desk.ANSWERS[why.code])
+        self.desk.metrics.count("queries that make no sense")
+        self.desk.metrics.count(self.desk.ANSWERS[why.code])
         self.put(frames.answer(stream, why.code, str(why).encode()))
         self.senseless += why.code == frames.KILLED
         if self.senseless > MOST_SENSELESS or why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
@@ -213,7 +213,7 @@
             self.heard_s = self.desk.seconds()      # it is idle from now on
             self.wanted_ms = max(self.wanted_ms, q.ends_ms)
             self.put(frames.answer(q.stream, code, *body))
-            self.desk.book.count(self.desk.ANSWERS[code])
+            self.desk.metrics.count(self.desk.ANSWERS[code])
             self.close_if_done()
 
     def leave(self, q):
@@ -245,7 +245,7 @@
         self.unsent += len(rest)
         self.hold(len(rest))
         if self.desk.held > self.desk.room:
-            self.desk.book.count("clients that do not read")
+            self.desk.metrics.count("clients that do not read")
             self.desk.log("client", "client: does not read its answers; connection closed")
             return self.transport.abortConnection()
         self.transport.write(bytes(rest))       # risk: anything else is refused there, and an answer is cut off
--- a/lichenquay/front/bulletin.py
+++ b/lichenquay/front/discovery.py
@@ -45,7 +45,7 @@
     return last, items
 
 
-class Bulletin:
+class Discovery:
     """What has been told so far, and who wants to know: `news(whole, rows)`, and `confirmed()` once the bulletin itself has
     answered since this front started."""
 
@@ -70,7 +70,7 @@
         self.no = max([last] + [no for no, *_ in items])
 
 
-class BulletinLine(Protocol):
+class DiscoveryConnection(Protocol):
     """One connection to the bulletin; calls follow each other on it."""
 
     def __init__(self, factory):
@@ -88,8 +88,8 @@
 
     def ask(self):
         self.stop_timer()
-        self.patience_ms = PATIENCE_MS if self.factory.bulletin.answered else FIRST_PATIENCE_MS
-        path = f"/bulletins?after={self.factory.bulletin.no}&patience={self.patience_ms}"
+        self.patience_ms = PATIENCE_MS if self.factory.discovery.answered else FIRST_PATIENCE_MS
+        path = f"/bulletins?after={self.factory.discovery.no}&patience={self.patience_ms}"
         self.asked_s = self.factory.reactor.seconds()
         self.timer = self.factory.reactor.callLater(SILENT_MS / 1000, self.transport.abortConnection)
         self.transport.write(request("GET", path, self.factory.host))
@@ -103,14 +103,14 @@
                 return
             if reply.status != 200:
                 raise BadReply(f"status {reply.status}")
-            before = self.factory.bulletin.no
-            self.factory.bulletin.heard(json.loads(bytes(reply.body)))
+            before = self.factory.discovery.no
+            self.factory.discovery.heard(json.loads(bytes(reply.body)))
         except (BadReply, ValueError, RecursionError) as bad:
-            self.factory.bulletin.log("bulletin", f"bulletin: {bad}; the list stays as it was")
+            self.factory.discovery.log("bulletin", f"bulletin: {bad}; the list stays as it was")
             return self.transport.abortConnection()
         if not reply.keep:
             self.transport.loseConnection()
-        elif before == self.factory.bulletin.no and self.factory.reactor.seconds() - self.asked_s < self.least_s():
+        elif before == self.factory.discovery.no and self.factory.reactor.seconds() - self.asked_s < self.least_s():
             # Risk: a bulletin that answers at once with nothing new keeps the front busy with nothing else.
             self.stop_timer()
             self.timer = self.factory.reactor.callLater(AGAIN_MS / 1000, self.ask)
@@ -125,14 +125,14 @@
         self.stop_timer()
 
 
-class BulletinFactory(ClientFactory):
+class DiscoveryFactory(ClientFactory):
     """Connects again at once, or after a short pause where the last connection brought nothing.
     Risk: a drain is told while the front waits to connect again."""
 
     noisy = False
 
-    def __init__(self, reactor, bulletin, host, port, connect_ms):
-        self.reactor, self.bulletin, self.host, self.up_s, self.stopped = reactor, bulletin, f"{host}:{port}", 0.0, False
+    def __init__(self, reactor, discovery, host, port, connect_ms):
+        self.reactor, self.discovery, self.host, self.up_s, self.stopped = reactor, discovery, f"{host}:{port}", 0.0, False
         self.connector = reactor.connectTCP(host, port, self, timeout=connect_ms / 1000)
 
     def stop(self):
@@ -142,7 +142,7 @@
 
     def buildProtocol(self, address):
         self.up_s = self.reactor.seconds()
-        return BulletinLine(self)
+        return DiscoveryConnection(self)
 
     def clientConnectionLost(self, connector, reason):
         if self.reactor.seconds() - self.up_s < AGAIN_MS / 1000:
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -53,18 +53,18 @@
 
 class Call:
     """One call: its bytes, what answers to it make sense, and who waits for one. `new`: it starts a submission.
-    `line`: the connection that the query's last answer came on. `carrier`: the one that this call is out on, `went_on` also
+    `connection`: the connection that the query's last answer came on. `carrier`: the one that this call is out on, `went_on` also
     when it is not any more.
     `on_late`: told instead when there is no answer in time; the call stays out, for its answer still settles something."""
 
-    __slots__ = ("engine", "address", "owner", "data", "fits", "urgent", "fresh", "new", "line", "carrier", "went_on", "on_written",
+    __slots__ = ("engine", "address", "owner", "data", "fits", "urgent", "fresh", "new", "connection", "carrier", "went_on", "on_written",
                  "on_late", "may_go", "answer", "written", "tries")
 
-    def __init__(self, engine, data, fits, urgent=False, fresh=False, new=False, line=None, on_written=None, on_late=None,
+    def __init__(self, engine, data, fits, urgent=False, fresh=False, new=False, connection=None, on_written=None, on_late=None,
                  may_go=None, address=None, owner=None):
         self.engine, self.address, self.data, self.fits = engine, address or engine.address, data, fits
         self.owner = owner              # the submission that it is for
-        self.urgent, self.fresh, self.new, self.line = urgent, fresh, new, line
+        self.urgent, self.fresh, self.new, self.connection = urgent, fresh, new, connection
         self.on_written, self.on_late, self.may_go, self.carrier, self.went_on = on_written, on_late, may_go, None, None
         self.answer, self.written, self.tries = Deferred(), False, 0
 
@@ -110,7 +110,7 @@
     return memoryview(data)[sent:] if sent < len(data) else b""
 
 
-class EngineLine(Protocol):
+class EngineConnection(Protocol):
     """One connection to an engine."""
 
     def __init__(self, hub, first):
@@ -124,7 +124,7 @@
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
-        self.hub.lines.add(self)
+        self.hub.connections.add(self)
         if self.clean():
             call, self.call = self.call, None
             self.put(call) if call.stands() else self.hub.free(self)
@@ -169,7 +169,7 @@
             return self.drop(Garbled("no answer to this call"))
         if self.copied(reply):
             return self.drop(Garbled("the same answer as another query's before"))
-        call, self.call, reply.line = self.call, None, self
+        call, self.call, reply.connection = self.call, None, self
         call.carrier = None
         # Risk: more may come late on one on which an answer did. Or a copy of a refusal or an error, which names no query, would
         # be the answer to the next POST there: 'never ran' of one that runs, and a mutating query is sent again.
@@ -210,14 +210,14 @@
         self.drop(Broken(reason.getErrorMessage()))
 
 
-class LineFactory(ClientFactory):
+class ConnectionFactory(ClientFactory):
     noisy = False
 
     def __init__(self, hub, call):
         self.hub, self.call = hub, call
 
     def buildProtocol(self, address):
-        return EngineLine(self.hub, self.call)
+        return EngineConnection(self.hub, self.call)
 
     def clientConnectionFailed(self, connector, reason):
         """Refused, or silent: that is the engine. Reset before this side knew that it was up: that is the connection."""
@@ -237,7 +237,7 @@
         self.reactor, self.budget, self.reserve = reactor, 0, reserve
         self.connect_ms, self.silent_ms, self.idle_s = connect_ms, silent_ms, idle_ms / 2000
         self.stale_s = self.idle_s      # a connection that has rested longer may be closing
-        self.waiting, self.lines, self.open, self.most = deque(), set(), 0, 0
+        self.waiting, self.connections, self.open, self.most = deque(), set(), 0, 0
 
     def later(self, ms, call):
         return self.reactor.callLater(max(0.0, ms) / 1000, call)
@@ -275,68 +275,68 @@
         if call.fresh:
             return None
         now = self.reactor.seconds()
-        line = call.line
-        if line is not None and line.owner is call.owner and line in call.engine.idle and now - line.idle_since <= self.stale_s:
-            return line         # once it was another's, a copy of that one's answer may be on its way
-        for line in reversed(call.engine.idle):
-            rested = now - line.idle_since
+        connection = call.connection
+        if connection is not None and connection.owner is call.owner and connection in call.engine.idle and now - connection.idle_since <= self.stale_s:
+            return connection         # once it was another's, a copy of that one's answer may be on its way
+        for connection in reversed(call.engine.idle):
+            rested = now - connection.idle_since
             if rested > self.stale_s:
                 return None
-            if rested >= REST_S and line.address == call.address:
-                return line
+            if rested >= REST_S and connection.address == call.address:
+                return connection
         return None
 
     def alive(self, engine, address):
         """A connection to it is open on which nothing is overdue: its process, which would have ended it, is there."""
-        return any(x.engine is engine and x.address == address and not x.late for x in self.lines)
+        return any(x.engine is engine and x.address == address and not x.late for x in self.connections)
 
     def go(self, call):
         """Puts a call on an idle connection or a new one; False if it has to wait for a descriptor."""
         if call.void():
             return True
-        while (line := self.idle(call)) is not None:
-            if line.clean():
+        while (connection := self.idle(call)) is not None:
+            if connection.clean():
                 if call.stands():
-                    line.engine.idle.remove(line)
-                    line.put(call)
+                    connection.engine.idle.remove(connection)
+                    connection.put(call)
                 return True
-            line.drop()
+            connection.drop()
         if self.open >= self.budget + (self.reserve if call.urgent else 0) and not self.spare():
             return False
         self.open += 1
         self.most = max(self.most, self.open)
         host, _, port = call.address.rpartition(":")
-        self.reactor.connectTCP(host, int(port), LineFactory(self, call), timeout=self.connect_ms / 1000)
+        self.reactor.connectTCP(host, int(port), ConnectionFactory(self, call), timeout=self.connect_ms / 1000)
         return True
 
     def spare(self):
         """Ends the connection that has been idle longest, so that another can be opened."""
-        line = min((x for x in self.lines if x.engine.idle and x.engine.idle[0] is x),
+        connection = min((x for x in self.connections if x.engine.idle and x.engine.idle[0] is x),
                    key=lambda x: x.idle_since, default=None)
-        if line is None:        # risk: answers that may never come leave no room for the calls that ask elsewhere
-            line = min((x for x in self.lines if x.late), key=lambda x: x.silent_s, default=None)
-        if line is None:
+        if connection is None:        # risk: answers that may never come leave no room for the calls that ask elsewhere
+            connection = min((x for x in self.connections if x.late), key=lambda x: x.silent_s, default=None)
+        if connection is None:
             return False
-        self.forget(line)
-        line.drop(Silent())
+        self.forget(connection)
+        connection.drop(Silent())
         return True
 
-    def free(self, line):
-        line.idle_since = self.reactor.seconds()
-        line.engine.idle.append(line)
+    def free(self, connection):
+        connection.idle_since = self.reactor.seconds()
+        connection.engine.idle.append(connection)
         self.serve()
 
-    def forget(self, line):
-        known = line in self.lines
+    def forget(self, connection):
+        known = connection in self.connections
         if known:
-            self.lines.discard(line)
+            self.connections.discard(connection)
             self.open -= 1
-            if line in line.engine.idle:
-                line.engine.idle.remove(line)
+            if connection in connection.engine.idle:
+                connection.engine.idle.remove(connection)
         return known
 
-    def lost(self, line):
-        if self.forget(line):
+    def lost(self, connection):
+        if self.forget(connection):
             self.serve()
 
     def serve(self):
@@ -350,21 +350,21 @@
     def watch(self):
         """Ends connections whose call has waited too long, and those that are stale."""
         now, self.stale_s = self.reactor.seconds(), min(self.idle_s, self.stale_s * OLDER)
-        for line in [x for x in self.lines if x.call is not None and x.silent_s < now and not x.late]:
-            if line.call is None or line not in self.lines:
+        for connection in [x for x in self.connections if x.call is not None and x.silent_s < now and not x.late]:
+            if connection.call is None or connection not in self.connections:
                 continue
-            if line.call.on_late:
-                line.late = True
-                line.call.on_late()
+            if connection.call.on_late:
+                connection.late = True
+                connection.call.on_late()
             else:
-                line.drop(Silent())
-        self.end([x for x in self.lines if x.call is None and now - x.idle_since > self.stale_s])
+                connection.drop(Silent())
+        self.end([x for x in self.connections if x.call is None and now - x.idle_since > self.stale_s])
 
     def close_idle(self, engine):
         self.end(list(engine.idle))
 
-    def end(self, lines):
+    def end(self, connections):
         """Risk: each end makes room for a call that waited, and it may be out on one of the others by now."""
-        for line in lines:
-            if line.call is None:
-                line.drop()
+        for connection in connections:
+            if connection.call is None:
+                connection.drop()
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -29,10 +29,10 @@
 class Reply:
     """An answer: headers by lower-case name; the body a slice of what was read."""
 
-    __slots__ = ("status", "headers", "body", "keep", "more", "line")
+    __slots__ = ("status", "headers", "body", "keep", "more", "connection")
 
     def __init__(self, status, headers, keep):
-        self.status, self.headers, self.body, self.keep, self.line = status, headers, b"", keep, None
+        self.status, self.headers, self.body, self.keep, self.connection = status, headers, b"", keep, None
         self.more = False       # bytes came behind it that do not belong to it
 
     def whole(self, name, least=0):
--- a/lichenquay/front/book.py
+++ b/lichenquay/front/metrics.py
@@ -1,4 +1,4 @@
-"""Book: how submissions and queries end, the counters of it, and letting go of what is over."""
+"""Metrics: how submissions and queries end, the counters of it, and letting go of what is over."""
 import sys
 from collections import Counter
 
@@ -32,7 +32,7 @@
             pass
 
 
-class Book:
+class Metrics:
     """The end of a submission goes back up the chain from here."""
 
     def __init__(self, back):
@@ -49,7 +49,7 @@
         """The one ending of a submission; what comes later for it is nothing any more."""
         if flight.over:
             return
-        flight.over, flight.line, flight.late = True, None, None
+        flight.over, flight.connection, flight.late = True, None, None
         flight.settle()
         self.out -= 1
         self.count(f"submissions {ending}")
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -12,15 +12,15 @@
 
 
 class Relay:
-    def __init__(self, engines, book, noted, now_ms, log):
-        self.engines, self.book, self.noted, self.now_ms, self.log = engines, book, noted, now_ms, log
+    def __init__(self, engines, metrics, noted, now_ms, log):
+        self.engines, self.metrics, self.noted, self.now_ms, self.log = engines, metrics, noted, now_ms, log
 
     def fault(self, failure, flight):
         """Risk: a fault met for one submission leaves its query without an answer, or the engine at work on it."""
-        self.book.count("faults")
+        self.metrics.count("faults")
         self.log("fault", failure.getTraceback())
         if flight.given_up:
-            self.book.end(flight, flight.given_up)
+            self.metrics.end(flight, flight.given_up)
         else:
             self.call_off(flight, io.ERROR)
 
@@ -48,10 +48,10 @@
         """Its engine's process is surely there: its first call is still out, or another connection is open."""
         return flight.call is not None or self.engines.alive(flight.engine, flight.host)
 
-    def stranger(self, flight, line):
+    def stranger(self, flight, connection):
         """Whether what came on a connection may be another engine's word. Risk: an engine that leaves, or has left, the list
         works on behind a closed door, or cut off, and its address has gone to one that knows nothing of its queries."""
-        return flight.engine.state != io.LISTED and line is not flight.line
+        return flight.engine.state != io.LISTED and connection is not flight.connection
 
     @inlineCallbacks
     def ask(self, flight, page):
@@ -68,13 +68,13 @@
                 if flight.over or flight.given_up:
                     return None
                 if reply.status != 500:
-                    flight.line, flight.late = reply.line, None
+                    flight.connection, flight.late = reply.connection, None
                     self.heard(flight, reply)
                     flight.settle()
                     return reply
-                if life.unknown(written, self.now_ms(), self.stranger(flight, reply.line)):
+                if life.unknown(written, self.now_ms(), self.stranger(flight, reply.connection)):
                     return reply
-                self.book.count("unknown without proof")
+                self.metrics.count("unknown without proof")
                 fresh = False
             except NotConnected as failed:
                 # Its process is gone, refused twice, or nothing has reached it for so long that the query is over.
@@ -84,15 +84,15 @@
                     fresh = False
                 if life.passed(self.now_ms()):
                     if not flight.given_up:
-                        self.book.count(f"reset: {life.proof}")
-                        self.book.end(flight, io.RESET)
+                        self.metrics.count(f"reset: {life.proof}")
+                        self.metrics.end(flight, io.RESET)
                     return None
             except (Broken, Silent, Garbled) as why:
                 # The connection's fault, or its peer's for once: the engine gives the same answer again.
-                self.book.count("news asked again")
+                self.metrics.count("news asked again")
                 flight.missed = True
                 if isinstance(why, Garbled):
-                    self.book.count("answers unreadable")
+                    self.metrics.count("answers unreadable")
                     unreadable += 1
                     if unreadable >= MOST_UNREADABLE:
                         yield self.give_up(flight, io.ERROR)
@@ -112,12 +112,12 @@
             written[0] = self.now_ms()
             if keeps:
                 flight.life.asked(written[0])
-        call = self.engines.call(flight.engine, data, fits, fresh=fresh, urgent=not keeps, line=flight.line,
+        call = self.engines.call(flight.engine, data, fits, fresh=fresh, urgent=not keeps, connection=flight.connection,
                                  on_written=wrote, address=flight.host, owner=flight)
         try:
             reply = yield call.answer
         except Broken:
-            if call.went_on is flight.line:
+            if call.went_on is flight.connection:
                 flight.life.cut(self.now_ms())
             raise
         return reply, written[0]
@@ -138,11 +138,11 @@
         if flight.over or flight.given_up:
             return
         if http.is_full(reply):
-            self.book.end(flight, io.FULL, reply)
+            self.metrics.end(flight, io.FULL, reply)
         else:
             result = yield self.gather(flight, reply)
             if result is not None:
-                self.book.end(flight, io.FINISHED, reply, result)
+                self.metrics.end(flight, io.FINISHED, reply, result)
 
     @inlineCallbacks
     def gather(self, flight, reply):
@@ -150,11 +150,11 @@
         parts, pages, size, n = reply.whole("x-parts", 1), [], 0, 0
         while True:
             if reply.status == 500:     # it failed, or its pages are lost
-                self.book.end(flight, io.ERROR, reply)
+                self.metrics.end(flight, io.ERROR, reply)
                 return None
             size += len(reply.body)
             if size > MOST_RESULT:
-                self.book.count("results too long")
+                self.metrics.count("results too long")
                 yield self.give_up(flight, io.ERROR)
                 return None
             pages.append(reply.body)
@@ -172,17 +172,17 @@
         if flight.over or flight.given_up:
             return
         if flight.call is not None and flight.call.withdraw():
-            return self.book.end(flight, io.NEVER_SENT)
+            return self.metrics.end(flight, io.NEVER_SENT)
         flight.given_up = ending or (io.TIMED_OUT if self.now_ms() >= flight.until_ms - 1 else io.CANCELLED)
         flight.wake()
         call, fresh, tries, life = http.give_up(flight.host, flight.ref), False, 0, flight.life
         while not life.passed(self.now_ms()):
             try:
                 reply, written = yield self.put(flight, call, http.is_done, fresh, keeps=False)
-                if life.unknown(written, self.now_ms(), self.stranger(flight, reply.line), keeps=False):
+                if life.unknown(written, self.now_ms(), self.stranger(flight, reply.connection), keeps=False):
                     break
                 # Risk: a DELETE that came before its POST was read ends nothing.
-                self.book.count("given up without proof")
+                self.metrics.count("given up without proof")
                 fresh = False
             except NotConnected as failed:
                 if failed.refused and life.refused(self.now_ms(), self.alive(flight)):
@@ -191,7 +191,7 @@
                 fresh = True
             yield self.pause(flight, tries)
             tries += 1
-        self.book.end(flight, flight.given_up)
+        self.metrics.end(flight, flight.given_up)
 
     @inlineCallbacks
     def tell_rank(self, flight):
@@ -201,7 +201,7 @@
             try:
                 yield self.engines.ask(flight.engine, http.priority(flight.host, flight.ref, flight.rank),
                                        http.is_done, address=flight.host, owner=flight)
-                self.book.count("priorities told")
+                self.metrics.count("priorities told")
             except (Broken, Garbled, NotConnected, Silent):
-                self.book.count("priorities not told")
+                self.metrics.count("priorities not told")
             flight.telling = False
--- a/lichenquay/front/route.py
+++ b/lichenquay/front/route.py
@@ -7,7 +7,7 @@
     """A submission on its way: what the network part keeps of it until its ending."""
 
     __slots__ = ("sub", "query", "engine", "host", "ref", "rank", "until_ms", "life", "over",
-                 "given_up", "call", "told", "telling", "line", "late", "pausing",
+                 "given_up", "call", "told", "telling", "connection", "late", "pausing",
                  "missed")
 
     def __init__(self, sub, until_ms):
@@ -15,7 +15,7 @@
         self.host, self.telling = sub.engine.address, False
         self.ref, self.life = sub.query.ref, Life()
         self.rank = self.told = sub.query.rank_asked
-        self.over, self.given_up, self.call, self.line = False, None, None, None
+        self.over, self.given_up, self.call, self.connection = False, None, None, None
         self.missed = False             # an answer to a call for it was lost
         self.late = None                # the answer to its first call, after others went out
         self.pausing = set()            # pauses between two calls for it
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -7,12 +7,12 @@
 
 
 class Send:
-    def __init__(self, engines, relay, book, wake, may_go, now_ms):
-        self.engines, self.relay, self.book, self.wake, self.now_ms = engines, relay, book, wake, now_ms
+    def __init__(self, engines, relay, metrics, wake, may_go, now_ms):
+        self.engines, self.relay, self.metrics, self.wake, self.now_ms = engines, relay, metrics, wake, now_ms
         self.may_go = may_go
 
     def down(self, flight, call):
-        self.book.opened()
+        self.metrics.opened()
         self.wake(flight.until_ms, lambda: flight.over or self.relay.call_off(flight))
         self.post(flight, call).addErrback(self.relay.fault, flight)
 
@@ -29,23 +29,23 @@
                                         lambda failure: self.broke(flight, first, failure))
         reply = yield first
         if isinstance(reply, NeverSent):
-            return self.book.end(flight, io.NEVER_SENT)
+            return self.metrics.end(flight, io.NEVER_SENT)
         if isinstance(reply, NotConnected):
-            return self.book.end(flight, io.NOT_CONNECTED)
+            return self.metrics.end(flight, io.NOT_CONNECTED)
         if isinstance(reply, Exception):
             # Risk: it may have run, and may run on. Its news, asked for on another connection, tell: the engine
             # goes on with it, gives its end again, or knows nothing of it, which proves little (`certainty`).
-            self.book.count(f"first calls {type(reply).__name__.lower()}")
+            self.metrics.count(f"first calls {type(reply).__name__.lower()}")
             reply, flight.missed = None, True
         yield self.relay.follow(flight, reply)
 
     def answered(self, flight, first, reply):
         """Risk: what the first call tells late is lost, or taken twice; the loop that asks for news takes it up."""
         flight.call = None
-        flight.line = reply.line
+        flight.connection = reply.connection
         self.relay.heard(flight, reply)
         if first.called:
-            self.book.count("first calls answered late")
+            self.metrics.count("first calls answered late")
             if not flight.over and reply.status != 200:     # its result is told again to whoever asks for the news
                 flight.late = reply
         else:
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -10,8 +10,8 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front.admit import Admit
-from lichenquay.front.book import Book, Log
-from lichenquay.front.bulletin import BadList, Bulletin, BulletinFactory, read_events
+from lichenquay.front.metrics import Metrics, Log
+from lichenquay.front.discovery import BadList, Discovery, DiscoveryFactory, read_events
 from lichenquay.front.engines import Engines, FrontEngine
 from lichenquay.front.relay import Relay
 from lichenquay.front.route import Route
@@ -65,10 +65,10 @@
             config = json.load(file)
         listen = environment.get("BALANCER_LISTEN") or config["listen"]
         host, _, port = listen.rpartition(":")
-        bulletin_host, _, bulletin_port = config["bulletin"].rpartition(":")
+        discovery_host, _, discovery_port = config["bulletin"].rpartition(":")
         sockets = min(int(config["limits"]["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         room = int(max(LEAST_MB, (float(config["limits"]["memory_mb"]) - BASE_MB) * CLIENTS_PART)) << 20
-        return ((host, int(port)), (bulletin_host, int(bulletin_port)), sockets, room, int(config["seed"], 16),
+        return ((host, int(port)), (discovery_host, int(discovery_port)), sockets, room, int(config["seed"], 16),
                 config["known"], config["settings"])
     except OSError as bad:
         raise CannotStart(f"configuration {path}: {bad.strerror}") from None
@@ -106,23 +106,23 @@
 class Service:
     def __init__(self, reactor, environment):
         self.state, self.reactor, self.environment, self.watch_ms = STARTING, reactor, environment, 0.0
-        self.listen, self.bulletin_at, sockets, room, seed, known, self.settings = read_config(environment)
+        self.listen, self.discovery_at, sockets, room, seed, known, self.settings = read_config(environment)
         opening = open_from(self.settings, seed)
         self.opening, self.by_uid = opening, {}
         self.log = Log(time.monotonic)
-        self.book = Book(lambda *ending: self.admit.back(*ending))
+        self.metrics = Metrics(lambda *ending: self.admit.back(*ending))
         self.engines = Engines(reactor, RESERVE // 2,
                                opening.make.connect_timeout_ms or NEWS_MS, SILENT_MS, opening.idle_ms or 4 * NEWS_MS)
-        self.admit = Admit(opening, reactor, self.engines, now_ms, self.book, self.log)
-        self.relay = Relay(self.engines, self.book, self.admit.noted, now_ms, self.log)
-        self.send = Send(self.engines, self.relay, self.book, self.admit.wake, self.admit.may_go, now_ms)
+        self.admit = Admit(opening, reactor, self.engines, now_ms, self.metrics, self.log)
+        self.relay = Relay(self.engines, self.metrics, self.admit.noted, now_ms, self.log)
+        self.send = Send(self.engines, self.relay, self.metrics, self.admit.wake, self.admit.may_go, now_ms)
         self.route = self.admit.route = Route(self.send, self.relay)
-        self.clients = TakeIn(opening, reactor, self.admit, self.book, self.log, now_ms, self.is_ready)
+        self.clients = TakeIn(opening, reactor, self.admit, self.metrics, self.log, now_ms, self.is_ready)
         self.more = read_more(environment)
         self.bound(sockets, room)
         self.fleet = fleet_of(self.more, reactor, seed, self.admit.controller.pressed)
         try:
-            self.bulletin = Bulletin(known, self.news, self.log, self.admit.list_confirmed)
+            self.discovery = Discovery(known, self.news, self.log, self.admit.list_confirmed)
         except BadList as bad:
             raise CannotStart(f"known: {bad}") from None
 
@@ -164,11 +164,11 @@
         except CannotListenError as bad:
             raise CannotStart(f"cannot listen on {'%s:%d' % self.listen}: {bad.socketError.strerror}") from None
         self.admit.list_doubted(TOLD_MS)
-        self.follow_bulletin()
+        self.follow_discovery()
         self.reactor.callWhenRunning(self.run)
 
-    def follow_bulletin(self):
-        self.following = BulletinFactory(self.reactor, self.bulletin, *self.bulletin_at, self.engines.connect_ms)
+    def follow_discovery(self):
+        self.following = DiscoveryFactory(self.reactor, self.discovery, *self.discovery_at, self.engines.connect_ms)
 
     def run(self):
         calls = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGUSR1: self.tell, signal.SIGHUP: self.read_again}
@@ -190,7 +190,7 @@
     def is_ready(self):
         """Risk: with the bulletin out of reach for long, a front that would serve by its last list is never taken in."""
         return (self.state == SERVING and bool(self.by_uid)
-                and (self.bulletin.answered or not self.admit.controller.in_doubt(now_ms())))
+                and (self.discovery.answered or not self.admit.controller.in_doubt(now_ms())))
 
     def sweep(self):
         self.engines.later(SWEEP_MS, self.sweep)
@@ -199,7 +199,7 @@
     def watch(self):
         now, clients = self.reactor.seconds() * 1000, self.clients
         lag, self.watch_ms = max(0.0, now - self.watch_ms) if self.watch_ms else 0.0, now + WATCH_MS
-        used = max((self.engines.open + len(clients.lines) + RESERVE // 2) / self.sockets, clients.held / max(1, clients.room))
+        used = max((self.engines.open + len(clients.connections) + RESERVE // 2) / self.sockets, clients.held / max(1, clients.room))
         clients.gate.measured(used, lag, now)
         self.engines.later(WATCH_MS, self.watch)
         self.engines.watch()
@@ -210,24 +210,24 @@
         if self.state in (STARTING, ENDED):
             return
         try:
-            listen, bulletin_at, sockets, room, seed, known, settings = read_config(self.environment)
+            listen, discovery_at, sockets, room, seed, known, settings = read_config(self.environment)
             open_from(settings, seed)
             more = read_more(self.environment)
-            if read_events(known)[0] > self.bulletin.no:
-                self.bulletin.follow(known)
+            if read_events(known)[0] > self.discovery.no:
+                self.discovery.follow(known)
         except (CannotStart, BadList) as bad:
-            self.book.count("configurations not taken")
+            self.metrics.count("configurations not taken")
             return self.log("service", f"{bad}; the old configuration stays in force")
-        self.book.count("configurations read again")
+        self.metrics.count("configurations read again")
         fleets = [m.fleet if m is not None and m.HasField("fleet") else None for m in (more, self.more)]
         if (listen, settings) != (self.listen, self.settings) or fleets[0] != fleets[1]:
             self.log("service", "new settings, another address to listen on or another fleet: these count from the next start")
         self.more = more
         self.bound(sockets, room)
-        if bulletin_at != self.bulletin_at:
+        if discovery_at != self.discovery_at:
             self.following.stop()
-            self.bulletin_at = bulletin_at
-            self.follow_bulletin()
+            self.discovery_at = discovery_at
+            self.follow_discovery()
 
     def leave(self):
         """SIGTERM: listen on for as long as PROTOCOL says; answer all that is taken; tell clients to go."""
@@ -253,9 +253,9 @@
         if left_ms < LAST_MS:       # risk: what came since `time_up` ends with the program, without an answer
             self.clients.full = True
             self.admit.time_up()
-        if (not self.admit.open and not self.admit.events or left_ms < 0) and (self.book.out == 0 or late):
+        if (not self.admit.open and not self.admit.events or left_ms < 0) and (self.metrics.out == 0 or late):
             self.clients.close_all()
-            if late or not self.clients.lines and (self.fleet is None or self.fleet.is_over()):
+            if late or not self.clients.connections and (self.fleet is None or self.fleet.is_over()):
                 self.state = ENDED
                 self.following.stopped = True
                 if self.fleet is not None:
@@ -264,14 +264,14 @@
         self.engines.later(10.0, self.drain)
 
     def tell(self):
-        counters = self.book.lines() + [
-            f"clients now: {len(self.clients.lines)}", f"clients at most: {self.clients.most_lines}",
+        counters = self.metrics.lines() + [
+            f"clients now: {len(self.clients.connections)}", f"clients at most: {self.clients.most_connections}",
             f"engine connections now: {self.engines.open}", f"engine connections at most: {self.engines.most}",
-            f"submissions out: {self.book.out}", f"queries open: {len(self.admit.open)}",
+            f"submissions out: {self.metrics.out}", f"queries open: {len(self.admit.open)}",
             f"descriptors: {len(os.listdir('/proc/self/fd'))}", f"cpu seconds: {time.process_time():.2f}",
             f"memory MB at most: {peak_mb()}", f"state: {self.state}", f"gate: {self.clients.gate.state}",
-            *(f"holds most: {name}{' (known)' * known}: {lines} connections, {queries} queries, {held} bytes"
-              for name, known, lines, queries, held in self.clients.gate.top(5)),
+            *(f"holds most: {name}{' (known)' * known}: {connections} connections, {queries} queries, {held} bytes"
+              for name, known, connections, queries, held in self.clients.gate.top(5)),
             *(self.fleet.lines() if self.fleet is not None else ())]
         for line in counters:
             self.log.line(line)
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -8,7 +8,7 @@
 
 from lichenquay.front import frames
 from lichenquay.front.admit import FrontQuery
-from lichenquay.front.client_line import BadQuery, ClientLine
+from lichenquay.front.client_connection import BadQuery, ClientConnection
 from lichenquay.front.statement import tables_of
 from lichenquay.gate import decide
 
@@ -61,11 +61,11 @@
                frames.KILLED: "answers killed"}
     noisy = False
 
-    def __init__(self, opening, reactor, admit, book, log, now_ms, ready):
+    def __init__(self, opening, reactor, admit, metrics, log, now_ms, ready):
         self.groups, self.tenants = opening.groups, opening.tenants
-        self.admit, self.book, self.log, self.now_ms, self.ready = admit, book, log, now_ms, ready
+        self.admit, self.metrics, self.log, self.now_ms, self.ready = admit, metrics, log, now_ms, ready
         self.reactor, self.seconds = reactor, reactor.seconds
-        self.lines, self.refs, self.port, self.accept, self.most_lines = {}, {}, None, None, 0
+        self.connections, self.refs, self.port, self.accept, self.most_connections = {}, {}, None, None, 0
         self.most = self.room = self.held = self.turned = self.waits = 0
         self.full = False           # nothing more is taken in: the front ends
         self.turned_s = 0.0         # since when `turned` counts refusals, for a second
@@ -112,7 +112,7 @@
             verdict = self.gate.arrives(address[0], self.gate_ms())
             if verdict.answer == decide.REFUSE:
                 self.turned += 1
-                self.book.count(f"connections refused: {verdict.why}")
+                self.metrics.count(f"connections refused: {verdict.why}")
                 refuse(skt, b"%s; come back in %.0f ms" % (verdict.why.encode(), max(1.0, verdict.again_ms)))
                 continue
             self.make_way(verdict)
@@ -120,7 +120,7 @@
             try:
                 self.reactor.adoptStreamConnection(skt.fileno(), AF_INET6 if len(address) > 2 else AF_INET, self)
             except OSError:     # no descriptor for its copy
-                self.book.count("connections refused: no descriptor")
+                self.metrics.count("connections refused: no descriptor")
             finally:
                 skt.close()
             taken += 1
@@ -140,7 +140,7 @@
     def no_descriptor(self):
         """Risk: at the limit, what waits to be accepted waits for ever and keeps the reactor busy. The descriptor in hand is
         given for it, so that it can be told."""
-        self.book.count("connections refused: no descriptor")
+        self.metrics.count("connections refused: no descriptor")
         os.close(self.in_hand)
         try:
             refuse(self.port.socket.accept()[0], b"no descriptor; come back in 1000 ms")
@@ -162,20 +162,20 @@
             self.port.resumeProducing()
 
     def buildProtocol(self, address):
-        return ClientLine(self, getattr(address, "host", ""))
+        return ClientConnection(self, getattr(address, "host", ""))
 
-    def opened(self, line):
-        self.lines[line] = True
-        self.most_lines = max(self.most_lines, len(self.lines))
+    def opened(self, connection):
+        self.connections[connection] = True
+        self.most_connections = max(self.most_connections, len(self.connections))
 
-    def closed(self, line):
-        self.lines.pop(line, None)
-        self.gate.closed(line.place, self.gate_ms())
+    def closed(self, connection):
+        self.connections.pop(connection, None)
+        self.gate.closed(connection.place, self.gate_ms())
 
-    def query(self, line, stream, said, twice, body, now):
+    def query(self, connection, stream, said, twice, body, now):
         if self.full:
             raise NoRoom("this front ends")
-        if len(line.open) >= MOST_OPEN:
+        if len(connection.open) >= MOST_OPEN:
             raise NoRoom(f"more than {MOST_OPEN} open requests")
         if twice:
             raise BadQuery(f"{twice}: said twice")
@@ -196,7 +196,7 @@
             raise BadQuery("ref: it is open already")
         if not self.fits(len(body)):
             raise NoRoom("no room for its statement")
-        verdict = self.gate.asks(line.place, len(body), self.gate_ms())
+        verdict = self.gate.asks(connection.place, len(body), self.gate_ms())
         if verdict.answer == decide.REFUSE:
             raise NoRoom(f"{verdict.why}; come back in {max(1.0, verdict.again_ms):.0f} ms")
         if verdict.end is not None:         # the youngest of its queries has its final answer now
@@ -206,26 +206,26 @@
         return FrontQuery(0, group, now, now + min(longest, amount(said, "allowed", 2 * longest)), tenant, key,
                           amount(said, "work", MOST_MS), amount(said, "memory", MOST_MB),
                           tables_of(str(statement, "utf-8", "replace")),
-                          tokened=bool(token), client=line, stream=stream, ref=said["ref"], token=token, statement=statement)
+                          tokened=bool(token), client=connection, stream=stream, ref=said["ref"], token=token, statement=statement)
 
     def fits(self, size, had=0):
         """Risk: a few that send much take the room of the many that send little."""
         return size <= (self.room - self.held + had) / ROOM_EACH
 
     def tell_no_more(self):
-        for line in list(self.lines):
-            line.tell_no_more()
+        for connection in list(self.connections):
+            connection.tell_no_more()
 
     def sweep(self):
         """Closes what has outlived its use: connections without a whole frame in time, and idle ones."""
         now = self.seconds()
-        for line in [x for x in self.lines if x.up and not x.bad]:
-            if now - line.begun_s > WHOLE_S and (not line.known or line.reader.unfinished()):
-                line.ends("no whole frame in time")
-            elif line.is_idle() and now - line.heard_s > IDLE_S:
-                line.tell_no_more()
-                line.close()
+        for connection in [x for x in self.connections if x.up and not x.bad]:
+            if now - connection.begun_s > WHOLE_S and (not connection.known or connection.reader.unfinished()):
+                connection.ends("no whole frame in time")
+            elif connection.is_idle() and now - connection.heard_s > IDLE_S:
+                connection.tell_no_more()
+                connection.close()
 
     def close_all(self):
-        for line in [x for x in self.lines if x.is_idle()]:
-            line.close()
+        for connection in [x for x in self.connections if x.is_idle()]:
+            connection.close()
--- a/tests/crossings/hooks.py
+++ b/tests/crossings/hooks.py
@@ -60,14 +60,14 @@
 
 
 def told(w, what):
-    return w.service.book.counters[what]
+    return w.service.metrics.counters[what]
 
 
 def over(w, seconds=5.0):
     """All that was taken has ended, and nothing is held for it any more."""
     service = w.service
-    until(lambda: not service.admit.open and not service.book.out and not service.engines.waiting, seconds)
-    assert not service.book.counters["faults"] and not service.clients.refs
+    until(lambda: not service.admit.open and not service.metrics.out and not service.engines.waiting, seconds)
+    assert not service.metrics.counters["faults"] and not service.clients.refs
 
 
 def stays(w, seconds=0.25):
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from lichenquay.front import client_line, frames, take_in
+from lichenquay.front import client_connection, frames, take_in
 from front_world import RESULT, answered
 from hooks import PlainClient, over, stays, told
 from loopback import until, wait
@@ -23,8 +23,8 @@
 
 
 def line_of(w):
-    until(lambda: len(w.service.clients.lines) == 1)
-    return next(iter(w.service.clients.lines))
+    until(lambda: len(w.service.clients.connections) == 1)
+    return next(iter(w.service.clients.connections))
 
 
 def slow(w, stream=1, **more):
@@ -52,7 +52,7 @@
     until(lambda: client.read() and client.ended)
     assert client.ended == "end" and answers(client)[1] == (frames.FINISHED, RESULT)
     client.socket.close()
-    until(lambda: not w.service.clients.lines, 1)
+    until(lambda: not w.service.clients.connections, 1)
     assert w.posts() == 1
 
 
@@ -81,7 +81,7 @@
     for _ in range(20 if not rests else 0):
         client.socket.sendall(b"x" * 10_000)
         wait(0.01)
-    until(lambda: not w.service.clients.lines, 2 * client_line.CLOSE_S + 0.3)
+    until(lambda: not w.service.clients.connections, 2 * client_connection.CLOSE_S + 0.3)
     client.socket.close()
 
 
@@ -90,10 +90,10 @@
     w = world(engines=1)
     client, line = slow(w)
     line.close()
-    wait(2 * client_line.CLOSE_S)
+    wait(2 * client_connection.CLOSE_S)
     until(lambda: client.read() and client.ended)
     assert client.ended == "end" and answers(client)[1] == (frames.FINISHED, BIG)
-    until(lambda: not w.service.clients.lines)
+    until(lambda: not w.service.clients.connections)
     assert w.service.clients.held == 0
 
 
@@ -101,7 +101,7 @@
     w = world(engines=1)
     client, line = slow(w, allow=900)
     line.close()
-    until(lambda: not w.service.clients.lines, 0.9 + 2 * client_line.CLOSE_S)
+    until(lambda: not w.service.clients.connections, 0.9 + 2 * client_connection.CLOSE_S)
     client.socket.close()
     assert w.service.clients.held == 0
 
@@ -111,7 +111,7 @@
     client, line = slow(w)
     client.socket.sendall(b"\0\0\0\0" + b"y" * 500)
     until(lambda: line.bad)
-    wait(2 * client_line.CLOSE_S)
+    wait(2 * client_connection.CLOSE_S)
     until(lambda: client.read() and client.ended)
     got = answers(client)
     assert client.ended == "end" and got[1] == (frames.FINISHED, BIG) and got[0][0] == frames.KILLED
@@ -136,7 +136,7 @@
     client.socket.close() if leaves == "end" else client.reset()
     until(lambda: told(w, "queries left by their clients") == 1, 1)
     until(lambda: w.engines[0].deletes, 1)
-    assert line not in w.service.clients.lines
+    assert line not in w.service.clients.connections
     over(w)
 
 
@@ -162,7 +162,7 @@
     line.put(frames.answer(0, 0, BIG))
     assert line.stuck
     client.socket.close()
-    until(lambda: not w.service.clients.lines, 1)
+    until(lambda: not w.service.clients.connections, 1)
     assert w.service.clients.held == 0
 
 
@@ -201,7 +201,7 @@
     client.socket.sendall(b"\0" * 50)
     until(lambda: client.read() or client.ended)
     client.socket.close()
-    until(lambda: not w.service.clients.lines)
+    until(lambda: not w.service.clients.connections)
     assert w.service.clients.held == 0 and told(w, "queries taken in") == 0
 
 
@@ -211,6 +211,6 @@
     c = w.client()
     with monkeypatch.context() as now:
         now.setattr(take_in, "MOST_OPEN", 0)
-        assert [answered(c, c.ask())[0] for _ in range(client_line.MOST_SENSELESS + 2)] == [frames.DEFERRED] * 18
+        assert [answered(c, c.ask())[0] for _ in range(client_connection.MOST_SENSELESS + 2)] == [frames.DEFERRED] * 18
     assert answered(c, c.ask())[0] == frames.FINISHED and 0 not in c.answers and not c.closed
     over(w)
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -26,12 +26,12 @@
     assert not w.service.is_ready()
     until(w.service.is_ready, 0.5)
     c = w.client()
-    assert answered(c, c.ask())[0] == frames.FINISHED and not w.service.bulletin.answered
+    assert answered(c, c.ask())[0] == frames.FINISHED and not w.service.discovery.answered
     w.bulletin.mute = False
     w.tell(w.engines[0], "DRAINING")
     for line in list(w.bulletin.lines):
         line.transport.abortConnection()
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     assert answered(c, c.ask(allow=300))[0] != frames.FINISHED
     over(w)
 
@@ -57,7 +57,7 @@
     w.tell(w.engines[0], "DRAINING")
     wait(0.3)
     b.heard = heard
-    until(lambda: w.service.bulletin.no == 2, TOLD_AGAIN_S)
+    until(lambda: w.service.discovery.no == 2, TOLD_AGAIN_S)
     assert time.monotonic() - told < TOLD_AGAIN_S
     c = w.client()
     assert answered(c, c.ask())[0] == frames.FINISHED and not w.engines[0].posts
@@ -75,9 +75,9 @@
     line.answer(200, (), old.told(1))
     until(lambda: new.calls > 0)
     wait(0.1)
-    assert w.service.bulletin.no == 1 and len(w.service.by_uid) == 2
+    assert w.service.discovery.no == 1 and len(w.service.by_uid) == 2
     new.add(w.engines[0].row("DRAINING"))
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     w.bulletin = new
     old.port.stopListening()
     for line in list(old.lines):
@@ -95,7 +95,7 @@
     until(lambda: new.calls > 0, 1)
     w.bulletin = new
     w.tell(w.engines[0], "DRAINING")
-    until(lambda: w.service.bulletin.no == 2, 1)
+    until(lambda: w.service.discovery.no == 2, 1)
     c = w.client()
     assert answered(c, c.ask())[0] == frames.FINISHED and not w.engines[0].posts
     until(lambda: w.ended)
--- a/tests/crossings/test_engine_connections.py
+++ b/tests/crossings/test_engine_connections.py
@@ -14,7 +14,7 @@
 
 def settled(w):
     """The connections to engines rest."""
-    until(lambda: w.service.engines.lines and all(x.call is None for x in w.service.engines.lines))
+    until(lambda: w.service.engines.connections and all(x.call is None for x in w.service.engines.connections))
     wait(2 * REST_S)
 
 
@@ -51,7 +51,7 @@
     """Risk: a second answer, later than connections rest between two queries, says 'full' of a mutating query that runs: it is sent again."""
     w = world(engines=2)
     w.tell(w.engines[1], "DRAINING")
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     c, e = w.client(), w.engines[0]
     real, lines = e.start, []
 
@@ -135,8 +135,8 @@
     until(lambda: told(w, "queries left by their clients") == 3)
     connects.go_on()
     hub = w.service.engines
-    until(lambda: len(hub.lines) == 3)
-    assert hub.open == 3 and all(x.call is None for x in hub.lines) and not w.posts()
+    until(lambda: len(hub.connections) == 3)
+    assert hub.open == 3 and all(x.call is None for x in hub.connections) and not w.posts()
     hub.close_idle(next(iter(w.service.by_uid.values())))
     until(lambda: hub.open == 0)
     over(w)
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -20,7 +20,7 @@
     w = world(start=False, **more)
     w.path.write_text(json.dumps({**w.config, "settings": settings}))
     w.start()
-    until(lambda: w.service.bulletin.answered)
+    until(lambda: w.service.discovery.answered)
     return w
 
 
@@ -184,6 +184,6 @@
     real = time.time
     monkeypatch.setattr(service.time, "time", lambda: real() - 3600)
     w.bulletin.add({**w.engines[0].row(), "boot_ms": (real() - 3600) * 1000})
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     seen, = w.service.admit.controller.fleet.values()
     assert w.service.admit.controller.guards.warmth(seen.engine, w.service.admit.clock_ms()) < 0.35
--- a/tests/crossings/test_matrix.py
+++ b/tests/crossings/test_matrix.py
@@ -136,11 +136,11 @@
 
     def drains(self):
         self.w.tell(self.engine(), "DRAINING")
-        until(lambda: self.service.bulletin.no == 2)
+        until(lambda: self.service.discovery.no == 2)
 
     def gone_from_list(self):
         self.w.tell(self.engine(), "DELETED")
-        until(lambda: self.service.bulletin.no == 2)
+        until(lambda: self.service.discovery.no == 2)
 
     def broken(self):
         for e in self.w.engines:
@@ -202,9 +202,9 @@
         assert code == frames.FINISHED or ends_it and code in DONE, code
         assert case.after()
     service = w.service
-    until(lambda: not service.admit.open and not service.book.out and not service.engines.waiting, 5)
+    until(lambda: not service.admit.open and not service.metrics.out and not service.engines.waiting, 5)
     wait(0.05)
-    assert not service.book.counters["faults"] and not service.clients.refs
-    assert all(not line.unsent for line in service.clients.lines) and service.clients.held == 0
+    assert not service.metrics.counters["faults"] and not service.clients.refs
+    assert all(not line.unsent for line in service.clients.connections) and service.clients.held == 0
     if event == "stops":
         until(lambda: w.ended, 4.5)
--- a/tests/crossings/test_written_later.py
+++ b/tests/crossings/test_written_later.py
@@ -78,7 +78,7 @@
     connects, c, stream = asked(w)
     first = next(e for e in w.engines if e.address.endswith(f":{connects.held[0][0][1]}"))
     w.tell(first, state)
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     connects.go_on()
     assert answered(c, stream) == (frames.FINISHED, RESULT) and not first.posts
     over(w)
@@ -88,11 +88,11 @@
     """Risk: its old address is another's by now, and is sent what was meant for it."""
     w = world(engines=2)
     w.tell(w.engines[1], "DRAINING")
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     connects, c, stream = asked(w)
     w.drained.clear()
     w.bulletin.add({**w.engines[1].row(), "uid": "s-0"})    # the uid that is connected to has the other's address now
-    until(lambda: w.service.bulletin.no == 3)
+    until(lambda: w.service.discovery.no == 3)
     connects.go_on()
     assert answered(c, stream) == (frames.FINISHED, RESULT)
     assert not w.engines[0].posts and len(w.engines[1].posts) == 1
@@ -105,7 +105,7 @@
     w = world(start=False, **more)
     w.path.write_text(json.dumps({**w.config, "settings": settings}))
     w.start()
-    until(lambda: w.service.bulletin.answered)
+    until(lambda: w.service.discovery.answered)
     return w
 
 
@@ -180,7 +180,7 @@
     w = world(engines=1)
     row = {**w.engines[0].row(), "boot_ms": 1000 * time.time()}
     w.bulletin.add(row)
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     seen, = w.service.admit.controller.fleet.values()
     guards = w.service.admit.controller.guards
     connects, c, stream = asked(w, effort="20.0")
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -86,7 +86,7 @@
         self.clients, self.ended = [], False
         if start:
             self.start()
-            until(lambda: self.service.bulletin.answered)
+            until(lambda: self.service.discovery.answered)
 
     def start(self):
         self.service = Service(reactor_for(self), {"BALANCER_CONFIG": str(self.path)})
@@ -143,7 +143,7 @@
             self.service.following.stopped = True
             if self.service.clients.port:
                 self.service.clients.port.stopListening()
-            for line in list(self.service.engines.lines):
+            for line in list(self.service.engines.connections):
                 line.drop()
         for thing in (*self.engines, self.bulletin):
             for line in list(thing.lines):
--- a/tests/test_certainty.py
+++ b/tests/test_certainty.py
@@ -13,7 +13,7 @@
 
 from lichenquay.front import certainty as c
 from lichenquay.front import frames, http
-from lichenquay.front.engines import Call, EngineLine, Engines, FrontEngine
+from lichenquay.front.engines import Call, EngineConnection, Engines, FrontEngine
 from front_world import BROKEN, RESULT, answered
 from loopback import StandInEngine, until, wait
 
@@ -291,14 +291,14 @@
     spare.ways = []
     busy.port.stopListening()
     wait(0.02)
-    line = w.service.admit.open.copy().pop().flight.line
+    line = w.service.admit.open.copy().pop().flight.connection
     for theirs in list(busy.lines):
         if theirs.transport.getPeer().port == line.transport.getHost().port:
             theirs.transport.abortConnection()
     wait(0.3)
     busy.runs = {ref: "ok" for ref in busy.runs}
     assert answered(client, stream) == (frames.FINISHED, RESULT) and not BROKEN and not spare.posts[len(spare.posts):]
-    assert w.service.book.counters["submissions reset"] == 0
+    assert w.service.metrics.counters["submissions reset"] == 0
 
 
 def test_a_stranger_at_the_address_proves_nothing_of_the_one_that_left(world):
@@ -345,10 +345,10 @@
     e, got = FrontEngine("e", address="127.0.0.1:1"), []
     for late in (False, True):
         call = Call(e, b"", http.is_news)
-        line = EngineLine(hub, call)
+        line = EngineConnection(hub, call)
         line.transport, line.late = SimpleNamespace(abortConnection=lambda: None), late
-        hub.lines.add(line)
+        hub.connections.add(line)
         call.answer.addCallback(got.append)
         line.dataReceived(b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n")
-        assert (line in e.idle) is not late and (line in hub.lines) is not late
+        assert (line in e.idle) is not late and (line in hub.connections) is not late
     assert [r.status for r in got] == [202, 202]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from lichenquay.front import frames, http
-from lichenquay.front.engines import Call, EngineLine, Engines, FrontEngine
+from lichenquay.front.engines import Call, EngineConnection, Engines, FrontEngine
 from front_world import RESULT, STATEMENT, answered
 from loopback import SPOILT, until, wait
 
@@ -26,7 +26,7 @@
     seen, = w.service.admit.controller.fleet.values()
     until(lambda: seen.report == {"active": 7.0})       # the end is told with its report and its cost
     assert w.service.admit.controller.slots.needed[w.service.opening.groups["report"]] == 64.0
-    assert w.service.book.counters["answers finished"] == 1 and w.service.book.out == 0
+    assert w.service.metrics.counters["answers finished"] == 1 and w.service.metrics.out == 0
 
 
 @pytest.mark.parametrize("way, group, posts, code", [
@@ -49,7 +49,7 @@
     got = answered(c, c.ask(group, allow=4000))
     assert got[0] == code and (code or got[1] == RESULT) and w.posts() == posts
     wait(0.1)
-    assert way == "noise" or not w.out and w.service.book.out == 0 and w.service.book.counters["faults"] == 0
+    assert way == "noise" or not w.out and w.service.metrics.out == 0 and w.service.metrics.counters["faults"] == 0
 
 
 def test_a_connection_reset_when_new_proves_nothing(world):
@@ -65,11 +65,11 @@
         reactor.callLater(0, factory.clientConnectionFailed, None, Failure(failures.pop()))
     w.service.engines.reactor.connectTCP = fails
     assert answered(c, c.ask("manifest", allow=4000))[0] == frames.FINISHED and len(e.posts) == 1 and not failures
-    assert not w.service.book.counters["submissions not connected"]
+    assert not w.service.metrics.counters["submissions not connected"]
     for line in list(e.lines):
         line.transport.write(b"late")       # nobody has asked for it; the front may not have read it yet
     assert answered(c, c.ask("manifest"))[0] == frames.FINISHED and len(e.posts) == 2
-    assert not w.service.book.counters["first calls broken"] and not w.service.book.counters["first calls garbled"]
+    assert not w.service.metrics.counters["first calls broken"] and not w.service.metrics.counters["first calls garbled"]
 
 
 def test_news_of_a_long_query_and_a_new_priority(world):
@@ -97,7 +97,7 @@
     assert 0.39 < c.answers[1][2] - asked < 0.47
     until(lambda: e.deletes)
     wait(0.05)
-    assert w.service.book.out == 0 and len(e.posts) == 1
+    assert w.service.metrics.out == 0 and len(e.posts) == 1
 
 
 def test_an_engine_without_a_word_is_over_after_two_seconds(world):
@@ -132,7 +132,7 @@
     dead.stop()
     died = time.time()
     assert answered(c, stream)[0] == frames.FINISHED and w.posts() == 2
-    assert 0.045 < c.answers[stream][2] - died < 0.5 and w.service.book.counters["submissions reset"] == 1
+    assert 0.045 < c.answers[stream][2] - died < 0.5 and w.service.metrics.counters["submissions reset"] == 1
 
 
 def test_refused_connections_prove_that_nothing_ran(world):
@@ -152,7 +152,7 @@
     c = w.client()
     streams = [c.ask("status", allow=4000) for _ in range(32)]
     assert all(answered(c, s)[0] == frames.FINISHED for s in streams)
-    assert w.service.engines.most <= 6 and not w.service.book.counters["submissions not connected"]
+    assert w.service.engines.most <= 6 and not w.service.metrics.counters["submissions not connected"]
     assert sum(len(e.lines) for e in w.engines) <= 6
 
 
@@ -174,7 +174,7 @@
     wait(0.035)
     second = c.ask("status", allow=4000)
     assert answered(c, second) == (frames.FINISHED, RESULT) and w.posts() == 2
-    assert w.service.book.counters["first calls garbled"] == 1
+    assert w.service.metrics.counters["first calls garbled"] == 1
 
 
 def test_a_connection_rests_between_two_queries():
@@ -183,13 +183,13 @@
     hub = Engines(SimpleNamespace(seconds=lambda: clock.now, callLater=None), 0, 1.0, 1.0, 1000.0)
     e = FrontEngine("e")
     for at in (99.0, 99.9, 99.99):
-        lines.append(EngineLine(hub, Call(e, b"", http.is_news)))
+        lines.append(EngineConnection(hub, Call(e, b"", http.is_news)))
         lines[-1].idle_since = at
         e.idle.append(lines[-1])
     assert hub.idle(Call(e, b"", http.is_news)) is lines[1]                     # the last that has rested
     lines[2].owner = "its query"
-    assert hub.idle(Call(e, b"", http.is_news, line=lines[2], owner="its query")) is lines[2]    # but its own query's next call
-    assert hub.idle(Call(e, b"", http.is_news, line=lines[2], owner="another")) is lines[1]    # not once another's went there
+    assert hub.idle(Call(e, b"", http.is_news, connection=lines[2], owner="its query")) is lines[2]    # but its own query's next call
+    assert hub.idle(Call(e, b"", http.is_news, connection=lines[2], owner="another")) is lines[1]    # not once another's went there
     assert hub.idle(Call(e, b"", http.is_news, fresh=True)) is None
     e.idle.popleft()
     e.idle.popleft()
@@ -213,7 +213,7 @@
     assert answered(c, c.ask())[0] == frames.FINISHED
     hub = w.service.engines
     assert hub.open == 1
-    line, = hub.lines
+    line, = hub.connections
     line.idle_since -= hub.idle_s + 0.1
     hub.watch()
     until(lambda: not w.engines[0].lines)
@@ -226,7 +226,7 @@
     down, route.down = route.down, None
     assert answered(c, c.ask())[0] == frames.KILLED
     route.down = down
-    assert answered(c, c.ask())[0] == frames.FINISHED and w.service.book.counters["faults"] == 1
+    assert answered(c, c.ask())[0] == frames.FINISHED and w.service.metrics.counters["faults"] == 1
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -262,5 +262,5 @@
         if s in x.answers:
             code, body, at = x.answers[s]
             assert at < ends + 0.1 and (code != frames.FINISHED or body == RESULT)
-    until(lambda: w.service.book.out == 0)
-    assert w.service.book.counters["faults"] == 0 and not w.service.admit.open
+    until(lambda: w.service.metrics.out == 0)
+    assert w.service.metrics.counters["faults"] == 0 and not w.service.admit.open
--- a/tests/test_front_clients.py
+++ b/tests/test_front_clients.py
@@ -7,7 +7,7 @@
 import pytest
 
 from lichenquay.front import frames
-from lichenquay.front.client_line import BadQuery, ClientLine
+from lichenquay.front.client_connection import BadQuery, ClientConnection
 from lichenquay.gate import decide
 from front_world import RESULT, STATEMENT, answered
 from loopback import until
@@ -64,7 +64,7 @@
         begun, c = time.monotonic(), w.client()
         until(lambda: c.closed)
         assert time.monotonic() - begun < 0.15 and c.answers[0][0] == frames.DEFERRED and b"no room; come back in" in c.answers[0][1]
-    assert len(w.service.clients.lines) == 4 and not any(c.closed for c, _ in streams)
+    assert len(w.service.clients.connections) == 4 and not any(c.closed for c, _ in streams)
     for e in w.engines:
         e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
     assert all(answered(c, s)[0] == frames.FINISHED for c, s in streams)
@@ -94,7 +94,7 @@
     until(lambda: second.closed)
     assert second.answers[0][:2] == (frames.DEFERRED, b"no descriptor; come back in 1000 ms")
     port.socket = real
-    assert w.service.book.counters["connections refused: no descriptor"] >= 1
+    assert w.service.metrics.counters["connections refused: no descriptor"] >= 1
     for e in w.engines:
         e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
     assert answered(first, stream)[0] == frames.FINISHED and answered(third := w.client(), third.ask())[0] == frames.FINISHED
@@ -121,7 +121,7 @@
     for e in w.engines:
         e.ways = []
     assert answered(depot, depot.ask("manifest"))[0] == frames.FINISHED and not depot.closed
-    assert sum(c.closed for c in others) == 1 and w.service.book.counters["faults"] == 0
+    assert sum(c.closed for c in others) == 1 and w.service.metrics.counters["faults"] == 0
 
 
 def test_silent_connections_make_room_and_end_in_time(world):
@@ -131,7 +131,7 @@
     half, held = crowd[-1], w.client()
     half.transport.write((200).to_bytes(4, "little") + b"\2\1\0\0\0")
     assert answered(held, held.ask())[0] == frames.FINISHED
-    assert len(w.service.clients.lines) <= w.service.clients.most == 62
+    assert len(w.service.clients.connections) <= w.service.clients.most == 62
     until(lambda: all(c.closed for c in crowd), 2.9)
     assert half.answers[0][0] == frames.KILLED and not held.closed
     until(lambda: held.closed, 5)
@@ -144,12 +144,12 @@
     desk = SimpleNamespace(gate=decide.Gate(decide.Rules(9, 0), 0.0), gate_ms=lambda: clock.now * 1000, now_ms=lambda: 0.0,
                            seconds=lambda: clock.now, held=0, room=1 << 20, fits=lambda *size: True, refs={}, ANSWERS={2: "x"},
                            reactor=SimpleNamespace(callLater=lambda s, call: later.append(call) or later),
-                           book=SimpleNamespace(count=lambda what: None), log=lambda *line: None)
+                           metrics=SimpleNamespace(count=lambda what: None), log=lambda *line: None)
 
     def query(*what):
         raise BadQuery("odd")
     desk.query = query
-    line = ClientLine(desk, "127.0.0.1")
+    line = ClientConnection(desk, "127.0.0.1")
     line.transport = SimpleNamespace(socket=SimpleNamespace(send=lambda data, flags: said.append(data) or len(data)),
                                      pauseProducing=lambda: said.append("p"), resumeProducing=lambda: said.append("r"), loseWriteConnection=lambda: said.append("x"),
                                      unregisterProducer=lambda: None, abortConnection=lambda: None)
@@ -160,7 +160,7 @@
     assert said[2] == "r"
     line.dataReceived(nonsense)
     assert said[-1] == "x" and frames.answer(0, 2, b"stream 1 is not new") in said   # two under one number, one answer
-    line = ClientLine(desk, "127.0.0.1")
+    line = ClientConnection(desk, "127.0.0.1")
     line.transport = SimpleNamespace(socket=SimpleNamespace(send=lambda data, flags: len(data)), **{n: lambda *a: None for n in (
         "pauseProducing", "resumeProducing", "unregisterProducer", "abortConnection", "loseWriteConnection")})
     line.dataReceived(b"".join(frames.frame(frames.QUERY, i, b"\0") for i in range(1, 100)))
@@ -185,9 +185,9 @@
 
 def test_a_client_that_does_not_read_is_bounded():
     desk = SimpleNamespace(gate=decide.Gate(decide.Rules(9, 0), 0.0), gate_ms=lambda: 0.0, now_ms=lambda: 0.0,
-                           seconds=lambda: 0.0, held=0, room=32 << 20, book=SimpleNamespace(count=lambda what: None),
+                           seconds=lambda: 0.0, held=0, room=32 << 20, metrics=SimpleNamespace(count=lambda what: None),
                            log=lambda *line: None, fits=lambda *size: True)
-    line, done, full = ClientLine(desk, "127.0.0.1"), [], SimpleNamespace(sends=1)
+    line, done, full = ClientConnection(desk, "127.0.0.1"), [], SimpleNamespace(sends=1)
 
     def send(data, flags):
         full.sends -= 1
@@ -244,8 +244,8 @@
     w.engines[0].ways = ["ok"]
     with socket.create_connection(("127.0.0.1", w.port)) as client:
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
-        until(lambda: w.service.clients.lines)
-        line = next(iter(w.service.clients.lines))
+        until(lambda: w.service.clients.connections)
+        line = next(iter(w.service.clients.connections))
         line.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
         line.known = True
         bodies = [bytes([65 + i]) * 30_000 for i in range(4)]
@@ -262,4 +262,4 @@
                 pass
             return len(got) == len(bodies)
         until(read)
-    assert got == bodies and line.unsent == 0 and not w.service.book.counters["faults"]
+    assert got == bodies and line.unsent == 0 and not w.service.metrics.counters["faults"]
--- a/tests/test_front_list.py
+++ b/tests/test_front_list.py
@@ -3,7 +3,7 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front import frames, http
-from lichenquay.front.bulletin import BadList, Bulletin
+from lichenquay.front.discovery import BadList, Discovery
 from lichenquay.front.engines import Call, FrontEngine
 from front_world import answered
 from loopback import until, wait
@@ -11,7 +11,7 @@
 
 def test_a_bulletin_that_goes_back_changes_nothing():
     heard = []
-    b = Bulletin({"no": 2, "items": []}, lambda *news: heard.append(news), None)
+    b = Discovery({"no": 2, "items": []}, lambda *news: heard.append(news), None)
     good = {"no": 3, "roster": {"all": True, "targets": []}}
     for told in ({"no": 1, "items": []}, {"no": 4, "items": [good, {"no": 4}]}, [], {"no": "x", "items": []}):
         with pytest.raises(BadList):
@@ -25,18 +25,18 @@
     w = world(engines=2)
     c = w.client()
     w.tell(w.engines[0], "DRAINING")
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
     for _ in range(8):
         assert answered(c, c.ask())[0] == frames.FINISHED
     assert not w.engines[0].posts and len(w.engines[1].posts) == 8
     old = w.service.by_uid["s-1"]
     w.bulletin.add(w.engines[1].row("DELETED"), {**w.engines[1].row(), "uid": "s-new"})
-    until(lambda: w.service.bulletin.no == 3)
+    until(lambda: w.service.discovery.no == 3)
     assert not old.idle and "s-1" not in w.service.by_uid
     assert answered(c, c.ask())[0] == frames.FINISHED and len(w.engines[1].posts) == 9
     w.drained.clear()
     w.bulletin.add(w.engines[0].row(), whole=True)
-    until(lambda: w.service.bulletin.no == 4)
+    until(lambda: w.service.discovery.no == 4)
     assert answered(c, c.ask())[0] == frames.FINISHED and len(w.engines[0].posts) == 1
 
 
@@ -85,7 +85,7 @@
     assert answered(c, c.ask())[0] == frames.FINISHED       # the last good list is kept
     w.bulletin.garbage = None
     w.bulletin.add(w.engines[0].row("DRAINING"))
-    until(lambda: w.service.bulletin.no == 2)
+    until(lambda: w.service.discovery.no == 2)
 
 
 def test_a_bulletin_with_nothing_new_keeps_nobody_busy(world):
--- a/tests/test_front_parsers.py
+++ b/tests/test_front_parsers.py
@@ -7,8 +7,8 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front import frames, http
-from lichenquay.front.book import Log
-from lichenquay.front.bulletin import BadList, read_rows
+from lichenquay.front.metrics import Log
+from lichenquay.front.discovery import BadList, read_rows
 from lichenquay.front.statement import tables_of
 from lichenquay.opening import Opening, Sheet, flat
 from lichenquay.simwire.codec import Fields
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -36,7 +36,7 @@
     assert w.service.clients.gate.rules.address.connections == 1 and not any(x.closed for x in (a, b, c))
     settings.write_text("gate { address { connections: -1 } }")
     w.service.read_again()
-    assert w.service.clients.gate.rules.address.connections == 1 and w.service.book.counters["configurations not taken"] == 1
+    assert w.service.clients.gate.rules.address.connections == 1 and w.service.metrics.counters["configurations not taken"] == 1
     for e in w.engines:
         e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
     assert all(answered(a, s)[0] == frames.FINISHED for s in streams[:2])
@@ -51,12 +51,12 @@
     other = type(old)()
     other.events = list(old.events)
     new = {**w.config, "bulletin": other.address, "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 150}}
-    before = w.service.bulletin_at, w.service.clients.most, w.service.clients.room
+    before = w.service.discovery_at, w.service.clients.most, w.service.clients.room
     for bad in ("{", json.dumps({**new, "known": {"no": 9, "items": [{"no": 9}]}}), json.dumps({**new, "settings": 3}),
                 json.dumps({**new, "limits": {}}), "[" * 100_000):
         w.path.write_text(bad)
         w.service.read_again()
-        assert (w.service.bulletin_at, w.service.clients.most, w.service.clients.room) == before
+        assert (w.service.discovery_at, w.service.clients.most, w.service.clients.room) == before
     w.path.write_text(json.dumps(new))
     w.engines[0].ways = w.engines[1].ways = ["hold"]
     stream = c.ask("report", ref="00000000000000ee")
@@ -67,7 +67,7 @@
     w.bulletin = other
     old.port.stopListening()
     w.tell(w.engines[0], "DRAINING")
-    until(lambda: w.service.bulletin.no == 2, 0.5)
+    until(lambda: w.service.discovery.no == 2, 0.5)
     for e in w.engines:
         e.runs = dict.fromkeys(e.runs, "ok")
     assert answered(c, stream)[0] == frames.FINISHED and not c.closed
@@ -90,7 +90,7 @@
     e.runs["00000000000000cc"] = "ok"
     until(lambda: w.ended)
     assert time.time() - left < 3.7 and [c.answers[s][0] for s in (slow, quick, endless)] == [0, 0, 2]
-    assert w.service.book.out == 0 and w.service.state == "ended"
+    assert w.service.metrics.out == 0 and w.service.state == "ended"
 
 
 def program(config):
--- a/tests/test_front_tokens.py
+++ b/tests/test_front_tokens.py
@@ -19,7 +19,7 @@
         settings["classes"][2].update(more)
         w.path.write_text(json.dumps({**w.config, "settings": settings}))
         w.start()
-        until(lambda: w.service.bulletin.answered)
+        until(lambda: w.service.discovery.answered)
         return w
     return make
 
