A refusal proves nothing of an engine that leaves, or of a connection that this side ended

Cause: certainty took two refusals for the process's death where no connection to it was open. An engine that closes its door and works on refuses, too: open connections may be gone because this side ended them (descriptors short, silence), or by a reset under a request. Found by the account's model once its examples changed with a name (it is derandomised by its text): door closed, first connection ended here, two refusals, 'gone', and it runs. The model's front tells the account the same; its assertion stays. Whether draining engines close their door on the platform is not told: noted as a question.

--- a/lichenquay/front/certainty.py
+++ b/lichenquay/front/certainty.py
@@ -7,7 +7,8 @@
 - 'unknown' (or an answered DELETE) to a call written once it was known there; or twice, `APART_MS` apart, to calls written
   after its connection had ended from the engine's side, or `STILL_MS` after the POST: an engine that answers two calls
   in a row stands not still, and has read what there was to read (`unknown`);
-- its process is gone: refused twice, `APART_MS` apart, with no connection to it open any more (`refused`);
+- its process is gone: refused twice, `APART_MS` apart, with no connection to it open any more, the last ended by its side,
+  and no word that it leaves (`refused`);
 - its time there is over: nothing that could have reached it for as long as it remembers, and the longest that an
   engine may stand still before it reads what it has (`passed`).
 
@@ -88,7 +89,8 @@
         return self.state == OVER
 
     def refused(self, now, alive):
-        """Its address refused a connection. `alive`: a connection to the engine is open that its process would have ended."""
+        """Its address refused a connection. `alive`: a connection to the engine is open that its process would have ended, or was until
+        this side ended it; or the list has told that it leaves, and it may work on behind a closed door."""
         if alive or self.state == HELD:
             self.refused_ms = None
         elif self.refused_ms is None:
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -113,6 +113,8 @@
 class EngineConnection(Protocol):
     """One connection to an engine."""
 
+    ended = False           # it is no more
+
     def __init__(self, hub, first):
         self.hub, self.engine, self.call, self.idle_since = hub, first.engine, first, 0.0
         self.address, self.owner = first.address, None      # whose its last call was
@@ -120,6 +122,7 @@
         self.late = False                           # its call has, and its answer is still hoped for
         self.rested = 0.0                           # before its call
         self.reader = ReplyReader(MOST_PAGE)
+        self.ended_here = False                     # by this side, so that nothing tells when its process ends
         self.last = None                            # (whose, head and rows) of the last answer 200 on it
 
     def connectionMade(self):
@@ -194,6 +197,7 @@
 
     def drop(self, why=None):
         """Ends the connection at once."""
+        self.ended_here = not self.ended
         call, self.call = self.call, None
         self.hub.lost(self)
         self.transport.abortConnection()
@@ -202,6 +206,7 @@
             self.hub.failed(call, why or Broken("ended from this side"))
 
     def connectionLost(self, reason):
+        self.ended = True
         reply = self.call and self.reader.closed()
         if reply is not None:
             return self.answered(reply)
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -45,8 +45,12 @@
         return done.addCallback(lambda _: delayed.active() and delayed.cancel())
 
     def alive(self, flight):
-        """Its engine's process is surely there: its first call is still out, or another connection is open."""
-        return flight.call is not None or self.engines.alive(flight.engine, flight.host)
+        """Its engine's process may be there, whatever its door says: the first call is still out, another connection is open, this
+        side ended the one that it was last known on, or it leaves. Risk: one that takes no more connections, and works on, is taken
+        for gone; a reset under a request beside it proves no more."""
+        known_on = flight.connection
+        return (flight.call is not None or known_on is not None and known_on.ended_here or flight.engine.state != io.LISTED
+                or self.engines.alive(flight.engine, flight.host))
 
     def stranger(self, flight, connection):
         """Whether what came on a connection may be another engine's word. Risk: an engine that leaves, or has left, the list
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -53,7 +53,7 @@
         flight.wake()
 
     def broke(self, flight, first, failure):
-        flight.call = None
+        flight.connection, flight.call = flight.connection or flight.call.went_on, None
         if not failure.check(Silent):       # ended from this side: what has come whole is still read
             flight.life.cut(self.now_ms())
         if not first.called:
--- a/tests/test_certainty.py
+++ b/tests/test_certainty.py
@@ -137,6 +137,7 @@
         self.first = self.own = "open"          # its POST's connection; the one that it was last known on
         self.own = None
         self.leaves, self.calls, self.apart = False, [], 0.0
+        self.here = False                       # this side ended the one that it was last known on
         self.life.wrote(self.side.now)
         self.side.sent(hold, lost)
 
@@ -161,6 +162,7 @@
     def first_connection_breaks(self, peer):
         if self.first == "open":
             self.first = "gone"
+            self.here = self.here or not peer and self.own is None
             if peer:
                 self.side.cut()
                 self.life.cut(self.side.now)
@@ -170,7 +172,7 @@
     @rule()
     def first_call_is_answered(self):
         if self.side.running and self.side.now >= self.side.wakes_ms:
-            self.first, self.own = "gone", "open"
+            self.first, self.own, self.here = "gone", "open", False
             self.life.known(self.side.now)
 
     @precondition(lambda self: self.own == "open")
@@ -205,12 +207,12 @@
             return
         if knows and not drop:
             self.life.known(s.now)
-            self.own = "open"
+            self.own, self.here = "open", False
         else:
             self.life.unknown(written, s.now, other=self.leaves and not on_own, keeps=not drop)
 
     def refused(self):
-        alive = self.side.process and "open" in (self.first, self.own)
+        alive = self.side.process and "open" in (self.first, self.own) or self.here or self.leaves
         self.life.refused(self.side.now, alive)
 
     @rule()
