Without notes an engine is silent only once all that runs there is overdue

Cause: Controller.tick went by quiet_ms, the quickest target (500 ms) where engines give no notes; with work of seconds and few queries an engine, each front took engine after engine for silent. Change: without notes, silent once all runs there are lost; a lost one alone is moved as before. The new test fails before.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -229,9 +229,11 @@
         now = self.awake()
         for seen in list(self.slots.busy):
             runs = list(seen.runs.values())
-            for run in filter(lambda r: self.lost(r, now), runs):
+            lost = [r for r in runs if self.lost(r, now)]
+            for run in lost:
                 self.move(run)
-            quiet = now - self.quiet_ms
+            quiet = now - self.quiet_ms     # Risk: without notes, nothing is heard of long work for longer
+            runs = runs if self.make.note_every_ms or len(lost) == len(runs) else ()
             if seen.heard_ms < quiet and any(r.heard_ms < quiet and not r.waits_ms for r in runs):
                 self.unheard(seen, now)
         if now >= self.look_ms:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -231,3 +231,22 @@
                 door.answer(sub, io.TIMED_OUT)
         door.overdue()
     assert all(q.over for q in door.queries)
+
+
+def test_without_notes_an_engine_is_silent_once_all_that_runs_there_is_overdue():
+    """Seen on deployments whose engines tell nothing of what runs: half a second without an answer, usual with work of seconds, took
+    engine after engine for silent, and moved all that ran there (stall-data calm: served 0.33)."""
+    make = io.EngineMake(True, False, 0.4, "queue", 0.0, False, ("cpu",), "answers")
+    long, short = group(), quick()
+    door = FakeDoor([long, short], [engine("a")], make=make, probe=False)
+    seen, = door.c.fleet.values()
+    first = door.take(long, work=1000.0)        # 500 ms of two threads: overdue after four times that
+    door.until(door.now_ms + 1900)
+    assert first.submissions and not seen.silent and not door.cancelled
+    second = door.take(long, work=4000.0)
+    door.until(door.now_ms + 300)
+    assert first.submissions[0] in door.cancelled and second.submissions and not seen.silent      # lost alone: it is moved
+    door.answer(first.submissions[0], io.CANCELLED)
+    door.answer(first.submissions[-1], io.FINISHED) if first.submissions[-1].ending is None else None
+    door.until(door.now_ms + 8500)
+    assert seen.silent
