--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,7 +13,8 @@
     parser.addoption("--seed", type=int, default=1, help="of the first of them")
 
 
-TOGETHER = ("test_cold_fleet", "test_members", "test_folder", "test_owner", "test_quota", "test_moves", "test_fleet", "test_start")
+TOGETHER = ("test_cold_fleet", "test_matrix", "test_settings", "test_written_later", "test_closing", "test_engine_connections",
+            "test_members", "test_folder", "test_owner", "test_quota", "test_moves", "test_fleet", "test_start")
 
 
 def pytest_collection_modifyitems(items):
