--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -197,7 +197,7 @@
 
     def drop(self, why=None):
         """Ends the connection at once."""
-        self.ended_here = not self.ended
+        self.ended_here = self.ended_here or not self.ended     # its loss, told later, does not change who ended it
         call, self.call = self.call, None
         self.hub.lost(self)
         self.transport.abortConnection()
--- a/tests/crossings/test_engine_connections.py
+++ b/tests/crossings/test_engine_connections.py
@@ -146,3 +146,16 @@
     """What such a copy may be taken for: news of nothing, or a priority heard. Neither ends a submission or starts one."""
     assert not http.is_full(http.Reply(204, {}, True)) and not http.is_news(http.Reply(204, {}, True))
     assert not http.is_done(http.Reply(202, {}, True))
+
+
+@pytest.mark.parametrize("here", [True, False])
+def test_who_ended_a_connection_is_known_once_its_loss_is_told(world, here):
+    """Risk: the loss that follows an end from this side is taken for the engine's, and two refusals for its death."""
+    w = world(engines=1)
+    c, e = w.client(), w.engines[0]
+    assert answered(c, c.ask())[0] == frames.FINISHED
+    settled(w)
+    connection = next(iter(w.service.engines.connections))
+    connection.drop() if here else next(iter(e.lines)).transport.abortConnection()
+    until(lambda: connection.ended)
+    assert connection.ended_here is here
