--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -5,6 +5,7 @@
 A query goes down Duty -> Order -> Slots -> Picker -> Guards -> send, and what comes back goes up by Slots and
 Order to Duty: order.py, slots.py, picker.py, guards.py, and Duty here. Each imports only what is below it.
 "Departure": neither the paper's nor the design's; docs/design.md says when it acts."""
+
 from lichenquay.admission import interface as io
 from lichenquay.admission.guards import Guards, ideal_of
 from lichenquay.admission.order import Order
@@ -26,9 +27,9 @@
         self.picker = Picker(gateway.seed, self.guards, self.fleet, self.bucket)
         self.slots = Slots(door, self.guards, self.picker, make, groups, gateway.fronts, self.finish)
         self.order = Order(door, rules.order_rest_ms, self.slots.down)
-        self.quiet_ms = 1.5 * make.note_every_ms or quickest    # unheard after a note's time and a half
+        self.quiet_ms = 1.5 * make.note_every_ms or quickest  # unheard after a note's time and a half
         self.traffic = {t: Ring(quickest, 8) for t in tenants}
-        self.due_ms, self.look_ms, self.probes = None, 0.0, 0.0     # next beat (None: nothing to watch), look
+        self.due_ms, self.look_ms, self.probes = None, 0.0, 0.0  # next beat (None: nothing to watch), look
         if gateway.list_on_request:
             door.watch_list()
 
@@ -40,7 +41,7 @@
             if seen is None:
                 cold_sent = Ring(self.rules.cold_window_ms / 8 or 1.0, 9)
                 self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), cold_sent, Ring(2 * self.bucket, 8))
-                if new and e.started_ms:    # Risk: a front that starts again spends its share twice.
+                if new and e.started_ms:  # Risk: a front that starts again spends its share twice.
                     cold_sent.add(now, 0.75 * self.guards.cold_budget(e, self.guards.warmth(e, now)))
             elif e.started_ms and e.started_ms > seen.heard_ms:  # a new start: forget the old one
                 seen.silent, seen.report, seen.heard_ms = False, None, now
@@ -99,7 +100,7 @@
         elif what == io.WAITS:
             run.waits_ms = run.waits_ms or now
             seen.short_ms = now if amount == 1 else seen.short_ms
-            if amount == 2:         # a load of another gateway holds its tables there
+            if amount == 2:  # a load of another gateway holds its tables there
                 seen.held[q.tables] = now + 2 * self.make.note_every_ms
                 self.move(run)
         elif what == io.PROGRESS and q.work_ms and amount > 0:
@@ -112,7 +113,7 @@
             ran = now - sub.sent_ms - run.waited_ms
             pace = ran / max(amount, 0.002) / ideal_of(q)
             if ran >= self.make.note_every_ms and pace > 4 * max(1.0, seen.pace or 1.0):
-                self.move(run)      # far behind the estimate: a bad plan
+                self.move(run)  # far behind the estimate: a bad plan
 
     def may_go(self, sub, now):
         return self.guards.may_go(sub, self.fleet.get(sub.engine), now)
@@ -232,7 +233,7 @@
             lost = [r for r in runs if self.lost(r, now)]
             for run in lost:
                 self.move(run)
-            quiet = now - self.quiet_ms     # Risk: without notes, nothing is heard of long work for longer
+            quiet = now - self.quiet_ms  # Risk: without notes, nothing is heard of long work for longer
             runs = runs if self.make.note_every_ms or len(lost) == len(runs) else ()
             if seen.heard_ms < quiet and any(r.heard_ms < quiet and not r.waits_ms for r in runs):
                 self.unheard(seen, now)
@@ -245,16 +246,16 @@
             self.watch(now)
 
     def watch(self, now):
-        if self.due_ms is None:     # a beat follows while anything is out or waiting
+        if self.due_ms is None:  # a beat follows while anything is out or waiting
             self.due_ms = now + self.beat
             self.door.wake(self.due_ms, self.tick)
 
-    def look(self, now):            # once in a while, over the whole fleet: paces, intervals, trials
+    def look(self, now):  # once in a while, over the whole fleet: paces, intervals, trials
         self.picker.look(now)
         for i, seen in enumerate(self.fleet.values()):
             for g, slot in (*seen.slots.items(), *(() if i else self.slots.pool.items())):
                 if slot.n and now - slot.since > 4 * g.target_ms or now - slot.since > g.timeout_ms:
-                    self.slots.close(slot, seen, g, now)        # silence too closes an interval
+                    self.slots.close(slot, seen, g, now)  # silence too closes an interval
             if seen.silent and now >= seen.trial_ms and self.licence.probe and seen.engine.state == io.LISTED:
                 seen.trial_ms = now + self.bucket
                 self.door.probe(seen.engine)
--- a/lichenquay/admission/guards.py
+++ b/lichenquay/admission/guards.py
@@ -1,4 +1,5 @@
 """What every submission passes, whatever else speaks for it; and the measures of a query's work."""
+
 from zlib import crc32
 
 from lichenquay.admission import interface as io
@@ -19,11 +20,11 @@
 
     def __init__(self, most_submissions, rules, fronts, number, groups):
         self.most, self.rules, self.fronts, self.number = most_submissions, rules, max(1, fronts), number
-        self.query = sum(g.target_ms * g.threads for g in groups) / max(1, len(groups))   # work of one
+        self.query = sum(g.target_ms * g.threads for g in groups) / max(1, len(groups))  # work of one
         bucket = (rules.further_window_ms or 1.0) / 8
-        self.further, self.taken = Ring(bucket, 9), Ring(bucket, 8)   # errs low
-        self.usual = {}             # mean work of each group: a cold engine counts the usual work
-        self.doubt_ms = 0.0         # until then the list of engines may be out of date: nothing is submitted
+        self.further, self.taken = Ring(bucket, 9), Ring(bucket, 8)  # errs low
+        self.usual = {}  # mean work of each group: a cold engine counts the usual work
+        self.doubt_ms = 0.0  # until then the list of engines may be out of date: nothing is submitted
 
     def take(self, q, now):
         self.taken.add(now, 1)
@@ -47,20 +48,25 @@
             return False
         return self.rationed(now)
 
-    def rationed(self, now):        # whether one further submission more is within their budget
+    def rationed(self, now):  # whether one further submission more is within their budget
         free, part = self.rules.further_free, self.rules.further_share
         return free is None or self.further.total(now) + 1 <= free + part * self.taken.total(now)
 
-    def allows(self, q, seen, now, due=None):       # due: decided already, about to be written
+    def allows(self, q, seen, now, due=None):  # due: decided already, about to be written
         e, g = seen.engine, q.group
         if e.state != io.LISTED or g.places and e.place not in g.places or g.kinds and e.kind not in g.kinds:
             return False
         tokened = q.submissions if q.effect == io.TOKENED else ()
         ran = [s for s in tokened if s is not due and s.ending not in io.NEVER_RAN]
-        if any(now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
-               or g.dedup == "zone" and s.engine.place != e.place
-               or g.dedup == "cell" and s.engine.cell != e.cell for s in ran):
-            return False                # sent again only where and while its repeat is dropped
+        if any(
+            now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
+            or g.dedup == "zone"
+            and s.engine.place != e.place
+            or g.dedup == "cell"
+            and s.engine.cell != e.cell
+            for s in ran
+        ):
+            return False  # sent again only where and while its repeat is dropped
         warmth = self.warmth(e, now)
         more = 0.0 if due and now - due.sent_ms < self.rules.cold_window_ms else self.weight(q)
         return warmth >= 1 or seen.cold_sent.total(now) + more <= self.cold_budget(e, warmth)
@@ -70,8 +76,15 @@
         it waited for a descriptor, and it is not right any more. It counts in the windows it goes out in."""
         q, late = sub.query, now - sub.sent_ms
         again = sub.number and late > self.further.width_ms
-        if (not seen or q.over or sub.ending or now >= q.ends_ms or not self.allows(q, seen, now, sub)
-                or again and not self.rationed(now)):
+        if (
+            not seen
+            or q.over
+            or sub.ending
+            or now >= q.ends_ms
+            or not self.allows(q, seen, now, sub)
+            or again
+            and not self.rationed(now)
+        ):
             return False
         seen.cold_sent.add(now, self.weight(q)) if late > seen.cold_sent.width_ms else None
         self.further.add(now, 1) if again else None
@@ -90,7 +103,10 @@
         ours = (crc32(e.id.encode()) + self.number) % self.fronts < sharers
         return whole * warmth / (sharers + 1) if ours else 0.0
 
-    def may_defer(self, q):         # a deferral says that trying again is harmless
+    def may_defer(self, q):  # a deferral says that trying again is harmless
         g = q.group
-        return (q.effect == io.READ_ONLY or (q.effect == io.TOKENED and g.dedup == "all")
-                or all(s.ending in io.NEVER_RAN for s in q.submissions))
+        return (
+            q.effect == io.READ_ONLY
+            or (q.effect == io.TOKENED and g.dedup == "all")
+            or all(s.ending in io.NEVER_RAN for s in q.submissions)
+        )
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -3,17 +3,31 @@
 Times are milliseconds with fractions. Objects point to each other; ids are for the front alone. Nothing here
 decides anything: a front fills these in and the controller reads them.
 """
+
 from dataclasses import dataclass, field
 from typing import Callable, Optional, Protocol
 
 READ_ONLY, TOKENED, MUTATING = "read-only", "tokened", "mutating"
 # how a submission ended
 FINISHED, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, CANCELLED, NEVER_SENT = (
-    "finished", "error", "full", "timed out", "not connected", "reset", "cancelled", "never sent")
+    "finished",
+    "error",
+    "full",
+    "timed out",
+    "not connected",
+    "reset",
+    "cancelled",
+    "never sent",
+)
 NEVER_RAN = frozenset((FULL, NOT_CONNECTED, NEVER_SENT))
 ENDINGS = NEVER_RAN | {FINISHED, ERROR, TIMED_OUT, RESET, CANCELLED}
 # what a note tells
-PROGRESS, SPILLS, WAITS, ALIVE = "progress", "spills", "waits", "alive"     # alive: it is there, what it told was lost
+PROGRESS, SPILLS, WAITS, ALIVE = (
+    "progress",
+    "spills",
+    "waits",
+    "alive",
+)  # alive: it is there, what it told was lost
 # what the list says of an engine
 LISTED, DRAINING, WITHDRAWN = "listed", "draining", "withdrawn"
 
@@ -21,18 +35,18 @@
 @dataclass(eq=False)
 class ResourceGroup:
     name: str
-    effect: str                     # READ_ONLY, TOKENED or MUTATING
-    target_ms: float                # target runtime, without the stretch
-    stretch: float                  # further target, times work over threads
-    timeout_ms: float               # queue timeout
+    effect: str  # READ_ONLY, TOKENED or MUTATING
+    target_ms: float  # target runtime, without the stretch
+    stretch: float  # further target, times work over threads
+    timeout_ms: float  # queue timeout
     value: float
-    late_value: float               # share of the value after the target runtime
+    late_value: float  # share of the value after the target runtime
     threads: int = 1
-    is_load: bool = False           # holds its tables on its engine
-    yields: bool = False            # stands still while a load holds its tables
-    in_order: bool = False          # queries of one key one at a time
-    dedup: str = "all"              # tokened: "all", "zone" or "cell" drops repeats
-    memory_window_ms: float = 0.0   # tokened: how long a token is remembered
+    is_load: bool = False  # holds its tables on its engine
+    yields: bool = False  # stands still while a load holds its tables
+    in_order: bool = False  # queries of one key one at a time
+    dedup: str = "all"  # tokened: "all", "zone" or "cell" drops repeats
+    memory_window_ms: float = 0.0  # tokened: how long a token is remembered
     places: Optional[frozenset] = None
     kinds: Optional[frozenset] = None
 
@@ -42,7 +56,7 @@
     name: str
     share: float
     allowance_per_s: float
-    over_value: float               # share of the value that a query beyond the allowance has
+    over_value: float  # share of the value that a query beyond the allowance has
 
 
 @dataclass(eq=False)
@@ -53,7 +67,7 @@
     cell: int = 0
     state: str = LISTED
     units: float = 1.0
-    started_ms: Optional[float] = None   # latest start; None: long ago
+    started_ms: Optional[float] = None  # latest start; None: long ago
     cores: float = 0.0
     memory_mb: float = 0.0
 
@@ -63,16 +77,18 @@
     id: int
     group: ResourceGroup
     arrived_ms: float
-    ends_ms: float                  # when its client gives up
+    ends_ms: float  # when its client gives up
     tenant: Optional[Tenant] = None
     key: str = ""
-    work_ms: float = 0.0            # estimate of all its threads' work; 0: none
-    memory_mb: float = 0.0          # estimate; 0: none
+    work_ms: float = 0.0  # estimate of all its threads' work; 0: none
+    memory_mb: float = 0.0  # estimate; 0: none
     tables: Optional[str] = None
     submissions: list = field(default_factory=list)
-    tokened: bool = True            # it carries a token by which engines drop its repeats, where its group says so
-    over: bool = False              # finished, deferred, killed, or its client left
-    beyond: Optional[bool] = None   # its tenant's quota, where an account of many fronts tells; None: nobody tells
+    tokened: bool = True  # it carries a token by which engines drop its repeats, where its group says so
+    over: bool = False  # finished, deferred, killed, or its client left
+    beyond: Optional[bool] = (
+        None  # its tenant's quota, where an account of many fronts tells; None: nobody tells
+    )
 
     @property
     def effect(self):
@@ -90,39 +106,42 @@
     number: int
     engine: Engine
     sent_ms: float
-    ending: Optional[str] = None    # None while it is out
+    ending: Optional[str] = None  # None while it is out
 
 
 @dataclass(frozen=True)
 class Gateway:
     """Which front this is: its place, how many share the work, its seed for chance."""
+
     place: str
     fronts: int
     seed: int
-    step_ms: float                  # least time between two turns
+    step_ms: float  # least time between two turns
     list_on_request: bool = False
-    number: Optional[int] = None    # its own among those fronts, from 0; None: not told
+    number: Optional[int] = None  # its own among those fronts, from 0; None: not told
 
 
 @dataclass(frozen=True)
 class Licence:
     """What the front may do."""
+
     most_submissions: int
     cancel: bool
     probe: bool
     second_copies: bool
-    longest_pause_ms: float         # a pause named with a deferral; 0: clients are not told
+    longest_pause_ms: float  # a pause named with a deferral; 0: clients are not told
 
 
 @dataclass(frozen=True)
 class Safeguards:
     """The figures of the rules."""
+
     answer_slack_ms: float
     drain_grace_ms: float
-    cold_share: float               # what a starting engine can do at least
-    cold_ms: float                  # it is warm by then
-    cold_multiple: float            # it falls when sent this multiple ...
-    cold_window_ms: float           # ... for this time
+    cold_share: float  # what a starting engine can do at least
+    cold_ms: float  # it is warm by then
+    cold_multiple: float  # it falls when sent this multiple ...
+    cold_window_ms: float  # ... for this time
     order_rest_ms: float = 0.0
     further_free: Optional[float] = None
     further_share: float = 0.0
@@ -133,19 +152,21 @@
 @dataclass(frozen=True)
 class EngineMake:
     """What the engines heed and tell."""
-    grants: bool                    # a memory grant is heeded
-    ranks: bool                     # a priority is heeded
-    most_grant: float               # share of the memory that one query gets at most
-    when_short: str                 # "queue", "trim" or "swap"
-    note_every_ms: float            # 0: no notes
+
+    grants: bool  # a memory grant is heeded
+    ranks: bool  # a priority is heeded
+    most_grant: float  # share of the memory that one query gets at most
+    when_short: str  # "queue", "trim" or "swap"
+    note_every_ms: float  # 0: no notes
     tells_cost: bool
-    columns: tuple = ()             # what a load report holds
-    reports: str = "none"           # "answers", "probe" or "none"
+    columns: tuple = ()  # what a load report holds
+    reports: str = "none"  # "answers", "probe" or "none"
     connect_timeout_ms: float = 0.0
 
 
 class Door(Protocol):
     """What the controller asks of its front. `now_ms` is the turn's time."""
+
     now_ms: float
 
     def submit(self, q: Query, engine: Engine, patience_ms: float) -> Submission: ...
@@ -167,13 +188,17 @@
 
     def list_news(self, engines: list, whole: bool) -> None: ...
     def list_failed(self) -> None: ...
-    def list_doubted(self, most_ms: float) -> None: ...     # what it was told of engines may be out of date
-    def in_doubt(self, now_ms: float) -> bool: ...          # nothing is submitted yet
-    def list_confirmed(self) -> None: ...                   # all there was to tell has been told
+    def list_doubted(self, most_ms: float) -> None: ...  # what it was told of engines may be out of date
+    def in_doubt(self, now_ms: float) -> bool: ...  # nothing is submitted yet
+    def list_confirmed(self) -> None: ...  # all there was to tell has been told
     def take(self, q: Query) -> None: ...
     def noted(self, sub: Submission, what: str, amount: float) -> None: ...
-    def answered(self, sub: Submission, took_ms: float, cost: Optional[tuple], report: Optional[dict]) -> None: ...
-    def may_go(self, sub: Submission, now_ms: float) -> bool: ...      # asked in the instant before its first byte
+    def answered(
+        self, sub: Submission, took_ms: float, cost: Optional[tuple], report: Optional[dict]
+    ) -> None: ...
+    def may_go(
+        self, sub: Submission, now_ms: float
+    ) -> bool: ...  # asked in the instant before its first byte
     def left(self, q: Query) -> None: ...
     def finish(self, q: Query) -> None: ...
     def probed(self, engine: Engine, ok: bool, took_ms: float, report: Optional[dict]) -> None: ...
--- a/lichenquay/admission/order.py
+++ b/lichenquay/admission/order.py
@@ -1,4 +1,5 @@
 """When a query's turn comes, where its group keeps order."""
+
 from lichenquay.admission import interface as io
 
 
--- a/lichenquay/admission/picker.py
+++ b/lichenquay/admission/picker.py
@@ -1,11 +1,12 @@
 """Which engines come first: a draw weighted by load, pace and warmth, among few where traffic is thin."""
+
 from itertools import chain, islice
 from zlib import crc32
 
 from lichenquay.admission import interface as io
 from lichenquay.admission.rings import Ring
 
-THREADS_A_CORE = 2.0            # the design's starting limit
+THREADS_A_CORE = 2.0  # the design's starting limit
 
 
 def own_load(seen):
@@ -18,15 +19,15 @@
 
     def __init__(self, seed, guards, fleet, bucket):
         self.seed, self.drawn, self.guards, self.fleet, self.bucket = seed, 0, guards, fleet, bucket
-        self.threads, self.usual, self.homes = 1.0, None, {}        # a query's threads; the peers' usual pace
-        self.used = self.average = self.faults = self.fresh_ms = 0.0   # the peers' use, load, errors; since
-        self.heard_for = 8 * bucket         # a report counts so long
-        self.taken, self.since = Ring(8 * bucket, 4), None          # our traffic
-        self.order, self.near = [], []      # the fleet, by chance but always alike; those drawn from first
+        self.threads, self.usual, self.homes = 1.0, None, {}  # a query's threads; the peers' usual pace
+        self.used = self.average = self.faults = self.fresh_ms = 0.0  # the peers' use, load, errors; since
+        self.heard_for = 8 * bucket  # a report counts so long
+        self.taken, self.since = Ring(8 * bucket, 4), None  # our traffic
+        self.order, self.near = [], []  # the fleet, by chance but always alike; those drawn from first
 
     def chance(self):
         self.drawn += 1
-        return crc32(b"%d:%d" % (self.seed, self.drawn)) / 2 ** 32
+        return crc32(b"%d:%d" % (self.seed, self.drawn)) / 2**32
 
     def homes_of(self, tables):
         """Departure: every gateway ranks the engines for a set of tables alike, by hash: its readers meet on
@@ -58,7 +59,7 @@
     def weigh(self, seen, now):
         warmth = self.guards.warmth(seen.engine, now)
         weight = warmth / (0.3 + (self.load(seen) + own_load(seen)) / warmth) ** 3
-        if self.usual and seen.pace:    # an engine slower than its peers; a slowdown of all blames none
+        if self.usual and seen.pace:  # an engine slower than its peers; a slowdown of all blames none
             weight *= min(1.0, max(0.02, self.usual / seen.pace))
         seen.weight, seen.due_ms = weight, now + self.bucket
         return weight
@@ -68,8 +69,9 @@
         many are drawn from first as it suffices for, by chance from the seed; the others where these have no
         room. Risk: each of many gateways chooses blindly, and opens a connection for every query."""
         if not self.order:
-            self.order = sorted(self.fleet.values(),
-                                key=lambda s: crc32(f"{self.seed}:{s.engine.id}".encode()))
+            self.order = sorted(
+                self.fleet.values(), key=lambda s: crc32(f"{self.seed}:{s.engine.id}".encode())
+            )
         count, span = self.taken.count(now), min(4 * self.heard_for, now - (self.since or now))
         # As many as are heard of while a report counts.
         often = max(4, round(count * self.heard_for / max(span, self.heard_for / 4)))
@@ -84,7 +86,7 @@
             return self.drawn_from(list(self.fleet.values()), q, now)
         return chain(self.drawn_from(list(self.near), q, now), self.others(q, now))
 
-    def others(self, q, now):       # made only when it is come to
+    def others(self, q, now):  # made only when it is come to
         yield from self.drawn_from([s for s in self.fleet.values() if s not in self.near], q, now)
 
     def drawn_from(self, left, q, now):
@@ -93,7 +95,7 @@
         weights = [s.weight if s.due_ms > now else self.weigh(s, now) for s in left]
         for s in self.homes_of(q.tables)[q.group.is_load] if q.tables else ():
             if s in left:
-                weights[left.index(s)] *= max(1.0, len(left) / 5)   # about a third goes home, in any fleet
+                weights[left.index(s)] *= max(1.0, len(left) / 5)  # about a third goes home, in any fleet
         total = sum(weights)
         while left:
             mark, i = self.chance() * total, -1
@@ -104,7 +106,7 @@
             yield left.pop(i)
             total -= weights.pop(i)
 
-    def look(self, now):    # once in a while: engines' paces; the usual pace, errors and load among peers
+    def look(self, now):  # once in a while: engines' paces; the usual pace, errors and load among peers
         for s in self.fleet.values():
             s.pace = s.stretch.mean(now, s.pace) if s.stretch.at is not None else None
         paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
--- a/lichenquay/admission/slots.py
+++ b/lichenquay/admission/slots.py
@@ -1,4 +1,5 @@
 """Whether a query runs now, where, and with which grant: M&M's slots and their feedback (paper, 4.3)."""
+
 from bisect import insort
 from math import sqrt
 
@@ -17,9 +18,9 @@
     def __init__(self, door, guards, picker, make, groups, fronts, give_up):
         self.door, self.guards, self.picker, self.make, self.fleet = door, guards, picker, make, picker.fleet
         self.share, self.give_up = 1.0 / max(1, fronts), give_up
-        self.waiting = {g: [] for g in groups}      # best value for work first
-        self.margin, self.needed = dict.fromkeys(groups, 1.0), dict.fromkeys(groups, 0.0)   # of memory
-        self.best, self.busy, self.pool = None, {}, {}      # best pace of an engine; those with runs of ours
+        self.waiting = {g: [] for g in groups}  # best value for work first
+        self.margin, self.needed = dict.fromkeys(groups, 1.0), dict.fromkeys(groups, 0.0)  # of memory
+        self.best, self.busy, self.pool = None, {}, {}  # best pace of an engine; those with runs of ours
         self.rest_ms = min((g.target_ms for g in groups), default=0.0) / 4  # after a full refusal
         self.told = Ring(max(100.0, 4 * self.rest_ms), 16)  # share of submissions told to wait for memory
         # Dashboards (no limit, default grant): one thread, no load, a shorter target than some other group.
@@ -47,8 +48,12 @@
 
     def pressed(self, seen, g, now):
         """Slots bind only under engine pressure: latency well above best, a busy report or a full refusal."""
-        return (self.full_use(seen) or now - seen.full_ms < g.target_ms or own_load(seen) > THREADS_A_CORE
-                or bool(seen.pace and self.best and seen.pace > 2 * self.best))
+        return (
+            self.full_use(seen)
+            or now - seen.full_ms < g.target_ms
+            or own_load(seen) > THREADS_A_CORE
+            or bool(seen.pace and self.best and seen.pace > 2 * self.best)
+        )
 
     def short(self, now):
         """Pressure of the fleet: a full mean report, or a third of our submissions to wait for memory."""
@@ -66,7 +71,7 @@
         open_ = fits and threads < THREADS_A_CORE * cores * self.share
         return self.kind(q, next(iter(fleet)), now) if open_ else None
 
-    def overdrawn(self, q, seen):   # with it our runs would pass our share of its memory, less a tenth
+    def overdrawn(self, q, seen):  # with it our runs would pass our share of its memory, less a tenth
         want = seen.granted + (self.grant(q, seen) or q.memory_mb)
         return bool(seen.runs) and want > 0.9 * seen.memory_mb * self.share
 
@@ -214,13 +219,13 @@
                 self.learn(g, cost[1] > run.grant, cost[1])
         slot.n, slot.late, slot.late_sq = slot.n + 1, slot.late + late, slot.late_sq + late * late
         slot.grants += run.grant
-        slot.delay = max(0.0, -late) if slot.home else 0.0      # paper, 4.3.3
+        slot.delay = max(0.0, -late) if slot.home else 0.0  # paper, 4.3.3
         slot.waiters += len(self.waiting[g]) / (1 if slot.peers is self.pool else max(1, len(self.fleet)))
         slot.running += slot.used[MAX] + slot.used[MIN]
         if slot.n >= 20:
             self.close(slot, seen, g, now)
 
-    def learn(self, g, short, need):    # the memory margin climbs on a spill and creeps down without one
+    def learn(self, g, short, need):  # the memory margin climbs on a spill and creeps down without one
         self.margin[g] = min(2.0, self.margin[g] * 1.03) if short else max(1.0, self.margin[g] * 0.997)
         self.needed[g] += (need - self.needed[g]) / 20 if self.needed[g] else need
 
@@ -232,7 +237,7 @@
         waiters, running = slot.waiters / n, slot.running / n
         engines = len(self.fleet) if slot.peers is self.pool else 1
         pool, ours, full = slot.pool or 0.0, self.share * seen.memory_mb * engines, self.full_use(seen)
-        unreserved = 0.9 * ours - sum(s.pool or 0.0 for s in slot.peers.values())       # a tenth is set aside
+        unreserved = 0.9 * ours - sum(s.pool or 0.0 for s in slot.peers.values())  # a tenth is set aside
         if late > band:
             slot.home, slot.delay = False, 0.0
             if waiters >= 0.5 and mean < unreserved and not full:
@@ -244,6 +249,6 @@
                 slot.pool = pool + max(0.0, min(0.05 * ours, unreserved))
         elif late < 0:
             slot.home = True
-            if running < slot.maximum - 1:      # paper, 4.3.3: the limit is higher than what runs
+            if running < slot.maximum - 1:  # paper, 4.3.3: the limit is higher than what runs
                 slot.maximum, slot.pool = slot.maximum - 1, max(mean, pool - mean)
         slot.open(now)
--- a/lichenquay/cli/lab.py
+++ b/lichenquay/cli/lab.py
@@ -1,4 +1,5 @@
 """`demo` and `lab`: whole worlds on this machine."""
+
 import tempfile
 from pathlib import Path
 
@@ -12,9 +13,27 @@
 from lichenquay.load.trace import BadTrace
 
 PLAIN = (BadSettings, BadTrace, CannotStart, CannotRun)
-KEYS = ("asked", "finished", "deferred", "killed", "silent", "left", "twice", "p50_ms", "p99_ms", "p999_ms", "max_ms", "lag_p50_ms",
-        "lag_p99_ms", "lag_max_ms", "asked_per_s", "waited_for_a_stream", "generator_cpu_share", "front_cpu_ms_a_query",
-        "front_memory_mb")
+KEYS = (
+    "asked",
+    "finished",
+    "deferred",
+    "killed",
+    "silent",
+    "left",
+    "twice",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "max_ms",
+    "lag_p50_ms",
+    "lag_p99_ms",
+    "lag_max_ms",
+    "asked_per_s",
+    "waited_for_a_stream",
+    "generator_cpu_share",
+    "front_cpu_ms_a_query",
+    "front_memory_mb",
+)
 
 
 def out_of(out):
@@ -38,16 +57,21 @@
 
 @click.command()
 @click.option("--seconds", type=click.FloatRange(1, 3600), default=10.0, show_default=True)
-@click.option("--rate", type=click.FloatRange(1, 1e5), default=80.0, show_default=True, help="Queries a second.")
+@click.option(
+    "--rate", type=click.FloatRange(1, 1e5), default=80.0, show_default=True, help="Queries a second."
+)
 @click.option("--out", type=click.Path(file_okay=False), help="Keep the run's files here.")
 @say.json_option
 @say.fails_plainly(*PLAIN)
 def demo(seconds, rate, out, json_to):
     """A front amid four emulated engines under open-loop load, with an engine drained and another one slow on the way."""
-    lab = read_lab(f"""load {{ seconds: {seconds} rate: {rate} shape: SURGE peak: 2 }}
+    lab = read_lab(
+        f"""load {{ seconds: {seconds} rate: {rate} shape: SURGE peak: 2 }}
         faults {{ kind: SLOW engine: 1 at_ms: {seconds * 250} for_ms: {seconds * 250} amount: 0.4 }}
         faults {{ kind: DRAIN engine: 2 at_ms: {seconds * 400} for_ms: 1500 }}
-        faults {{ kind: SUCCEED engine: 3 at_ms: {seconds * 600} }}""", "demo")
+        faults {{ kind: SUCCEED engine: 3 at_ms: {seconds * 600} }}""",
+        "demo",
+    )
     with say.progress("demo") as done:
         figures = trial(lab, out_of(out), progress=done)
     say.write_json(json_to, figures)
@@ -76,21 +100,44 @@
 
 
 @lab.command()
-@click.option("--seconds", type=click.FloatRange(2, 600), default=10.0, show_default=True, help="Of calm, and of flood.")
+@click.option(
+    "--seconds", type=click.FloatRange(2, 600), default=10.0, show_default=True, help="Of calm, and of flood."
+)
 @click.option("--connections", type=click.IntRange(1, 20_000), default=1500, show_default=True)
-@click.option("--addresses", type=click.IntRange(1, 60_000), default=1, show_default=True, help="That the flood comes from.")
-@click.option("--sockets", type=click.IntRange(100, 100_000), default=400, show_default=True, help="The front's descriptors.")
-@click.option("--gate/--no-gate", default=True, show_default=True, help="Known clients, their reserve and caps.")
+@click.option(
+    "--addresses",
+    type=click.IntRange(1, 60_000),
+    default=1,
+    show_default=True,
+    help="That the flood comes from.",
+)
+@click.option(
+    "--sockets",
+    type=click.IntRange(100, 100_000),
+    default=400,
+    show_default=True,
+    help="The front's descriptors.",
+)
+@click.option(
+    "--gate/--no-gate", default=True, show_default=True, help="Known clients, their reserve and caps."
+)
 @click.option("--out", type=click.Path(file_okay=False), help="Keep the run's files here.")
 @say.json_option
 @say.fails_plainly(*PLAIN)
 def flood(seconds, connections, addresses, sockets, gate, out, json_to):
     """Depot clients with a manifest each, in calm and then amid a flood of connections that always have a query open."""
     from lichenquay.lab.siege import siege
+
     found = siege(out_of(out), seconds, connections, addresses, sockets, gate=gate)
     say.write_json(json_to, found)
-    say.table(f"{connections} connections from {addresses} addresses, {sockets} descriptors", [(k, v) for k, v in found.items()
-                                                                                            if k != "broken_rules"])
+    say.table(
+        f"{connections} connections from {addresses} addresses, {sockets} descriptors",
+        [(k, v) for k, v in found.items() if k != "broken_rules"],
+    )
     for line in found["broken_rules"]:
         click.echo(f"broken: {line}")
-    raise SystemExit(bool(found["silent"] or found["broken_rules"] or found["depot_finished"] < 0.99 * found["depot_asked"]))
+    raise SystemExit(
+        bool(
+            found["silent"] or found["broken_rules"] or found["depot_finished"] < 0.99 * found["depot_asked"]
+        )
+    )
--- a/lichenquay/cli/load.py
+++ b/lichenquay/cli/load.py
@@ -1,4 +1,5 @@
 """`load`: the load generator by itself."""
+
 from pathlib import Path
 
 import click
@@ -19,7 +20,9 @@
 @load.command()
 @click.argument("target")
 @click.option("--world", type=click.Path(), help="Settings: groups, tenants and the load.")
-@click.option("--trace", type=click.Path(), help="CSV or Parquet: queries as recorded, instead of arrivals and mix.")
+@click.option(
+    "--trace", type=click.Path(), help="CSV or Parquet: queries as recorded, instead of arrivals and mix."
+)
 @click.option("--rate", type=click.FloatRange(0.01, 1e6), help="Queries a second.")
 @click.option("--seconds", type=click.FloatRange(0.1, 86_400))
 @OUT
@@ -34,6 +37,7 @@
     conf.load.trace = trace or conf.load.trace
     conf.load.rate, conf.load.seconds = rate or conf.load.rate, seconds or conf.load.seconds
     from lichenquay.lab.trial import keep
+
     out = out_of(out)
     workers = Workers(conf, target, out)
     workers.start()
@@ -59,26 +63,38 @@
 def stall(seconds, rate, stall_ms, out, json_to):
     """A deliberate stall, seen by an open loop and missed by a closed one of the same rate."""
     from lichenquay.load import proof
+
     with say.progress("stall") as done:
         found = proof.stall(out_of(out), rate, seconds, stall_ms, done)
     say.write_json(json_to, found)
-    say.table(f"a stall of {stall_ms:g} ms at {rate:g} a second", [(k, found["open"][k], found["closed"].get(k)) for k in found["open"]],
-              ("figure", "open loop", "closed loop"))
+    say.table(
+        f"a stall of {stall_ms:g} ms at {rate:g} a second",
+        [(k, found["open"][k], found["closed"].get(k)) for k in found["open"]],
+        ("figure", "open loop", "closed loop"),
+    )
     seen = found["open"]["p999_ms"] > stall_ms / 2 > found["closed"]["p999_ms"]
     click.echo("the open loop shows it, the closed loop misses it" if seen else "not shown")
     raise SystemExit(not seen or found["open"]["void"])
 
 
 @load.command()
-@click.option("--seconds", type=click.FloatRange(1, 600), default=5.0, show_default=True, help="Of each step.")
+@click.option(
+    "--seconds", type=click.FloatRange(1, 600), default=5.0, show_default=True, help="Of each step."
+)
 @click.option("--workers", type=click.IntRange(1, 64), default=4, show_default=True)
-@click.option("--rates", default="1000,2000,3000,5000,7500,10000,12500", show_default=True, help="Steps, queries a second.")
+@click.option(
+    "--rates",
+    default="1000,2000,3000,5000,7500,10000,12500",
+    show_default=True,
+    help="Steps, queries a second.",
+)
 @OUT
 @say.json_option
 @say.fails_plainly(*PLAIN)
 def capacity(seconds, workers, rates, out, json_to):
     """The rate that the generator sustains against null servers, with its overhead."""
     from lichenquay.load import proof
+
     try:
         rates = [float(r) for r in rates.split(",")]
     except ValueError:
@@ -86,9 +102,20 @@
     with say.progress("capacity") as done:
         found = proof.capacity(out_of(out), rates, seconds, workers, progress=done)
     say.write_json(json_to, found)
-    keys = ("rate", "ok", "answered_per_s", "lag_p50_ms", "lag_p99_ms", "lag_max_ms", "p99_ms", "generator_cpu_share")
+    keys = (
+        "rate",
+        "ok",
+        "answered_per_s",
+        "lag_p50_ms",
+        "lag_p99_ms",
+        "lag_max_ms",
+        "p99_ms",
+        "generator_cpu_share",
+    )
     say.table("capacity", [[s[k] for k in keys] for s in found["steps"]], keys)
-    click.echo(f"sustained: {found['sustained_per_s']:g} a second, lag p99 under {found['lag_bound_ms']:g} ms")
+    click.echo(
+        f"sustained: {found['sustained_per_s']:g} a second, lag p99 under {found['lag_bound_ms']:g} ms"
+    )
     raise SystemExit(not found["sustained_per_s"])
 
 
@@ -99,6 +126,7 @@
 def compare(a, b, json_to):
     """Set two runs, or two folders of runs, side by side, with bootstrap intervals of the difference."""
     from lichenquay.load import compare as c
+
     try:
         rows = c.compare(c.runs_in(a), c.runs_in(b))
     except c.BadRun as why:
@@ -116,10 +144,13 @@
 def trace(source, target, world):
     """Check a trace; with TARGET, write it there as CSV or Parquet with all its columns."""
     from lichenquay.load.trace import read_trace, write_trace
+
     conf = read_file(world) if world else read_lab("")
     plan = read_trace(source, conf, conf.seed)
     if target:
         if Path(target).suffix not in (".csv", ".parquet", ".pq"):
             raise click.UsageError(f"TARGET: {target!r} is neither .csv nor .parquet")
         write_trace(target, plan)
-    click.echo(f"{source}: {len(plan['at_ms'])} queries, {plan['at_ms'][-1] / 1000 if len(plan['at_ms']) else 0:g} s")
+    click.echo(
+        f"{source}: {len(plan['at_ms'])} queries, {plan['at_ms'][-1] / 1000 if len(plan['at_ms']) else 0:g} s"
+    )
--- a/lichenquay/cli/main.py
+++ b/lichenquay/cli/main.py
@@ -1,4 +1,5 @@
 """`lichenquay`, or `./quay`: the sub-commands."""
+
 import os
 import sys
 
@@ -23,18 +24,24 @@
 @click.argument("config", type=click.Path())
 def front(config):
     """Run a front on a configuration of the platform's form (JSON)."""
-    os.execve(sys.executable, [sys.executable, "-m", "lichenquay.front"],
-              {**environment(), "BALANCER_CONFIG": os.path.abspath(config)})
+    os.execve(
+        sys.executable,
+        [sys.executable, "-m", "lichenquay.front"],
+        {**environment(), "BALANCER_CONFIG": os.path.abspath(config)},
+    )
 
 
 @cli.command()
 @click.argument("file", type=click.Path())
-@click.option("--settings", is_flag=True, help="It is a front's own settings (LICHENQUAY_SETTINGS), not a world.")
+@click.option(
+    "--settings", is_flag=True, help="It is a front's own settings (LICHENQUAY_SETTINGS), not a world."
+)
 @say.fails_plainly(BadSettings)
 def check(file, settings):
     """Check a settings file: a world in protobuf text format, a front's own settings, or a front's JSON."""
     if str(file).endswith(".json"):
         from lichenquay.front.service import CannotStart, open_from, read_config
+
         try:
             open_from(read_config({"BALANCER_CONFIG": file})[-1], 1)
         except CannotStart as why:
--- a/lichenquay/cli/say.py
+++ b/lichenquay/cli/say.py
@@ -1,4 +1,5 @@
 """What commands have in common: logging, figures to a file, progress, one-line errors."""
+
 import json
 import os
 import sys
@@ -22,12 +23,16 @@
         last = structlog.processors.JSONRenderer()
     else:
         out, last = sys.stderr, structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
-    structlog.configure(processors=[*shared, structlog.processors.format_exc_info, last],
-                        logger_factory=structlog.PrintLoggerFactory(out), cache_logger_on_first_use=False)
+    structlog.configure(
+        processors=[*shared, structlog.processors.format_exc_info, last],
+        logger_factory=structlog.PrintLoggerFactory(out),
+        cache_logger_on_first_use=False,
+    )
 
 
 def fails_plainly(*kinds):
     """Errors that a user can mend are told in one line, with exit code 1."""
+
     def wrap(call):
         @wraps(call)
         def inner(*args, **more):
@@ -35,12 +40,16 @@
                 return call(*args, **more)
             except kinds as why:
                 raise click.ClickException(str(why)) from None
+
         return inner
+
     return wrap
 
 
 def json_option(call):
-    return click.option("--json", "json_to", type=click.Path(dir_okay=False), help="Write the figures to this file.")(call)
+    return click.option(
+        "--json", "json_to", type=click.Path(dir_okay=False), help="Write the figures to this file."
+    )(call)
 
 
 def write_json(path, figures):
--- a/lichenquay/conf/fleet.py
+++ b/lichenquay/conf/fleet.py
@@ -1,17 +1,23 @@
 """The settings of a front among others (`fleet`): checked whole, with usual values, and the fingerprint that all must share."""
+
 import hashlib
 import re
 
 from lichenquay.quota.figures import figures_of
 
 MOST_FRONTS = 1024
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,23}\Z")     # bounded: every datagram carries some
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,23}\Z")  # bounded: every datagram carries some
 USUAL_ACCOUNT = {"credit_ms": 0.0, "due_ms": 30_000.0, "repay_share": 0.25, "lend_share": 0.5}
 USUAL_LEASE_MS, USUAL_TERM_MS = 1500.0, 4000.0
 RANGES = {
-    "fleet.lease_ms": (200, 60_000), "fleet.term_ms": (500, 600_000), "fleet.accounts.rate_ms": (0.001, 1e9),
-    "fleet.accounts.bucket_ms": (0.001, 1e12), "fleet.accounts.credit_ms": (0, 1e12), "fleet.accounts.due_ms": (100, 1e9),
-    "fleet.accounts.repay_share": (0.01, 1), "fleet.accounts.lend_share": (0, 1),
+    "fleet.lease_ms": (200, 60_000),
+    "fleet.term_ms": (500, 600_000),
+    "fleet.accounts.rate_ms": (0.001, 1e9),
+    "fleet.accounts.bucket_ms": (0.001, 1e12),
+    "fleet.accounts.credit_ms": (0, 1e12),
+    "fleet.accounts.due_ms": (100, 1e9),
+    "fleet.accounts.repay_share": (0.01, 1),
+    "fleet.accounts.lend_share": (0, 1),
 }
 
 
@@ -47,7 +53,10 @@
             return f"fleet.peers[{i}].address: {peer.address!r} is another's"
         names.add(peer.name)
         addresses.add(peer.address)
-    for name, text in (("listen", fleet.listen), *((f"peers[{i}].address", p.address) for i, p in enumerate(fleet.peers))):
+    for name, text in (
+        ("listen", fleet.listen),
+        *((f"peers[{i}].address", p.address) for i, p in enumerate(fleet.peers)),
+    ):
         try:
             address_of(text)
         except ValueError as bad:
@@ -57,7 +66,9 @@
 
 def fault_of_voters(fleet, names):
     if fleet.voters and (len(set(fleet.voters)) < len(fleet.voters) or len(fleet.voters) not in (2, 3, 5)):
-        return f"fleet.voters: {len(fleet.voters)} of them; 3 or 5 names are wanted, 2 where there are no more"
+        return (
+            f"fleet.voters: {len(fleet.voters)} of them; 3 or 5 names are wanted, 2 where there are no more"
+        )
     for name in fleet.voters:
         if name not in names:
             return f"fleet.voters: {name!r} is no front of this fleet"
@@ -92,7 +103,7 @@
     if fleet.voters:
         return sorted(fleet.voters)
     names = names_of(fleet)
-    return names[:5 if len(names) >= 5 else 3 if len(names) >= 3 else 2]
+    return names[: 5 if len(names) >= 5 else 3 if len(names) >= 3 else 2]
 
 
 def account_of(account):
@@ -109,6 +120,12 @@
 
 def fingerprint(fleet):
     """Of all that must be alike on all fronts: 64 bits. Addresses and folders are each front's own."""
-    said = (1, fleet.fleet, voters_of(fleet), fleet.lease_ms or USUAL_LEASE_MS, fleet.term_ms or USUAL_TERM_MS,
-            sorted(map(account_of, fleet.accounts)))
+    said = (
+        1,
+        fleet.fleet,
+        voters_of(fleet),
+        fleet.lease_ms or USUAL_LEASE_MS,
+        fleet.term_ms or USUAL_TERM_MS,
+        sorted(map(account_of, fleet.accounts)),
+    )
     return int.from_bytes(hashlib.blake2b(repr(said).encode(), digest_size=8).digest(), "big")
--- a/lichenquay/conf/read.py
+++ b/lichenquay/conf/read.py
@@ -2,6 +2,7 @@
 
 What a file leaves out has the value in `WORLD`; every figure has a range in `RANGES`.
 """
+
 import re
 
 from google.protobuf import text_format
@@ -29,25 +30,74 @@
 """
 SHARE, MANY, COUNT, MS = (0.0, 1.0), (0.0, 1e9), (1, 1_000_000), (0.0, 3.6e6)
 RANGES = {
-    "engines.count": (1, 10_000), "engines.cores": (0.01, 1024), "engines.memory_mb": (1, 1e9), "engines.most_open": COUNT,
-    "engines.warm_tables": (0, 1_000_000), "engines.cold_table": (0, 1000), "engines.spill": (0, 1000),
-    "engines.cold_share": (0.001, 1), "engines.cold_ms": MS, "engines.cold_multiple": (0.0, 1e6), "engines.fall_ms": MS,
+    "engines.count": (1, 10_000),
+    "engines.cores": (0.01, 1024),
+    "engines.memory_mb": (1, 1e9),
+    "engines.most_open": COUNT,
+    "engines.warm_tables": (0, 1_000_000),
+    "engines.cold_table": (0, 1000),
+    "engines.spill": (0, 1000),
+    "engines.cold_share": (0.001, 1),
+    "engines.cold_ms": MS,
+    "engines.cold_multiple": (0.0, 1e6),
+    "engines.fall_ms": MS,
     "engines.keepalive_ms": (1, 3.6e6),
-    "groups.target_ms": (1, 3.6e6), "groups.stretch": (0, 1000), "groups.timeout_ms": (1, 3.6e6), "groups.value": MANY,
-    "groups.late_value": SHARE, "groups.threads": (1, 1024), "groups.share": (0.0, 1e6), "groups.work_ms": (0.01, 3.6e6),
-    "groups.work_sigma": (0, 4), "groups.memory_mb": MANY, "groups.rows": (0, 4000), "groups.estimate_sigma": (0, 4),
-    "tenants.share": SHARE, "tenants.allowance_per_s": MANY,
-    "faults.at_ms": MS, "faults.for_ms": MS, "faults.amount": MANY,
-    "load.rate": (0.01, 1e6), "load.seconds": (0.1, 86_400), "load.peak": (0.01, 1000), "load.workers": (1, 64),
-    "load.connections": (1, 20_000), "load.addresses": (1, 60_000), "load.tables": COUNT, "load.skew": (0, 5),
-    "load.repeats": (0, 10), "load.leave_share": SHARE,
-    **{f"{where}gate.{who}.{name}": bounds for where in ("", "front.") for who in ("address", "prefix") for name, bounds in (
-        ("connections", (0, 1_000_000)), ("per_s", (0, 1e6)), ("burst", (0, 1e6)), ("queries", (0, 1_000_000)),
-        ("held_bytes", (0, 1e12)), ("senseless_per_s", (0, 1e6)))},
-    **{f"{where}gate.{name}": bounds for where in ("", "front.") for name, bounds in (
-        ("prefix4", (8, 32)), ("reserve", (0, 1_000_000)), ("most_queries", (0, 1_000_000)), ("most_seen", (2, 10_000_000)),
-        ("again_ms", (1, 3.6e6)), ("lag_ms", (0, 10_000)))},
-    "front.count": (1, 1000), "front.memory_mb": (40, 1e6), "front.sockets": (64, 1_000_000), **FLEET_RANGES,
+    "groups.target_ms": (1, 3.6e6),
+    "groups.stretch": (0, 1000),
+    "groups.timeout_ms": (1, 3.6e6),
+    "groups.value": MANY,
+    "groups.late_value": SHARE,
+    "groups.threads": (1, 1024),
+    "groups.share": (0.0, 1e6),
+    "groups.work_ms": (0.01, 3.6e6),
+    "groups.work_sigma": (0, 4),
+    "groups.memory_mb": MANY,
+    "groups.rows": (0, 4000),
+    "groups.estimate_sigma": (0, 4),
+    "tenants.share": SHARE,
+    "tenants.allowance_per_s": MANY,
+    "faults.at_ms": MS,
+    "faults.for_ms": MS,
+    "faults.amount": MANY,
+    "load.rate": (0.01, 1e6),
+    "load.seconds": (0.1, 86_400),
+    "load.peak": (0.01, 1000),
+    "load.workers": (1, 64),
+    "load.connections": (1, 20_000),
+    "load.addresses": (1, 60_000),
+    "load.tables": COUNT,
+    "load.skew": (0, 5),
+    "load.repeats": (0, 10),
+    "load.leave_share": SHARE,
+    **{
+        f"{where}gate.{who}.{name}": bounds
+        for where in ("", "front.")
+        for who in ("address", "prefix")
+        for name, bounds in (
+            ("connections", (0, 1_000_000)),
+            ("per_s", (0, 1e6)),
+            ("burst", (0, 1e6)),
+            ("queries", (0, 1_000_000)),
+            ("held_bytes", (0, 1e12)),
+            ("senseless_per_s", (0, 1e6)),
+        )
+    },
+    **{
+        f"{where}gate.{name}": bounds
+        for where in ("", "front.")
+        for name, bounds in (
+            ("prefix4", (8, 32)),
+            ("reserve", (0, 1_000_000)),
+            ("most_queries", (0, 1_000_000)),
+            ("most_seen", (2, 10_000_000)),
+            ("again_ms", (1, 3.6e6)),
+            ("lag_ms", (0, 10_000)),
+        )
+    },
+    "front.count": (1, 1000),
+    "front.memory_mb": (40, 1e6),
+    "front.sockets": (64, 1_000_000),
+    **FLEET_RANGES,
 }
 
 
@@ -68,7 +118,7 @@
         elif hasattr(value, "add"):
             for i, one in enumerate(value):
                 for inner, shown, got in fields(one, name):
-                    yield inner, f"{name}[{i}]" + shown[len(name):], got
+                    yield inner, f"{name}[{i}]" + shown[len(name) :], got
         elif not path.startswith(("gate", "front.gate", "fleet")) or message.HasField(field):
             yield name, name, value
 
@@ -120,14 +170,26 @@
 
 def rules_of(gate, most):
     """A gate's rules for `most` connections."""
+
     def caps(c):
         return Caps(c.connections, c.per_s, c.burst, c.queries, c.held_bytes, c.senseless_per_s)
+
     usual = pb.Gate()
     text_format.Parse(GATE, usual)
     usual.MergeFrom(gate)
     g = usual
-    return Rules(most, g.most_queries, caps(g.address), caps(g.prefix), g.prefix4, networks(g.known), g.reserve, most_seen=g.most_seen,
-                 again_ms=g.again_ms, lag_ms=g.lag_ms)
+    return Rules(
+        most,
+        g.most_queries,
+        caps(g.address),
+        caps(g.prefix),
+        g.prefix4,
+        networks(g.known),
+        g.reserve,
+        most_seen=g.most_seen,
+        again_ms=g.again_ms,
+        lag_ms=g.lag_ms,
+    )
 
 
 def line_of(text, fault):
@@ -161,7 +223,9 @@
         return text_format.Parse(text, message)
     except text_format.ParseError as bad:
         line = bad.GetLine()
-        raise BadSettings(f"{name}{f':{line}' if line else ''}: {str(bad).partition(' : ')[2] or bad}") from None
+        raise BadSettings(
+            f"{name}{f':{line}' if line else ''}: {str(bad).partition(' : ')[2] or bad}"
+        ) from None
 
 
 def refuse(fault, text, name):
@@ -181,7 +245,14 @@
 def read_settings(text, name="settings"):
     """What a front is told beyond the platform's JSON."""
     said = parse(pb.Settings(), text, name)
-    refuse(out_of_range(said) or fault_of_gate(said.gate, "gate") or said.HasField("fleet") and fault_of_fleet(said.fleet), text, name)
+    refuse(
+        out_of_range(said)
+        or fault_of_gate(said.gate, "gate")
+        or said.HasField("fleet")
+        and fault_of_fleet(said.fleet),
+        text,
+        name,
+    )
     return said
 
 
--- a/lichenquay/fleet/accounts.py
+++ b/lichenquay/fleet/accounts.py
@@ -2,6 +2,7 @@
 
 Two parts of the host: `owner` (the group's messages) and itself (asks and answers). No I/O: the host brings time, messages and the disk.
 """
+
 from lichenquay.conf.fleet import USUAL_LEASE_MS, USUAL_TERM_MS, figures, names_of, voters_of
 from lichenquay.owner.group import Group
 from lichenquay.owner.settings import Settings as OwnerSettings
@@ -11,13 +12,13 @@
 from lichenquay.quota.rights import Rights
 
 LEDGER = "ledger"
-PREFIX = "owner/ledger/"            # of its sections in the folder
-MOST_STATE = 1 << 20                # bytes of the ledger
-STOCKS = 8                          # of a bucket, one part of so many lies at the fronts where no query comes
-LOOK_MS = 250.0                     # between two looks at who holds the ledger
-DEAF_MS = 1000.0                    # an ask that nobody answers goes to another voter
-SILENT = 3.0                        # leases without a word of the ledger's holder; then others claim it
-HANDS = 64                          # messages to itself in a turn, at most
+PREFIX = "owner/ledger/"  # of its sections in the folder
+MOST_STATE = 1 << 20  # bytes of the ledger
+STOCKS = 8  # of a bucket, one part of so many lies at the fronts where no query comes
+LOOK_MS = 250.0  # between two looks at who holds the ledger
+DEAF_MS = 1000.0  # an ask that nobody answers goes to another voter
+SILENT = 3.0  # leases without a word of the ledger's holder; then others claim it
+HANDS = 64  # messages to itself in a turn, at most
 
 
 class Accounts:
@@ -32,14 +33,30 @@
         self.group = self.keeper = None
         if self.name in self.voters:
             lease_ms = settings.lease_ms or USUAL_LEASE_MS
-            owner = OwnerSettings(lease_ms=lease_ms, renew_ms=lease_ms / 6, retry_ms=lease_ms / 15, spread_ms=lease_ms / 10,
-                                  most_state=MOST_STATE)
-            self.group = Group(LEDGER, self.name, incarnation, self.voters, rng, owner, now_ms, kept, fold=ledger_kept.fold, told=self.told)
+            owner = OwnerSettings(
+                lease_ms=lease_ms,
+                renew_ms=lease_ms / 6,
+                retry_ms=lease_ms / 15,
+                spread_ms=lease_ms / 10,
+                most_state=MOST_STATE,
+            )
+            self.group = Group(
+                LEDGER,
+                self.name,
+                incarnation,
+                self.voters,
+                rng,
+                owner,
+                now_ms,
+                kept,
+                fold=ledger_kept.fold,
+                told=self.told,
+            )
             self.keeper = Keeper(ledger_kept.Seat(self.group), self.figures, self.term_ms)
         self.rights = self.new_rights()
         self.outbox, self.leaving, self.look_ms = [], False, now_ms
         self.asked_of, self.deaf_since_ms = rng.choice(self.voters), None
-        self.answered = (None, 0)       # the keeper that last answered us, and its generation
+        self.answered = (None, 0)  # the keeper that last answered us, and its generation
 
     def new_rights(self):
         # Risk: the first queries of a tenant that come to a front count as beyond quota. So a little is held everywhere.
@@ -68,7 +85,11 @@
 
     @property
     def due_ms(self):
-        return min(self.look_ms, self.rights.due_ms, self.keeper.due_ms if self.keeper and self.group.generation else float("inf"))
+        return min(
+            self.look_ms,
+            self.rights.due_ms,
+            self.keeper.due_ms if self.keeper and self.group.generation else float("inf"),
+        )
 
     def tick(self, now_ms):
         if now_ms >= self.look_ms:
@@ -104,7 +125,9 @@
                 answers, self.keeper.outbox = self.keeper.outbox, []
             if rights and self.deaf_since_ms is None:
                 self.deaf_since_ms = now_ms
-            said = [(n, pb.Message(ask=m)) for n, m in rights] + [(n, pb.Message(answer=m)) for n, m in answers]
+            said = [(n, pb.Message(ask=m)) for n, m in rights] + [
+                (n, pb.Message(answer=m)) for n, m in answers
+            ]
             own = [m for n, m in said if n == self.name]
             self.outbox += [(n, m) for n, m in said if n != self.name]
             if not own:
@@ -120,7 +143,11 @@
             holder = self.group.holder
             # Risk: one that is alive but holds no more is waited for by all. So silence counts, whatever membership says.
             silent = now_ms - self.group.round_ms > SILENT * self.group.settings.lease_ms
-            away = silent or holder[0] in (None, self.name) or self.state_of(holder[0]) in (None, "cut", "left", "gone")
+            away = (
+                silent
+                or holder[0] in (None, self.name)
+                or self.state_of(holder[0]) in (None, "cut", "left", "gone")
+            )
             self.group.want(now_ms, away and not self.leaving and self.state_of(self.name) == "alive")
         self.rights.keeper = self.keeper_now(now_ms, holder)
 
@@ -130,7 +157,11 @@
             return holder
         if self.deaf_since_ms is not None and now_ms - self.deaf_since_ms > DEAF_MS:
             others = [v for v in self.voters if v != self.asked_of and v != self.name]
-            self.asked_of, self.answered, self.deaf_since_ms = self.rng.choice(others or self.voters), (None, self.answered[1]), now_ms
+            self.asked_of, self.answered, self.deaf_since_ms = (
+                self.rng.choice(others or self.voters),
+                (None, self.answered[1]),
+                now_ms,
+            )
         return self.answered if self.answered[0] else (self.asked_of, 0)
 
     # the end
@@ -158,19 +189,34 @@
         return "yes"
 
     def lines(self, now_ms):
-        lines = [f"quota {t} {free:.1f} {spent:.1f} {owes:.1f} {limit:.1f}"
-                 for t, (free, spent, owes, limit) in sorted(self.rights.seen(now_ms).items())]
+        lines = [
+            f"quota {t} {free:.1f} {spent:.1f} {owes:.1f} {limit:.1f}"
+            for t, (free, spent, owes, limit) in sorted(self.rights.seen(now_ms).items())
+        ]
         known = self.rights.keeper or ("-", 0)
-        lines += [f"keeper {known[0]} {known[1]}", f"rights lapsed: {self.rights.lapses}",
-                  f"quota messages that make no sense: {self.rights.senseless}"]
+        lines += [
+            f"keeper {known[0]} {known[1]}",
+            f"rights lapsed: {self.rights.lapses}",
+            f"quota messages that make no sense: {self.rights.senseless}",
+        ]
         if self.group is not None:
             voter, claimant = self.group.voter, self.group.claimant
-            lines.append(f"group {LEDGER} {claimant.phase} generation {claimant.generation} promised {voter.promise.generation} to "
-                         f"{voter.promise.name or '-'} wanted {claimant.wanted} failed {claimant.failed} "
-                         f"{'blank ' * (voter.birth is not None)}waits {max(0.0, voter.waits_until_ms - now_ms):.0f} "
-                         f"claims in {claimant.claim_ms - now_ms:.0f} counts {claimant.counts} {voter.counts}")
+            lines.append(
+                f"group {LEDGER} {claimant.phase} generation {claimant.generation} promised {voter.promise.generation} to "
+                f"{voter.promise.name or '-'} wanted {claimant.wanted} failed {claimant.failed} "
+                f"{'blank ' * (voter.birth is not None)}waits {max(0.0, voter.waits_until_ms - now_ms):.0f} "
+                f"claims in {claimant.claim_ms - now_ms:.0f} counts {claimant.counts} {voter.counts}"
+            )
         if self.keeper and self.group.generation:
-            lines += [f"ledger {t} {' '.join(f'{v:.1f}' for v in seen)}" for t, seen in sorted(self.keeper.seen().items())]
-            lines += [f"ledger records: {self.keeper.records}", f"ledger in doubt: {self.keeper.doubts}",
-                      f"ledger conserved: {self.conserved()}", f"loans barred: {self.keeper.barred}", f"ledger trouble: {self.keeper.trouble or 'none'}"]
+            lines += [
+                f"ledger {t} {' '.join(f'{v:.1f}' for v in seen)}"
+                for t, seen in sorted(self.keeper.seen().items())
+            ]
+            lines += [
+                f"ledger records: {self.keeper.records}",
+                f"ledger in doubt: {self.keeper.doubts}",
+                f"ledger conserved: {self.conserved()}",
+                f"loans barred: {self.keeper.barred}",
+                f"ledger trouble: {self.keeper.trouble or 'none'}",
+            ]
         return lines
--- a/lichenquay/fleet/envelope.py
+++ b/lichenquay/fleet/envelope.py
@@ -3,6 +3,7 @@
 A stranger's, another fleet's or an unreadable datagram is `Dropped`, with a reason that is counted. The checksum (CRC32C, by a
 library) turns what was cut off or flipped on its way into what was lost; it keeps nobody out who means harm.
 """
+
 import struct
 
 import google_crc32c
@@ -11,8 +12,8 @@
 from lichenquay.fleet import fleet_pb2 as pb
 
 VERSION = 1
-MEMBERS, OWNER, QUOTA = 1, 2, 3         # layers
-MOST, MOST_BODY = 1200, 1080            # bytes of a datagram, and of the message in it
+MEMBERS, OWNER, QUOTA = 1, 2, 3  # layers
+MOST, MOST_BODY = 1200, 1080  # bytes of a datagram, and of the message in it
 SUM = struct.Struct("<I")
 
 
@@ -29,16 +30,28 @@
     def seal(self, incarnation, receiver, layer, body):
         if len(body) > MOST_BODY:
             raise ValueError(f"a message of {len(body)} bytes for layer {layer}")
-        data = pb.Datagram(version=VERSION, fleet=self.fleet, fingerprint=self.fingerprint, sender=self.name,
-                           incarnation=incarnation, receiver=receiver, layer=layer, body=body).SerializeToString()
+        data = pb.Datagram(
+            version=VERSION,
+            fleet=self.fleet,
+            fingerprint=self.fingerprint,
+            sender=self.name,
+            incarnation=incarnation,
+            receiver=receiver,
+            layer=layer,
+            body=body,
+        ).SerializeToString()
         return SUM.pack(google_crc32c.value(data)) + data
 
     def open(self, data):
         """(sender's name, its incarnation, layer, body)."""
-        if len(data) > MOST or len(data) < SUM.size or SUM.unpack_from(data)[0] != google_crc32c.value(bytes(data[SUM.size:])):
+        if (
+            len(data) > MOST
+            or len(data) < SUM.size
+            or SUM.unpack_from(data)[0] != google_crc32c.value(bytes(data[SUM.size :]))
+        ):
             raise Dropped("unreadable")
         try:
-            got = pb.Datagram.FromString(bytes(data[SUM.size:]))
+            got = pb.Datagram.FromString(bytes(data[SUM.size :]))
         except DecodeError:
             raise Dropped("unreadable") from None
         if got.version != VERSION:
--- a/lichenquay/fleet/host.py
+++ b/lichenquay/fleet/host.py
@@ -3,6 +3,7 @@
 Off where the settings name no fleet. Each part has heard(now_ms, sender, message), tick(now_ms), due_ms and outbox; the host brings it
 datagrams and time, and takes out what it has to say. Times are milliseconds of CLOCK_BOOTTIME, which runs on while a machine is suspended.
 """
+
 import random
 import signal
 import sys
@@ -25,9 +26,9 @@
 from lichenquay.owner import owner_pb2
 from lichenquay.quota import quota_pb2
 
-FOLDER_MOST = 16 << 20          # bytes that a front's folder may take
-CLOSE_MS = 500.0                # for what the disk still has to do at the end
-LEAST_WAIT_MS = 1.0             # between two turns of the timer; risk: a part that is always due takes all turns
+FOLDER_MOST = 16 << 20  # bytes that a front's folder may take
+CLOSE_MS = 500.0  # for what the disk still has to do at the end
+LEAST_WAIT_MS = 1.0  # between two turns of the timer; risk: a part that is always due takes all turns
 
 
 def boot_ms():
@@ -37,8 +38,13 @@
 def logger():
     """JSON lines on standard error: member, tenant, sitting and generation are keys."""
     return structlog.wrap_logger(
-        structlog.PrintLogger(sys.stderr), processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                                             structlog.processors.JSONRenderer()])
+        structlog.PrintLogger(sys.stderr),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+    )
 
 
 KINDS = {MEMBERS: members_pb2.Message, OWNER: owner_pb2.Message, QUOTA: quota_pb2.Message}
@@ -47,17 +53,44 @@
 class Fleet:
     """`folder`, `writer`: what makes them; a test in virtual time has its own, as it has its own reactor and clocks."""
 
-    def __init__(self, reactor, settings, seed, pressed, now_ms=boot_ms, unix_ms=lambda: time.time() * 1000, log=None,
-                 folder=Folder, writer=Writer):
-        self.reactor, self.settings, self.pressed, self.now_ms, self.unix_ms = reactor, settings, pressed, now_ms, unix_ms
+    def __init__(
+        self,
+        reactor,
+        settings,
+        seed,
+        pressed,
+        now_ms=boot_ms,
+        unix_ms=lambda: time.time() * 1000,
+        log=None,
+        folder=Folder,
+        writer=Writer,
+    ):
+        self.reactor, self.settings, self.pressed, self.now_ms, self.unix_ms = (
+            reactor,
+            settings,
+            pressed,
+            now_ms,
+            unix_ms,
+        )
         self.new_folder, self.new_writer = folder, writer
         self.log = (log or logger()).bind(front=settings.name)
         self.rng = random.Random(f"{seed}:{settings.name}")
         self.names = names_of(settings)
-        self.incarnation, self.folder, self.writer, self.port, self.timer, self.rising = 0, None, None, None, None, None
+        self.incarnation, self.folder, self.writer, self.port, self.timer, self.rising = (
+            0,
+            None,
+            None,
+            None,
+            None,
+            None,
+        )
         self.parts, self.left, self.closed, self.accounts, self.quota = {}, False, False, None, None
-        self.post = Post(Envelope(settings.fleet, fingerprint(settings), settings.name, self.names),
-                         {p.name: address_of(p.address) for p in settings.peers}, KINDS, self.heard)
+        self.post = Post(
+            Envelope(settings.fleet, fingerprint(settings), settings.name, self.names),
+            {p.name: address_of(p.address) for p in settings.peers},
+            KINDS,
+            self.heard,
+        )
 
     # from start to end
 
@@ -68,7 +101,9 @@
             if s.folder:
                 self.folder = self.new_folder(s.folder, s.fleet, s.name, FOLDER_MOST, now_ms=self.now_ms())
             self.rise()
-            self.port = self.reactor.listenUDP(address_of(s.listen)[1], self.post, interface=address_of(s.listen)[0])
+            self.port = self.reactor.listenUDP(
+                address_of(s.listen)[1], self.post, interface=address_of(s.listen)[0]
+            )
         except BadFolder as bad:
             return str(bad)
         except CannotListenError as bad:
@@ -78,7 +113,9 @@
     def rise(self):
         """An incarnation that was never ours before: the folder's, and never under the clock."""
         now = int(self.unix_ms())
-        self.incarnation, kept = next_incarnation(self.folder, now, self.now_ms()) if self.folder else (now, False)
+        self.incarnation, kept = (
+            next_incarnation(self.folder, now, self.now_ms()) if self.folder else (now, False)
+        )
         if self.folder and not kept:
             self.log.warning("incarnation not kept", incarnation=self.incarnation, why=self.folder.trouble)
 
@@ -86,21 +123,37 @@
         """The front serves: it tells the others."""
         if self.folder:
             blocked = signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
-            try:            # risk: a signal goes to the writer's thread, and the reactor sleeps on
-                self.writer = self.new_writer(self.folder, self.reactor.callFromThread, self.now_ms, log=self.log)
+            try:  # risk: a signal goes to the writer's thread, and the reactor sleeps on
+                self.writer = self.new_writer(
+                    self.folder, self.reactor.callFromThread, self.now_ms, log=self.log
+                )
             finally:
                 signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
         self.watch = self.parts[MEMBERS] = self.new_watch()
         if self.settings.accounts:
             self.keep_accounts()
-        self.log.info("fleet", incarnation=self.incarnation, fleet=self.settings.fleet, peers=len(self.names) - 1)
+        self.log.info(
+            "fleet", incarnation=self.incarnation, fleet=self.settings.fleet, peers=len(self.names) - 1
+        )
         self.turn()
 
     def keep_accounts(self):
         # A folder that could not be read yet is as good as lost: a voter without promises asks the others for what there is.
-        kept = {k[len(PREFIX):]: v for k, v in self.folder.state.items() if k.startswith(PREFIX)} if self.folder.opened else {}
-        self.accounts = self.parts[QUOTA] = Accounts(self.settings, self.incarnation, self.rng, self.now_ms(), kept,
-                                                     lambda name: self.watch.state_of(name), self.pressed, self.log)
+        kept = (
+            {k[len(PREFIX) :]: v for k, v in self.folder.state.items() if k.startswith(PREFIX)}
+            if self.folder.opened
+            else {}
+        )
+        self.accounts = self.parts[QUOTA] = Accounts(
+            self.settings,
+            self.incarnation,
+            self.rng,
+            self.now_ms(),
+            kept,
+            lambda name: self.watch.state_of(name),
+            self.pressed,
+            self.log,
+        )
         if self.accounts.group is not None:
             self.parts[OWNER] = self.accounts.group
         self.quota = Tenants(self.accounts, self.now_ms, self.wait)
@@ -164,7 +217,9 @@
         group = self.accounts.group
         wanted, group.to_store = group.to_store, []
         for number, changes in wanted:
-            self.writer.store({PREFIX + k: v for k, v in changes.items()}, lambda ok, number=number: self.stored(number, ok))
+            self.writer.store(
+                {PREFIX + k: v for k, v in changes.items()}, lambda ok, number=number: self.stored(number, ok)
+            )
 
     def stored(self, number, ok):
         if not self.closed:
@@ -190,7 +245,9 @@
     def tell_changes(self):
         changes, self.watch.changes[:] = list(self.watch.changes), []
         for c in changes:
-            self.log.info("member", member=c.name, incarnation=c.incarnation, was=c.old, state=c.new, view=c.view)
+            self.log.info(
+                "member", member=c.name, incarnation=c.incarnation, was=c.old, state=c.new, view=c.view
+            )
         if self.watch.over == "gone" and not self.left and self.rising is None:
             # Risk: it acts on as if nothing had happened. What it was is over for all others: it comes again as another one,
             # once its folder has that (the folder is the writer's by now).
@@ -198,7 +255,9 @@
             if self.writer is None:
                 self.reactor.callLater(0, self.risen, False)
             else:
-                self.writer.store(section(self.rising), lambda kept: self.reactor.callLater(0, self.risen, kept))
+                self.writer.store(
+                    section(self.rising), lambda kept: self.reactor.callLater(0, self.risen, kept)
+                )
 
     def risen(self, kept):
         if self.closed or self.left:
@@ -217,8 +276,12 @@
             return ["fleet: not begun"]
         number, digest = self.watch.view
         lines = [f"member {name} {incarnation} {state}" for name, incarnation, state in self.watch.members()]
-        lines += [f"view {number} {digest:016x}", f"reach {' '.join(self.watch.reach) or '-'}", *self.post.lines(),
-                  f"datagram bytes sent: {self.post.bytes_out}"]
+        lines += [
+            f"view {number} {digest:016x}",
+            f"reach {' '.join(self.watch.reach) or '-'}",
+            *self.post.lines(),
+            f"datagram bytes sent: {self.post.bytes_out}",
+        ]
         if self.accounts is not None:
             lines += self.accounts.lines(self.now_ms()) + self.quota.lines()
         if self.writer is not None:
--- a/lichenquay/fleet/post.py
+++ b/lichenquay/fleet/post.py
@@ -1,4 +1,5 @@
 """The one UDP socket of a front among others: datagrams out and in, sealed and opened, and counted."""
+
 from collections import Counter
 
 from google.protobuf.message import DecodeError
@@ -27,7 +28,7 @@
             self.transport.write(data, address)
             self.counters["datagrams sent"] += 1
             self.bytes_out += len(data)
-        except OSError:         # a link that is down says so: as good as lost
+        except OSError:  # a link that is down says so: as good as lost
             self.counters["datagrams not sent"] += 1
 
     def datagramReceived(self, data, address):
--- a/lichenquay/fleet/tenants.py
+++ b/lichenquay/fleet/tenants.py
@@ -1,4 +1,5 @@
 """What the front's queries tell the fleet's account: taken, finished with so much work, or over without."""
+
 from lichenquay.admission import interface as io
 from lichenquay.admission.guards import work_of
 
@@ -6,7 +7,9 @@
 class Tenants:
     def __init__(self, accounts, now_ms, wait):
         self.accounts, self.now_ms, self.wait = accounts, now_ms, wait
-        self.taken = {f.tenant: [0, 0.0, 0] for f in accounts.figures}     # within quota, their work in ms; beyond it
+        self.taken = {
+            f.tenant: [0, 0.0, 0] for f in accounts.figures
+        }  # within quota, their work in ms; beyond it
 
     def beyond(self, q):
         """Whether it is beyond its tenant's quota; if not, its work is set aside until it is over. None: no account tells."""
@@ -15,7 +18,7 @@
         within, taken = self.accounts.take(self.now_ms(), q, work_of(q)), self.taken[q.tenant.name]
         taken[0 if within else 2] += 1
         taken[1] += work_of(q) * within
-        self.wait()             # it may ask for more, now
+        self.wait()  # it may ask for more, now
         return not within
 
     def finished(self, q, cost):
@@ -26,7 +29,10 @@
             self.accounts.rights.settle(self.now_ms(), q, cost[0])
 
     def lines(self):
-        return [f"taken {t} within {n} of {ms:.1f} ms, beyond {beyond}" for t, (n, ms, beyond) in sorted(self.taken.items())]
+        return [
+            f"taken {t} within {n} of {ms:.1f} ms, beyond {beyond}"
+            for t, (n, ms, beyond) in sorted(self.taken.items())
+        ]
 
     def over(self, q):
         """Not finished. What surely never ran costs nothing; anything else its estimate."""
--- a/lichenquay/folder/disk.py
+++ b/lichenquay/folder/disk.py
@@ -1,4 +1,5 @@
 """The few calls on the system that a folder makes, so that a test can stand in for each. Errors: OSError."""
+
 import fcntl
 import os
 import stat
@@ -12,6 +13,7 @@
 @dataclass(frozen=True)
 class Place:
     """Which file or folder a name or a descriptor stands for."""
+
     device: int
     inode: int
     folder: bool
--- a/lichenquay/folder/folder.py
+++ b/lichenquay/folder/folder.py
@@ -2,6 +2,7 @@
 
 Blocking: its host calls it from a thread of its own (writer.py). Times are milliseconds of the host's monotonic
 clock."""
+
 import errno
 from os.path import abspath, dirname, join
 from types import MappingProxyType
@@ -10,7 +11,9 @@
 from lichenquay.folder.disk import LOCK, NEW, READ, RealOs
 from lichenquay.folder.reading import LAST_GENERATION, MOST_FILE, BadFolder, file_name, ours, read_folder
 
-SHARES = 8  # of the bound: three snapshots and two journals may be there at once, and three bad files kept aside
+SHARES = (
+    8  # of the bound: three snapshots and two journals may be there at once, and three bad files kept aside
+)
 MOST_ASIDE = 3
 PATIENT_TRIES = 6  # of reading, 16 s, before bytes that cannot be read are given up
 FIRST_WAIT_MS, LONGEST_WAIT_MS = 250.0, 30_000.0
@@ -155,7 +158,9 @@
         continues no journal."""
         self.failures += 1
         self._tries += 1
-        self.trouble = str(why) if isinstance(why, BadFolder) else f"folder {self.path}: {why.strerror or why}"
+        self.trouble = (
+            str(why) if isinstance(why, BadFolder) else f"folder {self.path}: {why.strerror or why}"
+        )
         self._close(self._journal)
         self._journal = None
         self._drop()
@@ -190,7 +195,9 @@
         self._stored()
 
     def _read(self):
-        return read_folder(self._os, self.path, self.fleet, self.name, bears_errors=self._tries >= PATIENT_TRIES)
+        return read_folder(
+            self._os, self.path, self.fleet, self.name, bears_errors=self._tries >= PATIENT_TRIES
+        )
 
     def _enter(self):
         """The folder is there, and it is ours alone."""
@@ -257,7 +264,9 @@
         records = [form.frame(seed, number, form.CHANGE, payload) for number, _, payload in self._pending]
         made, journal = [], None
         try:
-            journal, journal_size = self._write_new(file_name(generation, "journal", True), [first, *records], made)
+            journal, journal_size = self._write_new(
+                file_name(generation, "journal", True), [first, *records], made
+            )
             parts = form.snapshot_parts(header, self._state)
             snapshot, _ = self._write_new(file_name(generation, "snapshot", True), parts, made)
             try:
@@ -276,12 +285,19 @@
             for name in made:
                 self._try(self._os.unlink, name)
             raise
-        self._journal, self._journal_size, self._seed, self.generation = journal, journal_size, seed, generation
+        self._journal, self._journal_size, self._seed, self.generation = (
+            journal,
+            journal_size,
+            seed,
+            generation,
+        )
         self._kept = [*self._kept, generation][-2:]
         self._tidy()
 
     def _continue(self):
-        records = b"".join(form.frame(self._seed, number, form.CHANGE, payload) for number, _, payload in self._pending)
+        records = b"".join(
+            form.frame(self._seed, number, form.CHANGE, payload) for number, _, payload in self._pending
+        )
         self._write(self._journal, records)
         self._os.fsync(self._journal)
         self._check_places()
@@ -348,8 +364,11 @@
     def _tidy(self):
         """Older generations go; files that were left out are kept aside, the newest few. A failure here costs room,
         not truth."""
+
         def aside(name, generation, kind):
-            self._try(self._os.rename, join(self.path, name), join(self.path, "bad." + file_name(generation, kind)))
+            self._try(
+                self._os.rename, join(self.path, name), join(self.path, "bad." + file_name(generation, kind))
+            )
 
         try:
             files = ours(self._os.listdir(self.path))
--- a/lichenquay/folder/form.py
+++ b/lichenquay/folder/form.py
@@ -5,6 +5,7 @@
 version, so that a newer version is told from a flipped bit. A record's CRC32C starts from its header's: a record of
 another file is none here.
 """
+
 from dataclasses import dataclass, field
 from struct import Struct
 
@@ -46,6 +47,7 @@
 @dataclass
 class Journal:
     """`changes` in order, all whole records up to the first that is not; `why` it ended early, or None."""
+
     header: Header
     changes: list = field(default_factory=list)
     left_bytes: int = 0
@@ -74,15 +76,15 @@
         raise Unreadable(f"a header of {size} bytes")
     if size > len(data):
         raise Unreadable("cut off in its header")
-    rest = bytes(data[_FIRST.size:size])
-    if _header_sum(bytes(data[:_FIRST.size]), rest) != seed:
+    rest = bytes(data[_FIRST.size : size])
+    if _header_sum(bytes(data[: _FIRST.size]), rest) != seed:
         raise Unreadable("its header's checksum is wrong")
     if version > VERSION:
         raise Newer(f"version {version}, this program reads up to {VERSION}")
     if version < 1 or len(rest) < _REST.size:
         raise Unreadable("a header of no known version")
     kind, generation, base, fleet, name = _REST.unpack_from(rest)
-    names = rest[_REST.size:]
+    names = rest[_REST.size :]
     if len(names) != fleet + name:
         raise Unreadable("a header that does not add up")
     try:
@@ -92,7 +94,7 @@
 
 
 def _header_sum(first, rest):
-    return google_crc32c.extend(google_crc32c.value(first[:_FIRST.size - 4]), rest)
+    return google_crc32c.extend(google_crc32c.value(first[: _FIRST.size - 4]), rest)
 
 
 def frame(seed, number, kind, payload):
@@ -117,7 +119,7 @@
             return records, at, f"a number where {number} should be"
         if length > len(data) - at - _FRAME.size:
             return records, at, "cut off"
-        payload = bytes(data[at + _FRAME.size:at + _FRAME.size + length])
+        payload = bytes(data[at + _FRAME.size : at + _FRAME.size + length])
         if _sum(seed, number, kind, payload) != check:
             return records, at, "its checksum is wrong"
         records.append((number, kind, payload))
@@ -147,7 +149,7 @@
             raise Unreadable("a change that is cut off")
         what, length = _KEY.unpack_from(payload, at)
         at += _KEY.size
-        name = payload[at:at + length]
+        name = payload[at : at + length]
         at += length
         if what not in (_PUT, _DELETE) or len(name) != length or not 1 <= length <= MOST_KEY:
             raise Unreadable("a change that makes no sense")
@@ -155,9 +157,9 @@
         if what == _PUT:
             if len(payload) - at < _SIZE.size:
                 raise Unreadable("a change that is cut off")
-            size, = _SIZE.unpack_from(payload, at)
+            (size,) = _SIZE.unpack_from(payload, at)
             at += _SIZE.size
-            value = payload[at:at + size]
+            value = payload[at : at + size]
             at += size
             if len(value) != size:
                 raise Unreadable("a change that is cut off")
--- a/lichenquay/folder/incarnation.py
+++ b/lichenquay/folder/incarnation.py
@@ -1,4 +1,5 @@
 """A number that only rises from one start of a front to the next."""
+
 from struct import Struct, error
 
 from lichenquay.folder.folder import NotStored, TooMuch
@@ -6,7 +7,7 @@
 
 KEY = "incarnation"
 _NUMBER = Struct(">Q")
-MOST = 2 ** 63 - 1  # what a protobuf int64 holds
+MOST = 2**63 - 1  # what a protobuf int64 holds
 
 
 def section(number):
@@ -20,7 +21,7 @@
     kept False: the disk failed, and the number is from the clock (and from what was read, if it was): a clock set
     back before the next start may give one as low again."""
     try:
-        before, = _NUMBER.unpack(folder.state.get(KEY, bytes(8)))
+        (before,) = _NUMBER.unpack(folder.state.get(KEY, bytes(8)))
     except error:
         before = 0
     number = max(before + 1, folder.incarnation + 1, int(unix_ms))
--- a/lichenquay/folder/reading.py
+++ b/lichenquay/folder/reading.py
@@ -1,5 +1,6 @@
 """What a folder's files say, taken together: the newest good snapshot, then the journals that follow it without a
 gap."""
+
 import errno
 import re
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 MOST_LOOKED_AT = 4096  # generations, newest first
 MOST_SAID = 8  # lines on what was left out
 OURS = re.compile(r"(bad\.)?(\d{12})\.(snapshot|journal)(\.new)?")
-LAST_GENERATION = 10 ** 12 - 1
+LAST_GENERATION = 10**12 - 1
 KINDS = {"snapshot": form.SNAPSHOT, "journal": form.JOURNAL}
 
 
@@ -25,6 +26,7 @@
     """`number`: of the last record in `state`. `generations`: the ones that `state` came from, ascending. `highest`:
     of any good file. `bad`: files left out in part or whole; `left_out`: a line on each, the first few; `left_bytes`
     in all."""
+
     state: dict = field(default_factory=dict)
     number: int = 0
     generations: list = field(default_factory=list)
@@ -111,7 +113,9 @@
     its = file_name(generation, "journal")
     data = _content(os, path, its, MOST_FILE, reading)
     if header.base != reading.number:
-        reading.leave_out(its, f"it follows record {header.base}, the state ends at {reading.number}", len(data))
+        reading.leave_out(
+            its, f"it follows record {header.base}, the state ends at {reading.number}", len(data)
+        )
         return
     try:
         journal = form.read_journal(data)
--- a/lichenquay/folder/writer.py
+++ b/lichenquay/folder/writer.py
@@ -1,5 +1,6 @@
 """A thread that writes a folder, so that its host never waits for a disk. Times: milliseconds of the host's monotonic
 clock."""
+
 import threading
 from collections import deque
 
@@ -52,12 +53,17 @@
         self._known = self._told_opened = folder.opened  # of the caller's thread; of the writer's
         self._full, self._refused = _Seldom(), _Seldom()
         self._said_ms, self._unsaid, self._was_trouble = -SAY_EACH_MS, 0, False
-        self.counts = dict(stored=0, failed=0, refused=0, full=0, early=0, batches=0, failures=0, healed=0,
-                           longest_ms=0.0)
+        self.counts = dict(
+            stored=0, failed=0, refused=0, full=0, early=0, batches=0, failures=0, healed=0, longest_ms=0.0
+        )
         self.trouble = folder.trouble  # one line, or None
         if folder.left_out:
-            self._log.warning("folder: files left out", files=folder.left_out, bytes=folder.left_bytes,
-                              generation=folder.generation)
+            self._log.warning(
+                "folder: files left out",
+                files=folder.left_out,
+                bytes=folder.left_bytes,
+                generation=folder.generation,
+            )
         if folder.trouble:
             self._say_trouble(now_ms())
         self._thread = threading.Thread(target=self._run, name="folder-writer", daemon=True)
@@ -72,8 +78,11 @@
             return
         size = sum(len(key) * 4 + len(value or b"") + 32 for key, value in changes.items())
         with self._changed:
-            fits = (not self._closing and len(self._queue) < self._most_queued
-                    and (self._queued_bytes + size <= self._most_bytes or not self._queue))
+            fits = (
+                not self._closing
+                and len(self._queue) < self._most_queued
+                and (self._queued_bytes + size <= self._most_bytes or not self._queue)
+            )
             if fits:
                 one = _Store(dict(changes), done, size)
                 self._open_stores.append(one)
@@ -84,8 +93,9 @@
             self.counts["full"] += 1
             now_ms = self._now_ms()
             if not self._closing and (times := self._full.asks(now_ms)):
-                self._log.warning("folder: takes no more stores", not_taken=times,
-                                  stalled_ms=round(self.stalled(now_ms)))
+                self._log.warning(
+                    "folder: takes no more stores", not_taken=times, stalled_ms=round(self.stalled(now_ms))
+                )
             done(False)
 
     def stalled(self, now_ms):
@@ -209,7 +219,11 @@
     def _say_trouble(self, now_ms):
         """One line when it begins and one a minute while it lasts."""
         if not self._was_trouble or now_ms - self._said_ms >= SAY_EACH_MS:
-            self._log.warning("folder: does not store", why=self._folder.trouble, generation=self._folder.generation,
-                              not_stored=self._unsaid)
+            self._log.warning(
+                "folder: does not store",
+                why=self._folder.trouble,
+                generation=self._folder.generation,
+                not_stored=self._unsaid,
+            )
             self._said_ms = now_ms
         self._was_trouble = True
--- a/lichenquay/front/__main__.py
+++ b/lichenquay/front/__main__.py
@@ -1,4 +1,5 @@
 """`run`: one real front, from its start to its exit."""
+
 import signal
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
@@ -27,7 +28,7 @@
         print(f"lichenquay.front: {why}", file=sys.stderr)
         return 1
     reactor.run()
-    for number in SIGNALS:      # risk: told once more to stop, it ends by the signal after all
+    for number in SIGNALS:  # risk: told once more to stop, it ends by the signal after all
         signal.signal(number, signal.SIG_IGN)
     service.tell()
     return 0
--- a/lichenquay/front/admit.py
+++ b/lichenquay/front/admit.py
@@ -1,4 +1,5 @@
 """Admit: a query to the controller, and the controller's answers back. The door makes no choice."""
+
 import heapq
 import traceback
 from dataclasses import dataclass
@@ -6,34 +7,43 @@
 from lichenquay.admission import interface as io
 from lichenquay.front import frames
 
-FAULT_MS = 250.0                # before what failed at its time is tried again
+FAULT_MS = 250.0  # before what failed at its time is tried again
 
 
 @dataclass(eq=False)
 class FrontQuery(io.Query):
     """A query as the front keeps it: whom to answer, and what goes to engines unchanged."""
+
     client: object = None
     stream: int = 0
     ref: str = ""
-    token: str = ""                 # by which engines drop its repeats
+    token: str = ""  # by which engines drop its repeats
     statement: bytes = b""
-    grant_mb: float = 0.0           # of its next submissions
+    grant_mb: float = 0.0  # of its next submissions
     rank_asked: int | None = None
-    told: bool = False              # the controller knows it
-    flight: object = None           # its latest submission
+    told: bool = False  # the controller knows it
+    flight: object = None  # its latest submission
 
 
 class Admit:
     """The controller's door. What happens is kept for the next turn; turns are `step_ms` apart at least."""
 
     def __init__(self, opening, reactor, engines, now_ms, metrics, log):
-        self.reactor, self.engines, self.clock_ms, self.metrics, self.log_line = reactor, engines, now_ms, metrics, log
+        self.reactor, self.engines, self.clock_ms, self.metrics, self.log_line = (
+            reactor,
+            engines,
+            now_ms,
+            metrics,
+            log,
+        )
         self.step_ms, self.most = opening.gateway.step_ms, opening.licence.most_submissions
         self.tells_cost = opening.make.tells_cost
         self.events, self.timers, self.timed, self.next = [], [], 0, None
         self.now_ms = self.turned_ms = now_ms()
         self.open, self.numbers = set(), 0
-        self.route = self.quota = None      # quota: the fleet's account of what tenants may spend, where there is one
+        self.route = self.quota = (
+            None  # quota: the fleet's account of what tenants may spend, where there is one
+        )
         self.controller = opening.controller(self)
 
     # what happens, from the network's side
@@ -125,7 +135,7 @@
         events, self.events = self.events, []
         for call, what in events:
             self.guarded(call, what)
-        due = []        # what they set in turn is for a later turn
+        due = []  # what they set in turn is for a later turn
         while self.timers and self.timers[0][0] <= now:
             due.append(heapq.heappop(self.timers)[2])
         for call in due:
@@ -142,7 +152,7 @@
         except Exception:
             self.metrics.count("faults")
             self.log_line("fault", traceback.format_exc())
-            if not what:        # it was to happen at a time: the beat must not end with it
+            if not what:  # it was to happen at a time: the beat must not end with it
                 self.wake(self.now_ms + FAULT_MS, call)
             q = getattr(what[0], "query", what[0]) if what else None
             for q in [q] if isinstance(q, FrontQuery) else [x for x in self.open if x.ends_ms <= self.now_ms]:
@@ -189,7 +199,9 @@
             if self.quota is not None and code != frames.FINISHED:
                 self.quota.over(q)
             q.client.answer(q, code, body)
-            q.client = q.flight = None      # risk: timers keep a query for long after its end, and all that it holds
+            q.client = q.flight = (
+                None  # risk: timers keep a query for long after its end, and all that it holds
+            )
 
     def wake(self, at_ms, call):
         self.timed += 1
--- a/lichenquay/front/certainty.py
+++ b/lichenquay/front/certainty.py
@@ -17,23 +17,33 @@
 """
 
 HELD, SENT, CUT, KNOWN, OVER = "held", "sent", "cut", "known", "over"
-FORGOTTEN_MS = 2000.0           # PROTOCOL: a query that has not been asked for this long is over
-STILL_MS = 500.0                # an engine reads what it has no later than this (seen: up to 370 ms)
-APART_MS = 45.0                 # between two words that count as two; the front asks 50 ms apart
+FORGOTTEN_MS = 2000.0  # PROTOCOL: a query that has not been asked for this long is over
+STILL_MS = 500.0  # an engine reads what it has no later than this (seen: up to 370 ms)
+APART_MS = 45.0  # between two words that count as two; the front asks 50 ms apart
 
 
 class Life:
     """One submission's life at its engine. All times are milliseconds of one clock that does not run backwards by more
     than it is apart; a call's time is when its first byte was written."""
 
-    __slots__ = ("state", "written_ms", "asked_ms", "before_ms", "since_ms", "unknown_ms", "refused_ms",
-                 "proof")
+    __slots__ = (
+        "state",
+        "written_ms",
+        "asked_ms",
+        "before_ms",
+        "since_ms",
+        "unknown_ms",
+        "refused_ms",
+        "proof",
+    )
 
     def __init__(self):
         self.state, self.proof = HELD, None
-        self.written_ms = self.since_ms = 0.0       # its POST; since when it is cut or known
-        self.asked_ms = self.before_ms = 0.0        # the last call that may have kept its engine at it, and the one before
-        self.unknown_ms = self.refused_ms = None                # first word of two
+        self.written_ms = self.since_ms = 0.0  # its POST; since when it is cut or known
+        self.asked_ms = self.before_ms = (
+            0.0  # the last call that may have kept its engine at it, and the one before
+        )
+        self.unknown_ms = self.refused_ms = None  # first word of two
 
     # what happens
 
@@ -77,9 +87,9 @@
         this before: its address may be another engine's by now."""
         self.heard()
         if keeps and written_ms == self.asked_ms:
-            self.asked_ms = self.before_ms      # that call kept nobody at it
+            self.asked_ms = self.before_ms  # that call kept nobody at it
         if not self.may_run or other and self.state != CUT or written_ms < self.counts_ms:
-            return self.state == OVER       # written before: it may have overtaken the POST
+            return self.state == OVER  # written before: it may have overtaken the POST
         if self.state == KNOWN:
             self.over("no longer known")
         elif self.unknown_ms is None:
--- a/lichenquay/front/client_connection.py
+++ b/lichenquay/front/client_connection.py
@@ -1,4 +1,5 @@
 """A client's connection: what is said on it, in order, and the answers back to it."""
+
 import fcntl
 import struct
 import termios
@@ -9,11 +10,13 @@
 from lichenquay.front import frames
 from lichenquay.front.engines import send_now
 
-CLOSE_S = 0.3                   # for the other side to close as well; then again, while it still reads its last answers
-REST_S, MOST_SENSELESS = 0.05, 16   # after a request that makes no sense; so many of them end a connection
-MOST_STREAMS = 4096             # numbers of streams that are kept of a connection
-MOST_UNSENT = 65_536            # bytes of answers that a client has not read before nothing more is taken in from it, and
-                                # bytes of requests that wait for that before it is read no further
+CLOSE_S = 0.3  # for the other side to close as well; then again, while it still reads its last answers
+REST_S, MOST_SENSELESS = 0.05, 16  # after a request that makes no sense; so many of them end a connection
+MOST_STREAMS = 4096  # numbers of streams that are kept of a connection
+MOST_UNSENT = (
+    65_536  # bytes of answers that a client has not read before nothing more is taken in from it, and
+)
+# bytes of requests that wait for that before it is read no further
 
 
 def untaken(transport):
@@ -55,12 +58,21 @@
     with nothing read, a cancel waits in the machine while its query is sent again."""
 
     def __init__(self, desk, address):
-        self.desk, self.reader, self.open, self.unsent, self.used = desk, frames.FrameReader(), {}, 0, Streams()
+        self.desk, self.reader, self.open, self.unsent, self.used = (
+            desk,
+            frames.FrameReader(),
+            {},
+            0,
+            Streams(),
+        )
         self.place = desk.gate.opened(address, desk.gate_ms(), self)
         self.up, self.stuck, self.bad, self.told, self.heard_s = True, False, False, False, desk.seconds()
         self.known, self.begun_s, self.senseless, self.rests = False, self.heard_s, 0, None
-        self.kept, self.kept_size = {}, 0           # requests that wait while it is stuck, by stream
-        self.wanted_ms, self.ending = 0.0, None     # until when its last answers are waited for; a timer once it closes
+        self.kept, self.kept_size = {}, 0  # requests that wait while it is stuck, by stream
+        self.wanted_ms, self.ending = (
+            0.0,
+            None,
+        )  # until when its last answers are waited for; a timer once it closes
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -69,7 +81,9 @@
 
     def dataReceived(self, data):
         if self.bad or not self.up:
-            return self.rest()      # risk: unread, it hides that the client leaves, or resets our last words on closing
+            return (
+                self.rest()
+            )  # risk: unread, it hides that the client leaves, or resets our last words on closing
         before, self.heard_s = self.reader.unfinished(), self.desk.seconds()
         try:
             for kind, stream, payload in self.reader.feed(data):
@@ -140,7 +154,7 @@
         self.desk.log("client", f"client: {why}; connection closed")
         self.put(frames.answer(0, code, why.encode()))
         self.bad = True
-        for stream in list(self.kept):      # taken, for its client: it gets its answer, if it reads
+        for stream in list(self.kept):  # taken, for its client: it gets its answer, if it reads
             self.forget(stream)
             self.put(frames.answer(stream, code, why.encode()))
         self.desk.gate.goes(self.place, self.desk.gate_ms())
@@ -175,7 +189,7 @@
             q = self.desk.query(self, stream, *request, read_ms)
         except BadQuery as bad:
             return self.makes_no_sense(stream, bad)
-        except Exception:       # risk: a fault met for one query ends the connection, and others with it
+        except Exception:  # risk: a fault met for one query ends the connection, and others with it
             self.desk.metrics.count("faults")
             self.desk.log("fault", traceback.format_exc())
             self.desk.metrics.count("answers killed")
@@ -192,7 +206,11 @@
         self.desk.metrics.count(self.desk.ANSWERS[why.code])
         self.put(frames.answer(stream, why.code, str(why).encode()))
         self.senseless += why.code == frames.KILLED
-        if self.senseless > MOST_SENSELESS or why.code == frames.KILLED and self.desk.gate.senseless(self.place, self.desk.gate_ms()):
+        if (
+            self.senseless > MOST_SENSELESS
+            or why.code == frames.KILLED
+            and self.desk.gate.senseless(self.place, self.desk.gate_ms())
+        ):
             raise frames.BadFrame("too many requests that make no sense")
         self.rest()
 
@@ -210,7 +228,7 @@
     def answer(self, q, code, body):
         if self.open.pop(q.stream, None) is not None:
             self.let_go(q)
-            self.heard_s = self.desk.seconds()      # it is idle from now on
+            self.heard_s = self.desk.seconds()  # it is idle from now on
             self.wanted_ms = max(self.wanted_ms, q.ends_ms)
             self.put(frames.answer(q.stream, code, *body))
             self.desk.metrics.count(self.desk.ANSWERS[code])
@@ -248,7 +266,7 @@
             self.desk.metrics.count("clients that do not read")
             self.desk.log("client", "client: does not read its answers; connection closed")
             return self.transport.abortConnection()
-        self.transport.write(bytes(rest))       # risk: anything else is refused there, and an answer is cut off
+        self.transport.write(bytes(rest))  # risk: anything else is refused there, and an answer is cut off
         self.stuck = self.stuck or self.unsent > MOST_UNSENT
 
     def resumeProducing(self):
@@ -305,6 +323,6 @@
             if timer is not None and timer.active():
                 timer.cancel()
         queries, self.open = self.open, {}
-        for q in queries.values():      # what was taken on it ends at its engine
+        for q in queries.values():  # what was taken on it ends at its engine
             self.leave(q)
         self.desk.closed(self)
--- a/lichenquay/front/discovery.py
+++ b/lichenquay/front/discovery.py
@@ -1,4 +1,5 @@
 """The bulletin: the list of engines as numbered events, followed over HTTP (the operators' PROTOCOL)."""
+
 import json
 
 from twisted.internet.protocol import ClientFactory, Protocol
@@ -6,10 +7,10 @@
 from lichenquay.admission import interface as io
 from lichenquay.front.http import BadReply, ReplyReader, request
 
-PATIENCE_MS = 1000              # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
-FIRST_PATIENCE_MS = 1           # of the calls until one is answered: what is known from before is in doubt till then
-SILENT_MS = PATIENCE_MS + 500   # well within the 7 s after which an event counts as told (PROTOCOL, 'Figures')
-AGAIN_MS = 100                  # between calls that bring nothing
+PATIENCE_MS = 1000  # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
+FIRST_PATIENCE_MS = 1  # of the calls until one is answered: what is known from before is in doubt till then
+SILENT_MS = PATIENCE_MS + 500  # well within the 7 s after which an event counts as told (PROTOCOL, 'Figures')
+AGAIN_MS = 100  # between calls that bring nothing
 STATES = {"SERVING": io.LISTED, "DRAINING": io.DRAINING, "DELETED": io.WITHDRAWN}
 
 
@@ -25,9 +26,18 @@
             host, _, port = t["endpoint"].rpartition(":")
             if t["state"] not in STATES or not host or not 0 < int(port) < 65536:
                 raise BadList(f"an engine in no known state or place: {t['uid']!r}")
-            rows.append((str(t["uid"]), f"{host}:{int(port)}", str(t.get("az", "")), str(t.get("model", "")),
-                         int(t.get("pod_group") or 0), STATES[t["state"]], float(t.get("capacity_hint", 1.0)),
-                         float(t.get("boot_ms") or 0)))
+            rows.append(
+                (
+                    str(t["uid"]),
+                    f"{host}:{int(port)}",
+                    str(t.get("az", "")),
+                    str(t.get("model", "")),
+                    int(t.get("pod_group") or 0),
+                    STATES[t["state"]],
+                    float(t.get("capacity_hint", 1.0)),
+                    float(t.get("boot_ms") or 0),
+                )
+            )
         return bool(roster["all"]), rows
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
         raise BadList(f"an event that cannot be read: {bad}") from None
@@ -75,7 +85,7 @@
 
     def __init__(self, factory):
         self.factory, self.reader, self.timer = factory, ReplyReader(), None
-        self.asked_s, self.patience_ms = 0.0, PATIENCE_MS       # of its call
+        self.asked_s, self.patience_ms = 0.0, PATIENCE_MS  # of its call
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -110,7 +120,10 @@
             return self.transport.abortConnection()
         if not reply.keep:
             self.transport.loseConnection()
-        elif before == self.factory.discovery.no and self.factory.reactor.seconds() - self.asked_s < self.least_s():
+        elif (
+            before == self.factory.discovery.no
+            and self.factory.reactor.seconds() - self.asked_s < self.least_s()
+        ):
             # Risk: a bulletin that answers at once with nothing new keeps the front busy with nothing else.
             self.stop_timer()
             self.timer = self.factory.reactor.callLater(AGAIN_MS / 1000, self.ask)
@@ -132,7 +145,13 @@
     noisy = False
 
     def __init__(self, reactor, discovery, host, port, connect_ms):
-        self.reactor, self.discovery, self.host, self.up_s, self.stopped = reactor, discovery, f"{host}:{port}", 0.0, False
+        self.reactor, self.discovery, self.host, self.up_s, self.stopped = (
+            reactor,
+            discovery,
+            f"{host}:{port}",
+            0.0,
+            False,
+        )
         self.connector = reactor.connectTCP(host, port, self, timeout=connect_ms / 1000)
 
     def stop(self):
--- a/lichenquay/front/engines.py
+++ b/lichenquay/front/engines.py
@@ -2,6 +2,7 @@
 
 An engine is its uid: connections belong to the engine, never to its address, which another may have later.
 """
+
 from collections import deque
 from dataclasses import dataclass, field
 from math import inf
@@ -14,14 +15,19 @@
 from lichenquay.admission import interface as io
 from lichenquay.front.http import MOST_PAGE, BadReply, ReplyReader
 
-REST_S = 0.03           # between an answer and another query's call: a copy of the answer may come behind it
-LEAST_STALE_S = 0.1     # what has rested for less is not taken for closing, whatever breaks
-FRESHER, OLDER = 0.5, 1.0006    # of the rest on which a call broke, no more from then on; and more again, twice in 30 s
-MOST_UNWRITTEN = 3      # connections tried for a call of which nothing has been written
+REST_S = 0.03  # between an answer and another query's call: a copy of the answer may come behind it
+LEAST_STALE_S = 0.1  # what has rested for less is not taken for closing, whatever breaks
+FRESHER, OLDER = (
+    0.5,
+    1.0006,
+)  # of the rest on which a call broke, no more from then on; and more again, twice in 30 s
+MOST_UNWRITTEN = 3  # connections tried for a call of which nothing has been written
+
 
 @dataclass(eq=False)
 class FrontEngine(io.Engine):
     """An engine, its address as the bulletin last gave it, and its idle connections, the oldest first."""
+
     address: str = ""
     idle: deque = field(default_factory=deque)
 
@@ -57,15 +63,51 @@
     when it is not any more.
     `on_late`: told instead when there is no answer in time; the call stays out, for its answer still settles something."""
 
-    __slots__ = ("engine", "address", "owner", "data", "fits", "urgent", "fresh", "new", "connection", "carrier", "went_on", "on_written",
-                 "on_late", "may_go", "answer", "written", "tries")
-
-    def __init__(self, engine, data, fits, urgent=False, fresh=False, new=False, connection=None, on_written=None, on_late=None,
-                 may_go=None, address=None, owner=None):
+    __slots__ = (
+        "engine",
+        "address",
+        "owner",
+        "data",
+        "fits",
+        "urgent",
+        "fresh",
+        "new",
+        "connection",
+        "carrier",
+        "went_on",
+        "on_written",
+        "on_late",
+        "may_go",
+        "answer",
+        "written",
+        "tries",
+    )
+
+    def __init__(
+        self,
+        engine,
+        data,
+        fits,
+        urgent=False,
+        fresh=False,
+        new=False,
+        connection=None,
+        on_written=None,
+        on_late=None,
+        may_go=None,
+        address=None,
+        owner=None,
+    ):
         self.engine, self.address, self.data, self.fits = engine, address or engine.address, data, fits
-        self.owner = owner              # the submission that it is for
+        self.owner = owner  # the submission that it is for
         self.urgent, self.fresh, self.new, self.connection = urgent, fresh, new, connection
-        self.on_written, self.on_late, self.may_go, self.carrier, self.went_on = on_written, on_late, may_go, None, None
+        self.on_written, self.on_late, self.may_go, self.carrier, self.went_on = (
+            on_written,
+            on_late,
+            may_go,
+            None,
+            None,
+        )
         self.answer, self.written, self.tries = Deferred(), False, 0
 
     def withdraw(self):
@@ -105,7 +147,7 @@
     reactor, and telling the machine twice what to watch, for each message."""
     try:
         sent = transport.socket.send(data, MSG_DONTWAIT)
-    except OSError:         # full, or broken: the transport will find out
+    except OSError:  # full, or broken: the transport will find out
         sent = 0
     return memoryview(data)[sent:] if sent < len(data) else b""
 
@@ -113,17 +155,17 @@
 class EngineConnection(Protocol):
     """One connection to an engine."""
 
-    ended = False           # it is no more
+    ended = False  # it is no more
 
     def __init__(self, hub, first):
         self.hub, self.engine, self.call, self.idle_since = hub, first.engine, first, 0.0
-        self.address, self.owner = first.address, None      # whose its last call was
-        self.silent_s, self.whole = inf, True       # when its call has waited too long; it went out at once
-        self.late = False                           # its call has, and its answer is still hoped for
-        self.rested = 0.0                           # before its call
+        self.address, self.owner = first.address, None  # whose its last call was
+        self.silent_s, self.whole = inf, True  # when its call has waited too long; it went out at once
+        self.late = False  # its call has, and its answer is still hoped for
+        self.rested = 0.0  # before its call
         self.reader = ReplyReader(MOST_PAGE)
-        self.ended_here = False                     # by this side, so that nothing tells when its process ends
-        self.last = None                            # (whose, head and rows) of the last answer 200 on it
+        self.ended_here = False  # by this side, so that nothing tells when its process ends
+        self.last = None  # (whose, head and rows) of the last answer 200 on it
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -148,7 +190,10 @@
         self.call, call.written, call.carrier, call.went_on = call, True, self, self
         self.owner = call.owner
         now = self.hub.reactor.seconds()
-        self.silent_s, self.rested = now + self.hub.silent_ms / 1000, now - self.idle_since if self.idle_since else 0.0
+        self.silent_s, self.rested = (
+            now + self.hub.silent_ms / 1000,
+            now - self.idle_since if self.idle_since else 0.0,
+        )
         if call.on_written:
             call.on_written()
         rest = send_now(self.transport, call.data)
@@ -197,7 +242,9 @@
 
     def drop(self, why=None):
         """Ends the connection at once."""
-        self.ended_here = self.ended_here or not self.ended     # its loss, told later, does not change who ended it
+        self.ended_here = (
+            self.ended_here or not self.ended
+        )  # its loss, told later, does not change who ended it
         call, self.call = self.call, None
         self.hub.lost(self)
         self.transport.abortConnection()
@@ -241,7 +288,7 @@
     def __init__(self, reactor, reserve, connect_ms, silent_ms, idle_ms):
         self.reactor, self.budget, self.reserve = reactor, 0, reserve
         self.connect_ms, self.silent_ms, self.idle_s = connect_ms, silent_ms, idle_ms / 2000
-        self.stale_s = self.idle_s      # a connection that has rested longer may be closing
+        self.stale_s = self.idle_s  # a connection that has rested longer may be closing
         self.waiting, self.connections, self.open, self.most = deque(), set(), 0, 0
 
     def later(self, ms, call):
@@ -281,8 +328,13 @@
             return None
         now = self.reactor.seconds()
         connection = call.connection
-        if connection is not None and connection.owner is call.owner and connection in call.engine.idle and now - connection.idle_since <= self.stale_s:
-            return connection         # once it was another's, a copy of that one's answer may be on its way
+        if (
+            connection is not None
+            and connection.owner is call.owner
+            and connection in call.engine.idle
+            and now - connection.idle_since <= self.stale_s
+        ):
+            return connection  # once it was another's, a copy of that one's answer may be on its way
         for connection in reversed(call.engine.idle):
             rested = now - connection.idle_since
             if rested > self.stale_s:
@@ -311,14 +363,21 @@
         self.open += 1
         self.most = max(self.most, self.open)
         host, _, port = call.address.rpartition(":")
-        self.reactor.connectTCP(host, int(port), ConnectionFactory(self, call), timeout=self.connect_ms / 1000)
+        self.reactor.connectTCP(
+            host, int(port), ConnectionFactory(self, call), timeout=self.connect_ms / 1000
+        )
         return True
 
     def spare(self):
         """Ends the connection that has been idle longest, so that another can be opened."""
-        connection = min((x for x in self.connections if x.engine.idle and x.engine.idle[0] is x),
-                   key=lambda x: x.idle_since, default=None)
-        if connection is None:        # risk: answers that may never come leave no room for the calls that ask elsewhere
+        connection = min(
+            (x for x in self.connections if x.engine.idle and x.engine.idle[0] is x),
+            key=lambda x: x.idle_since,
+            default=None,
+        )
+        if (
+            connection is None
+        ):  # risk: answers that may never come leave no room for the calls that ask elsewhere
             connection = min((x for x in self.connections if x.late), key=lambda x: x.silent_s, default=None)
         if connection is None:
             return False
@@ -355,7 +414,9 @@
     def watch(self):
         """Ends connections whose call has waited too long, and those that are stale."""
         now, self.stale_s = self.reactor.seconds(), min(self.idle_s, self.stale_s * OLDER)
-        for connection in [x for x in self.connections if x.call is not None and x.silent_s < now and not x.late]:
+        for connection in [
+            x for x in self.connections if x.call is not None and x.silent_s < now and not x.late
+        ]:
             if connection.call is None or connection not in self.connections:
                 continue
             if connection.call.on_late:
--- a/lichenquay/front/frames.py
+++ b/lichenquay/front/frames.py
@@ -2,15 +2,24 @@
 
 What is read is a slice of the buffer that it came in; only an unfinished frame is kept, as a copy.
 """
+
 import struct
 
 QUERY, ANSWER, LEFT, IS_READY, READINESS, NO_MORE = 2, 4, 8, 16, 32, 64
-FINISHED, DEFERRED, KILLED = 0, 14, 2           # the codes of an answer
+FINISHED, DEFERRED, KILLED = 0, 14, 2  # the codes of an answer
 # the fields of a request, in our words
-FIELDS = {"service": "group", "ref": "ref", "allow": "allowed", "project": "tenant", "effort": "work",
-          "memory": "memory", "replay": "token", "lookup": "key"}
-OPTIONAL = {"token", "key"}                     # said where a query's class is tokened, or its queries keep an order
-LEAST, MOST = 5, 262_144                        # PROTOCOL: what `length` may count
+FIELDS = {
+    "service": "group",
+    "ref": "ref",
+    "allow": "allowed",
+    "project": "tenant",
+    "effort": "work",
+    "memory": "memory",
+    "replay": "token",
+    "lookup": "key",
+}
+OPTIONAL = {"token", "key"}  # said where a query's class is tokened, or its queries keep an order
+LEAST, MOST = 5, 262_144  # PROTOCOL: what `length` may count
 LENGTH, HEAD, SIZE = struct.Struct("<I"), struct.Struct("<IBI"), struct.Struct("<H")
 
 
@@ -48,7 +57,7 @@
             if end - at < self.need:
                 break
             _, kind, stream = HEAD.unpack_from(view, at)
-            yield kind, stream, view[at + HEAD.size:at + self.need]
+            yield kind, stream, view[at + HEAD.size : at + self.need]
             at += self.need
         if at < end:
             self.held = bytearray(view[at:])
@@ -60,9 +69,9 @@
         count, at, fields = payload[0], 1, []
         for _ in range(count):
             size = payload[at]
-            name, at = payload[at + 1:at + 1 + size], at + 1 + size
+            name, at = payload[at + 1 : at + 1 + size], at + 1 + size
             size = SIZE.unpack_from(payload, at)[0]
-            value, at = payload[at + 2:at + 2 + size], at + 2 + size
+            value, at = payload[at + 2 : at + 2 + size], at + 2 + size
             if at > len(payload):
                 raise BadFrame("fields overrun their frame")
             fields.append((str(name, "utf-8", "replace"), str(value, "utf-8", "replace")))
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -2,13 +2,14 @@
 
 The names that PROTOCOL gives to an engine's calls and answers end here.
 """
+
 import re
 
 from lichenquay.admission import interface as io
 
-MOST_HEAD = 16_384              # also of all interim answers before a real one
-MOST_BODY = 4 << 20             # of a list: 20 events of 1,024 engines; pages are held to their own limit
-MOST_PAGE = 6_000               # PROTOCOL: bytes of a page
+MOST_HEAD = 16_384  # also of all interim answers before a real one
+MOST_BODY = 4 << 20  # of a list: 20 events of 1,024 engines; pages are held to their own limit
+MOST_PAGE = 6_000  # PROTOCOL: bytes of a page
 FIRST = re.compile(r"HTTP/1\.([01]) ([1-9]\d\d)(?: [^\x00-\x1f\x7f]*)?\Z")
 HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\Z")
 
@@ -33,7 +34,7 @@
 
     def __init__(self, status, headers, keep):
         self.status, self.headers, self.body, self.keep, self.connection = status, headers, b"", keep, None
-        self.more = False       # bytes came behind it that do not belong to it
+        self.more = False  # bytes came behind it that do not belong to it
 
     def whole(self, name, least=0):
         """A header as a whole number from `least` up; None if it is missing or none."""
@@ -65,9 +66,9 @@
                 raise BadReply("a head that is too long")
             if end < 0:
                 return self.keep(data)
-            self.head(str(data[self.at:end], "latin-1"))
+            self.head(str(data[self.at : end], "latin-1"))
             self.at = end + 4
-            if 100 <= self.reply.status < 200:      # an interim answer: the real one follows
+            if 100 <= self.reply.status < 200:  # an interim answer: the real one follows
                 self.reply = None
         body = self.chunks(data) if self.length == "chunked" else self.plain(data)
         if body is None:
@@ -97,7 +98,9 @@
             if headers.setdefault(name, value) != value:
                 raise BadReply(f"said twice: {line[:60]!r}")
         keep = headers.get("connection", "").lower()
-        self.reply = Reply(int(said.group(2)), headers, keep != "close" and (said.group(1) == "1" or keep == "keep-alive"))
+        self.reply = Reply(
+            int(said.group(2)), headers, keep != "close" and (said.group(1) == "1" or keep == "keep-alive")
+        )
         if self.reply.status in (204, 304) or self.reply.status < 200:
             self.length = 0
         elif "transfer-encoding" in headers:
@@ -109,9 +112,9 @@
             if self.length is None or self.length > self.most:
                 raise BadReply("a length that cannot be")
         elif self.reply.keep:
-            raise BadReply("an answer without a length")    # risk: a part of it is taken for the whole
+            raise BadReply("an answer without a length")  # risk: a part of it is taken for the whole
         else:
-            self.length = None      # until the connection closes
+            self.length = None  # until the connection closes
 
     def plain(self, data):
         have = len(data) - self.at
@@ -119,7 +122,7 @@
             raise BadReply("a body that is too long")
         if self.length is None or have < self.length:
             return None
-        return memoryview(data)[self.at:self.at + self.length], have > self.length
+        return memoryview(data)[self.at : self.at + self.length], have > self.length
 
     def chunks(self, data):
         pieces, at = [], self.at
@@ -142,11 +145,11 @@
                 raise BadReply("a body that is too long")
             if len(data) < at + size + 2:
                 return None
-            if data[at + size:at + size + 2] != b"\r\n":
+            if data[at + size : at + size + 2] != b"\r\n":
                 raise BadReply("a chunk of another size")
-            pieces.append(bytes(data[at:at + size]))
+            pieces.append(bytes(data[at : at + size]))
             at += size + 2
-        while (end := data.find(b"\r\n", at)) != at:        # trailers
+        while (end := data.find(b"\r\n", at)) != at:  # trailers
             if end < 0:
                 if len(data) - at > MOST_HEAD:
                     raise BadReply("trailers that are too long")
@@ -158,14 +161,15 @@
         """The connection ended: the answer, if its body went on until then."""
         if self.reply is None or self.length is not None:
             return None
-        return self.done(bytes(self.held[self.at:]) if self.held else b"")
+        return self.done(bytes(self.held[self.at :]) if self.held else b"")
 
 
 # what is said to engines
 
+
 def start(host, ref, group, patience_ms, grant_mb, rank, statement, token="", key=""):
     headers = [("X-Hop-Id", ref), ("X-Sort", group), ("X-Budget", max(1, int(patience_ms)))]
-    if token:       # by it, engines drop repeats
+    if token:  # by it, engines drop repeats
         headers.append(("X-Replay-Key", token))
     if key:
         headers.append(("X-Thing", key))
@@ -193,27 +197,41 @@
 
 NOTES = {"share": io.PROGRESS, "short": io.SPILLS, "held": io.WAITS}
 # what the settings call the values of a load report; an engine may use either name
-COLUMNS = {"inflight": "active", "queue": "waiting", "util": "cpu", "latency_ms": "avg_ms", "qps": "rps",
-           "eps": "err_rps"}
+COLUMNS = {
+    "inflight": "active",
+    "queue": "waiting",
+    "util": "cpu",
+    "latency_ms": "avg_ms",
+    "qps": "rps",
+    "eps": "err_rps",
+}
 
 
 def rows(body):
     """Whole rows of three columns, and no more of them than a page holds."""
     text = bytes(body)
-    return len(text) <= MOST_PAGE and (not text or text[-1] == 10) and text.count(b"\t") == 2 * text.count(b"\n")
+    return (
+        len(text) <= MOST_PAGE and (not text or text[-1] == 10) and text.count(b"\t") == 2 * text.count(b"\n")
+    )
 
 
 def is_news(reply):
     """An answer to the first call or to one for news, as PROTOCOL lists them."""
     if reply.status == 200:
-        return (reply.whole("x-parts", 1) and "x-part-no" not in reply.headers and rows(reply.body)
-                and (reply.body or not reply.more))
+        return (
+            reply.whole("x-parts", 1)
+            and "x-part-no" not in reply.headers
+            and rows(reply.body)
+            and (reply.body or not reply.more)
+        )
     return reply.status in (202, 500) or is_full(reply)
 
 
 def is_page(n):
-    return lambda reply: reply.status == 500 or (
-        reply.status == 200 and reply.whole("x-part-no") == n and len(reply.body) and rows(reply.body))
+    return lambda reply: (
+        reply.status == 500
+        or (reply.status == 200 and reply.whole("x-part-no") == n and len(reply.body) and rows(reply.body))
+    )
 
 
 def is_done(reply):
--- a/lichenquay/front/metrics.py
+++ b/lichenquay/front/metrics.py
@@ -1,11 +1,12 @@
 """Metrics: how submissions and queries end, the counters of it, and letting go of what is over."""
+
 import sys
 from collections import Counter
 
 from lichenquay.admission import interface as io
 from lichenquay.front import http
 
-LINES_A_SECOND = 5      # of one kind on standard error
+LINES_A_SECOND = 5  # of one kind on standard error
 
 
 class Log:
@@ -28,7 +29,7 @@
     def line(self, text):
         try:
             print(text, file=self.out, flush=True)
-        except OSError:         # nobody reads the log any more: the front goes on
+        except OSError:  # nobody reads the log any more: the front goes on
             pass
 
 
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -1,14 +1,15 @@
 """Relay: the news of a submission, the pages of its result, and giving it up."""
+
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from lichenquay.admission import interface as io
 from lichenquay.front import http
 from lichenquay.front.engines import Broken, Garbled, NotConnected, Silent
 
-MOST_RESULT = 48_000            # PROTOCOL: bytes of a result
-MOST_UNREADABLE = 6             # answers to one call; then the engine itself is at fault
-AGAIN_MS = 50.0                 # between two tries to reach an engine, doubled up to ...
-MOST_AGAIN_MS = 400.0           # ... this, so that it is still asked well within 2 s
+MOST_RESULT = 48_000  # PROTOCOL: bytes of a result
+MOST_UNREADABLE = 6  # answers to one call; then the engine itself is at fault
+AGAIN_MS = 50.0  # between two tries to reach an engine, doubled up to ...
+MOST_AGAIN_MS = 400.0  # ... this, so that it is still asked well within 2 s
 
 
 class Relay:
@@ -41,7 +42,7 @@
         """Risk: an engine that takes connections and ends them at once keeps the front busy with nothing else."""
         done = Deferred()
         flight.pausing.add(done)
-        delayed = self.engines.later(min(AGAIN_MS * 2 ** tries, MOST_AGAIN_MS), lambda: flight.wake(done))
+        delayed = self.engines.later(min(AGAIN_MS * 2**tries, MOST_AGAIN_MS), lambda: flight.wake(done))
         return done.addCallback(lambda _: delayed.active() and delayed.cancel())
 
     def alive(self, flight):
@@ -49,8 +50,13 @@
         side ended the one that it was last known on, or it leaves. Risk: one that takes no more connections, and works on, is taken
         for gone; a reset under a request beside it proves no more."""
         known_on = flight.connection
-        return (flight.call is not None or known_on is not None and known_on.ended_here or flight.engine.state != io.LISTED
-                or self.engines.alive(flight.engine, flight.host))
+        return (
+            flight.call is not None
+            or known_on is not None
+            and known_on.ended_here
+            or flight.engine.state != io.LISTED
+            or self.engines.alive(flight.engine, flight.host)
+        )
 
     def stranger(self, flight, connection):
         """Whether what came on a connection may be another engine's word. Risk: an engine that leaves, or has left, the list
@@ -101,7 +107,7 @@
                     if unreadable >= MOST_UNREADABLE:
                         yield self.give_up(flight, io.ERROR)
                         return None
-                if not fresh:       # at once on another connection; then with pauses
+                if not fresh:  # at once on another connection; then with pauses
                     fresh = True
                     continue
             yield self.pause(flight, tries)
@@ -116,8 +122,18 @@
             written[0] = self.now_ms()
             if keeps:
                 flight.life.asked(written[0])
-        call = self.engines.call(flight.engine, data, fits, fresh=fresh, urgent=not keeps, connection=flight.connection,
-                                 on_written=wrote, address=flight.host, owner=flight)
+
+        call = self.engines.call(
+            flight.engine,
+            data,
+            fits,
+            fresh=fresh,
+            urgent=not keeps,
+            connection=flight.connection,
+            on_written=wrote,
+            address=flight.host,
+            owner=flight,
+        )
         try:
             reply = yield call.answer
         except Broken:
@@ -129,11 +145,11 @@
     @inlineCallbacks
     def follow(self, flight, reply):
         """From the answer to the first call to the ending."""
-        self.rerank(flight)         # a priority that was set while the first call was on its way
+        self.rerank(flight)  # a priority that was set while the first call was on its way
         while reply is None or reply.status == 202:
             if reply and not flight.given_up:
                 note = http.note_of(reply)
-                if note or flight.missed:       # a note may have gone with an answer that was lost
+                if note or flight.missed:  # a note may have gone with an answer that was lost
                     self.noted(flight.sub, *(note or (io.ALIVE, 0.0)))
                 flight.missed = False
             reply = yield self.ask(flight, 0)
@@ -153,7 +169,7 @@
         """The whole result, page after page; None once the submission has been ended otherwise."""
         parts, pages, size, n = reply.whole("x-parts", 1), [], 0, 0
         while True:
-            if reply.status == 500:     # it failed, or its pages are lost
+            if reply.status == 500:  # it failed, or its pages are lost
                 self.metrics.end(flight, io.ERROR, reply)
                 return None
             size += len(reply.body)
@@ -200,11 +216,19 @@
     @inlineCallbacks
     def tell_rank(self, flight):
         """A new priority, one call after the other, once the engine has the submission."""
-        while not (flight.telling or flight.call or flight.over or flight.given_up) and flight.told != flight.rank:
+        while (
+            not (flight.telling or flight.call or flight.over or flight.given_up)
+            and flight.told != flight.rank
+        ):
             flight.telling, flight.told = True, flight.rank
             try:
-                yield self.engines.ask(flight.engine, http.priority(flight.host, flight.ref, flight.rank),
-                                       http.is_done, address=flight.host, owner=flight)
+                yield self.engines.ask(
+                    flight.engine,
+                    http.priority(flight.host, flight.ref, flight.rank),
+                    http.is_done,
+                    address=flight.host,
+                    owner=flight,
+                )
                 self.metrics.count("priorities told")
             except (Broken, Garbled, NotConnected, Silent):
                 self.metrics.count("priorities not told")
--- a/lichenquay/front/route.py
+++ b/lichenquay/front/route.py
@@ -1,4 +1,5 @@
 """Route: from a submission to the engine's address and the fields of the call."""
+
 from lichenquay.front import http
 from lichenquay.front.certainty import Life
 
@@ -6,9 +7,25 @@
 class Flight:
     """A submission on its way: what the network part keeps of it until its ending."""
 
-    __slots__ = ("sub", "query", "engine", "host", "ref", "rank", "until_ms", "life", "over",
-                 "given_up", "call", "told", "telling", "connection", "late", "pausing",
-                 "missed")
+    __slots__ = (
+        "sub",
+        "query",
+        "engine",
+        "host",
+        "ref",
+        "rank",
+        "until_ms",
+        "life",
+        "over",
+        "given_up",
+        "call",
+        "told",
+        "telling",
+        "connection",
+        "late",
+        "pausing",
+        "missed",
+    )
 
     def __init__(self, sub, until_ms):
         self.sub, self.query, self.engine, self.until_ms = sub, sub.query, sub.engine, until_ms
@@ -16,9 +33,9 @@
         self.ref, self.life = sub.query.ref, Life()
         self.rank = self.told = sub.query.rank_asked
         self.over, self.given_up, self.call, self.connection = False, None, None, None
-        self.missed = False             # an answer to a call for it was lost
-        self.late = None                # the answer to its first call, after others went out
-        self.pausing = set()            # pauses between two calls for it
+        self.missed = False  # an answer to a call for it was lost
+        self.late = None  # the answer to its first call, after others went out
+        self.pausing = set()  # pauses between two calls for it
 
     def settle(self):
         """Its first call has nothing more to tell: its connection goes. Risk: it is held for an answer that never comes."""
@@ -43,8 +60,20 @@
     def down(self, sub, patience_ms):
         q = sub.query
         flight = Flight(sub, sub.sent_ms + patience_ms)
-        self.send.down(flight, http.start(flight.host, q.ref, q.group.name, patience_ms, q.grant_mb, q.rank_asked,
-                                          q.statement, q.token, q.key))
+        self.send.down(
+            flight,
+            http.start(
+                flight.host,
+                q.ref,
+                q.group.name,
+                patience_ms,
+                q.grant_mb,
+                q.rank_asked,
+                q.statement,
+                q.token,
+                q.key,
+            ),
+        )
         return flight
 
     def rerank(self, flight, rank):
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -1,4 +1,5 @@
 """Send: the call that starts a submission on its engine."""
+
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from lichenquay.admission import interface as io
@@ -21,12 +22,21 @@
         """Its answer, or that it broke or is late, whatever comes first; then the relay asks for news. The call stays out
         when it is late: it may not have been read, and its answer tells that it has."""
         first = Deferred()
-        flight.call = self.engines.call(flight.engine, call, http.is_news, new=True, address=flight.host, owner=flight,
-                                        may_go=lambda: self.may_go(flight),
-                                        on_written=lambda: flight.life.wrote(self.now_ms()),
-                                        on_late=lambda: first.callback(Silent()))
-        flight.call.answer.addCallbacks(lambda reply: self.answered(flight, first, reply),
-                                        lambda failure: self.broke(flight, first, failure))
+        flight.call = self.engines.call(
+            flight.engine,
+            call,
+            http.is_news,
+            new=True,
+            address=flight.host,
+            owner=flight,
+            may_go=lambda: self.may_go(flight),
+            on_written=lambda: flight.life.wrote(self.now_ms()),
+            on_late=lambda: first.callback(Silent()),
+        )
+        flight.call.answer.addCallbacks(
+            lambda reply: self.answered(flight, first, reply),
+            lambda failure: self.broke(flight, first, failure),
+        )
         reply = yield first
         if isinstance(reply, NeverSent):
             return self.metrics.end(flight, io.NEVER_SENT)
@@ -46,7 +56,9 @@
         self.relay.heard(flight, reply)
         if first.called:
             self.metrics.count("first calls answered late")
-            if not flight.over and reply.status != 200:     # its result is told again to whoever asks for the news
+            if (
+                not flight.over and reply.status != 200
+            ):  # its result is told again to whoever asks for the news
                 flight.late = reply
         else:
             first.callback(reply)
@@ -54,7 +66,7 @@
 
     def broke(self, flight, first, failure):
         flight.connection, flight.call = flight.connection or flight.call.went_on, None
-        if not failure.check(Silent):       # ended from this side: what has come whole is still read
+        if not failure.check(Silent):  # ended from this side: what has come whole is still read
             flight.life.cut(self.now_ms())
         if not first.called:
             return first.callback(failure.value)
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -1,4 +1,5 @@
 """The program's phases, from start to exit, as named states of one object."""
+
 import gc
 import json
 import os
@@ -20,22 +21,27 @@
 from lichenquay.gate.decide import Rules
 from lichenquay.opening import Opening, Sheet, Unreadable, flat
 
-STARTED_S = time.time() - time.monotonic()      # risk: the wall clock steps, and no timer fires, or all at once
+STARTED_S = time.time() - time.monotonic()  # risk: the wall clock steps, and no timer fires, or all at once
 STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
-NEWS_MS = 250.0                 # PROTOCOL: an engine answers a call for news after this at the latest
-SILENT_MS = 1.2 * NEWS_MS       # then it is asked on another connection, before its query is late or counts as lost
-LISTEN_ON_MS = 450.0            # PROTOCOL: new connections go on coming 0.4 s after SIGTERM; what came last is accepted
-REQUESTS_ON_MS = 200.0          # PROTOCOL: and requests on open ones for this long more
-DEADLINE_MS = 3000.0            # PROTOCOL: SIGKILL comes no sooner than the longest deadline, 3 s at most, ...
-KILLED_MS = 700.0               # ... and this long more after SIGTERM
-TOLD_MS = 7000.0                # PROTOCOL: what the bulletin has to tell counts as told this much later at the latest
-LAST_MS = 300.0                 # before that, what is still open gets its final answer
-RESERVE = 48                    # descriptors for the reactor, accepting, the bulletin and DELETEs
-CLIENTS_SHARE = 3               # PROTOCOL: clients hold a third of the descriptors at most
-WATCH_MS = 25.0                 # between two looks at calls that have waited too long
-SWEEP_MS = 250.0                # between two looks at connections that have outlived their use
-BASE_MB, LEAST_MB = 32.0, 4.0   # memory of the program itself (docs/evaluation.md); what clients may fill at least
-CLIENTS_PART = 0.5              # of the memory beyond that
+NEWS_MS = 250.0  # PROTOCOL: an engine answers a call for news after this at the latest
+SILENT_MS = (
+    1.2 * NEWS_MS
+)  # then it is asked on another connection, before its query is late or counts as lost
+LISTEN_ON_MS = 450.0  # PROTOCOL: new connections go on coming 0.4 s after SIGTERM; what came last is accepted
+REQUESTS_ON_MS = 200.0  # PROTOCOL: and requests on open ones for this long more
+DEADLINE_MS = 3000.0  # PROTOCOL: SIGKILL comes no sooner than the longest deadline, 3 s at most, ...
+KILLED_MS = 700.0  # ... and this long more after SIGTERM
+TOLD_MS = 7000.0  # PROTOCOL: what the bulletin has to tell counts as told this much later at the latest
+LAST_MS = 300.0  # before that, what is still open gets its final answer
+RESERVE = 48  # descriptors for the reactor, accepting, the bulletin and DELETEs
+CLIENTS_SHARE = 3  # PROTOCOL: clients hold a third of the descriptors at most
+WATCH_MS = 25.0  # between two looks at calls that have waited too long
+SWEEP_MS = 250.0  # between two looks at connections that have outlived their use
+BASE_MB, LEAST_MB = (
+    32.0,
+    4.0,
+)  # memory of the program itself (docs/evaluation.md); what clients may fill at least
+CLIENTS_PART = 0.5  # of the memory beyond that
 
 
 class CannotStart(Exception):
@@ -68,8 +74,15 @@
         discovery_host, _, discovery_port = config["bulletin"].rpartition(":")
         sockets = min(int(config["limits"]["sockets"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         room = int(max(LEAST_MB, (float(config["limits"]["memory_mb"]) - BASE_MB) * CLIENTS_PART)) << 20
-        return ((host, int(port)), (discovery_host, int(discovery_port)), sockets, room, int(config["seed"], 16),
-                config["known"], config["settings"])
+        return (
+            (host, int(port)),
+            (discovery_host, int(discovery_port)),
+            sockets,
+            room,
+            int(config["seed"], 16),
+            config["known"],
+            config["settings"],
+        )
     except OSError as bad:
         raise CannotStart(f"configuration {path}: {bad.strerror}") from None
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as bad:
@@ -82,6 +95,7 @@
     if not path:
         return None
     from lichenquay.conf.read import BadSettings, read_file, read_settings
+
     try:
         return read_file(path, read_settings)
     except BadSettings as bad:
@@ -93,6 +107,7 @@
     if more is None or not more.HasField("fleet"):
         return None
     from lichenquay.fleet.host import Fleet
+
     return Fleet(reactor, more.fleet, seed, pressed)
 
 
@@ -100,6 +115,7 @@
     if more is None:
         return Rules(most, 0, lag_ms=0.0)
     from lichenquay.conf.read import rules_of
+
     return rules_of(more.gate, most)
 
 
@@ -111,8 +127,13 @@
         self.opening, self.by_uid = opening, {}
         self.log = Log(time.monotonic)
         self.metrics = Metrics(lambda *ending: self.admit.back(*ending))
-        self.engines = Engines(reactor, RESERVE // 2,
-                               opening.make.connect_timeout_ms or NEWS_MS, SILENT_MS, opening.idle_ms or 4 * NEWS_MS)
+        self.engines = Engines(
+            reactor,
+            RESERVE // 2,
+            opening.make.connect_timeout_ms or NEWS_MS,
+            SILENT_MS,
+            opening.idle_ms or 4 * NEWS_MS,
+        )
         self.admit = Admit(opening, reactor, self.engines, now_ms, self.metrics, self.log)
         self.relay = Relay(self.engines, self.metrics, self.admit.noted, now_ms, self.log)
         self.send = Send(self.engines, self.relay, self.metrics, self.admit.wake, self.admit.may_go, now_ms)
@@ -147,7 +168,7 @@
             named.append(e)
             (gone.add if state == io.WITHDRAWN else gone.discard)(e)
         self.admit.listed(named, whole)
-        for e in gone:          # no longer listed; its address may be another's by now
+        for e in gone:  # no longer listed; its address may be another's by now
             e.state = io.WITHDRAWN
             self.engines.close_idle(e)
             self.by_uid.pop(e.id, None)
@@ -162,19 +183,28 @@
         try:
             self.clients.listen(*self.listen)
         except CannotListenError as bad:
-            raise CannotStart(f"cannot listen on {'%s:%d' % self.listen}: {bad.socketError.strerror}") from None
+            raise CannotStart(
+                f"cannot listen on {'%s:%d' % self.listen}: {bad.socketError.strerror}"
+            ) from None
         self.admit.list_doubted(TOLD_MS)
         self.follow_discovery()
         self.reactor.callWhenRunning(self.run)
 
     def follow_discovery(self):
-        self.following = DiscoveryFactory(self.reactor, self.discovery, *self.discovery_at, self.engines.connect_ms)
+        self.following = DiscoveryFactory(
+            self.reactor, self.discovery, *self.discovery_at, self.engines.connect_ms
+        )
 
     def run(self):
-        calls = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGUSR1: self.tell, signal.SIGHUP: self.read_again}
+        calls = {
+            signal.SIGTERM: self.leave,
+            signal.SIGINT: self.leave,
+            signal.SIGUSR1: self.tell,
+            signal.SIGHUP: self.read_again,
+        }
         for number, call in calls.items():
             signal.signal(number, lambda *_, call=call: self.reactor.callFromThread(call))
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, calls)       # what came since the first line is heard now
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, calls)  # what came since the first line is heard now
         self.admit.turn()
         gc.collect()
         gc.freeze()
@@ -184,13 +214,19 @@
         if self.fleet is not None:
             self.fleet.begin()
             self.admit.quota = self.fleet.quota
-        self.log("service", f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known; {self.engines.budget} "
-                            f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them")
+        self.log(
+            "service",
+            f"serving on {'%s:%d' % self.listen}, {len(self.by_uid)} engines known; {self.engines.budget} "
+            f"descriptors for engines, {self.clients.most} for clients, {self.clients.room >> 20} MB for them",
+        )
 
     def is_ready(self):
         """Risk: with the bulletin out of reach for long, a front that would serve by its last list is never taken in."""
-        return (self.state == SERVING and bool(self.by_uid)
-                and (self.discovery.answered or not self.admit.controller.in_doubt(now_ms())))
+        return (
+            self.state == SERVING
+            and bool(self.by_uid)
+            and (self.discovery.answered or not self.admit.controller.in_doubt(now_ms()))
+        )
 
     def sweep(self):
         self.engines.later(SWEEP_MS, self.sweep)
@@ -199,7 +235,10 @@
     def watch(self):
         now, clients = self.reactor.seconds() * 1000, self.clients
         lag, self.watch_ms = max(0.0, now - self.watch_ms) if self.watch_ms else 0.0, now + WATCH_MS
-        used = max((self.engines.open + len(clients.connections) + RESERVE // 2) / self.sockets, clients.held / max(1, clients.room))
+        used = max(
+            (self.engines.open + len(clients.connections) + RESERVE // 2) / self.sockets,
+            clients.held / max(1, clients.room),
+        )
         clients.gate.measured(used, lag, now)
         self.engines.later(WATCH_MS, self.watch)
         self.engines.watch()
@@ -221,7 +260,10 @@
         self.metrics.count("configurations read again")
         fleets = [m.fleet if m is not None and m.HasField("fleet") else None for m in (more, self.more)]
         if (listen, settings) != (self.listen, self.settings) or fleets[0] != fleets[1]:
-            self.log("service", "new settings, another address to listen on or another fleet: these count from the next start")
+            self.log(
+                "service",
+                "new settings, another address to listen on or another fleet: these count from the next start",
+            )
         self.more = more
         self.bound(sockets, room)
         if discovery_at != self.discovery_at:
@@ -250,7 +292,7 @@
         self.state = DRAINING
         left_ms = self.killed_ms - now_ms()
         late = left_ms < LAST_MS / 2
-        if left_ms < LAST_MS:       # risk: what came since `time_up` ends with the program, without an answer
+        if left_ms < LAST_MS:  # risk: what came since `time_up` ends with the program, without an answer
             self.clients.full = True
             self.admit.time_up()
         if (not self.admit.open and not self.admit.events or left_ms < 0) and (self.metrics.out == 0 or late):
@@ -265,14 +307,23 @@
 
     def tell(self):
         counters = self.metrics.lines() + [
-            f"clients now: {len(self.clients.connections)}", f"clients at most: {self.clients.most_connections}",
-            f"engine connections now: {self.engines.open}", f"engine connections at most: {self.engines.most}",
-            f"submissions out: {self.metrics.out}", f"queries open: {len(self.admit.open)}",
-            f"descriptors: {len(os.listdir('/proc/self/fd'))}", f"cpu seconds: {time.process_time():.2f}",
-            f"memory MB at most: {peak_mb()}", f"state: {self.state}", f"gate: {self.clients.gate.state}",
-            *(f"holds most: {name}{' (known)' * known}: {connections} connections, {queries} queries, {held} bytes"
-              for name, known, connections, queries, held in self.clients.gate.top(5)),
-            *(self.fleet.lines() if self.fleet is not None else ())]
+            f"clients now: {len(self.clients.connections)}",
+            f"clients at most: {self.clients.most_connections}",
+            f"engine connections now: {self.engines.open}",
+            f"engine connections at most: {self.engines.most}",
+            f"submissions out: {self.metrics.out}",
+            f"queries open: {len(self.admit.open)}",
+            f"descriptors: {len(os.listdir('/proc/self/fd'))}",
+            f"cpu seconds: {time.process_time():.2f}",
+            f"memory MB at most: {peak_mb()}",
+            f"state: {self.state}",
+            f"gate: {self.clients.gate.state}",
+            *(
+                f"holds most: {name}{' (known)' * known}: {connections} connections, {queries} queries, {held} bytes"
+                for name, known, connections, queries, held in self.clients.gate.top(5)
+            ),
+            *(self.fleet.lines() if self.fleet is not None else ()),
+        ]
         for line in counters:
             self.log.line(line)
 
--- a/lichenquay/front/statement.py
+++ b/lichenquay/front/statement.py
@@ -3,21 +3,27 @@
 The group is the number behind the underscore in a schema's name: 17 in `sales_17.orders`. Names in strings and
 comments, quoted names that are no schemas, and the schema `staging` do not count.
 """
+
 import re
 from itertools import chain
 
-TOKEN = re.compile(r"""
+TOKEN = re.compile(
+    r"""
     (?P<skip> [\s\d=<>+*,;:%!|&?@#^~\[\]{}]+ | --[^\n]* | '(?:[^']|'')*(?:'|\Z) | (?P<tag>\$(?:[A-Za-z_]\w*)?\$) (?:.|\n)*? (?:(?P=tag)|\Z) )
   | (?P<open> /\* )
   | "(?P<quoted> (?:[^"]|"")* ) (?:"|\Z)
   | `(?P<ticked> [^`]* ) (?:`|\Z)
   | (?P<word> [^\W\d][\w$]* )
   | (?P<other> (?:.|\n) )
-""", re.X)
+""",
+    re.X,
+)
 COMMENT = re.compile(r"/\*|\*/")
 GROUP = re.compile(r"_(\d+)\Z")
 TABLE_FOLLOWS = frozenset(("from", "join", "into", "update", "using", "table", "copy", "truncate"))
-TABLE_ENDS = frozenset(("where", "select", "set", "on", "group", "order", "having", "limit", "values", "returning"))
+TABLE_ENDS = frozenset(
+    ("where", "select", "set", "on", "group", "order", "having", "limit", "values", "returning")
+)
 
 
 def tokens(text):
@@ -28,7 +34,7 @@
         kind, at = found.lastgroup, found.end()
         if kind == "open":
             depth = 1
-            while depth:        # block comments nest
+            while depth:  # block comments nest
                 mark = COMMENT.search(text, at)
                 if mark is None:
                     return
@@ -61,7 +67,7 @@
         if is_name:
             word = "" if quoted else token.lower()
             if word in TABLE_FOLLOWS:
-                table = not call        # as in extract(day from o_1.at)
+                table = not call  # as in extract(day from o_1.at)
             elif word in TABLE_ENDS:
                 table = call = False
             else:
--- a/lichenquay/front/take_in.py
+++ b/lichenquay/front/take_in.py
@@ -1,4 +1,5 @@
 """Take in: which of the clients' connections and queries are taken, within what limits, and which are closed in time."""
+
 import errno
 import os
 import re
@@ -12,18 +13,21 @@
 from lichenquay.front.statement import tables_of
 from lichenquay.gate import decide
 
-MOST_OPEN = 32                  # PROTOCOL: open requests on one connection
+MOST_OPEN = 32  # PROTOCOL: open requests on one connection
 REF = re.compile(r"[0-9a-fA-F]{16}\Z")
-MARK = re.compile(r"[!-~]{0,256}\Z")       # a token or key; risk: another header, or another call, is said in it
-IDLE_S = 4.5                    # PROTOCOL: clients close idle connections after 4 s; some hold theirs for good
-WHOLE_S = 2.0                   # for a first frame, and for one that has begun: LATER owes an answer or a close within 3 s
-QUIET_S = 0.02                  # a client that has something to say says it by then, when there is no room for others
-PATIENCE_S = 0.03               # room that is about to come is waited for this long before a connection is refused
-FLOOD, MOST_WAITS = 20, 12      # refusals, and waits for room, in a second, from which on nobody is waited for
-ACCEPTS, REFUSALS = 8, 64       # connections accepted, and refused, at a time
-BACKLOG = 4096                  # refusing is quick; what the machine drops comes again after a second
-ROOM_EACH = 16                  # one frame or statement takes this part of the free room at most
-MOST_MS, MOST_MB = 86_400_000.0, 1_048_576.0    # a day, and a terabyte: what is said to need more makes no sense
+MARK = re.compile(r"[!-~]{0,256}\Z")  # a token or key; risk: another header, or another call, is said in it
+IDLE_S = 4.5  # PROTOCOL: clients close idle connections after 4 s; some hold theirs for good
+WHOLE_S = 2.0  # for a first frame, and for one that has begun: LATER owes an answer or a close within 3 s
+QUIET_S = 0.02  # a client that has something to say says it by then, when there is no room for others
+PATIENCE_S = 0.03  # room that is about to come is waited for this long before a connection is refused
+FLOOD, MOST_WAITS = 20, 12  # refusals, and waits for room, in a second, from which on nobody is waited for
+ACCEPTS, REFUSALS = 8, 64  # connections accepted, and refused, at a time
+BACKLOG = 4096  # refusing is quick; what the machine drops comes again after a second
+ROOM_EACH = 16  # one frame or statement takes this part of the free room at most
+MOST_MS, MOST_MB = (
+    86_400_000.0,
+    1_048_576.0,
+)  # a day, and a terabyte: what is said to need more makes no sense
 
 
 class NoRoom(BadQuery):
@@ -48,7 +52,7 @@
     try:
         skt.send(frames.answer(0, frames.DEFERRED, text), MSG_DONTWAIT)
         skt.recv(65_536, MSG_DONTWAIT)
-    except OSError:         # nothing has come, or it has gone already
+    except OSError:  # nothing has come, or it has gone already
         pass
     skt.close()
 
@@ -57,8 +61,11 @@
     """All clients' connections: at most `most` at a time; more wait to be accepted. What they make the front hold
     (open queries' statements, frames that are not whole, answers that are not read) has `room` bytes, all together."""
 
-    ANSWERS = {frames.FINISHED: "answers finished", frames.DEFERRED: "answers deferred",
-               frames.KILLED: "answers killed"}
+    ANSWERS = {
+        frames.FINISHED: "answers finished",
+        frames.DEFERRED: "answers deferred",
+        frames.KILLED: "answers killed",
+    }
     noisy = False
 
     def __init__(self, opening, reactor, admit, metrics, log, now_ms, ready):
@@ -67,8 +74,8 @@
         self.reactor, self.seconds = reactor, reactor.seconds
         self.connections, self.refs, self.port, self.accept, self.most_connections = {}, {}, None, None, 0
         self.most = self.room = self.held = self.turned = self.waits = 0
-        self.full = False           # nothing more is taken in: the front ends
-        self.turned_s = 0.0         # since when `turned` counts refusals, for a second
+        self.full = False  # nothing more is taken in: the front ends
+        self.turned_s = 0.0  # since when `turned` counts refusals, for a second
         self.gate, self.waits_s = decide.Gate(decide.Rules(0, 0), self.gate_ms()), None
 
     def gate_ms(self):
@@ -95,8 +102,14 @@
         now, taken = self.seconds(), 0
         if now - self.turned_s > 1.0:
             self.turned_s, self.turned, self.waits = now, 0, 0
-        if (not last and self.turned < FLOOD and self.waits < MOST_WAITS and self.gate.is_full() and self.gate.soon(now * 1000)
-                and now - (self.waits_s or now) < PATIENCE_S):
+        if (
+            not last
+            and self.turned < FLOOD
+            and self.waits < MOST_WAITS
+            and self.gate.is_full()
+            and self.gate.soon(now * 1000)
+            and now - (self.waits_s or now) < PATIENCE_S
+        ):
             self.waits_s, self.waits = self.waits_s or now, self.waits + 1
             self.port.pauseProducing()
             self.reactor.callLater(QUIET_S / 2, self.accept_on)
@@ -118,8 +131,10 @@
             self.make_way(verdict)
             skt.setblocking(False)
             try:
-                self.reactor.adoptStreamConnection(skt.fileno(), AF_INET6 if len(address) > 2 else AF_INET, self)
-            except OSError:     # no descriptor for its copy
+                self.reactor.adoptStreamConnection(
+                    skt.fileno(), AF_INET6 if len(address) > 2 else AF_INET, self
+                )
+            except OSError:  # no descriptor for its copy
                 self.metrics.count("connections refused: no descriptor")
             finally:
                 skt.close()
@@ -192,21 +207,34 @@
             raise BadQuery(f"token or key: {token[:40]!r}, {key[:40]!r}")
         if not REF.match(said["ref"]):
             raise BadQuery(f"ref: {said['ref'][:40]!r}")
-        if said["ref"] in self.refs:        # risk: one query's result becomes the answer to another statement
+        if said["ref"] in self.refs:  # risk: one query's result becomes the answer to another statement
             raise BadQuery("ref: it is open already")
         if not self.fits(len(body)):
             raise NoRoom("no room for its statement")
         verdict = self.gate.asks(connection.place, len(body), self.gate_ms())
         if verdict.answer == decide.REFUSE:
             raise NoRoom(f"{verdict.why}; come back in {max(1.0, verdict.again_ms):.0f} ms")
-        if verdict.end is not None:         # the youngest of its queries has its final answer now
+        if verdict.end is not None:  # the youngest of its queries has its final answer now
             self.admit.give_up(next(reversed(verdict.end.what.open.values())))
-        statement = bytes(body)         # it outlives the buffer
+        statement = bytes(body)  # it outlives the buffer
         longest = group.timeout_ms or MOST_MS
-        return FrontQuery(0, group, now, now + min(longest, amount(said, "allowed", 2 * longest)), tenant, key,
-                          amount(said, "work", MOST_MS), amount(said, "memory", MOST_MB),
-                          tables_of(str(statement, "utf-8", "replace")),
-                          tokened=bool(token), client=connection, stream=stream, ref=said["ref"], token=token, statement=statement)
+        return FrontQuery(
+            0,
+            group,
+            now,
+            now + min(longest, amount(said, "allowed", 2 * longest)),
+            tenant,
+            key,
+            amount(said, "work", MOST_MS),
+            amount(said, "memory", MOST_MB),
+            tables_of(str(statement, "utf-8", "replace")),
+            tokened=bool(token),
+            client=connection,
+            stream=stream,
+            ref=said["ref"],
+            token=token,
+            statement=statement,
+        )
 
     def fits(self, size, had=0):
         """Risk: a few that send much take the room of the many that send little."""
@@ -220,7 +248,9 @@
         """Closes what has outlived its use: connections without a whole frame in time, and idle ones."""
         now = self.seconds()
         for connection in [x for x in self.connections if x.up and not x.bad]:
-            if now - connection.begun_s > WHOLE_S and (not connection.known or connection.reader.unfinished()):
+            if now - connection.begun_s > WHOLE_S and (
+                not connection.known or connection.reader.unfinished()
+            ):
                 connection.ends("no whole frame in time")
             elif connection.is_idle() and now - connection.heard_s > IDLE_S:
                 connection.tell_no_more()
--- a/lichenquay/gate/accounts.py
+++ b/lichenquay/gate/accounts.py
@@ -1,5 +1,6 @@
 """What the gate keeps of addresses, prefixes and connections, free of I/O. Times are milliseconds of one clock, said by
 `decide`, which decides by it."""
+
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -11,11 +12,12 @@
 @dataclass(eq=False)
 class Holder:
     """An address or a prefix, and what it holds."""
+
     name: str
     known: bool
-    lines: OrderedDict = field(default_factory=OrderedDict)    # the one with the youngest query last
+    lines: OrderedDict = field(default_factory=OrderedDict)  # the one with the youngest query last
     count: int = 0
-    active: int = 0             # of them, those that do not end
+    active: int = 0  # of them, those that do not end
     queries: int = 0
     held: int = 0
     tokens: float = 0.0
@@ -35,12 +37,13 @@
 @dataclass(eq=False)
 class Line:
     """A connection that was taken."""
+
     holder: Holder
     stands: str = SILENT
     since_ms: float = 0.0
     queries: int = 0
     held: int = 0
-    what: object = None         # the connection, for who carries things out
+    what: object = None  # the connection, for who carries things out
 
 
 class Ranks:
--- a/lichenquay/gate/decide.py
+++ b/lichenquay/gate/decide.py
@@ -7,6 +7,7 @@
 of those that hold nothing, the `most_seen` last seen are remembered for their rates. One that is forgotten comes back with a full
 bucket: a sender with more addresses than that can have `burst` from each, and no more connections than any other.
 """
+
 from collections import OrderedDict
 from dataclasses import dataclass
 from heapq import nsmallest
@@ -21,39 +22,47 @@
 STATES = (CALM, TIGHT, CRITICAL, FULL)
 # why a refusal; each is a counter
 CONNECTIONS, RATE, QUERIES, BYTES, SENSELESS, NO_ROOM, OVERLOAD, LEAVING = (
-    "connections of one address", "new connections a second", "open queries of one address", "bytes of one address",
-    "requests that make no sense", "no room", "overload", "leaving")
+    "connections of one address",
+    "new connections a second",
+    "open queries of one address",
+    "bytes of one address",
+    "requests that make no sense",
+    "no room",
+    "overload",
+    "leaving",
+)
 
 
 @dataclass(frozen=True)
 class Caps:
     """Of one address, or of one prefix; 0: none."""
+
     connections: int = 0
-    per_s: float = 0.0              # new connections; a bucket of `burst`
+    per_s: float = 0.0  # new connections; a bucket of `burst`
     burst: float = 0.0
     queries: int = 0
     held_bytes: int = 0
-    senseless_per_s: float = 0.0    # requests that make no sense; a bucket of as many
+    senseless_per_s: float = 0.0  # requests that make no sense; a bucket of as many
 
 
 @dataclass(frozen=True)
 class Rules:
-    most: int                               # connections, those that end not counted
-    most_queries: int                       # open ones; 0: no bound of its own
+    most: int  # connections, those that end not counted
+    most_queries: int  # open ones; 0: no bound of its own
     address: Caps = Caps()
     prefix: Caps = Caps()
-    prefix4: int = 24                       # bits of the wider one; IPv6: 48 over /64
-    known: tuple = ()                       # networks of known clients
-    reserve: int = 0                        # connections for them
-    spare: int = 8                          # connections that end, beyond `most`
-    most_seen: int = 4096                   # addresses and prefixes remembered that hold nothing
-    quiet_ms: float = 20.0                  # a client that has something to say says it by then
-    again_ms: float = 1000.0                # what a refusal tells, unless its cap knows better
-    up: tuple = (0.75, 0.9, 0.98)           # parts used up from which a state counts ...
-    down: tuple = (0.65, 0.8, 0.92)         # ... and under which it ends, ...
-    rest_ms: float = 250.0                  # ... after so long
-    lag_ms: float = 50.0                    # turn lag that stands for this counts as all used up
-    lag_window_ms: float = 200.0            # how long it must stand: the least of a window counts
+    prefix4: int = 24  # bits of the wider one; IPv6: 48 over /64
+    known: tuple = ()  # networks of known clients
+    reserve: int = 0  # connections for them
+    spare: int = 8  # connections that end, beyond `most`
+    most_seen: int = 4096  # addresses and prefixes remembered that hold nothing
+    quiet_ms: float = 20.0  # a client that has something to say says it by then
+    again_ms: float = 1000.0  # what a refusal tells, unless its cap knows better
+    up: tuple = (0.75, 0.9, 0.98)  # parts used up from which a state counts ...
+    down: tuple = (0.65, 0.8, 0.92)  # ... and under which it ends, ...
+    rest_ms: float = 250.0  # ... after so long
+    lag_ms: float = 50.0  # turn lag that stands for this counts as all used up
+    lag_window_ms: float = 200.0  # how long it must stand: the least of a window counts
 
 
 def networks(texts):
@@ -66,19 +75,27 @@
     answer: str
     why: str = ""
     again_ms: float = 0.0
-    end: Line = None            # a connection to be ended for it, its queries with their final answers first
-    abort: Line = None          # one that ends already, to be cut off now
+    end: Line = None  # a connection to be ended for it, its queries with their final answers first
+    abort: Line = None  # one that ends already, to be cut off now
 
 
 class Gate:
     def __init__(self, rules, now):
         self.rules, self.now = rules, now
-        self.holders, self.idle_holders = {}, OrderedDict()      # by name; those that hold nothing, last seen last
-        self.lines = {False: set(), True: set()}                # by known or not
-        self.stand = {(kind, known): OrderedDict() for kind in (SILENT, IDLE, ENDING, GOING) for known in (False, True)}
+        self.holders, self.idle_holders = (
+            {},
+            OrderedDict(),
+        )  # by name; those that hold nothing, last seen last
+        self.lines = {False: set(), True: set()}  # by known or not
+        self.stand = {
+            (kind, known): OrderedDict() for kind in (SILENT, IDLE, ENDING, GOING) for known in (False, True)
+        }
         self.ranks = {False: Ranks(), True: Ranks()}
         self.queries = {False: 0, True: 0}
-        self.asking = {False: OrderedDict(), True: OrderedDict()}       # connections with open queries, who asked last last
+        self.asking = {
+            False: OrderedDict(),
+            True: OrderedDict(),
+        }  # connections with open queries, who asked last last
         self.state, self.below_ms, self.lags, self.leaving, self.forgotten = CALM, now, [], False, 0
         self.refusals = {}
 
@@ -95,7 +112,7 @@
         if found is None:
             try:
                 ip = ip_address(address)
-            except ValueError:              # a local socket's: one holder for all that have no address
+            except ValueError:  # a local socket's: one holder for all that have no address
                 ip = ip_address("127.0.0.0")
             known = any(ip.version == net.version and ip in net for net in self.rules.known)
             wide, narrow = (self.rules.prefix4, 32) if ip.version == 4 else (48, 64)
@@ -103,13 +120,17 @@
             found = self.add(name, known, self.rules.address)
             found.prefix = "" if known else str(ip_network(f"{ip}/{wide}", strict=False))
         if found.prefix and (found.wider is None or self.holders.get(found.prefix) is not found.wider):
-            found.wider = self.add(found.prefix, False, self.rules.prefix)      # it was forgotten, and it held nothing
+            found.wider = self.add(
+                found.prefix, False, self.rules.prefix
+            )  # it was forgotten, and it held nothing
         return found
 
     def add(self, name, known, caps):
         found = self.holders.get(name)
         if found is None:
-            found = self.holders[name] = Holder(name, known, tokens=caps.burst, sense=caps.senseless_per_s, at_ms=self.now)
+            found = self.holders[name] = Holder(
+                name, known, tokens=caps.burst, sense=caps.senseless_per_s, at_ms=self.now
+            )
             self.rest(found)
         return found
 
@@ -117,7 +138,7 @@
         """It holds nothing: it is remembered for a while, among as many others."""
         self.idle_holders[holder.name] = holder
         self.idle_holders.move_to_end(holder.name)
-        while len(self.idle_holders) > max(2, self.rules.most_seen):    # an address and its prefix at least
+        while len(self.idle_holders) > max(2, self.rules.most_seen):  # an address and its prefix at least
             name, gone = self.idle_holders.popitem(last=False)
             del self.holders[name]
             self.forgotten += 1
@@ -176,7 +197,11 @@
                 if line is not None and now - line.since_ms >= self.rules.quiet_ms:
                     return line
             most = self.ranks[known].most()
-            if most is not None and most is not holder and (known < holder.known or most.active > holder.active + 1):
+            if (
+                most is not None
+                and most is not holder
+                and (known < holder.known or most.active > holder.active + 1)
+            ):
                 return next(x for x in reversed(most.lines) if x.stands not in (ENDING, GOING))
         return None
 
@@ -346,5 +371,10 @@
 
     def top(self, n):
         """(name, known, connections, queries, bytes) of the addresses that hold most connections."""
-        found = ((h.name, h.known, h.count, h.queries, h.held) for ranks in self.ranks.values() for g in ranks.by.values() for h in g)
+        found = (
+            (h.name, h.known, h.count, h.queries, h.held)
+            for ranks in self.ranks.values()
+            for g in ranks.by.values()
+            for h in g
+        )
         return nsmallest(n, found, key=lambda x: (-x[2], x[0]))
--- a/lichenquay/lab/audit.py
+++ b/lichenquay/lab/audit.py
@@ -1,5 +1,6 @@
 """An audit of a run, from what the clients kept and what the engines wrote; free of I/O. Each check can fail, and tests let
 each one (a front that breaks its rule on purpose)."""
+
 import json
 from collections import Counter, defaultdict
 
@@ -7,12 +8,22 @@
 
 from lichenquay.conf import lichenquay_pb2 as pb
 
-ONE_ANSWER, IN_TIME, NOTHING_AFTER, ROWS = "no answer", "answered late", "answered twice", "rows that no engine made"
-TWICE, COPIES, DRAINED, PUSHED, ORPHAN = ("mutating query run twice", "two submissions out", "sent after a told drain",
-                                          "cold engine pushed over", "finished without an engine's run")
+ONE_ANSWER, IN_TIME, NOTHING_AFTER, ROWS = (
+    "no answer",
+    "answered late",
+    "answered twice",
+    "rows that no engine made",
+)
+TWICE, COPIES, DRAINED, PUSHED, ORPHAN = (
+    "mutating query run twice",
+    "two submissions out",
+    "sent after a told drain",
+    "cold engine pushed over",
+    "finished without an engine's run",
+)
 STRANGE = "answers to queries that nobody asked"
-SLACK_MS = 100.0                # for the way to the client and its own clock
-DRAIN_MS = 300.0                # 250 ms, and 50 ms on sockets
+SLACK_MS = 100.0  # for the way to the client and its own clock
+DRAIN_MS = 300.0  # 250 ms, and 50 ms on sockets
 MOST_SHOWN = 5
 
 
@@ -50,7 +61,9 @@
 def audit(c, ledger, lab):
     """Findings: [(check, how many, examples)], for `c` columns of the clients' queries."""
     found = defaultdict(list)
-    clients = zip(c["ref"], c["answers"], c["left"], c["code"], c["odd"], c["sent_ms"], c["answered_ms"], c["allowed"])
+    clients = zip(
+        c["ref"], c["answers"], c["left"], c["code"], c["odd"], c["sent_ms"], c["answered_ms"], c["allowed"]
+    )
     finished, mutating = set(), {g.name for g in lab.groups if g.effect == pb.MUTATING}
     for ref, answers, left, code, odd, sent, at, allowed in clients:
         if not answers and not left and sent == sent:
@@ -76,7 +89,9 @@
             else:
                 drained.setdefault(x["engine"], x["ms"])
         elif x["kind"] == "post" and x["ms"] > drained.get(x["engine"], float("inf")) + DRAIN_MS:
-            found[DRAINED].append(f"{x['ref']} at {x['engine']}, {x['ms'] - drained[x['engine']]:.0f} ms after")
+            found[DRAINED].append(
+                f"{x['ref']} at {x['engine']}, {x['ms'] - drained[x['engine']]:.0f} ms after"
+            )
         elif x["kind"] == "fell":
             found[PUSHED].append(f"{x['engine']}: {x['sent_ms']} of {x['bound_ms']} ms")
     found[TWICE] += [ref for ref, n in runs.items() if n > 1 and groups.get(ref) in mutating]
@@ -106,5 +121,9 @@
     def share(rows):
         asked = float((value * rows).sum())
         return round(float((got * rows).sum()) / asked, 4) if asked else None
-    return {"all": share(stayed), "groups": {n: share(stayed & (c["group"] == n)) for n in groups},
-            "tenants": {t.name: share(stayed & (c["tenant"] == t.name)) for t in lab.tenants}}
+
+    return {
+        "all": share(stayed),
+        "groups": {n: share(stayed & (c["group"] == n)) for n in groups},
+        "tenants": {t.name: share(stayed & (c["tenant"] == t.name)) for t in lab.tenants},
+    }
--- a/lichenquay/lab/badfront.py
+++ b/lichenquay/lab/badfront.py
@@ -4,6 +4,7 @@
 
 It sends each query to an engine in turn and passes on the result; FAULT says what it does wrong. Never for use.
 """
+
 import json
 import os
 
@@ -14,7 +15,19 @@
 
 from lichenquay.front import frames, http
 
-FAULTS = ("none", "silent", "twice", "late", "rows", "runs twice", "copies", "ignores drains", "one engine", "makes up", "strange")
+FAULTS = (
+    "none",
+    "silent",
+    "twice",
+    "late",
+    "rows",
+    "runs twice",
+    "copies",
+    "ignores drains",
+    "one engine",
+    "makes up",
+    "strange",
+)
 
 
 class EngineCall(Protocol):
@@ -67,7 +80,9 @@
     def follow(self):
         while True:
             try:
-                reply = yield call(self.bulletin, http.request("GET", f"/bulletins?after={self.no}&patience=1000", "b"))
+                reply = yield call(
+                    self.bulletin, http.request("GET", f"/bulletins?after={self.no}&patience=1000", "b")
+                )
                 self.take(json.loads(reply.body))
             except Exception:
                 yield wait(0.05)
--- a/lichenquay/lab/detectors.py
+++ b/lichenquay/lab/detectors.py
@@ -6,6 +6,7 @@
 held it for cut while others did not. Times to detect run from the kill to the last watcher's verdict. Intervals: 95
 of 100 (rates: Poisson's; times: bootstrap over the kills).
 """
+
 import argparse
 import json
 import random
@@ -32,11 +33,13 @@
     return w
 
 
-KINDS = {"members": watch,
-         "phi": lambda *a: Phi(*a, watchers=10),
-         "phi, 2 s borne": lambda *a: Phi(*a, watchers=10, pause_ms=2_000.0),
-         "rapid": Rapid,
-         "rapid, 2 s borne": lambda *a: Rapid(*a, window=14, fails=12)}
+KINDS = {
+    "members": watch,
+    "phi": lambda *a: Phi(*a, watchers=10),
+    "phi, 2 s borne": lambda *a: Phi(*a, watchers=10, pause_ms=2_000.0),
+    "rapid": Rapid,
+    "rapid, 2 s borne": lambda *a: Rapid(*a, window=14, fails=12),
+}
 
 
 class Trial:
@@ -51,8 +54,11 @@
         make = KINDS[kind]
         self.net.after = self._after
         for name in self.names:
-            self.net.host(name, lambda h: {"it": make(h.name, h.incarnation, self.names, h.rng, h.now_ms())},
-                          offset_ms=self.net.rng.uniform(0, 1e6))
+            self.net.host(
+                name,
+                lambda h: {"it": make(h.name, h.incarnation, self.names, h.rng, h.now_ms())},
+                offset_ms=self.net.rng.uniform(0, 1e6),
+            )
         for name, h in self.net.hosts.items():
             for target in getattr(h.parts["it"], "watched", self.names):
                 if target != name:
@@ -79,7 +85,9 @@
             self.split_ms += self.net.now_ms - self.since.pop(name)
 
     def traffic(self):
-        return sum(h.sent for h in self.net.hosts.values()), sum(h.sent_bytes for h in self.net.hosts.values())
+        return sum(h.sent for h in self.net.hosts.values()), sum(
+            h.sent_bytes for h in self.net.hosts.values()
+        )
 
 
 def detect(kind, n, seed, loss=0.1):
@@ -107,11 +115,14 @@
     """f0 is not heard by half of the others for 20 s."""
     t = Trial(kind, n, seed, 0.01)
     began = t.net.now_ms
-    t.net.between(["f0"], t.names[1:1 + n // 2], cut=True)
+    t.net.between(["f0"], t.names[1 : 1 + n // 2], cut=True)
     t.net.run(began + ONE_SIDED_MS)
     t.net.mend()
     t.net.run(t.net.now_ms + 15_000)
-    return {"episodes": t.episodes, "split_ms": round(t.split_ms + sum(t.net.now_ms - s for s in t.since.values()))}
+    return {
+        "episodes": t.episodes,
+        "split_ms": round(t.split_ms + sum(t.net.now_ms - s for s in t.since.values())),
+    }
 
 
 def agreement(n, seed, loss=0.1):
@@ -127,8 +138,10 @@
 
 def poisson(k, hours):
     """The rate an hour with its interval (Wilson and Hilferty's approximation of the exact one)."""
+
     def edge(k, z):
-        return 0.0 if k <= 0 else k * (1 - 1 / (9 * k) + z / (3 * k ** 0.5)) ** 3
+        return 0.0 if k <= 0 else k * (1 - 1 / (9 * k) + z / (3 * k**0.5)) ** 3
+
     return [round(x / hours, 2) for x in (k, edge(k, -1.96), edge(k + 1, 1.96))]
 
 
@@ -153,9 +166,12 @@
         for pauses in (False, True):
             runs = [false_verdicts(kind, n, seed, loss, minutes, pauses) for seed in range(seeds)]
             row[f"false_an_hour_{round(100 * loss)}{'_pauses' if pauses else ''}"] = poisson(
-                sum(e for e, _, _ in runs), seeds * minutes / 60)
+                sum(e for e, _, _ in runs), seeds * minutes / 60
+            )
             if not pauses:
-                row[f"sent_a_second_{round(100 * loss)}"] = [round(sum(r[i] for r in runs) / seeds, 1) for i in (1, 2)]
+                row[f"sent_a_second_{round(100 * loss)}"] = [
+                    round(sum(r[i] for r in runs) / seeds, 1) for i in (1, 2)
+                ]
     row["one_sided"] = [one_sided(kind, n, seed) for seed in range(seeds)]
     if kind == "members" and n <= 20:
         row["views_agree_ms"] = interval([agreement(n, seed) for seed in range(kills // 3)], 0.99, rng)
--- a/lichenquay/lab/emulator.py
+++ b/lichenquay/lab/emulator.py
@@ -5,6 +5,7 @@
 prints one JSON line with the addresses when it listens, and begins its script when a line `START` comes on standard
 input. The ledger has one JSON line for each thing that happened, with the monotonic clock's milliseconds.
 """
+
 import json
 import signal
 import sys
@@ -83,11 +84,21 @@
         return EngineHost(self, f"e-{self.made:04d}", zone, self.conf.engines, chance, port, cold)
 
     def row(self, e, state="SERVING"):
-        return {"uid": e.uid, "endpoint": e.address, "az": e.zone, "model": "std", "pod_group": 0, "state": state,
-                "capacity_hint": 1, "boot_ms": e.boot_ms}
+        return {
+            "uid": e.uid,
+            "endpoint": e.address,
+            "az": e.zone,
+            "model": "std",
+            "pod_group": 0,
+            "state": state,
+            "capacity_hint": 1,
+            "boot_ms": e.boot_ms,
+        }
 
     def write(self, kind, uid, ref, **facts):
-        self.ledger.write(json.dumps({"ms": round(now_ms(), 3), "kind": kind, "engine": uid, "ref": ref, **facts}) + "\n")
+        self.ledger.write(
+            json.dumps({"ms": round(now_ms(), 3), "kind": kind, "engine": uid, "ref": ref, **facts}) + "\n"
+        )
 
     def start(self):
         for fault in self.conf.faults:
@@ -156,7 +167,7 @@
         if line.strip() == b"START":
             self.lab.start()
 
-    def connectionLost(self, reason):       # who started it is gone
+    def connectionLost(self, reason):  # who started it is gone
         if reactor.running:
             reactor.stop()
 
@@ -168,8 +179,16 @@
     with open(ledger, "w", buffering=1) as file:
         lab = Lab(read_file(conf), file)
         signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(reactor.stop))
-        print(json.dumps({"bulletin": lab.bulletin.address, "known": lab.bulletin.known(),
-                          "engines": [e.address for e in lab.engines]}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "bulletin": lab.bulletin.address,
+                    "known": lab.bulletin.known(),
+                    "engines": [e.address for e in lab.engines],
+                }
+            ),
+            flush=True,
+        )
         stdio.StandardIO(Orders(lab))
         reactor.run(installSignalHandlers=False)
     sys.exit(0)
--- a/lichenquay/lab/engine.py
+++ b/lichenquay/lab/engine.py
@@ -3,13 +3,14 @@
 Work is milliseconds on one core. A query of `threads` gets that many cores, or its part of all where they are short; parts
 go by priority (twice as much for each rank). Times come in and must not go back; chance is given as a numpy Generator.
 """
+
 from collections import OrderedDict, deque
 from math import inf
 
 from lichenquay.load.task import RUNNING
 
 FINISHED, FULL = "finished", "full"
-PROGRESS_MS = 500.0             # between two notes of progress
+PROGRESS_MS = 500.0  # between two notes of progress
 
 
 class Engine:
@@ -20,7 +21,7 @@
         self.tasks, self.running, self.line = {}, [], deque()
         self.warm, self.held, self.used_mb = OrderedDict(), {}, 0.0
         self.now, self.pace, self.fallen = 0.0, 1.0, False
-        self.sent = deque()             # (time, work) while cold
+        self.sent = deque()  # (time, work) while cold
 
     def capacity(self, now):
         """Share of its cores that it has; rises while it is cold."""
@@ -34,7 +35,7 @@
         cores, want = self.f.cores * self.capacity(self.now), sum(t.threads for t in self.running)
         if want <= cores:
             return [float(t.threads) for t in self.running]
-        parts = [t.threads * 2.0 ** t.rank for t in self.running]
+        parts = [t.threads * 2.0**t.rank for t in self.running]
         scale = cores / sum(parts)
         return [min(float(t.threads), p * scale) for t, p in zip(self.running, parts)]
 
@@ -50,7 +51,7 @@
             rates = self.rates()
             step = min([now - self.now] + [t.left_ms / r for t, r in zip(self.running, rates) if r > 0])
             if self.started_ms is not None and self.now < self.started_ms + self.f.cold_ms:
-                step = min(step, 50.0)          # capacity changes with age
+                step = min(step, 50.0)  # capacity changes with age
             self.now = now if step >= now - self.now else self.now + step
             for t, r in zip(self.running, rates):
                 t.left_ms -= r * step
@@ -90,7 +91,9 @@
         bound = self.f.cold_multiple * self.capacity(now) * self.f.cores * self.f.fall_ms
         if sum(w for _, w in self.sent) > bound and not self.fallen:
             self.fallen = True
-            self.tell("fell", task.ref, sent_ms=round(sum(w for _, w in self.sent), 1), bound_ms=round(bound, 1))
+            self.tell(
+                "fell", task.ref, sent_ms=round(sum(w for _, w in self.sent), 1), bound_ms=round(bound, 1)
+            )
 
     def admit(self, now):
         """Those in line start in order, as memory and tables allow; who waits for tables lets others pass."""
--- a/lichenquay/lab/engine_host.py
+++ b/lichenquay/lab/engine_host.py
@@ -1,4 +1,5 @@
 """An emulated engine on a socket: the model, the calls that wait for its news, and its faults."""
+
 import time
 
 from twisted.internet import reactor
@@ -10,8 +11,11 @@
 
 # PROTOCOL: wait for news; a query that is not asked for; bytes of a page
 NEWS_MS, KEPT_MS, PAGE = 250.0, 2000.0, 6000
-SPOILT = (b"no answer at all\r\n\r\n", b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 9\r\n\r\n1\ta",
-          b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 3000000000\r\n\r\nxxxx")
+SPOILT = (
+    b"no answer at all\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 9\r\n\r\n1\ta",
+    b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 3000000000\r\n\r\nxxxx",
+)
 
 
 class EngineHost(Host):
@@ -23,7 +27,7 @@
         self.boot_ms = time.time() * 1000 if cold else 0
         self.engine = model.Engine(uid, figures, now_ms() if cold else None, self.tell)
         self.waiting, self.timer, self.dead, self.still, self.held = {}, None, False, 0, []
-        self.shares = {}                # of answers that are reset, spoilt or lost
+        self.shares = {}  # of answers that are reset, spoilt or lost
         self.engine.advance(now_ms())
 
     def tell(self, kind, ref, **facts):
@@ -44,7 +48,7 @@
         if self.dead:
             return
         if self.strikes(pb.Fault.RESET):
-            if self.chance.random() < 0.5:          # read all the same
+            if self.chance.random() < 0.5:  # read all the same
                 self.dispatch(None, verb, path, headers, body)
             elif verb == "POST":
                 self.lab.write("unread", self.uid, headers.get("x-hop-id", ""))
@@ -57,8 +61,13 @@
         try:
             if verb == "POST":
                 ref = headers["x-hop-id"]
-                task = task_of(ref, headers["x-sort"], body, float(headers.get("x-mem-limit", 0)),
-                               int(headers.get("x-nice", 1)))
+                task = task_of(
+                    ref,
+                    headers["x-sort"],
+                    body,
+                    float(headers.get("x-mem-limit", 0)),
+                    int(headers.get("x-nice", 1)),
+                )
                 told = e.start(now, task)
                 if told == model.FULL:
                     self.lab.write("full", self.uid, ref)
@@ -122,8 +131,17 @@
             return self.send(line, 500)
         pages = self.pages(task)
         report = ";".join(f"{n}:{v}" for n, v in self.engine.report().items())
-        self.send(line, 200, [("X-Parts", str(len(pages))), ("X-Cpu-Ms", f"{task.whole_ms:.2f}"),
-                              ("X-Mem-Used", f"{task.memory_mb:.1f}"), ("X-Report", report)], pages[0])
+        self.send(
+            line,
+            200,
+            [
+                ("X-Parts", str(len(pages))),
+                ("X-Cpu-Ms", f"{task.whole_ms:.2f}"),
+                ("X-Mem-Used", f"{task.memory_mb:.1f}"),
+                ("X-Report", report),
+            ],
+            pages[0],
+        )
 
     def page(self, line, task, number, now):
         task.keeps_until_ms = now + KEPT_MS
@@ -150,7 +168,9 @@
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         ahead = self.engine.next_ms() - now_ms()
-        self.timer = reactor.callLater(max(0.0, min(ahead, 1000.0)) / 1000, self.tick) if not self.dead else None
+        self.timer = (
+            reactor.callLater(max(0.0, min(ahead, 1000.0)) / 1000, self.tick) if not self.dead else None
+        )
 
     def tick(self):
         if self.still or self.dead:
@@ -178,7 +198,7 @@
     def go_on(self, newest_first=True):
         self.still -= 1
         if not self.still:
-            self.engine.now = now_ms()          # nothing was worked on meanwhile
+            self.engine.now = now_ms()  # nothing was worked on meanwhile
             held, self.held = self.held, []
             for call in held[::-1] if newest_first else held:
                 self.handle(*call)
--- a/lichenquay/lab/fleetnet.py
+++ b/lichenquay/lab/fleetnet.py
@@ -6,6 +6,7 @@
 itself; hosts pause, die and start again; their clocks run at rates of their own. One seed gives one run. Times: virtual
 milliseconds.
 """
+
 import heapq
 import random
 from collections import Counter
@@ -19,10 +20,11 @@
 @dataclass(frozen=True)
 class Weather:
     """One direction of a link. Shares 0 to 1."""
+
     loss: float = 0.0
     delay_ms: tuple = (0.2, 1.0)
     doubled: float = 0.0
-    late: float = 0.0          # Share that comes later than others by up to `late_ms`.
+    late: float = 0.0  # Share that comes later than others by up to `late_ms`.
     late_ms: float = 500.0
     cut: bool = False
 
@@ -48,8 +50,12 @@
         self.hosts, self.links, self.now_ms = {}, {}, 0.0
         self.lost, self.messages = Counter(), 0
         self._heap, self._order = [], count()
-        self.after = None    # after(host, layer, part): called when a part was called, before its outbox goes out.
-        self.meddle = None   # meddle(no, source, target, layer, message): None, or [(target, delay_ms, message)], which
+        self.after = (
+            None  # after(host, layer, part): called when a part was called, before its outbox goes out.
+        )
+        self.meddle = (
+            None  # meddle(no, source, target, layer, message): None, or [(target, delay_ms, message)], which
+        )
         # are delivered instead of what the weather would make of it.
 
     # --- hosts
@@ -113,7 +119,7 @@
     def split(self, *sides, cut=True):
         """Cuts (or mends) all links between the sides, both ways."""
         for i, a in enumerate(sides):
-            for b in sides[i + 1:]:
+            for b in sides[i + 1 :]:
                 self.between(a, b, cut=cut)
                 self.between(b, a, cut=cut)
 
@@ -139,7 +145,11 @@
 
     def _plan(self, h):
         due = min((p.due_ms for p in h.parts.values()), default=INF)
-        at = max(self.now_ms, (due - h.offset_ms) / h.rate) + self.rng.uniform(0.01, self.lag_ms) if due < INF else INF
+        at = (
+            max(self.now_ms, (due - h.offset_ms) / h.rate) + self.rng.uniform(0.01, self.lag_ms)
+            if due < INF
+            else INF
+        )
         if h.up and not h.paused and at < h.wake_ms - self.lag_ms:
             h.wake_ms = at
             self.at(at, self._tick, h, h.life, at)
@@ -184,7 +194,9 @@
             instead = self.meddle(self.messages, h.name, target, layer, message)
             if instead is not None:
                 for to, delay, other in instead:
-                    self.at(self.now_ms + delay, self._arrive, to, layer, sender, other.SerializeToString(), form)
+                    self.at(
+                        self.now_ms + delay, self._arrive, to, layer, sender, other.SerializeToString(), form
+                    )
                 return
         w = self.links.get((h.name, target), self.weather)
         if w.cut or (w.loss and self.rng.random() < w.loss):
--- a/lichenquay/lab/flood.py
+++ b/lichenquay/lab/flood.py
@@ -3,6 +3,7 @@
 
     python -m lichenquay.lab.flood TARGET SECONDS CONNECTIONS ADDRESSES
 """
+
 import json
 import random
 import sys
@@ -15,14 +16,20 @@
 from lichenquay.front import frames
 from lichenquay.load.task import Task, statement_of
 
-AGAIN_S = 0.1           # before a refused one comes back, whatever it was told
+AGAIN_S = 0.1  # before a refused one comes back, whatever it was told
 
 
 class Flooder(Protocol):
     """Asks one long report after the other on one connection."""
 
     def __init__(self, flood):
-        self.flood, self.reader, self.stream, self.begun_s, self.told = flood, frames.FrameReader(), 0, time.monotonic(), False
+        self.flood, self.reader, self.stream, self.begun_s, self.told = (
+            flood,
+            frames.FrameReader(),
+            0,
+            time.monotonic(),
+            False,
+        )
 
     def connectionMade(self):
         self.flood.count["connected"] += 1
@@ -33,8 +40,16 @@
         self.flood.asked += 1
         ref = f"f{self.flood.number:03x}{self.flood.asked:012x}"
         task = Task(ref, "report", 400.0, 64.0, 2, 3, str(1 + self.flood.asked % 40))
-        fields = frames.write_fields([("service", "report"), ("ref", ref), ("allow", "4000"), ("project", "west"), ("effort", "400"),
-                                      ("memory", "64")])
+        fields = frames.write_fields(
+            [
+                ("service", "report"),
+                ("ref", ref),
+                ("allow", "4000"),
+                ("project", "west"),
+                ("effort", "400"),
+                ("memory", "64"),
+            ]
+        )
         self.transport.write(frames.frame(frames.QUERY, self.stream, fields, statement_of(task)))
 
     def dataReceived(self, data):
@@ -56,7 +71,13 @@
 
     def __init__(self, target, seconds, connections, addresses, number):
         self.host, _, port = target.rpartition(":")
-        self.port, self.seconds, self.connections, self.addresses, self.number = int(port), seconds, connections, addresses, number
+        self.port, self.seconds, self.connections, self.addresses, self.number = (
+            int(port),
+            seconds,
+            connections,
+            addresses,
+            number,
+        )
         self.count, self.refused, self.asked, self.over, self.made = Counter(), [], 0, False, 0
         self.chance = random.Random(number)
 
@@ -85,7 +106,17 @@
 
     def stop(self):
         self.over = True
-        print(json.dumps({"asked": self.asked, "connections": self.made, **self.count, "refused_ms": sorted(self.refused)}), flush=True)
+        print(
+            json.dumps(
+                {
+                    "asked": self.asked,
+                    "connections": self.made,
+                    **self.count,
+                    "refused_ms": sorted(self.refused),
+                }
+            ),
+            flush=True,
+        )
         reactor.stop()
 
 
--- a/lichenquay/lab/host.py
+++ b/lichenquay/lab/host.py
@@ -1,4 +1,5 @@
 """What listens on loopback and speaks HTTP: whole calls in, answers out. No part of it knows what is asked."""
+
 import time
 
 import h11
@@ -39,7 +40,9 @@
                 self.body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 headers = {n.decode(): v.decode("latin-1") for n, v in self.request.headers}
-                self.host.heard(self, self.request.method.decode(), self.request.target.decode(), headers, self.body)
+                self.host.heard(
+                    self, self.request.method.decode(), self.request.target.decode(), headers, self.body
+                )
             else:
                 return
 
@@ -60,6 +63,7 @@
 
 class Host(Factory):
     """Something that listens on loopback."""
+
     noisy = False
 
     def __init__(self, port=0):
