--- a/lichenquay/lab/quotas.py
+++ b/lichenquay/lab/quotas.py
@@ -7,6 +7,7 @@
 `beyond_judged_within` the other way round; `work`, the work judged within as a part of the reference's (which query
 of a tenant over its quota is within is a matter of turns, how much is not). Means with 95 % intervals by bootstrap
 over the seeds."""
+
 import argparse
 import json
 from collections import defaultdict
@@ -23,11 +24,16 @@
 from lichenquay.quota.keeper import Keeper
 from lichenquay.quota.rights import Rights, stocks_of
 
-RATE, WORK_MS = 250.0, 20.0         # of each tenant: ms of work a second; mean of a query
+RATE, WORK_MS = 250.0, 20.0  # of each tenant: ms of work a second; mean of a query
 TERM_MS, PERIOD_MS, QUICKEST_MS = 5000.0, 250.0, 500.0
 # share of its rate that a tenant asks for; how its queries fall on fronts; how many times more in bursts
-TENANTS = {"even": (0.5, (1, 1, 1, 1), 1), "one front": (0.8, (1, 0, 0, 0), 1), "bursts": (0.5, (0, 1, 0, 0), 5),
-           "moves": (0.6, None, 1), "over": (2.0, (3, 1, 1, 0), 1)}
+TENANTS = {
+    "even": (0.5, (1, 1, 1, 1), 1),
+    "one front": (0.8, (1, 0, 0, 0), 1),
+    "bursts": (0.5, (0, 1, 0, 0), 5),
+    "moves": (0.6, None, 1),
+    "over": (2.0, (3, 1, 1, 0), 1),
+}
 FRONTS = 4
 
 
@@ -37,7 +43,7 @@
     for tenant, (part, fall, burst) in TENANTS.items():
         now, per_ms = 0.0, part * RATE / WORK_MS / 1000
         while now < seconds * 1000:
-            on = burst == 1 or now % 5000 < 5000 / burst        # the same mean, all in the first part of each 5 s
+            on = burst == 1 or now % 5000 < 5000 / burst  # the same mean, all in the first part of each 5 s
             now += chance.expovariate(per_ms * burst) if on else 5000 - now % 5000
             if not on:
                 continue
@@ -67,12 +73,18 @@
     def __init__(self, seed, bucket_ms):
         chance = Random(seed).random
         self.tenants = {t: Tenant(t, 1 / len(TENANTS), RATE / WORK_MS, 0.0) for t in TENANTS}
-        self.fronts = [SimpleNamespace(traffic={t: Ring(QUICKEST_MS, 8) for t in self.tenants.values()},
-                                       picker=SimpleNamespace(chance=chance)) for _ in range(FRONTS)]
+        self.fronts = [
+            SimpleNamespace(
+                traffic={t: Ring(QUICKEST_MS, 8) for t in self.tenants.values()},
+                picker=SimpleNamespace(chance=chance),
+            )
+            for _ in range(FRONTS)
+        ]
 
     def judge(self, now, tenant, front, estimate, work):
-        return not Controller.beyond_share(self.fronts[front], SimpleNamespace(beyond=None, tenant=self.tenants[tenant]), now)
-
+        return not Controller.beyond_share(
+            self.fronts[front], SimpleNamespace(beyond=None, tenant=self.tenants[tenant]), now
+        )
 
     def of(self, tenant, seconds):
         return {}
@@ -80,6 +92,7 @@
 
 class OneHolder:
     """The ledger's group with a holder that stays; a write takes 10 ms."""
+
     generation = 1
 
     def __init__(self, later):
@@ -118,15 +131,25 @@
 
     def __init__(self, seed, bucket_ms, credit=0.0):
         self.later, self.chance, self.ticket = Later(), Random(seed), 0
-        figures = [pb.Open(tenant=t, rate_us=int(RATE * 1000), bucket_us=int(bucket_ms * 1000), term_ms=10000,
-                           limit_us=int(credit * RATE * 1000), repay_permille=500, lend_permille=250) for t in TENANTS]
+        figures = [
+            pb.Open(
+                tenant=t,
+                rate_us=int(RATE * 1000),
+                bucket_us=int(bucket_ms * 1000),
+                term_ms=10000,
+                limit_us=int(credit * RATE * 1000),
+                repay_permille=500,
+                lend_permille=250,
+            )
+            for t in TENANTS
+        ]
         self.keeper = Keeper(OneHolder(self.later), figures, TERM_MS, PERIOD_MS)
         stocks = stocks_of(figures, FRONTS)
         self.rights = [Rights(f"f{i}", 1, stocks, TERM_MS, PERIOD_MS, self.chance) for i in range(FRONTS)]
         for r in self.rights:
             r.keeper = "f0", 1
         self.step()
-        self.later.run(2000.0)              # fronts have been up for a while
+        self.later.run(2000.0)  # fronts have been up for a while
         self.start = self.later.now
 
     def step(self):
@@ -159,8 +182,11 @@
         return {"borrowed_ms": a.borrowed / 1000, "repaid_ms": a.repaid / 1000}
 
 
-WAYS = {"by chance (today)": ByChance, "by rights": ByRights,
-        "by rights, with credit": lambda *of: ByRights(*of, credit=1.0)}
+WAYS = {
+    "by chance (today)": ByChance,
+    "by rights": ByRights,
+    "by rights, with credit": lambda *of: ByRights(*of, credit=1.0),
+}
 
 
 def run(seed, seconds, bucket_ms):
@@ -177,10 +203,15 @@
             s["wrong_within" if right else "wrong_beyond"] += right != said
             s["right_work"] += work * right
             s["said_work"] += work * said
-        out[way] = {t: {"within_judged_beyond": s["wrong_within"] / max(1, s["within"]),
-                        "beyond_judged_within": s["wrong_beyond"] / s["beyond"] if s["beyond"] >= 20 else None,
-                        "work": s["said_work"] / s["right_work"],
-                        **judges[way].of(t, seconds)} for t, s in sums.items()}
+        out[way] = {
+            t: {
+                "within_judged_beyond": s["wrong_within"] / max(1, s["within"]),
+                "beyond_judged_within": s["wrong_beyond"] / s["beyond"] if s["beyond"] >= 20 else None,
+                "work": s["said_work"] / s["right_work"],
+                **judges[way].of(t, seconds),
+            }
+            for t, s in sums.items()
+        }
     return out
 
 
@@ -195,8 +226,10 @@
 
 def compare(seeds, seconds, bucket_ms, first=1):
     runs = [run(first + i, seconds, bucket_ms) for i in range(seeds)]
-    return {way: {t: {k: interval([r[way][t][k] for r in runs]) for k in runs[0][way][t]} for t in TENANTS}
-            for way in WAYS}
+    return {
+        way: {t: {k: interval([r[way][t][k] for r in runs]) for k in runs[0][way][t]} for t in TENANTS}
+        for way in WAYS
+    }
 
 
 def main():
@@ -206,8 +239,20 @@
     parser.add_argument("--bucket-ms", type=float, default=500.0)
     args = parser.parse_args()
     ways = compare(args.seeds, args.seconds, args.bucket_ms)
-    print(json.dumps({"seeds": args.seeds, "seconds": args.seconds, "fronts": FRONTS, "rate_ms": RATE,
-                      "bucket_ms": args.bucket_ms, "work_ms": WORK_MS, "ways": ways}, indent=1))
+    print(
+        json.dumps(
+            {
+                "seeds": args.seeds,
+                "seconds": args.seconds,
+                "fronts": FRONTS,
+                "rate_ms": RATE,
+                "bucket_ms": args.bucket_ms,
+                "work_ms": WORK_MS,
+                "ways": ways,
+            },
+            indent=1,
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/lichenquay/lab/rivals.py
+++ b/lichenquay/lab/rivals.py
@@ -13,6 +13,7 @@
 fallback, a vote that stands still for 2 s is taken again over what is known by then; one that was removed and runs
 asks to join each second, and its observers alert for it in the same way.
 """
+
 from collections import deque
 from hashlib import blake2b
 from math import ceil, erfc, log10, sqrt
@@ -24,14 +25,17 @@
 
 
 class Phi:
-    def __init__(self, name, incarnation, names, rng, now_ms, period_ms=200.0, watchers=10, threshold=8.0,
-                 pause_ms=0.0):
+    def __init__(
+        self, name, incarnation, names, rng, now_ms, period_ms=200.0, watchers=10, threshold=8.0, pause_ms=0.0
+    ):
         self.name, self.incarnation, self.rng = name, incarnation, rng
         self.period_ms, self.threshold, self.pause_ms = period_ms, threshold, pause_ms
         order = sorted(names)
         at, k = order.index(name), min(watchers, len(order) - 1)
         self.to = [order[(at + i) % len(order)] for i in range(1, k + 1)]
-        self.watched = {order[(at - i) % len(order)]: [now_ms, deque([period_ms], 200)] for i in range(1, k + 1)}
+        self.watched = {
+            order[(at - i) % len(order)]: [now_ms, deque([period_ms], 200)] for i in range(1, k + 1)
+        }
         self.state = {n: ALIVE for n in self.watched}
         self.word, self.outbox, self.changes = 0, [], []
         self.beat_ms = now_ms + rng.uniform(0, period_ms)
@@ -85,8 +89,10 @@
         key = tuple(sorted(names))
         if key not in ORDERS:
             ORDERS.clear()
-            ORDERS[key] = [sorted(key, key=lambda n: blake2b(f"{ring}/{n}".encode(), digest_size=8).digest())
-                           for ring in range(min(self.k, len(key) - 1))]
+            ORDERS[key] = [
+                sorted(key, key=lambda n: blake2b(f"{ring}/{n}".encode(), digest_size=8).digest())
+                for ring in range(min(self.k, len(key) - 1))
+            ]
         return ORDERS[key]
 
     def _new_view(self, now_ms):
@@ -127,7 +133,9 @@
             self.joining_ms = now_ms + 1_000
             self._all(pb.Message(join=pb.Join()))
         if self.mine:
-            rows = [pb.Row(name=n, state=s, by=[self.name], word=self.view) for n, s in sorted(self.mine.items())]
+            rows = [
+                pb.Row(name=n, state=s, by=[self.name], word=self.view) for n, s in sorted(self.mine.items())
+            ]
             self._alert(now_ms, rows)
             self._all(pb.Message(gossip=pb.Gossip(), rows=rows))
         self._propose(now_ms)
@@ -165,7 +173,9 @@
         k = min(self.k, len(self.members) - 1)
         high, low = ceil(0.8 * k), ceil(0.4 * k)
         since = now_ms - 5 * self.period_ms
-        counts = {n: sum(by.get(o, since) > since for o in self._observers(n)) for n, by in self.alerts.items()}
+        counts = {
+            n: sum(by.get(o, since) > since for o in self._observers(n)) for n, by in self.alerts.items()
+        }
         sure = sorted(n for n, c in counts.items() if c >= high)
         unsure = [n for n, c in counts.items() if low <= c < high]
         stuck = self.voted is not None and now_ms - self.voted_ms > 2_000
--- a/lichenquay/lab/siege.py
+++ b/lichenquay/lab/siege.py
@@ -1,4 +1,5 @@
 """A siege: depot clients that open a connection for each manifest, first in calm, then amid a flood, in one run."""
+
 import json
 import socket
 import subprocess
@@ -25,7 +26,13 @@
 
     def __init__(self, target, rate):
         host, _, port = target.rpartition(":")
-        self.address, self.rate, self.rows, self.lock, self.sent = (host, int(port)), rate, [], threading.Lock(), 0
+        self.address, self.rate, self.rows, self.lock, self.sent = (
+            (host, int(port)),
+            rate,
+            [],
+            threading.Lock(),
+            0,
+        )
         self.source = "127.90.1.%d"
 
     def play(self, name, seconds):
@@ -42,8 +49,16 @@
     def one(self, name, number, at):
         ref = f"d{number:015x}"
         task = Task(ref, "manifest", 30.0, 16.0, 1, 1, str(1 + number % 40))
-        fields = frames.write_fields([("service", "manifest"), ("ref", ref), ("allow", str(ALLOWED_MS)), ("project", "north"),
-                                      ("effort", "30"), ("memory", "16")])
+        fields = frames.write_fields(
+            [
+                ("service", "manifest"),
+                ("ref", ref),
+                ("allow", str(ALLOWED_MS)),
+                ("project", "north"),
+                ("effort", "30"),
+                ("memory", "16"),
+            ]
+        )
         code, answers, body, sent = -1, 0, b"", float("nan")
         try:
             with socket.socket() as line:
@@ -65,15 +80,33 @@
         done = time.monotonic()
         odd = code == 0 and body.count(ref.encode()) != task.rows
         with self.lock:
-            self.rows.append({"name": name, "ref": ref, "group": "manifest", "at": at, "sent": sent, "took": (done - at) * 1000,
-                              "code": code, "answers": answers, "odd": odd})
+            self.rows.append(
+                {
+                    "name": name,
+                    "ref": ref,
+                    "group": "manifest",
+                    "at": at,
+                    "sent": sent,
+                    "took": (done - at) * 1000,
+                    "code": code,
+                    "answers": answers,
+                    "odd": odd,
+                }
+            )
 
     def columns(self):
         r = self.rows
-        return {"ref": [x["ref"] for x in r], "group": [x["group"] for x in r], "answers": [x["answers"] for x in r],
-                "left": [False] * len(r), "code": [x["code"] for x in r], "odd": [x["odd"] for x in r],
-                "sent_ms": [x["sent"] * 1000 for x in r], "answered_ms": [x["at"] * 1000 + x["took"] if x["answers"] else float("nan") for x in r],
-                "allowed": [ALLOWED_MS] * len(r)}
+        return {
+            "ref": [x["ref"] for x in r],
+            "group": [x["group"] for x in r],
+            "answers": [x["answers"] for x in r],
+            "left": [False] * len(r),
+            "code": [x["code"] for x in r],
+            "odd": [x["odd"] for x in r],
+            "sent_ms": [x["sent"] * 1000 for x in r],
+            "answered_ms": [x["at"] * 1000 + x["took"] if x["answers"] else float("nan") for x in r],
+            "allowed": [ALLOWED_MS] * len(r),
+        }
 
 
 def quantile(values, q):
@@ -83,7 +116,9 @@
 def siege(out, seconds=10.0, connections=1500, addresses=1, sockets=400, rate=20.0, gate=True, processes=4):
     """Figures of a calm and a flooded part of `seconds` each. `gate`: with known clients and their reserve, else without."""
     rules = f'gate {{ known: "{KNOWN}" reserve: 40 most_queries: 32 address {{ connections: 32 queries: 12 }} prefix {{ connections: 96 queries: 24 per_s: 20 burst: 40 }} lag_ms: 50 }}'
-    lab = read_lab(f"front {{ sockets: {sockets} memory_mb: 192 {rules if gate else ''} }} engines {{ cores: 8 most_open: 256 }}")
+    lab = read_lab(
+        f"front {{ sockets: {sockets} memory_mb: 192 {rules if gate else ''} }} engines {{ cores: 8 most_open: 256 }}"
+    )
     out = Path(out)
     with World(lab, out) as world:
         world.start_script()
@@ -92,9 +127,25 @@
         depot.play("calm", seconds)
         calm = (world.cpu_s() - idle) / max(1, len(depot.rows))
         before, begun = world.cpu_s(), time.monotonic()
-        flooders = [subprocess.Popen([sys.executable, "-m", "lichenquay.lab.flood", world.addresses[0], str(seconds + 1),
-                                      str(connections // processes), str(addresses), str(i)], env=environment(), text=True,
-                                     stdout=subprocess.PIPE, start_new_session=True) for i in range(processes)]
+        flooders = [
+            subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "lichenquay.lab.flood",
+                    world.addresses[0],
+                    str(seconds + 1),
+                    str(connections // processes),
+                    str(addresses),
+                    str(i),
+                ],
+                env=environment(),
+                text=True,
+                stdout=subprocess.PIPE,
+                start_new_session=True,
+            )
+            for i in range(processes)
+        ]
         time.sleep(1.0)
         depot.play("flood", seconds)
         told = [json.loads(f.communicate(timeout=20)[0] or "{}") for f in flooders]
@@ -104,14 +155,34 @@
     refused = np.concatenate([np.array(t.get("refused_ms", [])) for t in told]) if told else np.array([])
     findings = audit(depot.columns(), read_ledger(world.ledger), lab)
     done = [x["took"] for x in rows["flood"] if x["code"] == 0]
-    total = {k: sum(t.get(k, 0) for t in told) for k in sorted({k for t in told for k in t if k != "refused_ms"})}
+    total = {
+        k: sum(t.get(k, 0) for t in told) for k in sorted({k for t in told for k in t if k != "refused_ms"})
+    }
     served = len(rows["flood"]) + total.get("code 0", 0)
     turned = total.get("told and closed", 0) + total.get("closed without a word", 0)
     spent = max(0.0, used - calm * served) / max(1, turned)
-    return {"query_cpu_ms": round(1000 * calm, 3), "refusal_cpu_ms": round(1000 * spent, 3), "depot_asked": len(rows["flood"]), "depot_finished": len(done), "depot_p99_ms": quantile(done, 99), "depot_p50_ms": quantile(done, 50),
-            "calm_finished": sum(x["code"] == 0 for x in rows["calm"]), "calm_p99_ms": quantile([x["took"] for x in rows["calm"] if x["code"] == 0], 99),
-            "calm_p50_ms": quantile([x["took"] for x in rows["calm"] if x["code"] == 0], 50),
-            "refusals": len(refused), "refusal_p50_ms": quantile(refused, 50), "refusal_p99_ms": quantile(refused, 99), "flood": total,
-            "silent": sum(x["answers"] == 0 for x in depot.rows), "front_cpu_s": round(used, 2), "front_cpu_share": round(used / took, 3),
-            "front_memory_mb": round(peak, 1), "front_exit": code, "connections": connections, "addresses": addresses,
-            "sockets": sockets, "gate": gate, "broken_rules": [f"{c}: {n} ({'; '.join(map(str, s))})" for c, n, s in findings]}
+    return {
+        "query_cpu_ms": round(1000 * calm, 3),
+        "refusal_cpu_ms": round(1000 * spent, 3),
+        "depot_asked": len(rows["flood"]),
+        "depot_finished": len(done),
+        "depot_p99_ms": quantile(done, 99),
+        "depot_p50_ms": quantile(done, 50),
+        "calm_finished": sum(x["code"] == 0 for x in rows["calm"]),
+        "calm_p99_ms": quantile([x["took"] for x in rows["calm"] if x["code"] == 0], 99),
+        "calm_p50_ms": quantile([x["took"] for x in rows["calm"] if x["code"] == 0], 50),
+        "refusals": len(refused),
+        "refusal_p50_ms": quantile(refused, 50),
+        "refusal_p99_ms": quantile(refused, 99),
+        "flood": total,
+        "silent": sum(x["answers"] == 0 for x in depot.rows),
+        "front_cpu_s": round(used, 2),
+        "front_cpu_share": round(used / took, 3),
+        "front_memory_mb": round(peak, 1),
+        "front_exit": code,
+        "connections": connections,
+        "addresses": addresses,
+        "sockets": sockets,
+        "gate": gate,
+        "broken_rules": [f"{c}: {n} ({'; '.join(map(str, s))})" for c, n, s in findings],
+    }
--- a/lichenquay/lab/trial.py
+++ b/lichenquay/lab/trial.py
@@ -1,4 +1,5 @@
 """A trial: a world, a load on it, and the audit. What `demo` and `lab run` do."""
+
 import json
 from pathlib import Path
 
@@ -14,9 +15,12 @@
     findings = audit(c, ledger, lab) if c else []
     if report.get("strange_answers"):
         findings.append((STRANGE, report["strange_answers"], []))
-    return {**report, "value_in_time": value_of(c, lab) if c else None,
-            "broken_rules": [f"{check}: {n} ({'; '.join(map(str, shown))})" for check, n, shown in findings],
-            "submissions": sum(x["kind"] == "post" for x in ledger)}
+    return {
+        **report,
+        "value_in_time": value_of(c, lab) if c else None,
+        "broken_rules": [f"{check}: {n} ({'; '.join(map(str, shown))})" for check, n, shown in findings],
+        "submissions": sum(x["kind"] == "post" for x in ledger),
+    }
 
 
 def keep(out, lab, kept, figures, ledger=()):
@@ -43,5 +47,11 @@
     figures = figures_of(kept, lab, ledger)
     keep(out, lab, kept, figures, ledger)
     n = max(1, figures["asked"])
-    return {**figures, "front_cpu_s": round(used, 2), "front_cpu_ms_a_query": round(1000 * used / n, 3),
-            "front_memory_mb": round(peak, 1), "front_exit": code, "out": str(out)}
+    return {
+        **figures,
+        "front_cpu_s": round(used, 2),
+        "front_cpu_ms_a_query": round(1000 * used / n, 3),
+        "front_memory_mb": round(peak, 1),
+        "front_exit": code,
+        "out": str(out),
+    }
--- a/lichenquay/lab/watched.py
+++ b/lichenquay/lab/watched.py
@@ -1,5 +1,6 @@
 """A fleet of watches in the virtual network, with what its hosts do: those told that they are gone come again with a
 higher incarnation."""
+
 from lichenquay.lab.fleetnet import FleetNet, Weather
 from lichenquay.members.watch import Settings, Watch
 
@@ -9,15 +10,23 @@
 class Watched:
     """`log`: [(ms, host, table.Change)] of all hosts in the order in which they came."""
 
-    def __init__(self, names, seed, weather=Weather(), settings=Settings(), seeds=None, start=True, make=Watch):
+    def __init__(
+        self, names, seed, weather=Weather(), settings=Settings(), seeds=None, start=True, make=Watch
+    ):
         self.names, self.settings, self.log, self.rejoined = list(names), settings, [], 0
         self.net = FleetNet(seed, weather)
         self.net.after = self._after
-        self.looks = []   # Called as look(host, watch, changes) after each call of a watch.
+        self.looks = []  # Called as look(host, watch, changes) after each call of a watch.
         for name in self.names:
-            self.net.host(name, lambda h: {"members": make(h.name, h.incarnation, seeds or self.names, h.rng, settings,
-                                                           h.now_ms())},
-                          rate=self.net.rng.uniform(0.975, 1.025), offset_ms=self.net.rng.uniform(0, 1e9), start=False)
+            self.net.host(
+                name,
+                lambda h: {
+                    "members": make(h.name, h.incarnation, seeds or self.names, h.rng, settings, h.now_ms())
+                },
+                rate=self.net.rng.uniform(0.975, 1.025),
+                offset_ms=self.net.rng.uniform(0, 1e9),
+                start=False,
+            )
             if start:
                 self.net.at(0, self.net.start, name)
 
@@ -51,8 +60,9 @@
         """Those that run, and no others, are alive to all that run, in this incarnation, and all hold one view."""
         up = self.up()
         running = sorted((w.name, w.incarnation) for w in up)
-        return (len({w.view.digest for w in up}) == 1
-                and all([(n, w.table.get(n).incarnation) for n in w.table.live()] == running for w in up))
+        return len({w.view.digest for w in up}) == 1 and all(
+            [(n, w.table.get(n).incarnation) for n in w.table.live()] == running for w in up
+        )
 
     def until(self, what, most_ms, step_ms=50):
         """Runs until what() or for `most_ms`; the time it took, None if it never was so."""
--- a/lichenquay/lab/world.py
+++ b/lichenquay/lab/world.py
@@ -1,4 +1,5 @@
 """A whole world on loopback: emulated engines and their bulletin, fronts amid them, each in a process of its own."""
+
 import json
 import os
 import signal
@@ -27,19 +28,55 @@
     """What the world's fronts are told of it, in the platform's names."""
     e = lab.engines
     return {
-        "seed": lab.seed, "resolution_us": 5000, "replicas_of_me": lab.front.count, "my_zone": (list(e.zones) or ["a"])[0],
-        "kinds": ["std"], "over_share_worth": 0.1,
-        "classes": [{"name": g.name, "effect": EFFECTS[g.effect], "aim_us": int(g.target_ms * 1000), "aim_stretch": g.stretch,
-                     "deadline_us": int(g.timeout_ms * 1000), "worth": g.value, "late_worth": g.late_value} for g in lab.groups],
-        "tenants": [{"name": t.name, "share": t.share, "allowance_per_s": t.allowance_per_s} for t in lab.tenants],
-        "limits": {"most_tries": 6, "cancel": True, "keepalive_us": int(e.keepalive_ms * 1000), "connect_timeout_us": 250000},
-        "rules": {"answer_slack_us": 20000, "stop_sending_within_us": 250000, "start_capacity": e.cold_share,
-                  "ramp_time_us": int(e.cold_ms * 1000), "overload_factor": e.cold_multiple, "fall_us": int(e.fall_ms * 1000)},
+        "seed": lab.seed,
+        "resolution_us": 5000,
+        "replicas_of_me": lab.front.count,
+        "my_zone": (list(e.zones) or ["a"])[0],
+        "kinds": ["std"],
+        "over_share_worth": 0.1,
+        "classes": [
+            {
+                "name": g.name,
+                "effect": EFFECTS[g.effect],
+                "aim_us": int(g.target_ms * 1000),
+                "aim_stretch": g.stretch,
+                "deadline_us": int(g.timeout_ms * 1000),
+                "worth": g.value,
+                "late_worth": g.late_value,
+            }
+            for g in lab.groups
+        ],
+        "tenants": [
+            {"name": t.name, "share": t.share, "allowance_per_s": t.allowance_per_s} for t in lab.tenants
+        ],
+        "limits": {
+            "most_tries": 6,
+            "cancel": True,
+            "keepalive_us": int(e.keepalive_ms * 1000),
+            "connect_timeout_us": 250000,
+        },
+        "rules": {
+            "answer_slack_us": 20000,
+            "stop_sending_within_us": 250000,
+            "start_capacity": e.cold_share,
+            "ramp_time_us": int(e.cold_ms * 1000),
+            "overload_factor": e.cold_multiple,
+            "fall_us": int(e.fall_ms * 1000),
+        },
         "report": {"how": "answers", "columns": ["active", "waiting", "cpu"]},
-        "family_info": {"width_by_class": [g.threads for g in lab.groups], "loads": [g.load for g in lab.groups],
-                        "size_cores": [e.cores], "memory_by_kind_mb": [e.memory_mb], "most_grant": 0.4,
-                        "progress_pace_us": 500000, "says_cost": True, "takes_grants": True, "ranks_heeded": True,
-                        "out_of_memory": "queue"}}
+        "family_info": {
+            "width_by_class": [g.threads for g in lab.groups],
+            "loads": [g.load for g in lab.groups],
+            "size_cores": [e.cores],
+            "memory_by_kind_mb": [e.memory_mb],
+            "most_grant": 0.4,
+            "progress_pace_us": 500000,
+            "says_cost": True,
+            "takes_grants": True,
+            "ranks_heeded": True,
+            "out_of_memory": "queue",
+        },
+    }
 
 
 class World:
@@ -56,8 +93,21 @@
             conf = self.out / "world.textproto"
             conf.write_text(text_format.MessageToString(self.lab))
             self.emulator = subprocess.Popen(
-                [sys.executable, "-m", "lichenquay.lab.emulator", "--conf", str(conf), "--ledger", str(self.ledger)],
-                env=environment(), text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE, start_new_session=True)
+                [
+                    sys.executable,
+                    "-m",
+                    "lichenquay.lab.emulator",
+                    "--conf",
+                    str(conf),
+                    "--ledger",
+                    str(self.ledger),
+                ],
+                env=environment(),
+                text=True,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                start_new_session=True,
+            )
             self.processes.append(self.emulator)
             line = hear(self.emulator, READY_S)
             if not line:
@@ -74,9 +124,19 @@
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             address = "127.0.0.1:%d" % free.getsockname()[1]
-        config = {"name": f"n{i}", "listen": address, "seed": f"{self.lab.seed * 65537 + i:016x}",
-                  "limits": {"cores": 1.0, "memory_mb": self.lab.front.memory_mb, "sockets": self.lab.front.sockets},
-                  "bulletin": self.told["bulletin"], "known": self.told["known"], "settings": settings_of(self.lab)}
+        config = {
+            "name": f"n{i}",
+            "listen": address,
+            "seed": f"{self.lab.seed * 65537 + i:016x}",
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self.lab.front.memory_mb,
+                "sockets": self.lab.front.sockets,
+            },
+            "bulletin": self.told["bulletin"],
+            "known": self.told["known"],
+            "settings": settings_of(self.lab),
+        }
         path = self.out / f"front-{i}.json"
         path.write_text(json.dumps(config))
         more = {"BALANCER_CONFIG": str(path)}
@@ -85,9 +145,15 @@
             settings.write_text(text_format.MessageToString(pb.Settings(gate=self.lab.front.gate)))
             more["LICHENQUAY_SETTINGS"] = str(settings)
         with open(self.out / f"front-{i}.log", "w", encoding="utf-8") as out:
-            front = subprocess.Popen([sys.executable, "-m", self.front, *self.arguments], stderr=out, stdout=out,
-                                     stdin=subprocess.DEVNULL, env={**environment(), **more},
-                                     cwd=ROOT, start_new_session=True)
+            front = subprocess.Popen(
+                [sys.executable, "-m", self.front, *self.arguments],
+                stderr=out,
+                stdout=out,
+                stdin=subprocess.DEVNULL,
+                env={**environment(), **more},
+                cwd=ROOT,
+                start_new_session=True,
+            )
         self.processes.append(front)
         self.fronts.append(front)
         self.addresses.append(address)
--- a/lichenquay/load/child.py
+++ b/lichenquay/load/child.py
@@ -1,4 +1,5 @@
 """Processes of our own: what they are started with, and their first words."""
+
 import os
 import select
 from pathlib import Path
--- a/lichenquay/load/compare.py
+++ b/lichenquay/load/compare.py
@@ -1,4 +1,5 @@
 """Two sets of runs side by side: means and bootstrap intervals of their difference; free of I/O but for reading runs."""
+
 import json
 from pathlib import Path
 
@@ -16,7 +17,9 @@
 def runs_in(folder):
     """The runs of a folder: itself, or its sub-folders."""
     folder = Path(folder)
-    found = [p.parent for p in sorted(folder.glob("queries.parquet")) or sorted(folder.glob("*/queries.parquet"))]
+    found = [
+        p.parent for p in sorted(folder.glob("queries.parquet")) or sorted(folder.glob("*/queries.parquet"))
+    ]
     if not found:
         raise BadRun(f"{folder}: no run is kept there (queries.parquet)")
     runs = []
@@ -26,12 +29,17 @@
             targets = json.loads((path / "targets.json").read_text())
         except (OSError, ValueError) as why:
             raise BadRun(f"{path}: cannot be read: {why}") from None
-        c = {n: table.column(n).to_numpy(zero_copy_only=False) for n in ("at_ms", "answered_ms", "code", "left", "group")}
+        c = {
+            n: table.column(n).to_numpy(zero_copy_only=False)
+            for n in ("at_ms", "answered_ms", "code", "left", "group")
+        }
         stays = ~c["left"]
         took = np.where(np.isnan(c["answered_ms"]), np.inf, c["answered_ms"] - c["at_ms"])[stays]
         done = (c["code"] == 0)[stays]
         target = np.array([targets.get(g, np.inf) for g in c["group"]])[stays]
-        runs.append({"at_ms": c["at_ms"][stays], "took": took, "done": done, "timely": done & (took <= target)})
+        runs.append(
+            {"at_ms": c["at_ms"][stays], "took": took, "done": done, "timely": done & (took <= target)}
+        )
     return runs
 
 
@@ -69,8 +77,11 @@
 
     def whole(runs):
         return metrics_of(*(np.concatenate([r[n] for r in runs]) for n in ("took", "done", "timely")))
+
     drawn = np.array([resample(b, chance) - resample(a, chance) for _ in range(draws)])
     low, high = np.nanpercentile(drawn, [2.5, 97.5], axis=0)
     mean_a, mean_b = whole(a), whole(b)
-    return [(m, *(round(float(v), 4) for v in (x, y, y - x, lo, hi)))
-            for m, x, y, lo, hi in zip(METRICS, mean_a, mean_b, low, high)]
+    return [
+        (m, *(round(float(v), 4) for v in (x, y, y - x, lo, hi)))
+        for m, x, y, lo, hi in zip(METRICS, mean_a, mean_b, low, high)
+    ]
--- a/lichenquay/load/null.py
+++ b/lichenquay/load/null.py
@@ -4,6 +4,7 @@
 
 prints its address. It stands still while it is stopped (SIGSTOP), which is how a stall is inserted.
 """
+
 import click
 from twisted.internet import reactor
 from twisted.internet.protocol import Factory, Protocol
@@ -19,8 +20,13 @@
         self.transport.setTcpNoDelay(True)
 
     def dataReceived(self, data):
-        self.transport.write(b"".join(frames.answer(stream, frames.FINISHED)
-                                      for kind, stream, _ in self.reader.feed(data) if kind == frames.QUERY))
+        self.transport.write(
+            b"".join(
+                frames.answer(stream, frames.FINISHED)
+                for kind, stream, _ in self.reader.feed(data)
+                if kind == frames.QUERY
+            )
+        )
 
 
 @click.command()
--- a/lichenquay/load/page.py
+++ b/lichenquay/load/page.py
@@ -1,4 +1,5 @@
 """A run's page: one HTML file with plots and figures in it, by matplotlib. Percentiles are by intended send time."""
+
 import base64
 import html
 import io
@@ -6,8 +7,8 @@
 import matplotlib
 
 matplotlib.use("Agg")
-import matplotlib.pyplot as plt     # noqa: E402
-import numpy as np                  # noqa: E402
+import matplotlib.pyplot as plt  # noqa: E402
+import numpy as np  # noqa: E402
 
 BINS = 60
 
@@ -27,8 +28,14 @@
     x, width = (edges[:-1] + edges[1:]) / 2000, (edges[1] - edges[0]) / 1000
     figure, (top, low) = plt.subplots(2, 1, figsize=(10, 6), sharex=True)
     for q, label in ((50, "p50"), (90, "p90"), (99, "p99"), (100, "max")):
-        top.plot(x, [np.percentile(v, q) if len(v) else np.nan for v in
-                     (took[(which == b) & ~np.isnan(took)] for b in range(BINS))], label=label)
+        top.plot(
+            x,
+            [
+                np.percentile(v, q) if len(v) else np.nan
+                for v in (took[(which == b) & ~np.isnan(took)] for b in range(BINS))
+            ],
+            label=label,
+        )
     top.set_yscale("log")
     top.set_ylabel("ms from the intended time")
     top.legend(ncols=4)
@@ -71,7 +78,9 @@
     plot = figure.gca()
     for engine in sorted({s[0] for s in spans}):
         mine = np.array([s[1:] for s in spans if s[0] == engine])
-        plot.plot((t - begun) / 1000, [((mine[:, 0] <= at) & (mine[:, 1] > at)).sum() for at in t], label=engine)
+        plot.plot(
+            (t - begun) / 1000, [((mine[:, 0] <= at) & (mine[:, 1] > at)).sum() for at in t], label=engine
+        )
     plot.set_xlabel("s")
     plot.set_ylabel("queries that run")
     plot.legend(ncols=4, fontsize="small")
@@ -79,15 +88,22 @@
 
 
 def page(path, title, figures, c, latency, ledger=()):
-    rows = "".join(f"<tr><td>{html.escape(k)}</td><td>{html.escape(str(v))}</td></tr>" for k, v in figures.items()
-                   if not isinstance(v, dict))
-    groups = "".join(f"<tr><td>{html.escape(g)}</td>" + "".join(f"<td>{v}</td>" for v in x.values()) + "</tr>"
-                     for g, x in figures.get("groups", {}).items())
+    rows = "".join(
+        f"<tr><td>{html.escape(k)}</td><td>{html.escape(str(v))}</td></tr>"
+        for k, v in figures.items()
+        if not isinstance(v, dict)
+    )
+    groups = "".join(
+        f"<tr><td>{html.escape(g)}</td>" + "".join(f"<td>{v}</td>" for v in x.values()) + "</tr>"
+        for g, x in figures.get("groups", {}).items()
+    )
     heads = "".join(f"<th>{k}</th>" for k in next(iter(figures.get("groups", {}).values()), {}))
-    text = (f"<!doctype html><meta charset=utf-8><title>{html.escape(title)}</title><style>body{{font:14px sans-serif;margin:2em}}"
-            f"td,th{{padding:2px 10px;text-align:right}}td:first-child{{text-align:left}}</style><h1>{html.escape(title)}</h1>"
-            f"<h2>Over time</h2>{over_time(c, figures['seconds'])}<h2>Spectrum</h2>{spectrum(latency)}"
-            f"<h2>Engines</h2>{by_engine(ledger)}<h2>Groups</h2><table><tr><th></th>{heads}</tr>{groups}</table>"
-            f"<h2>Figures</h2><table>{rows}</table>")
+    text = (
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(title)}</title><style>body{{font:14px sans-serif;margin:2em}}"
+        f"td,th{{padding:2px 10px;text-align:right}}td:first-child{{text-align:left}}</style><h1>{html.escape(title)}</h1>"
+        f"<h2>Over time</h2>{over_time(c, figures['seconds'])}<h2>Spectrum</h2>{spectrum(latency)}"
+        f"<h2>Engines</h2>{by_engine(ledger)}<h2>Groups</h2><table><tr><th></th>{heads}</tr>{groups}</table>"
+        f"<h2>Figures</h2><table>{rows}</table>"
+    )
     with open(path, "w", encoding="utf-8") as file:
         file.write(text)
--- a/lichenquay/load/trace.py
+++ b/lichenquay/load/trace.py
@@ -1,4 +1,5 @@
 """Traces: a run's queries from CSV or Parquet, and back. A row that makes no sense is named; nothing is taken in part."""
+
 import math
 from pathlib import Path
 
@@ -8,8 +9,16 @@
 
 from lichenquay.load.plan import COLUMNS, fill
 
-LEAST = {"at_ms": 0.0, "work_ms": 0.001, "memory_mb": 0.0, "effort_ms": 0.0, "claim_mb": 0.0, "address": 0, "tables": 1,
-         "leave_ms": 0.0}
+LEAST = {
+    "at_ms": 0.0,
+    "work_ms": 0.001,
+    "memory_mb": 0.0,
+    "effort_ms": 0.0,
+    "claim_mb": 0.0,
+    "address": 0,
+    "tables": 1,
+    "leave_ms": 0.0,
+}
 
 
 class BadTrace(ValueError):
@@ -27,12 +36,18 @@
         with open(path, encoding="utf-8") as file:
             names = file.readline().strip().split(",")
         bad = []
-        table = csv.read_csv(path, read_options=csv.ReadOptions(use_threads=False),
-                             parse_options=csv.ParseOptions(invalid_row_handler=lambda row: bad.append(row) or "skip"),
-                             convert_options=csv.ConvertOptions(column_types={n: pa.string() for n in names},
-                                                                strings_can_be_null=False))
+        table = csv.read_csv(
+            path,
+            read_options=csv.ReadOptions(use_threads=False),
+            parse_options=csv.ParseOptions(invalid_row_handler=lambda row: bad.append(row) or "skip"),
+            convert_options=csv.ConvertOptions(
+                column_types={n: pa.string() for n in names}, strings_can_be_null=False
+            ),
+        )
         if bad:
-            raise BadTrace(f"{path}: row {bad[0].number}: {bad[0].actual_columns} values, not {bad[0].expected_columns}")
+            raise BadTrace(
+                f"{path}: row {bad[0].number}: {bad[0].actual_columns} values, not {bad[0].expected_columns}"
+            )
         return table
     except OSError as why:
         raise BadTrace(f"{path}: {why.strerror or why}") from None
@@ -74,7 +89,9 @@
     back = np.flatnonzero(np.diff(said["at_ms"]) < 0)
     if len(back):
         i = int(back[0])
-        raise BadTrace(f"{path}: row {i + 3}: at_ms: {said['at_ms'][i + 1]:g} is before {said['at_ms'][i]:g}, the row above")
+        raise BadTrace(
+            f"{path}: row {i + 3}: at_ms: {said['at_ms'][i + 1]:g} is before {said['at_ms'][i]:g}, the row above"
+        )
     return fill(lab, np.random.default_rng(np.random.SeedSequence([seed, 3])), said)
 
 
--- a/lichenquay/load/worker.py
+++ b/lichenquay/load/worker.py
@@ -6,6 +6,7 @@
 JOB is a JSON file. READY is printed once all connections are up; `START SECONDS` (of the monotonic clock) begins the
 run, `STOP` ends its sending; DONE is printed when what it kept has been written.
 """
+
 import gc
 import json
 import os
@@ -26,18 +27,40 @@
 from lichenquay.front import frames
 from lichenquay.load.task import Task, statement_of
 
-STREAMS = 32                    # PROTOCOL: open queries on a connection
-GRACE_MS = 400.0                # after its allowance a query without an answer counts as silent
+STREAMS = 32  # PROTOCOL: open queries on a connection
+GRACE_MS = 400.0  # after its allowance a query without an answer counts as silent
 TICK_S = 0.001
-AGAIN_S = 0.05                  # before a lost connection is tried again
-MOST_US = 120_000_000           # of the histograms
+AGAIN_S = 0.05  # before a lost connection is tried again
+MOST_US = 120_000_000  # of the histograms
 
 
 class Ask:
     """A query as its client keeps it."""
 
-    __slots__ = ("ref", "group", "tenant", "address", "at_ms", "reached_ms", "sent_ms", "answered_ms", "code", "answers",
-                 "odd", "left", "cut", "waited", "tries", "task", "effort", "claim", "allowed", "leave_ms", "line", "stream")
+    __slots__ = (
+        "ref",
+        "group",
+        "tenant",
+        "address",
+        "at_ms",
+        "reached_ms",
+        "sent_ms",
+        "answered_ms",
+        "code",
+        "answers",
+        "odd",
+        "left",
+        "cut",
+        "waited",
+        "tries",
+        "task",
+        "effort",
+        "claim",
+        "allowed",
+        "leave_ms",
+        "line",
+        "stream",
+    )
 
     def __init__(self, **facts):
         self.reached_ms = self.sent_ms = self.answered_ms = float("nan")
@@ -84,9 +107,16 @@
         self.streams += 1
         ask.line, ask.stream = self, self.streams
         self.open[self.streams] = ask
-        fields = frames.write_fields([
-            ("service", ask.group), ("ref", ask.ref), ("allow", str(ask.allowed)), ("project", ask.tenant),
-            ("effort", f"{ask.effort:.1f}"), ("memory", f"{ask.claim:.0f}")])
+        fields = frames.write_fields(
+            [
+                ("service", ask.group),
+                ("ref", ask.ref),
+                ("allow", str(ask.allowed)),
+                ("project", ask.tenant),
+                ("effort", f"{ask.effort:.1f}"),
+                ("memory", f"{ask.claim:.0f}"),
+            ]
+        )
         self.transport.write(frames.frame(frames.QUERY, self.streams, fields, statement_of(ask.task)))
 
 
@@ -128,7 +158,9 @@
     def connect(self, address):
         if not self.stopped:
             host, _, port = self.job["target"].rpartition(":")
-            reactor.connectTCP(host, int(port), LineFactory(self, address), timeout=5, bindAddress=(address, 0))
+            reactor.connectTCP(
+                host, int(port), LineFactory(self, address), timeout=5, bindAddress=(address, 0)
+            )
 
     def connected(self, line):
         self.lines.setdefault(line.address, []).append(line)
@@ -167,12 +199,28 @@
         c = self.columns
         group = self.groups[c["group"][i]]
         ref = f"{self.job['number'] + 1:04x}{self.job['run']:04x}{len(self.asks):08x}"
-        task = Task(ref, group["name"], c["work_ms"][i], c["memory_mb"][i], group["threads"], group["rows"],
-                    str(c["tables"][i]), group["load"])
-        ask = Ask(ref=ref, group=group["name"], tenant=c["tenant"][i], at_ms=c["at_ms"][i], task=task,
-                  address=self.job["all_addresses"][c["address"][i] % len(self.job["all_addresses"])],
-                  effort=c["effort_ms"][i], claim=c["claim_mb"][i], allowed=int(group["timeout_ms"]),
-                  leave_ms=c["leave_ms"][i])
+        task = Task(
+            ref,
+            group["name"],
+            c["work_ms"][i],
+            c["memory_mb"][i],
+            group["threads"],
+            group["rows"],
+            str(c["tables"][i]),
+            group["load"],
+        )
+        ask = Ask(
+            ref=ref,
+            group=group["name"],
+            tenant=c["tenant"][i],
+            at_ms=c["at_ms"][i],
+            task=task,
+            address=self.job["all_addresses"][c["address"][i] % len(self.job["all_addresses"])],
+            effort=c["effort_ms"][i],
+            claim=c["claim_mb"][i],
+            allowed=int(group["timeout_ms"]),
+            leave_ms=c["leave_ms"][i],
+        )
         self.asks.append(ask)
         return ask
 
@@ -184,24 +232,37 @@
                 self.next += 1
                 self.send(ask)
         done = self.stopped or (self.next >= len(at) and not self.job["closed"]) or now > self.job["ends_ms"]
-        if done and (not self.is_open() or now > self.job["ends_ms"] + self.job["longest_ms"] + GRACE_MS
-                     or self.stopped and now > self.stopped_ms + 1000):
+        if done and (
+            not self.is_open()
+            or now > self.job["ends_ms"] + self.job["longest_ms"] + GRACE_MS
+            or self.stopped
+            and now > self.stopped_ms + 1000
+        ):
             return self.end()
         reactor.callLater(TICK_S, self.tick)
 
     def is_open(self):
-        return any(x.open for lines in self.lines.values() for x in lines) or any(self.waiting.values()) or any(
-            a.answers == 0 and not (a.cut or a.left) and a.sent_ms == a.sent_ms for a in self.asks[-4096:])
+        return (
+            any(x.open for lines in self.lines.values() for x in lines)
+            or any(self.waiting.values())
+            or any(
+                a.answers == 0 and not (a.cut or a.left) and a.sent_ms == a.sent_ms for a in self.asks[-4096:]
+            )
+        )
 
     def send(self, ask):
         now = self.now_ms()
         ask.reached_ms = now
         self.lag.record_value(max(1, int((now - ask.at_ms) * 1000)))
-        address = ask.address if ask.address in self.lines else self.job["addresses"][len(self.asks) % len(self.job["addresses"])]
+        address = (
+            ask.address
+            if ask.address in self.lines
+            else self.job["addresses"][len(self.asks) % len(self.job["addresses"])]
+        )
         ask.address = address
         free = [x for x in self.lines.get(address, ()) if len(x.open) < STREAMS]
         if not free:
-            ask.waited = True       # its clock runs
+            ask.waited = True  # its clock runs
             self.waiting.setdefault(address, deque()).append(ask)
             return
         self.put(min(free, key=lambda x: len(x.open)), ask)
@@ -220,7 +281,12 @@
 
     def more(self, line):
         waiting = self.waiting.get(line.address)
-        while waiting and len(line.open) < STREAMS and not line.told and line in self.lines.get(line.address, ()):
+        while (
+            waiting
+            and len(line.open) < STREAMS
+            and not line.told
+            and line in self.lines.get(line.address, ())
+        ):
             self.put(line, waiting.popleft())
 
     def answered(self, ask, payload, now):
@@ -238,9 +304,18 @@
 
     def again(self, old):
         """A client's own repeat: a new query, meant to go now."""
-        ask = Ask(ref=f"{self.job['number'] + 1:04x}{self.job['run']:04x}{len(self.asks):08x}", group=old.group,
-                  tenant=old.tenant, address=old.address, at_ms=self.now_ms(), task=old.task, effort=old.effort,
-                  claim=old.claim, allowed=old.allowed, leave_ms=float("inf"))
+        ask = Ask(
+            ref=f"{self.job['number'] + 1:04x}{self.job['run']:04x}{len(self.asks):08x}",
+            group=old.group,
+            tenant=old.tenant,
+            address=old.address,
+            at_ms=self.now_ms(),
+            task=old.task,
+            effort=old.effort,
+            claim=old.claim,
+            allowed=old.allowed,
+            leave_ms=float("inf"),
+        )
         ask.task.ref, ask.tries = ask.ref, old.tries + 1
         self.asks.append(ask)
         self.send(ask)
@@ -273,17 +348,43 @@
     def end(self):
         self.stopped = True
         cpu = time.process_time() - self.cpu
-        names = ("ref", "group", "tenant", "address", "at_ms", "reached_ms", "sent_ms", "answered_ms", "code", "answers", "odd",
-                 "left", "cut", "waited", "tries", "allowed")
+        names = (
+            "ref",
+            "group",
+            "tenant",
+            "address",
+            "at_ms",
+            "reached_ms",
+            "sent_ms",
+            "answered_ms",
+            "code",
+            "answers",
+            "odd",
+            "left",
+            "cut",
+            "waited",
+            "tries",
+            "allowed",
+        )
         table = pa.table({n: pa.array([getattr(a, n) for a in self.asks], self.kind(n)) for n in names})
         out = self.job["out"]
         parquet.write_table(table, out + ".parquet.part")
         os.replace(out + ".parquet.part", out + ".parquet")
         with open(out + ".json.part", "w", encoding="utf-8") as file:
-            json.dump({"strange": self.strange, "told": self.told, "refused": self.refused, "lost_lines": self.lost_lines,
-                       "cpu_s": cpu, "seconds": self.now_ms() / 1000, "lag": self.lag.encode().decode(),
-                       "memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
-                       "latency": {n: h.encode().decode() for n, h in self.latency.items()}}, file)
+            json.dump(
+                {
+                    "strange": self.strange,
+                    "told": self.told,
+                    "refused": self.refused,
+                    "lost_lines": self.lost_lines,
+                    "cpu_s": cpu,
+                    "seconds": self.now_ms() / 1000,
+                    "lag": self.lag.encode().decode(),
+                    "memory_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+                    "latency": {n: h.encode().decode() for n, h in self.latency.items()},
+                },
+                file,
+            )
         os.replace(out + ".json.part", out + ".json")
         self.say("DONE")
         reactor.stop()
@@ -313,12 +414,12 @@
         elif what == "STOP":
             self.worker.stop()
 
-    def connectionLost(self, reason):       # who started it is gone
+    def connectionLost(self, reason):  # who started it is gone
         self.worker.stop()
 
 
 def main():
-    signal.signal(signal.SIGINT, signal.SIG_IGN)        # its parent says when to stop
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # its parent says when to stop
     with open(sys.argv[1], encoding="utf-8") as file:
         worker = Worker(json.load(file))
     stdio.StandardIO(Orders(worker))
--- a/lichenquay/members/ask.py
+++ b/lichenquay/members/ask.py
@@ -5,6 +5,7 @@
 what it is worth.
 Work: one probe a period, at most `MAX_EXTRA` more under way, and at most `MAX_RELAYS` pings for others.
 """
+
 from lichenquay.members import members_pb2 as pb
 
 MAX_EXTRA, MAX_RELAYS = 8, 32
@@ -12,7 +13,18 @@
 
 
 class Probe:
-    __slots__ = ("no", "name", "sent_ms", "length_ms", "step", "step_ms", "helpers", "nacks", "asker", "ask_no")
+    __slots__ = (
+        "no",
+        "name",
+        "sent_ms",
+        "length_ms",
+        "step",
+        "step_ms",
+        "helpers",
+        "nacks",
+        "asker",
+        "ask_no",
+    )
 
     def __init__(self, no, name, now_ms, length_ms, asker=None, ask_no=0):
         self.no, self.name, self.sent_ms, self.length_ms = no, name, now_ms, length_ms
@@ -30,7 +42,9 @@
 
     @property
     def due_ms(self):
-        return min((p.step_ms for some in (self.probes, self.relays) for p in some.values()), default=float("inf"))
+        return min(
+            (p.step_ms for some in (self.probes, self.relays) for p in some.values()), default=float("inf")
+        )
 
     def clear(self):
         """Risk: answers that came while this process stood still were not read in time; no verdict comes from them."""
@@ -95,7 +109,9 @@
             self._ping(p)
             for name in self.watch.some(self.watch.settings.helpers, besides=(p.name, *p.helpers)):
                 p.helpers[name] = None
-                self.watch.send_about(name, pb.Message(ping_ask=pb.PingAsk(no=p.no, name=p.name)), about=p.name)
+                self.watch.send_about(
+                    name, pb.Message(ping_ask=pb.PingAsk(no=p.no, name=p.name)), about=p.name
+                )
         return ended
 
     def acked(self, sender, ack):
--- a/lichenquay/members/hear.py
+++ b/lichenquay/members/hear.py
@@ -5,6 +5,7 @@
 (meant for another), late (an answer to nothing that is under way), busy (more pings for others than we make at a
 time).
 """
+
 from lichenquay.members import members_pb2 as pb
 from lichenquay.members.table import CUT, LEFT, SUSPECT
 from lichenquay.members.wire import MAX_BY, MAX_INCARNATION, PARTS, good_name, good_row
@@ -65,7 +66,7 @@
     def _accused(self, m, row, first):
         """Another's accusation: one more witness; and we ask ourselves, so that who can reach it tells it, and who
         cannot says so."""
-        more = [b for b in row.by if b not in m.accusers][:MAX_BY - len(m.accusers)]
+        more = [b for b in row.by if b not in m.accusers][: MAX_BY - len(m.accusers)]
         m.accusers.update(dict.fromkeys(more))
         m.sign_ms = max(m.sign_ms, self.now_ms - row.silent_ms)
         if more:
@@ -78,7 +79,9 @@
         if ping.name != self.name:
             self.counts["misrouted"] += 1
             return
-        self.send_about(name, pb.Message(ack=pb.Ack(no=ping.no, name=self.name, incarnation=self.incarnation, ok=True)))
+        self.send_about(
+            name, pb.Message(ack=pb.Ack(no=ping.no, name=self.name, incarnation=self.incarnation, ok=True))
+        )
 
     def _heard_ping_ask(self, name, ask, _):
         m = self.table.get(ask.name)
--- a/lichenquay/members/spread.py
+++ b/lichenquay/members/spread.py
@@ -5,6 +5,7 @@
 while there are rumours, and is silent otherwise. A comparison sends 32 digests; parts that differ go in at most
 `MAX_PIECES` messages each way.
 """
+
 from heapq import nsmallest
 from math import ceil, log2
 
@@ -21,7 +22,7 @@
 class Spread:
     def __init__(self, watch):
         self.watch, self.table, self.rng = watch, watch.table, watch.rng
-        self.rumours = {}      # name -> times sent
+        self.rumours = {}  # name -> times sent
         self.round_ms = float("inf")
         self.sync_ms = float("inf")
 
@@ -62,7 +63,9 @@
             self.rumours[own] += FANOUT
             if self.rumours[own] >= 3 * ceil(log2(len(self.table.live()) + 2)):
                 del self.rumours[own]
-        self.round_ms = now_ms + self.watch.jitter(self.watch.settings.period_ms / 5) if self.rumours else float("inf")
+        self.round_ms = (
+            now_ms + self.watch.jitter(self.watch.settings.period_ms / 5) if self.rumours else float("inf")
+        )
 
     # --- the comparison of tables
 
@@ -89,10 +92,12 @@
     def _send_parts(self, sender, parts):
         """All our rows of these parts, whole parts to a message where they fit, else a part in stretches of names."""
         sent, piece, rows, room = 0, [], [], MAX_BODY - 120
+
         def out(parts, rows, after="", until=""):
             message = pb.Message(piece=pb.Piece(parts=parts, after=after, until=until))
             message.rows.extend(rows)
             self.watch.send(sender, message, rumours=False)
+
         for part in parts:
             own = [self.watch.row(m, bare=True) for m in self.table.of_parts((part,))]
             size = sum(r.ByteSize() + 3 for r in own)
@@ -125,8 +130,11 @@
         if piece.back:
             return
         theirs = {r.name: rank(r.incarnation, r.word, r.state) for r in rows}
-        news = [m for m in self.table.of_parts(piece.parts, piece.after, piece.until)
-                if m.name not in theirs or theirs[m.name] < rank(m.incarnation, m.word, m.state)]
+        news = [
+            m
+            for m in self.table.of_parts(piece.parts, piece.after, piece.until)
+            if m.name not in theirs or theirs[m.name] < rank(m.incarnation, m.word, m.state)
+        ]
         for _ in range(MAX_PIECES):
             if not news:
                 break
@@ -135,4 +143,3 @@
             took = fill(message, (self.watch.row(m, bare=True) for m in news))
             self.watch.send(sender, message, rumours=False)
             news = news[took:]
-
--- a/lichenquay/members/table.py
+++ b/lichenquay/members/table.py
@@ -5,6 +5,7 @@
 State: about 0.5 KB a member, at most `MAX_MEMBERS` names; a name keeps its row when it left or is gone (an older word
 must not bring it back).
 """
+
 from hashlib import blake2b
 from typing import NamedTuple, Optional
 
@@ -18,6 +19,7 @@
 
 class Change(NamedTuple):
     """One step of the view: `old` is None for an incarnation not known before."""
+
     name: str
     incarnation: int
     old: Optional[str]
@@ -28,6 +30,7 @@
 class View(NamedTuple):
     """`number` rises with every change, here; `digest` is equal wherever the same members are held for the same (a
     suspect counts as alive: suspicion passes, and is not agreed upon)."""
+
     number: int
     digest: int
 
@@ -43,9 +46,22 @@
 
 class Member:
     """A name's row, and what was seen of it from here (none of which is told as its state)."""
-    __slots__ = ("name", "part", "incarnation", "word", "state", "row_mark", "view_mark", "accusers", "since_ms",
-    "sign_ms", "direct_ms",
-                 "missed", "later_ms")
+
+    __slots__ = (
+        "name",
+        "part",
+        "incarnation",
+        "word",
+        "state",
+        "row_mark",
+        "view_mark",
+        "accusers",
+        "since_ms",
+        "sign_ms",
+        "direct_ms",
+        "missed",
+        "later_ms",
+    )
 
     def __init__(self, name):
         self.name, self.part = name, blake2b(name.encode(), digest_size=1).digest()[0] % PARTS
@@ -55,12 +71,12 @@
 
     def fresh(self, now_ms):
         """Another incarnation: nothing seen of the one before counts for it."""
-        self.accusers = {}           # Who found it silent, by own asking; in the order heard of.
-        self.since_ms = now_ms       # Its state's beginning, here.
-        self.sign_ms = NEVER         # The last answer of it that anybody told us of.
-        self.direct_ms = NEVER       # The last answer to us.
-        self.missed = 0              # Our own pings in a row that it left without one.
-        self.later_ms = NEVER        # No verdict on it before this.
+        self.accusers = {}  # Who found it silent, by own asking; in the order heard of.
+        self.since_ms = now_ms  # Its state's beginning, here.
+        self.sign_ms = NEVER  # The last answer of it that anybody told us of.
+        self.direct_ms = NEVER  # The last answer to us.
+        self.missed = 0  # Our own pings in a row that it left without one.
+        self.later_ms = NEVER  # No verdict on it before this.
 
 
 class Table:
@@ -132,6 +148,9 @@
     def of_parts(self, parts, after="", until=""):
         """The members of these parts with names over `after` up to `until`, part by part and by name."""
         wanted = set(parts)
-        found = [m for m in self.members.values()
-                 if m.part in wanted and m.name > after and (not until or m.name <= until)]
+        found = [
+            m
+            for m in self.members.values()
+            if m.part in wanted and m.name > after and (not until or m.name <= until)
+        ]
         return sorted(found, key=lambda m: (m.part, m.name))
--- a/lichenquay/members/watch.py
+++ b/lichenquay/members/watch.py
@@ -20,6 +20,7 @@
 that add up to about 4 a `slow_ms` for each member that is out, whatever the fleet's size; state: 0.5 KB a member, at
 most 1,024 of them.
 """
+
 from collections import Counter
 from dataclasses import dataclass
 from math import log, log10
@@ -32,24 +33,26 @@
 from lichenquay.members.wire import MAX_BY, MAX_INCARNATION, MAX_WORD, good_name, row_of
 
 INF = float("inf")
-MAX_SCORE = 4              # Ill health of our own: a period is at most five times as long.
-ACCUSERS = 3               # With so many, waiting longer makes a verdict no surer.
-FLOOR = 0.76               # Share of `hold` that a suspicion lasts at the least.
-ALONE = 2                  # Times `hold` without any answer: it is we who are cut.
-AT_ONCE = 16               # About so many members ask a new suspect at once, and each period.
+MAX_SCORE = 4  # Ill health of our own: a period is at most five times as long.
+ACCUSERS = 3  # With so many, waiting longer makes a verdict no surer.
+FLOOR = 0.76  # Share of `hold` that a suspicion lasts at the least.
+ALONE = 2  # Times `hold` without any answer: it is we who are cut.
+AT_ONCE = 16  # About so many members ask a new suspect at once, and each period.
 LEAVES, LEAVES_TO = 4, 16  # A leave is told so many times, to so many.
 REST_FORGET_MS, MAX_REST = 600_000, 64
 
 
 @dataclass(frozen=True)
 class Settings:
-    period_ms: float = 200       # One probe each; answers are expected within a quarter of it.
-    hold_ms: float = 2_700       # Silence that makes a cut. Pauses of three quarters of it are borne.
-    helpers: int = 3             # Members asked to ping for us, twice.
+    period_ms: float = 200  # One probe each; answers are expected within a quarter of it.
+    hold_ms: float = 2_700  # Silence that makes a cut. Pauses of three quarters of it are borne.
+    helpers: int = 3  # Members asked to ping for us, twice.
     gone_ms: float = 300_000
-    sync_ms: float = 10_000      # Tables are compared with one member so often, and each period while they differ.
+    sync_ms: float = (
+        10_000  # Tables are compared with one member so often, and each period while they differ.
+    )
     slow_ms: float = 2_000
-    stall_ms: float = 300        # A tick later than this: we stood still.
+    stall_ms: float = 300  # A tick later than this: we stood still.
     rest_ms: float = 2_000
 
 
@@ -64,10 +67,13 @@
         self.table.take(now_ms, name, incarnation, 0, ALIVE)
         self.own, self.changes = self.table.get(name), self.table.changes
         self.spread, self.ask = Spread(self), Ask(self)
-        self.awake_ms = self.answered_ms = now_ms   # Nothing was missed since; somebody answered us.
+        self.awake_ms = self.answered_ms = now_ms  # Nothing was missed since; somebody answered us.
         self.told_ms, self.rest_until_ms, self.returns = NEVER, NEVER, []
         self.score, self.leaving = 0, 0
-        self.over, self.self_gone = None, None      # 'left' or 'gone'; the incarnation that the next one must pass.
+        self.over, self.self_gone = (
+            None,
+            None,
+        )  # 'left' or 'gone'; the incarnation that the next one must pass.
         self.gone_ms = settings.gone_ms * rng.uniform(1, 1.1)
         self.probe_ms = now_ms + rng.uniform(0, settings.period_ms / 5)
         self.slow_ms = now_ms + rng.uniform(0, settings.slow_ms)
@@ -94,8 +100,11 @@
         """Names that answered us ourselves lately (three turns of a probe, 10 periods at least), and not three times in
         a row not."""
         since = self.now_ms - self.settings.period_ms * max(10, 3 * len(self.table.live()))
-        return sorted(m.name for m in self.table.members.values()
-                      if m.direct_ms >= since and m.missed < 3 and m.state < LEFT)
+        return sorted(
+            m.name
+            for m in self.table.members.values()
+            if m.direct_ms >= since and m.missed < 3 and m.state < LEFT
+        )
 
     def leave(self, now_ms):
         """In order: told several times, then silent (`over` is 'left')."""
@@ -150,7 +159,9 @@
             self.due_ms = self.probe_ms
         else:
             back = self.rest_until_ms if self.own.state == CUT and self.answered_ms > self.told_ms else INF
-            self.due_ms = min(self.probe_ms, self.slow_ms, self.judge_ms, self.spread.due_ms, self.ask.due_ms, back)
+            self.due_ms = min(
+                self.probe_ms, self.slow_ms, self.judge_ms, self.spread.due_ms, self.ask.due_ms, back
+            )
 
     def _stood_still(self, late_ms):
         """Risk: after a pause every clock here has run out and every answer is late, so that the front that was ill
@@ -199,8 +210,11 @@
 
     def send_about(self, name, message, about=None):
         """Who is held for anything but alive is told so before all else, and so is who shall ask for us."""
-        first = [m for m in (self.table.get(name), self.table.get(about) if about else None)
-                 if m and (m.state != ALIVE or m.name == about)]
+        first = [
+            m
+            for m in (self.table.get(name), self.table.get(about) if about else None)
+            if m and (m.state != ALIVE or m.name == about)
+        ]
         self.send(name, message, first)
 
     def _join(self, k=3):
@@ -235,7 +249,9 @@
     def _slow(self):
         """Risk: without it, two parts of a fleet that have cut each other never hear of one another again, and fronts
         that each hold themselves for cut wait for an answer that none of them asks for."""
-        out = [n for n in self.table.cut if n != self.name] + [n for n in self.seeds if self.table.get(n) is None]
+        out = [n for n in self.table.cut if n != self.name] + [
+            n for n in self.seeds if self.table.get(n) is None
+        ]
         if out:
             name = self.rng.choice(sorted(out))
             if self.table.get(name) is None:
@@ -267,7 +283,9 @@
         """Whether our word on others is worth anything. Of two fronts each is the only witness."""
         if self.own.state != ALIVE:
             return False
-        return self._others() < 2 or (self.answered_ms > self.awake_ms and self._silence_ms() < self.hold_ms())
+        return self._others() < 2 or (
+            self.answered_ms > self.awake_ms and self._silence_ms() < self.hold_ms()
+        )
 
     def _unanswered(self, probe):
         m = self.table.get(probe.name)
@@ -329,7 +347,9 @@
             return
         if row.incarnation > self.incarnation or row.state >= LEFT or row.word >= MAX_WORD - 1:
             self._end(row.incarnation)
-        elif rank(row.incarnation, row.word, row.state) > rank(self.incarnation, self.own.word, self.own.state):
+        elif rank(row.incarnation, row.word, row.state) > rank(
+            self.incarnation, self.own.word, self.own.state
+        ):
             if row.state == CUT or self.own.state == CUT:
                 self._held_for_cut(row.word)
             elif row.state == SUSPECT:
@@ -350,7 +370,9 @@
         if self.own.state != CUT:
             self.told_ms = self.now_ms
             self.returns = [t for t in self.returns if t > self.now_ms - REST_FORGET_MS][-16:]
-            rest = 0 if not self.returns else min(MAX_REST, 2 ** (len(self.returns) - 1)) * self.settings.rest_ms
+            rest = (
+                0 if not self.returns else min(MAX_REST, 2 ** (len(self.returns) - 1)) * self.settings.rest_ms
+            )
             self.rest_until_ms = self.now_ms + self.jitter(rest)
             self._ask_some()
         self._own_row(word, CUT)
--- a/lichenquay/members/wire.py
+++ b/lichenquay/members/wire.py
@@ -5,6 +5,7 @@
 under 2^53 from the front itself: so whatever was believed of a front by mistake, it can come again above it. A word
 under 2^40. What passes them is dropped and counted.
 """
+
 from lichenquay.members import members_pb2 as pb
 
 MAX_BODY, MAX_NAME, MAX_BY = 1_090, 64, 4
@@ -23,9 +24,14 @@
 
 def good_row(row, known=0):
     """Whether a row that came in lies within the bounds; `known`: an incarnation known of it by better evidence."""
-    return (good_name(row.name) and (0 < row.incarnation < MAX_TOLD or 0 < row.incarnation == known)
-            and row.word < MAX_WORD and 0 <= row.state <= pb.GONE and len(row.by) <= MAX_BY
-            and all(good_name(b) for b in row.by))
+    return (
+        good_name(row.name)
+        and (0 < row.incarnation < MAX_TOLD or 0 < row.incarnation == known)
+        and row.word < MAX_WORD
+        and 0 <= row.state <= pb.GONE
+        and len(row.by) <= MAX_BY
+        and all(good_name(b) for b in row.by)
+    )
 
 
 def row_of(member, silent_ms=0):
--- a/lichenquay/moves/book.py
+++ b/lichenquay/moves/book.py
@@ -9,6 +9,7 @@
 one home to another are numbered, and the taker's book has which of these numbers it took: a hand-over that comes
 twice, or late by any time, is not taken again, though all else about the sitting be forgotten.
 Docs: docs/design/moves.md."""
+
 from lichenquay.moves import moves_pb2 as pb
 
 VERSION = 1
@@ -16,14 +17,14 @@
 WORDS = {HELD: "held", FROZEN: "frozen", OFFERED: "offered", GONE: "gone"}
 
 # The same in all processes of a fleet: a fold decides by them.
-MOST_SITTINGS = 256         # of a home, without those that are gone and told
-MOST_BYTES = 40_000         # of these
-MOST_STONES = 64            # gone and told: kept only to send clients on, the oldest go
-SITTING_BYTES = 800         # at most, whatever ends and is pinned later: one fits in a datagram
-OUTCOME = 16                # bytes of a query's outcome
-MOST_NAME = 64              # bytes of a sitting's name, tenant, ref, engine uid
-MOST_UNTOLD = 64            # hand-overs to one home that it has not answered
-BORN_BYTES = 96             # most that a home adds to a name
+MOST_SITTINGS = 256  # of a home, without those that are gone and told
+MOST_BYTES = 40_000  # of these
+MOST_STONES = 64  # gone and told: kept only to send clients on, the oldest go
+SITTING_BYTES = 800  # at most, whatever ends and is pinned later: one fits in a datagram
+OUTCOME = 16  # bytes of a query's outcome
+MOST_NAME = 64  # bytes of a sitting's name, tenant, ref, engine uid
+MOST_UNTOLD = 64  # hand-overs to one home that it has not answered
+BORN_BYTES = 96  # most that a home adds to a name
 
 
 class BookError(Exception):
@@ -53,13 +54,26 @@
 
 
 class Sitting:
-    __slots__ = ("tenant", "id", "generation", "pin", "order", "refs", "state", "to", "no", "told", "size", "most")
+    __slots__ = (
+        "tenant",
+        "id",
+        "generation",
+        "pin",
+        "order",
+        "refs",
+        "state",
+        "to",
+        "no",
+        "told",
+        "size",
+        "most",
+    )
     PLAIN = ("tenant", "id", "generation", "pin", "order", "state", "to", "no", "told")
 
     def __init__(self, wire):
         for name in self.PLAIN:
             setattr(self, name, getattr(wire, name))
-        self.refs = {r.ref: Ref(r) for r in wire.refs}      # oldest first
+        self.refs = {r.ref: Ref(r) for r in wire.refs}  # oldest first
         self.weigh()
 
     def wire(self):
@@ -89,9 +103,9 @@
 class Book:
     def __init__(self, home):
         self.home, self.no, self.births = home, 0, 0
-        self.sittings = {}          # id: Sitting, longest unused first
-        self.given = {}             # home: number of the last hand-over to it
-        self.taken = {}             # home: (floor, numbers above it): hand-overs from it that are on record here
+        self.sittings = {}  # id: Sitting, longest unused first
+        self.given = {}  # home: number of the last hand-over to it
+        self.taken = {}  # home: (floor, numbers above it): hand-overs from it that are on record here
 
     # What is there.
 
@@ -141,7 +155,13 @@
     def decide_pin(self, id, engine, order):
         """The order only rises. Also while it is frozen, as a load may be done then; not once it is gone."""
         s = self.sittings.get(id)
-        if s is None or not s.acted_for or not fits(engine) or order < s.order or (s.pin, s.order) == (engine, order):
+        if (
+            s is None
+            or not s.acted_for
+            or not fits(engine)
+            or order < s.order
+            or (s.pin, s.order) == (engine, order)
+        ):
             return None
         return pb.Change(pinned=pb.Pinned(id=id, engine=engine, order=order))
 
@@ -194,9 +214,17 @@
         """None also for what is on record already."""
         known = self.sittings.get(wire.id)
         # Where it is gone and comes back by a higher generation, its hand-over arrived, answered or not.
-        if self.has_taken(giver, no) or known and (known.state != GONE or wire.generation <= known.generation):
+        if (
+            self.has_taken(giver, no)
+            or known
+            and (known.state != GONE or wire.generation <= known.generation)
+        ):
             return None
-        if giver == self.home or not 0 < floor <= no < floor + MOST_UNTOLD or wire.ByteSize() > SITTING_BYTES + 128:
+        if (
+            giver == self.home
+            or not 0 < floor <= no < floor + MOST_UNTOLD
+            or wire.ByteSize() > SITTING_BYTES + 128
+        ):
             return None
         return pb.Change(accepted=pb.Accepted(giver=giver, no=no, floor=floor, sitting=wire))
 
@@ -228,7 +256,10 @@
 
     def _get(self, id, *states):
         s = self.sittings.get(id)
-        law(s is not None and s.state in states, f"{id} is {s and WORDS[s.state]}, not {[WORDS[x] for x in states]}")
+        law(
+            s is not None and s.state in states,
+            f"{id} is {s and WORDS[s.state]}, not {[WORDS[x] for x in states]}",
+        )
         return s
 
     def _used(self, s):
@@ -290,8 +321,10 @@
     def _accepted(self, m):
         known = self.sittings.pop(m.sitting.id, None)
         law(not self.has_taken(m.giver, m.no), f"hand-over {m.no} of {m.giver} is taken twice")
-        law(known is None or known.state == GONE and m.sitting.generation > known.generation,
-            f"{m.sitting.id} of generation {m.sitting.generation} is taken over a newer one")
+        law(
+            known is None or known.state == GONE and m.sitting.generation > known.generation,
+            f"{m.sitting.id} of generation {m.sitting.generation} is taken over a newer one",
+        )
         s = Sitting(m.sitting)
         s.state, s.to, s.no, s.told = HELD, "", 0, False
         for ref in s.refs.values():
@@ -340,14 +373,20 @@
 
     def check(self):
         for id, s in self.sittings.items():
-            law(s.id == id and s.state in WORDS and s.generation >= 1, f"{id}: state {s.state}, {s.generation}")
+            law(
+                s.id == id and s.state in WORDS and s.generation >= 1,
+                f"{id}: state {s.state}, {s.generation}",
+            )
             law(fits(s.tenant) and len(id.encode()) <= MOST_NAME + BORN_BYTES, f"{id}: names too long")
             law((s.state in (OFFERED, GONE)) == bool(s.to) and s.to != self.home, f"{id}: to {s.to!r}")
             law((s.state == GONE) == bool(s.no), f"{id}: hand-over {s.no} while {WORDS[s.state]}")
             law(s.size <= SITTING_BYTES + 128, f"{id}: {s.size} bytes")
         for to, no in self.given.items():
             out = [s.no for s in self.untold(to)]
-            law(len(out) == len(set(out)) and max(out, default=0) <= no and len(out) <= MOST_UNTOLD, f"numbers to {to}")
+            law(
+                len(out) == len(set(out)) and max(out, default=0) <= no and len(out) <= MOST_UNTOLD,
+                f"numbers to {to}",
+            )
         for home, (floor, above) in self.taken.items():
             law(floor >= 1 and all(n >= floor for n in above), f"numbers from {home}")
         stones = sum(1 for s in self.sittings.values() if s.state == GONE and s.told)
--- a/lichenquay/moves/choose.py
+++ b/lichenquay/moves/choose.py
@@ -7,6 +7,7 @@
 3. by rendezvous hashing with what room each has left as its weight.
 
 Against the least loaded first: rooms are told late, so that all who leave would pick the same one, and fill it."""
+
 from hashlib import blake2b
 from math import log
 from typing import NamedTuple
@@ -16,6 +17,7 @@
 
 class Member(NamedTuple):
     """A front as it is known here. `room`: bytes; `word`: '', WANTS or LEAVES."""
+
     name: str
     room: int
     alive: bool = True
@@ -29,7 +31,7 @@
 def score(id, name, weight):
     """The highest of a sitting's scores is drawn with a chance in proportion to weight (weighted rendezvous)."""
     draw = int.from_bytes(blake2b(f"{id}\0{name}".encode(), digest_size=8).digest(), "little")
-    return -weight / log((draw + 1) / (2 ** 64 + 2))
+    return -weight / log((draw + 1) / (2**64 + 2))
 
 
 def fit(member, size):
@@ -39,8 +41,16 @@
 def taker(id, size, zone, members, without=()):
     """Name of the home to offer it to; None: nobody now."""
     fitting = [m for m in members if fit(m, size) and m.name not in without]
-    best = max(fitting, default=None, key=lambda m: (bool(zone) and m.zone == zone, m.new,
-                                                     score(id, m.name, m.weight * (m.room + 1)), m.name))
+    best = max(
+        fitting,
+        default=None,
+        key=lambda m: (
+            bool(zone) and m.zone == zone,
+            m.new,
+            score(id, m.name, m.weight * (m.room + 1)),
+            m.name,
+        ),
+    )
     return best and best.name
 
 
--- a/lichenquay/moves/desk.py
+++ b/lichenquay/moves/desk.py
@@ -8,6 +8,7 @@
 Two books: `ahead` has what was decided, `made` what the group has made. Whoever acts for a sitting looks at both: it
 must be held in `made`, so that no act comes before its record, and in `ahead`, so that nothing begins after a
 freeze was decided. Where the end of a write is in doubt the desk is shut until the group's next generation."""
+
 from functools import partial
 from typing import NamedTuple
 
@@ -19,7 +20,7 @@
 from lichenquay.moves.settings import Settings
 from lichenquay.owner.kept import digest
 
-MOST_CHANGES = 16           # of one record; the rest waits for the next
+MOST_CHANGES = 16  # of one record; the rest waits for the next
 
 
 class Answer(NamedTuple):
@@ -27,6 +28,7 @@
     ask again (frozen, or not yet on record). moved: ask at `home`. unknown: no such sitting or ref here; `home` may
     know. refused: not this tenant's. full: no room in the sitting or the home. lost: this process has no office (any
     more); a query so answered was not submitted by it."""
+
     word: str
     id: str = ""
     home: str = ""
@@ -51,8 +53,8 @@
     def __init__(self, home, group, settings=Settings()):
         self.home, self.group, self.settings = home, group, settings
         self.outbox = []
-        self.doubted = None         # generation in which a write's end is in doubt
-        self.out = None             # (number of the write, generation, record, callbacks) whose end is not known
+        self.doubted = None  # generation in which a write's end is in doubt
+        self.out = None  # (number of the write, generation, record, callbacks) whose end is not known
         self.writes = self.stray = self.senseless = self.doubts = self.dropped = 0
         self.trouble = None
         self.mover = self.make_mover(self)
@@ -75,7 +77,7 @@
             return False
         if self.made is None or self.generation != self.group.generation:
             self._shut(now_ms)
-            if self.out:            # Risk: a record of an office that was left is made after the state was read
+            if self.out:  # Risk: a record of an office that was left is made after the state was read
                 return False
             self.generation = self.group.generation
             try:
@@ -119,7 +121,12 @@
         batch, self.pending = self.pending[:MOST_CHANGES], self.pending[MOST_CHANGES:]
         record = pb.Record(no=self.made.no + 1, changes=[change for change, _ in batch])
         self.writes += 1
-        self.out = self.writes, self.generation, record.SerializeToString(), [done for _, done in batch if done]
+        self.out = (
+            self.writes,
+            self.generation,
+            record.SerializeToString(),
+            [done for _, done in batch if done],
+        )
         self.group.write(now_ms, self.out[2], partial(self._written, self.writes))
 
     def _written(self, number, now_ms, ok):
@@ -156,7 +163,7 @@
             return None, Answer("refused", id)
         if s.state == GONE:
             return None, Answer("moved", id, home=s.to)
-        if id not in self.ahead.sittings:       # dropped, but not yet on record
+        if id not in self.ahead.sittings:  # dropped, but not yet on record
             return None, Answer("unknown", id, home=self.home)
         return s, None
 
@@ -167,8 +174,11 @@
             return done(now_ms, LOST)
         if not fits(tenant, name):
             return done(now_ms, Answer("refused"))
-        known = [s for s in self.made.sittings.values() if s.tenant == tenant and s.acted_for
-                 and s.id.rpartition("@")[0] == name]
+        known = [
+            s
+            for s in self.made.sittings.values()
+            if s.tenant == tenant and s.acted_for and s.id.rpartition("@")[0] == name
+        ]
         if known:
             return done(now_ms, Answer("go", known[-1].id))
         change = self.ahead.decide_open(tenant, name)
@@ -203,7 +213,9 @@
     def _take(self, now_ms, id, ref, mutating, engine, left_ms, done):
         if self.made.sittings[id].state != HELD or self.ahead.sittings[id].state != HELD:
             return done(now_ms, Answer("wait", id))
-        change = self.ahead.decide_took(id, ref, mutating, engine, self.generation, int(max(0, min(left_ms, 1 << 31))))
+        change = self.ahead.decide_took(
+            id, ref, mutating, engine, self.generation, int(max(0, min(left_ms, 1 << 31)))
+        )
         if change is None:
             return done(now_ms, Answer("full", id))
         self.told_ms[id, ref] = now_ms
@@ -232,7 +244,7 @@
             return done(now_ms, answer)
         failed = Answer("ended", id, outcome="failed", mutating=True)
         if not self.do(self.ahead.decide_ended(id, ref, "failed"), partial(self._took, failed, done)):
-            return done(now_ms, Answer("wait", id))     # gone by what was decided
+            return done(now_ms, Answer("wait", id))  # gone by what was decided
         self.flush(now_ms)
 
     def attach(self, now_ms, tenant, id, ref):
@@ -274,7 +286,12 @@
     def heard(self, now_ms, sender, message):
         kind = message.WhichOneof("body")
         mark = message.mark
-        if kind is None or message.to != self.home or message.home == self.home or marked(message).mark != mark:
+        if (
+            kind is None
+            or message.to != self.home
+            or message.home == self.home
+            or marked(message).mark != mark
+        ):
             self.senseless += 1
             return
         if not self.in_office(now_ms):
--- a/lichenquay/moves/mover.py
+++ b/lichenquay/moves/mover.py
@@ -12,13 +12,14 @@
 Offer and Room are advice: an answer to an earlier office, or to another offer, counts for nothing. Handed and Kept say
 only what is on record already, so that it stays true however late it comes. What is frozen or offered and in no try
 of this office (its giver died, or the swap was called off) is tried anew, or given back."""
+
 from functools import partial
 
 from lichenquay.moves import choose, moves_pb2 as pb
 from lichenquay.moves.book import FROZEN, GONE, HELD, MOST_BYTES, OFFERED, SITTING_BYTES, Sitting
 
 INF = float("inf")
-KEPT_BACK = MOST_BYTES // 5         # of a home's bytes: for hand-overs whose reservation was forgotten in a crash
+KEPT_BACK = MOST_BYTES // 5  # of a home's bytes: for hand-overs whose reservation was forgotten in a crash
 MOST_RESERVED = 512
 
 
@@ -41,7 +42,7 @@
     def forget(self):
         """What is not on record and belongs to one office."""
         self.tries, self.telling, self.reserved = {}, {}, {}
-        self.later = {}             # sitting or home: (not before, failures)
+        self.later = {}  # sitting or home: (not before, failures)
         self.budget, self.budget_ms = 0.0, None
         self.due_ms = 0.0
 
@@ -67,14 +68,21 @@
     @property
     def empty(self):
         """Nothing is left to be moved or told: the home's group may be given up."""
-        return self.desk.made is not None and not self.desk.made.live and not self.desk.pending and not self.desk.out
+        return (
+            self.desk.made is not None
+            and not self.desk.made.live
+            and not self.desk.pending
+            and not self.desk.out
+        )
 
     # Time.
 
     def tick(self, now_ms):
         self.look(now_ms)
         ahead = self.desk.ahead
-        busy = self.tries or self.telling or any(s.state in (FROZEN, OFFERED) for s in ahead.sittings.values())
+        busy = (
+            self.tries or self.telling or any(s.state in (FROZEN, OFFERED) for s in ahead.sittings.values())
+        )
         self.due_ms = now_ms + self.settings.period_ms * (1 if busy or self.word else 10)
 
     def look(self, now_ms):
@@ -108,8 +116,9 @@
 
     def _taker(self, now_ms, s, without=()):
         late = {name for name, (until, _) in self.later.items() if now_ms < until}
-        return choose.taker(s.id, s.most, self.zones.get(s.pin, ""), self.members,
-                            late | set(without) | {self.desk.home})
+        return choose.taker(
+            s.id, s.most, self.zones.get(s.pin, ""), self.members, late | set(without) | {self.desk.home}
+        )
 
     def _begin(self, now_ms):
         settings, ahead = self.settings, self.desk.ahead
@@ -117,7 +126,9 @@
             more = (now_ms - self.budget_ms) / 1000 * settings.bytes_s
             self.budget = min(settings.bytes_s / 4, self.budget + more)
         self.budget_ms = now_ms
-        under_way = sum(1 for s in ahead.sittings.values() if s.state != HELD and not (s.state == GONE and s.told))
+        under_way = sum(
+            1 for s in ahead.sittings.values() if s.state != HELD and not (s.state == GONE and s.told)
+        )
         held = [s for s in ahead.sittings.values() if s.state == HELD]
         for s in choose.in_order(held):
             if under_way >= settings.at_once or self.budget < 0:
@@ -233,13 +244,20 @@
         key = message.home, m.id
         self.reserved.pop(key, None)
         size = max(m.bytes, 64)
-        yes = not self.word and size <= min(self.free, SITTING_BYTES + 128) and len(self.reserved) < MOST_RESERVED
+        yes = (
+            not self.word
+            and size <= min(self.free, SITTING_BYTES + 128)
+            and len(self.reserved) < MOST_RESERVED
+        )
         if yes:
             self.reserved[key] = now_ms + self.settings.reserve_ms, size
         else:
             self.counts["no_room"] += 1
-        self.desk.send(message.home, office=message.office,
-                       room=pb.Room(id=m.id, generation=m.generation, yes=yes, free=self.free))
+        self.desk.send(
+            message.home,
+            office=message.office,
+            room=pb.Room(id=m.id, generation=m.generation, yes=yes, free=self.free),
+        )
 
     def handed(self, now_ms, message, m):
         """Its giver never acts for it again: it is taken whenever there is room, even if this home leaves."""
--- a/lichenquay/opening.py
+++ b/lichenquay/opening.py
@@ -3,6 +3,7 @@
 The bench's adapter and the real front both open by this; they differ only in how the settings reach them. Nothing
 is decided here.
 """
+
 from lichenquay.admission import interface as io
 from lichenquay.admission.controller import Controller
 
@@ -113,45 +114,88 @@
                 raise f.bad(p + "effect", f"unknown: {effect!r}")
             places, kinds = f.words(p + "failure_domains_only"), f.words(p + "runs_on")
             group = io.ResourceGroup(
-                f.text(p + "name"), EFFECTS[effect], f.ms(p + "aim_us"), f.number(p + "aim_stretch", 0.0),
-                f.ms(p + "deadline_us"), f.number(p + "worth", 1.0), f.number(p + "late_worth", 0.0),
-                max(1, int(at(threads, i, 1))), at(loads, i, False), at(yields, i, False),
-                f.flag(p + "serial_by_key", "0"), f.text(p + "group", "all"), f.ms(p + "key_ttl_us", 0),
-                frozenset(places) if places else None, frozenset(kinds) if kinds else None)
+                f.text(p + "name"),
+                EFFECTS[effect],
+                f.ms(p + "aim_us"),
+                f.number(p + "aim_stretch", 0.0),
+                f.ms(p + "deadline_us"),
+                f.number(p + "worth", 1.0),
+                f.number(p + "late_worth", 0.0),
+                max(1, int(at(threads, i, 1))),
+                at(loads, i, False),
+                at(yields, i, False),
+                f.flag(p + "serial_by_key", "0"),
+                f.text(p + "group", "all"),
+                f.ms(p + "key_ttl_us", 0),
+                frozenset(places) if places else None,
+                frozenset(kinds) if kinds else None,
+            )
             self.groups[group.name] = group
         self.tenants = {}
         for i in range(f.integer("tenants.count", 0)):
             p = f"tenants.{i}."
-            tenant = io.Tenant(f.text(p + "name"), f.number(p + "share", 0.0),
-                               f.number(p + "allowance_per_s", 0.0), f.number("over_share_worth", 1.0))
+            tenant = io.Tenant(
+                f.text(p + "name"),
+                f.number(p + "share", 0.0),
+                f.number(p + "allowance_per_s", 0.0),
+                f.number("over_share_worth", 1.0),
+            )
             self.tenants[tenant.name] = tenant
         kinds = f.words("kinds")
         cores, memory = f.numbers("family_info.size_cores"), f.numbers("family_info.memory_by_kind_mb")
         self.makes = {k: (at(cores, i, 0.0), at(memory, i, 0.0)) for i, k in enumerate(kinds)}
-        self.idle_ms = f.ms("limits.keepalive_us", 0)       # engines close idle connections after this
+        self.idle_ms = f.ms("limits.keepalive_us", 0)  # engines close idle connections after this
         free = "rules.extra_free" in f.parts or "rules.further_ratio" in f.parts
-        self.gateway = io.Gateway(f.text("my_zone", ""), f.integer("replicas_of_me", 1), seed,
-                                  f.ms("resolution_us", 0), f.text("registry_mode", "pushed") == "on_request",
-                                  f.integer("slot_no") if "slot_no" in f.parts else None)
+        self.gateway = io.Gateway(
+            f.text("my_zone", ""),
+            f.integer("replicas_of_me", 1),
+            seed,
+            f.ms("resolution_us", 0),
+            f.text("registry_mode", "pushed") == "on_request",
+            f.integer("slot_no") if "slot_no" in f.parts else None,
+        )
         self.licence = io.Licence(
-            f.integer("limits.most_tries", 1), f.flag("limits.cancel", "0"),
-            f.flag("limits.may_probe", "0"), f.flag("limits.second_copies", "0"),
-            f.ms("limits.max_retry_after_us", 0) if f.flag("limits.retry_after", "0") else 0.0)
+            f.integer("limits.most_tries", 1),
+            f.flag("limits.cancel", "0"),
+            f.flag("limits.may_probe", "0"),
+            f.flag("limits.second_copies", "0"),
+            f.ms("limits.max_retry_after_us", 0) if f.flag("limits.retry_after", "0") else 0.0,
+        )
         self.safeguards = io.Safeguards(
-            f.ms("rules.answer_slack_us", 0), f.ms("rules.stop_sending_within_us", 0),
-            f.number("rules.start_capacity", 0.0), f.ms("rules.ramp_time_us", 0),
-            f.number("rules.overload_factor", 0.0), f.ms("rules.fall_us", 0),
-            f.ms("rules.order_pause_us", 0), f.number("rules.extra_free", 0.0) if free else None,
-            f.number("rules.further_ratio", 0.0), f.ms("rules.counted_over_us", 0), f.ms("rules.must_ask_in_us", 0))
+            f.ms("rules.answer_slack_us", 0),
+            f.ms("rules.stop_sending_within_us", 0),
+            f.number("rules.start_capacity", 0.0),
+            f.ms("rules.ramp_time_us", 0),
+            f.number("rules.overload_factor", 0.0),
+            f.ms("rules.fall_us", 0),
+            f.ms("rules.order_pause_us", 0),
+            f.number("rules.extra_free", 0.0) if free else None,
+            f.number("rules.further_ratio", 0.0),
+            f.ms("rules.counted_over_us", 0),
+            f.ms("rules.must_ask_in_us", 0),
+        )
         self.make = io.EngineMake(
-            f.flag("family_info.takes_grants", "0"), f.flag("family_info.ranks_heeded", "0"),
-            f.number("family_info.most_grant", 1.0), f.text("family_info.out_of_memory", "queue"),
-            f.ms("family_info.progress_pace_us", 0), f.flag("family_info.says_cost", "0"),
-            tuple(f.words("report.columns")), f.text("report.how", "none"), f.ms("limits.connect_timeout_us", 0))
+            f.flag("family_info.takes_grants", "0"),
+            f.flag("family_info.ranks_heeded", "0"),
+            f.number("family_info.most_grant", 1.0),
+            f.text("family_info.out_of_memory", "queue"),
+            f.ms("family_info.progress_pace_us", 0),
+            f.flag("family_info.says_cost", "0"),
+            tuple(f.words("report.columns")),
+            f.text("report.how", "none"),
+            f.ms("limits.connect_timeout_us", 0),
+        )
 
     def controller(self, door):
-        return Controller(door, self.gateway, list(self.groups.values()), list(self.tenants.values()),
-                          self.licence, self.safeguards, self.make)
+        return Controller(
+            door,
+            self.gateway,
+            list(self.groups.values()),
+            list(self.tenants.values()),
+            self.licence,
+            self.safeguards,
+            self.make,
+        )
 
     def describe(self, e, place, kind, cell, state, units, started_ms):
         """What a row of the list says of an engine."""
--- a/lichenquay/owner/group.py
+++ b/lichenquay/owner/group.py
@@ -21,13 +21,14 @@
 A lease says who may act *now*. Between asking `holds` and the act a process may be paused for any time: what must not
 happen then has to carry `generation` to whoever can refuse it.
 """
+
 from collections import deque
 
 from lichenquay.owner.holder import HOLDING, Holder
 from lichenquay.owner.owner_pb2 import Message
 from lichenquay.owner.voter import Voter
 
-MOST_INNER = 10_000                 # messages to itself in one call
+MOST_INNER = 10_000  # messages to itself in one call
 TO_HOLDER = {"grant", "refuse", "blank", "ack", "piece", "fetch"}
 TO_VOTER = {"claim", "round", "ended", "piece", "fetch"}
 INF = float("inf")
@@ -45,20 +46,34 @@
 class Group:
     """`told(now_ms, what)`: 'holds' when this process got the group (see `state`), 'lost' when that is over."""
 
-    def __init__(self, group_id, name, incarnation, voters, rng, settings, now_ms, kept,
-                 fresh=False, fold=keep_all, told=None):
+    def __init__(
+        self,
+        group_id,
+        name,
+        incarnation,
+        voters,
+        rng,
+        settings,
+        now_ms,
+        kept,
+        fresh=False,
+        fold=keep_all,
+        told=None,
+    ):
         if len(set(voters)) != len(voters) or not voters:
             raise ValueError(f"group {group_id}: voters need names of their own")
         self.group_id, self.name, self.incarnation, self.settings = group_id, name, incarnation, settings
         self.outbox, self.to_store = [], []
         self._inner, self._number = deque(), 0
         self._holder_seen = (None, 0)
-        self.round_ms = now_ms      # when a holder's round last came, or the group began
-        self.foreign = 0            # messages of other groups, or of no known kind
+        self.round_ms = now_ms  # when a holder's round last came, or the group began
+        self.foreign = 0  # messages of other groups, or of no known kind
         self.voter = None
         if name in voters:
             self.voter = Voter(rng, settings, now_ms, kept, fresh, fold, self._send, self._store)
-        self.claimant = Holder(voters, rng, settings, now_ms, fold, self._send, self._own_log, told or nothing)
+        self.claimant = Holder(
+            voters, rng, settings, now_ms, fold, self._send, self._own_log, told or nothing
+        )
         self._settle(now_ms)
 
     # What the application asks.
@@ -94,7 +109,9 @@
         that is heard."""
         claimant = self.claimant
         if wanted and not claimant.wanted:
-            claimant.claim_ms = max(claimant.claim_ms, now_ms + claimant.rng.uniform(0, self.settings.spread_ms))
+            claimant.claim_ms = max(
+                claimant.claim_ms, now_ms + claimant.rng.uniform(0, self.settings.spread_ms)
+            )
         claimant.wanted = wanted
 
     def write(self, now_ms, record, done):
--- a/lichenquay/owner/holder.py
+++ b/lichenquay/owner/holder.py
@@ -8,13 +8,14 @@
 same generation: it is claimed anew. A claim that does not hold after `lease_ms` is dropped (the voters' rule for lost
 folders counts on both).
 """
+
 from collections import OrderedDict
 
 from lichenquay.owner.kept import Frozen, Position, Pull
 from lichenquay.owner.settings import MOST_JUMP
 
 IDLE, CLAIMING, TAKING, SPREADING, HOLDING = "idle", "claiming", "taking", "spreading", "holding"
-MOST_SENT = 64                      # rounds to one voter whose answers are told apart
+MOST_SENT = 64  # rounds to one voter whose answers are told apart
 INF = float("inf")
 
 
@@ -26,16 +27,18 @@
     """A voter as the holder knows it."""
 
     def __init__(self):
-        self.position = None        # on its disk, by its last word; None: it granted nothing
-        self.whole = None           # its state, where it granted
-        self.number = 0             # of the last round that it answered
-        self.kept = -1              # its last record under this generation
-        self.waits_ms = -INF        # sending of the latest round that it answered: it waits for a lease from there on
-        self.sent = OrderedDict()   # number -> (sent, token)
-        self.pending_ms = None      # sending of records or an offer that it has not answered
-        self.asked_ms = -INF        # sending of the last claim
-        self.birth = 0              # of a blank one
-        self.refused = None         # how long it said to wait
+        self.position = None  # on its disk, by its last word; None: it granted nothing
+        self.whole = None  # its state, where it granted
+        self.number = 0  # of the last round that it answered
+        self.kept = -1  # its last record under this generation
+        self.waits_ms = (
+            -INF
+        )  # sending of the latest round that it answered: it waits for a lease from there on
+        self.sent = OrderedDict()  # number -> (sent, token)
+        self.pending_ms = None  # sending of records or an offer that it has not answered
+        self.asked_ms = -INF  # sending of the last claim
+        self.birth = 0  # of a blank one
+        self.refused = None  # how long it said to wait
 
 
 class Holder:
@@ -45,11 +48,11 @@
         self.voters, self.rng, self.settings = tuple(voters), rng, settings
         self.fold, self.send, self.own_log, self.told = fold, send, own_log, told
         self.majority = len(self.voters) // 2 + 1
-        self.seen = 0                               # highest generation known of
+        self.seen = 0  # highest generation known of
         self.wanted = False
-        self.failed = 0                             # claims in a row
+        self.failed = 0  # claims in a row
         self.counts = {"claims": 0, "lapsed": 0, "senseless": 0}
-        self.ended = None                           # (generation, index, times left, next sending)
+        self.ended = None  # (generation, index, times left, next sending)
         self._idle(now_ms)
 
     def _idle(self, now_ms, wait_ms=0.0):
@@ -152,7 +155,9 @@
 
     def _ask(self, now_ms, name):
         self.peers[name].asked_ms = now_ms
-        self.send(name, "claim", generation=self.generation, token=self.token, founding=self.founding.get(name, 0))
+        self.send(
+            name, "claim", generation=self.generation, token=self.token, founding=self.founding.get(name, 0)
+        )
 
     def _mine(self, name, m):
         return self.phase != IDLE and name in self.peers and m.generation == self.generation
@@ -218,7 +223,11 @@
 
     def blank(self, now_ms, sender, m):
         name = sender[0]
-        if not self._mine(name, m) or not m.birth or not (m.token == self.token or self._round_of(name, m.token)):
+        if (
+            not self._mine(name, m)
+            or not m.birth
+            or not (m.token == self.token or self._round_of(name, m.token))
+        ):
             return
         peer = self.peers[name]
         known, peer.birth, peer.position = peer.birth, m.birth, None
@@ -264,12 +273,25 @@
         peer.sent[self.number] = now_ms, token
         if len(peer.sent) > MOST_SENT:
             peer.sent.popitem(last=False)
-        self.send(name, "round", generation=self.generation, number=self.number, token=token, since=since.wire(),
-                  records=records or (), till=till.wire(), **fields)
+        self.send(
+            name,
+            "round",
+            generation=self.generation,
+            number=self.number,
+            token=token,
+            since=since.wire(),
+            records=records or (),
+            till=till.wire(),
+            **fields,
+        )
 
     def _fitting(self, since):
         """Records that follow `since`, as many as one round takes; None where this log does not go on from there."""
-        same = since.label == self.generation or since.label == self.source.label and since.index <= self.source.index
+        same = (
+            since.label == self.generation
+            or since.label == self.source.label
+            and since.index <= self.source.index
+        )
         if not same or self.log.chain_at(since.index) != since.chain:
             return None
         records, size = [], 0
@@ -304,7 +326,13 @@
         if position.label == self.generation:
             peer.kept = max(peer.kept, position.index)
         if m.number > peer.number:
-            old, peer.number, peer.position, peer.birth, peer.refused = peer.position, m.number, position, 0, None
+            old, peer.number, peer.position, peer.birth, peer.refused = (
+                peer.position,
+                m.number,
+                position,
+                0,
+                None,
+            )
             if position != old:
                 peer.pending_ms = None
                 if position != self.log.position:
@@ -345,7 +373,12 @@
         if not 0 < len(record) <= self.settings.round_bytes:
             raise ValueError(f"a record of {len(record)} bytes; from 1 to {self.settings.round_bytes} fit")
         room = self.log is not None and self.log.size + len(record) <= self.settings.most_state
-        if not self.holds(now_ms) or self.leaving or not room or len(self.pending) >= self.settings.most_pending:
+        if (
+            not self.holds(now_ms)
+            or self.leaving
+            or not room
+            or len(self.pending) >= self.settings.most_pending
+        ):
             done(now_ms, False)
             return
         self.log.append(record)
--- a/lichenquay/owner/kept.py
+++ b/lichenquay/owner/kept.py
@@ -1,4 +1,5 @@
 """The records of a group as one process has them, and their form on disk and in pieces. No I/O."""
+
 import zlib
 from hashlib import blake2b
 from struct import pack
@@ -16,6 +17,7 @@
 
 class Position(NamedTuple):
     """Where a state stands: whose generation labels it, its last record, the digest of all records up to that."""
+
     label: int = 0
     index: int = 0
     chain: int = 0
@@ -71,7 +73,7 @@
         return self.chains[index - self.base_index - 1] if self.base_index < index <= self.index else None
 
     def after(self, index):
-        return self.records[index - self.base_index:]
+        return self.records[index - self.base_index :]
 
     def fold(self, fold, leave):
         """The application folds all but the last `leave` records into the base."""
@@ -107,12 +109,21 @@
     def changes(self, old, sure=True):
         """What must be written, at once, to come from the log `old` to this one; not `sure`: `old` may not be what is
         on disk."""
-        changes = {f"record/{i}": None for i in range(old.base_index + 1, old.index + 1)
-                   if not self.base_index < i <= self.index}
+        changes = {
+            f"record/{i}": None
+            for i in range(old.base_index + 1, old.index + 1)
+            if not self.base_index < i <= self.index
+        }
         first = self.base_index
         if sure and old.chain_at(first) == self.base_chain:
-            first = max(i for i in range(first, min(old.index, self.index) + 1) if old.chain_at(i) == self.chain_at(i))
-        if not sure or (old.base_index, old.base_chain, old.base) != (self.base_index, self.base_chain, self.base):
+            first = max(
+                i for i in range(first, min(old.index, self.index) + 1) if old.chain_at(i) == self.chain_at(i)
+            )
+        if not sure or (old.base_index, old.base_chain, old.base) != (
+            self.base_index,
+            self.base_chain,
+            self.base,
+        ):
             changes["base"] = self.base
         changes.update({f"record/{i}": r for i, r in enumerate(self.after(first), first + 1)})
         return changes | {"state": self.state().SerializeToString()}
@@ -203,4 +214,4 @@
         step = settings.piece_bytes
         if offset % step == 0:
             for at in range(offset, min(len(self.blob), offset + step * settings.window), step):
-                yield at, self.blob[at:at + step]
+                yield at, self.blob[at : at + step]
--- a/lichenquay/owner/voter.py
+++ b/lichenquay/owner/voter.py
@@ -15,6 +15,7 @@
 = {}, fresh = False). With a majority blank and others not, the group stands still until as many folders are back:
 stated, not mended.
 """
+
 from lichenquay.owner.kept import Frozen, Log, Position, Pull, load
 from lichenquay.owner.owner_pb2 import Promise
 from lichenquay.owner.settings import MOST_JUMP
@@ -32,17 +33,17 @@
             self.birth = rng.getrandbits(63) + 1
             there = Promise(), Log()
         self.promise, self.log = there
-        self.sure = not kept or self.birth is None      # what is on disk is what `log` says
+        self.sure = not kept or self.birth is None  # what is on disk is what `log` says
         # Risk: it may have answered a holder just before it stopped, and has forgotten when.
         self.lease_of = (self.promise.name, self.promise.incarnation)
         # One that never knew the group answered nobody: an answer needs a promise on the disk.
         self.blank_until_ms = now_ms + settings.wait_ms
         self.waits_until_ms = now_ms if fresh and not kept else self.blank_until_ms
-        self.over = 0                                   # highest generation that its holder gave up
-        self.flying = None                              # (promise, log, claim to be granted) on the way to the disk
-        self.last = None                                # (name, generation, number, token) of the last round answered
+        self.over = 0  # highest generation that its holder gave up
+        self.flying = None  # (promise, log, claim to be granted) on the way to the disk
+        self.last = None  # (name, generation, number, token) of the last round answered
         self.pull = self.frozen = None
-        self.tried = 0, ("", 0)                         # the latest promise that went to the disk, and whose
+        self.tried = 0, ("", 0)  # the latest promise that went to the disk, and whose
         self.counts = {"refused": 0, "disk_failed": 0, "senseless": 0}
 
     @property
@@ -62,7 +63,7 @@
 
     def claim(self, now_ms, sender, m):
         if self.writing:
-            return                                      # asked again
+            return  # asked again
         founding = False
         if self.birth is not None:
             if now_ms < self.blank_until_ms:
@@ -74,8 +75,10 @@
         promised = self.promise.generation
         if m.generation == promised and sender == self._promised_to:
             self._grant(sender, m)
-        elif (not max(promised, self.tried[0]) < m.generation <= promised + MOST_JUMP
-              and self.tried != (m.generation, sender)):
+        elif not max(promised, self.tried[0]) < m.generation <= promised + MOST_JUMP and self.tried != (
+            m.generation,
+            sender,
+        ):
             self._refuse(sender, m)
         elif now_ms < self.waits_until_ms and sender != self.lease_of and not founding:
             self._refuse(sender, m, wait_ms=self.waits_until_ms - now_ms)
@@ -91,13 +94,21 @@
 
     def _grant(self, sender, m):
         self.frozen = Frozen(self.log)
-        self.send(sender[0], "grant", generation=m.generation, token=m.token, position=self.log.position.wire(),
-                  whole=self.frozen.whole())
+        self.send(
+            sender[0],
+            "grant",
+            generation=m.generation,
+            token=m.token,
+            position=self.log.position.wire(),
+            whole=self.frozen.whole(),
+        )
 
     def _refuse(self, sender, m, wait_ms=0.0):
         self.counts["refused"] += 1
         promised = max(self.promise.generation, self.tried[0])
-        self.send(sender[0], "refuse", generation=m.generation, token=m.token, promised=promised, wait_ms=wait_ms)
+        self.send(
+            sender[0], "refuse", generation=m.generation, token=m.token, promised=promised, wait_ms=wait_ms
+        )
 
     def fetch(self, now_ms, sender, m):
         his = (m.generation, sender) == (self.promise.generation, self._promised_to)
@@ -140,7 +151,10 @@
             self._ack(now_ms)
 
     def _behind(self, sender, m):
-        return (m.generation, sender) != (self.promise.generation, self._promised_to) or m.generation <= self.over
+        return (m.generation, sender) != (
+            self.promise.generation,
+            self._promised_to,
+        ) or m.generation <= self.over
 
     def _stands_at(self, since):
         # Risk: records after a gap would be taken for all of them.
@@ -182,7 +196,9 @@
         if self.birth is not None:
             if pull.birth != self.birth:
                 return
-            promise = Promise(generation=pull.generation, name=self.pull_from[0], incarnation=self.pull_from[1])
+            promise = Promise(
+                generation=pull.generation, name=self.pull_from[0], incarnation=self.pull_from[1]
+            )
         elif (pull.generation, self.pull_from) != (promise.generation, self._promised_to):
             return
         elif log.label != pull.generation or not self._newer(log.position):
@@ -195,7 +211,9 @@
             return
         # Risk: from here on the holder may count on this voter's waiting.
         self.lease_of, self.waits_until_ms = self._promised_to, now_ms + self.settings.wait_ms
-        self.send(name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire())
+        self.send(
+            name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire()
+        )
 
     def ended(self, now_ms, sender, m):
         if not self._behind(sender, m):
--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -4,6 +4,7 @@
 period, decided as one record, made by the group, and only then told. Two ledgers: `ahead` has what was decided,
 `made` what the group has made; they differ while a write is out. Where the end of a write is in doubt, the keeper is
 none until the group's next generation."""
+
 from typing import Callable, Protocol
 
 from google.protobuf.message import DecodeError
@@ -12,41 +13,51 @@
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.ledger import Ledger, LedgerError, Senseless
 
-CHUNK = 4                   # one ask is granted no more than this part of a bucket
-MOST_WORDS = 8192           # gathered in a period; what is over is asked again by its front
-ASKS_AT_ONCE = 8            # of a front in a period
-LOANS_AT_ONCE = 4           # of a tenant in a period, each from another lender
-ANY = 1 << 63               # no total is as large
+CHUNK = 4  # one ask is granted no more than this part of a bucket
+MOST_WORDS = 8192  # gathered in a period; what is over is asked again by its front
+ASKS_AT_ONCE = 8  # of a front in a period
+LOANS_AT_ONCE = 4  # of a tenant in a period, each from another lender
+ANY = 1 << 63  # no total is as large
 
 
 class Group(Protocol):
     """What the keeper needs of the replicated group that the ledger is. `done(now_ms, ok)` is called once for each
     write, later or within it: made (True), surely not (False), in doubt (None). Without it this process never keeps
     again."""
+
     generation: int
 
     def holds(self, now_ms: float) -> bool: ...
     def write(self, now_ms: float, record: bytes, done: Callable[[float, object], None]) -> None: ...
-    def snapshot(self) -> tuple: ...        # (state, records after it), in bytes: what the holder found and wrote
+    def snapshot(self) -> tuple: ...  # (state, records after it), in bytes: what the holder found and wrote
 
 
 def sense(ask):
     """Whether a front can have said this."""
     tenants = {(r.tenant, r.book) for r in ask.rows}
-    return bool(ask.book and ask.no) and len(tenants) == len(ask.rows) and all(
-        0 < r.book <= ask.book and (r.book == ask.book or r.sealed) and r.spent_us + r.returned_us <= r.known_us < ANY
-        and r.upto_us < ANY and max(r.need_us, r.lack_us) < ANY for r in ask.rows)
+    return (
+        bool(ask.book and ask.no)
+        and len(tenants) == len(ask.rows)
+        and all(
+            0 < r.book <= ask.book
+            and (r.book == ask.book or r.sealed)
+            and r.spent_us + r.returned_us <= r.known_us < ANY
+            and r.upto_us < ANY
+            and max(r.need_us, r.lack_us) < ANY
+            for r in ask.rows
+        )
+    )
 
 
 class Keeper:
     def __init__(self, group, figures, term_ms, period_ms=200.0):
         self.group, self.figures, self.term_ms, self.period_ms = group, list(figures), term_ms, period_ms
-        self.silence_ms = term_ms * (1 + DRIFT)     # then a front's rights have surely lapsed
+        self.silence_ms = term_ms * (1 + DRIFT)  # then a front's rights have surely lapsed
         self.outbox, self.due_ms = [], 0.0
-        self.doubted = None         # generation in which a write's end is in doubt: this front does not act in it
-        self.out = None             # the write whose end is not known, and its generation
+        self.doubted = None  # generation in which a write's end is in doubt: this front does not act in it
+        self.out = None  # the write whose end is not known, and its generation
         self.senseless = self.crowded = self.stray = self.barred = self.records = self.doubts = 0
-        self.trouble = None         # why it is no keeper though its front holds the group
+        self.trouble = None  # why it is no keeper though its front holds the group
         self.leave()
 
     def leave(self):
@@ -61,7 +72,7 @@
             return False
         if self.made is None or self.generation != self.group.generation:
             self.leave()
-            if self.out:            # Risk: a record of an office that was left is made after the state was read
+            if self.out:  # Risk: a record of an office that was left is made after the state was read
                 return False
             self.generation = self.group.generation
             try:
@@ -115,7 +126,10 @@
     def batch(self, now_ms):
         self.batch_ms, changes = now_ms, []
         asks, words, self.asks, self.words = self.asks, self.words, {}, []
-        asks = {name: [(i, a) for i, a in told if (i, a.book) >= self.newest[name][:2]] for name, told in asks.items()}
+        asks = {
+            name: [(i, a) for i, a in told if (i, a.book) >= self.newest[name][:2]]
+            for name, told in asks.items()
+        }
 
         def do(change):
             if change is not None:
@@ -169,11 +183,20 @@
     def answer(self, now_ms):
         answering, self.answering = self.answering, []
         for name, incarnation, ask in answering:
-            out = pb.Answer(front=name, incarnation=incarnation, generation=self.generation, book=ask.book, no=ask.no,
-                            closed=not self.made.may_grant(name, incarnation, ask.book))
+            out = pb.Answer(
+                front=name,
+                incarnation=incarnation,
+                generation=self.generation,
+                book=ask.book,
+                no=ask.no,
+                closed=not self.made.may_grant(name, incarnation, ask.book),
+            )
             for row in ask.rows:
                 have = self.made.books.get((name, incarnation, row.book), {}).get(row.tenant)
-                told, account = out.rows.add(tenant=row.tenant, book=row.book), self.made.accounts.get(row.tenant)
+                told, account = (
+                    out.rows.add(tenant=row.tenant, book=row.book),
+                    self.made.accounts.get(row.tenant),
+                )
                 told.gone, told.scarce = have is None, row.tenant in self.scarce
                 if account is not None:
                     told.owes_us, told.limit_us = account.owes, account.figures.limit_us
@@ -191,7 +214,7 @@
 
     def share_out(self, now_ms, asks, elapsed, do):
         wants = self.wanted(asks)
-        keep = {}                   # what a debtor that asks keeps of this period, so that it never starves
+        keep = {}  # what a debtor that asks keeps of this period, so that it never starves
         for tenant in wants:
             f = self.ahead.accounts[tenant].figures
             if any(w.need for w in wants[tenant]):
@@ -255,8 +278,10 @@
     def seen(self):
         """Of each tenant: pool, held, spent, outstanding and limit, in milliseconds. Empty where this is no keeper."""
         accounts = self.made.accounts if self.made else {}
-        return {t: tuple(v / 1000 for v in (a.pool, a.held, a.spent, a.owes, a.figures.limit_us))
-                for t, a in accounts.items()}
+        return {
+            t: tuple(v / 1000 for v in (a.pool, a.held, a.spent, a.owes, a.figures.limit_us))
+            for t, a in accounts.items()
+        }
 
 
 class Want:
--- a/lichenquay/quota/kept.py
+++ b/lichenquay/quota/kept.py
@@ -3,15 +3,18 @@
 A record counts when all its pieces are there, one after the other. Pieces of a record whose rest never came (its keeper lost the group in
 between) are dropped by the first piece of the next: nobody was told of it. Errors: protobuf's DecodeError and LedgerError.
 """
+
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.ledger import Ledger
 
-PIECE = 760                         # bytes of data; with the rest, under the 800 of a group's record
+PIECE = 760  # bytes of data; with the rest, under the 800 of a group's record
 
 
 def split(record):
-    pieces = [record[at:at + PIECE] for at in range(0, len(record), PIECE)]
-    return [pb.Part(index=i, count=len(pieces), data=data).SerializeToString() for i, data in enumerate(pieces)]
+    pieces = [record[at : at + PIECE] for at in range(0, len(record), PIECE)]
+    return [
+        pb.Part(index=i, count=len(pieces), data=data).SerializeToString() for i, data in enumerate(pieces)
+    ]
 
 
 def whole(parts):
@@ -21,7 +24,7 @@
         part = pb.Part.FromString(raw)
         if part.index == 0:
             held = []
-        if part.index != len(held):         # the rest of one whose first piece is not there: never told
+        if part.index != len(held):  # the rest of one whose first piece is not there: never told
             held = []
             continue
         held.append(raw)
@@ -41,7 +44,9 @@
     """The group's `fold`."""
     kept = pb.Kept.FromString(base)
     records, held = whole([*kept.parts, *parts])
-    return pb.Kept(state=Ledger.load(kept.state, records).state() if records else kept.state, parts=held).SerializeToString()
+    return pb.Kept(
+        state=Ledger.load(kept.state, records).state() if records else kept.state, parts=held
+    ).SerializeToString()
 
 
 class Seat:
--- a/lichenquay/quota/ledger.py
+++ b/lichenquay/quota/ledger.py
@@ -9,11 +9,12 @@
 
 held: granted to books of fronts, neither told as spent nor returned; written off: the same of books that have lapsed;
 spilled: came back from such a book when the bucket was full again. Docs: docs/design/quota.md."""
+
 from lichenquay.quota import quota_pb2 as pb
 
 VERSION = 1
-MOST_LAPSED = 64            # books of one front that are written off and remembered
-MOST_LOANS = 64             # of one tenant at a time, about
+MOST_LAPSED = 64  # books of one front that are written off and remembered
+MOST_LOANS = 64  # of one tenant at a time, about
 TOTALS = ("issued", "spilled", "spent", "lent", "given_back", "borrowed", "repaid", "lost")
 
 
@@ -72,11 +73,11 @@
 class Ledger:
     def __init__(self):
         self.no = self.loans_made = 0
-        self.accounts = {}          # tenant: Account
-        self.books = {}             # (front, incarnation, book): {tenant: Row}, oldest first
-        self.lapsed = set()         # of those
-        self.latest = {}            # front: (incarnation, book, closed) of the newest book that had rights
-        self.loans = {}             # id: pb.Loan, while it is not repaid; oldest first
+        self.accounts = {}  # tenant: Account
+        self.books = {}  # (front, incarnation, book): {tenant: Row}, oldest first
+        self.lapsed = set()  # of those
+        self.latest = {}  # front: (incarnation, book, closed) of the newest book that had rights
+        self.loans = {}  # id: pb.Loan, while it is not repaid; oldest first
 
     # what would change, decided without changing anything
 
@@ -100,16 +101,25 @@
             return None
         if spent + returned > have.granted:
             raise Senseless(f"{front} tells of more than it was granted of {row.tenant}")
-        told = pb.Row(tenant=row.tenant, book=row.book, known_us=row.known_us, spent_us=row.spent_us,
-                      returned_us=row.returned_us, sealed=row.sealed)
+        told = pb.Row(
+            tenant=row.tenant,
+            book=row.book,
+            known_us=row.known_us,
+            spent_us=row.spent_us,
+            returned_us=row.returned_us,
+            sealed=row.sealed,
+        )
         return pb.Change(word=pb.Word(front=front, incarnation=incarnation, row=told))
 
     @staticmethod
     def risen(have, row):
         """The larger totals. Of a sealed book, what the front had not heard of it never will use."""
         unheard = have.granted - row.known_us if row.sealed else 0
-        return (max(have.spent, row.spent_us), max(have.returned, row.returned_us + unheard),
-                have.sealed or row.sealed)
+        return (
+            max(have.spent, row.spent_us),
+            max(have.returned, row.returned_us + unheard),
+            have.sealed or row.sealed,
+        )
 
     def decide_lapse(self, front, incarnation, book):
         key = front, incarnation, book
@@ -122,8 +132,9 @@
         amount = min(amount_us, account.pool) if account else 0
         if amount <= 0 or not self.may_grant(front, incarnation, book):
             return None
-        return pb.Change(grant=pb.Grant(tenant=tenant, front=front, incarnation=incarnation, book=book,
-                                        amount_us=amount))
+        return pb.Change(
+            grant=pb.Grant(tenant=tenant, front=front, incarnation=incarnation, book=book, amount_us=amount)
+        )
 
     def may_grant(self, front, incarnation, book):
         """Risk: a late ask of an incarnation or book that ended gets rights that nobody will use or tell of."""
@@ -140,13 +151,20 @@
         to = self.accounts.get(borrower)
         if to is None or to.pool or self.overdue(borrower):
             return None
-        lender = max((t for t, a in self.accounts.items() if t != borrower and not a.owes),
-                     key=lambda t: self.accounts[t].spare, default=None)
+        lender = max(
+            (t for t, a in self.accounts.items() if t != borrower and not a.owes),
+            key=lambda t: self.accounts[t].spare,
+            default=None,
+        )
         least = max(1, to.figures.limit_us // MOST_LOANS)
-        amount = min(max(amount_us, least), to.figures.limit_us - to.owes, self.accounts[lender].spare if lender else 0)
+        amount = min(
+            max(amount_us, least), to.figures.limit_us - to.owes, self.accounts[lender].spare if lender else 0
+        )
         if amount < least:
             return None
-        return pb.Change(loan=pb.Loan(id=self.loans_made + 1, lender=lender, borrower=borrower, amount_us=amount))
+        return pb.Change(
+            loan=pb.Loan(id=self.loans_made + 1, lender=lender, borrower=borrower, amount_us=amount)
+        )
 
     def decide_recall(self, lender, amount_us, keep):
         """The oldest loan of a lender in need, from its borrower's unspent pool but for `keep[borrower]`."""
@@ -195,7 +213,7 @@
             share = 0
             if a.owes:
                 share, a.part_repay = divmod(a.figures.repay_permille * accrued + a.part_repay, 1000)
-                over = accrued - a.room if a.room >= 0 else 0       # what the bucket cannot take costs it nothing
+                over = accrued - a.room if a.room >= 0 else 0  # what the bucket cannot take costs it nothing
                 share = min(max(share, over), a.owes, accrued)
             issue = max(0, min(accrued, a.room + share))
             a.issued, a.pool = a.issued + issue, a.pool + issue
@@ -230,8 +248,12 @@
 
     def on_loan(self, loan):
         lender, borrower = self.accounts[loan.lender], self.accounts[loan.borrower]
-        if (loan.id != self.loans_made + 1 or loan.lender == loan.borrower or not 0 < loan.amount_us <= lender.pool
-                or borrower.owes + loan.amount_us > borrower.figures.limit_us):
+        if (
+            loan.id != self.loans_made + 1
+            or loan.lender == loan.borrower
+            or not 0 < loan.amount_us <= lender.pool
+            or borrower.owes + loan.amount_us > borrower.figures.limit_us
+        ):
             raise LedgerError(f"loan {loan.id} cannot be made")
         self.loans_made = loan.id
         kept = self.loans[loan.id] = pb.Loan()
@@ -260,7 +282,7 @@
         row.spent, row.returned, a.spent = spent, returned, a.spent + used
         if key in self.lapsed:
             a.written -= used + back
-            fits = min(back, max(0, a.room))        # the bucket may have filled since
+            fits = min(back, max(0, a.room))  # the bucket may have filled since
         else:
             a.held -= used + back
             fits = back
@@ -280,7 +302,7 @@
         self.close(key)
         self.tidy(key)
         old = [k for k in self.books if k[0] == lapse.front and k in self.lapsed]
-        for key in old[:-MOST_LAPSED]:      # Risk: a front that comes and goes fills the ledger with rows
+        for key in old[:-MOST_LAPSED]:  # Risk: a front that comes and goes fills the ledger with rows
             for tenant, row in self.books.pop(key).items():
                 account = self.accounts[tenant]
                 account.written, account.lost = account.written - row.left, account.lost + row.left
@@ -306,7 +328,9 @@
         held, written = dict.fromkeys(self.accounts, 0), dict.fromkeys(self.accounts, 0)
         for key, rows in self.books.items():
             for tenant, row in rows.items():
-                self.law(min(row.granted, row.spent, row.returned, row.left) >= 0, f"row of {tenant} at {key}")
+                self.law(
+                    min(row.granted, row.spent, row.returned, row.left) >= 0, f"row of {tenant} at {key}"
+                )
                 (written if key in self.lapsed else held)[tenant] += row.left
         claims, owes = dict.fromkeys(self.accounts, 0), dict.fromkeys(self.accounts, 0)
         for loan in self.loans.values():
@@ -318,8 +342,12 @@
             self.law(a.claims == claims[tenant] and a.owes == owes[tenant], f"loans of {tenant}")
             self.law(a.owes <= a.allowed, f"limit of {tenant}")
             self.law(a.pool + a.held + a.claims <= a.brim + a.owes, f"bucket of {tenant}")
-            self.law(a.pool >= 0 and a.issued + a.borrowed + a.given_back == a.pool + a.held + a.spent + a.lent
-                     + a.repaid + a.written + a.lost + a.spilled, f"account of {tenant}")
+            self.law(
+                a.pool >= 0
+                and a.issued + a.borrowed + a.given_back
+                == a.pool + a.held + a.spent + a.lent + a.repaid + a.written + a.lost + a.spilled,
+                f"account of {tenant}",
+            )
         every = self.accounts.values()
         self.law(sum(a.lent for a in every) == sum(a.borrowed for a in every), "lent and borrowed")
         self.law(sum(a.given_back for a in every) == sum(a.repaid for a in every), "repaid and given back")
@@ -332,13 +360,26 @@
     def state(self):
         out = pb.State(version=VERSION, no=self.no, loans_made=self.loans_made, loans=self.loans.values())
         for a in self.accounts.values():
-            out.accounts.add(figures=a.figures, allowed_us=a.allowed, brim_us=a.brim, pool_us=a.pool, part=a.part,
-                             part_repay=a.part_repay, **{f"{n}_us": getattr(a, n) for n in TOTALS})
+            out.accounts.add(
+                figures=a.figures,
+                allowed_us=a.allowed,
+                brim_us=a.brim,
+                pool_us=a.pool,
+                part=a.part,
+                part_repay=a.part_repay,
+                **{f"{n}_us": getattr(a, n) for n in TOTALS},
+            )
         for key, rows in self.books.items():
             book = out.books.add(front=key[0], incarnation=key[1], book=key[2], lapsed=key in self.lapsed)
             for tenant, r in rows.items():
-                book.rows.add(tenant=tenant, book=key[2], known_us=r.granted, spent_us=r.spent,
-                              returned_us=r.returned, sealed=r.sealed)
+                book.rows.add(
+                    tenant=tenant,
+                    book=key[2],
+                    known_us=r.granted,
+                    spent_us=r.spent,
+                    returned_us=r.returned,
+                    sealed=r.sealed,
+                )
         for front, (incarnation, book, closed) in self.latest.items():
             out.latest.add(front=front, incarnation=incarnation, book=book)
             out.latest_closed.append(closed)
--- a/lichenquay/quota/rights.py
+++ b/lichenquay/quota/rights.py
@@ -5,14 +5,15 @@
 `term_ms` from the sending of the last ask that was answered, by this front's clock. A book that lapsed is sealed:
 nothing is taken from it again, and the keeper is told its totals until the ledger has them. Amounts are whole
 microseconds of engine work, times milliseconds."""
+
 from lichenquay.admission.rings import Ring
 from lichenquay.quota import quota_pb2 as pb
 
-MOST_ROWS = 8               # in one ask: a datagram of under 1,200 bytes
+MOST_ROWS = 8  # in one ask: a datagram of under 1,200 bytes
 ASKS_AT_ONCE = 4
-WINDOW_MS = 8000.0          # of queries that tell what is wanted
-AHEAD = 4                   # this part of the window's work is held
-SENT = 64                   # asks remembered
+WINDOW_MS = 8000.0  # of queries that tell what is wanted
+AHEAD = 4  # this part of the window's work is held
+SENT = 64  # asks remembered
 
 
 def stocks_of(figures, fronts):
@@ -29,7 +30,9 @@
     def __init__(self, sealed_no=None):
         self.known = self.spent = self.returned = self.reserved = 0
         self.noted, self.sealed_no = (0, 0), sealed_no
-        self.asked_no = self.heard_no = 0       # of the last ask for more, and of the last one whose answer tells of it
+        self.asked_no = self.heard_no = (
+            0  # of the last ask for more, and of the last one whose answer tells of it
+        )
 
     @property
     def free(self):
@@ -46,11 +49,17 @@
         self.name, self.incarnation, self.stocks = name, incarnation, dict(stocks)
         self.term_ms, self.period_ms, self.chance = term_ms, period_ms, chance
         self.book, self.no, self.valid_ms = 1, 0, float("-inf")
-        self.rows, self.old, self.tickets, self.debts = {}, {}, {}, {}     # old: {(book, tenant): Mine}, sealed
+        self.rows, self.old, self.tickets, self.debts = {}, {}, {}, {}  # old: {(book, tenant): Mine}, sealed
         self.demand = {t: Ring(WINDOW_MS / 16, 16) for t in self.stocks}
         self.latest = {t: Ring(250.0, 4) for t in self.stocks}
-        self.largest, self.low = dict.fromkeys(self.stocks, 0), {}     # `low`: under it, an ask goes out at once
-        self.scarce, self.owing, self.credit, self.sent, self.turn = {}, {}, {}, {}, 0      # the first two: until when
+        self.largest, self.low = dict.fromkeys(self.stocks, 0), {}  # `low`: under it, an ask goes out at once
+        self.scarce, self.owing, self.credit, self.sent, self.turn = (
+            {},
+            {},
+            {},
+            {},
+            0,
+        )  # the first two: until when
         self.pressed = self.leaving = False
         self.outbox, self.due_ms, self.asked_ms = [], float("inf"), float("-inf")
         self.lapses = self.senseless = 0
@@ -79,7 +88,9 @@
         self.latest[tenant].add(now_ms, amount)
         self.largest[tenant] = max(amount, self.largest[tenant] * 7 // 8)
         row = self.rows.get(tenant)
-        within = row is not None and now_ms < self.valid_ms and not self.debts.get(tenant) and row.free >= amount
+        within = (
+            row is not None and now_ms < self.valid_ms and not self.debts.get(tenant) and row.free >= amount
+        )
         if within:
             row.reserved += amount
             self.tickets[ticket] = tenant, row, amount
@@ -96,7 +107,7 @@
             return
         work = max(0, round(work_ms * 1000))
         row.reserved -= amount
-        paid = min(work, row.free)          # of a sealed row: what this query had reserved
+        paid = min(work, row.free)  # of a sealed row: what this query had reserved
         row.spent += paid
         if row.sealed_no is not None:
             row.returned += row.free
@@ -154,9 +165,16 @@
     def heard(self, now_ms, sender, answer):
         """An answer. Totals only rise, so that one which is late, or comes twice, changes nothing."""
         self.lapse(now_ms)
-        if (answer.front, answer.incarnation) != (self.name, self.incarnation) or answer.book > self.book or any(
-                r.tenant not in self.stocks or not 0 < r.book <= answer.book or r.spent_us + r.returned_us > r.granted_us
-                for r in answer.rows):
+        if (
+            (answer.front, answer.incarnation) != (self.name, self.incarnation)
+            or answer.book > self.book
+            or any(
+                r.tenant not in self.stocks
+                or not 0 < r.book <= answer.book
+                or r.spent_us + r.returned_us > r.granted_us
+                for r in answer.rows
+            )
+        ):
             self.senseless += 1
             return
         current = answer.book == self.book
@@ -197,7 +215,7 @@
         row = self.old.get(key)
         if told.gone and row is not None and no > row.sealed_no:
             del self.old[key]
-        elif not told.gone and row is None:         # granted to it when it was sealed already: all of it goes back
+        elif not told.gone and row is None:  # granted to it when it was sealed already: all of it goes back
             self.old[key] = Mine(self.no)
 
     def target(self, now_ms, tenant):
@@ -205,20 +223,31 @@
         or the largest of late. Risk: where queries begin to come, the window knows nothing of them for long."""
         if not self.demand[tenant].count(now_ms):
             return 0
-        return max(int(self.demand[tenant].total(now_ms)) // AHEAD, int(self.latest[tenant].total(now_ms)),
-                   self.largest[tenant])
+        return max(
+            int(self.demand[tenant].total(now_ms)) // AHEAD,
+            int(self.latest[tenant].total(now_ms)),
+            self.largest[tenant],
+        )
 
     def lack(self, now_ms, tenant):
         """What its queries of the last second took. Only this is borrowed for. Risk: a tenant borrows for queries that come no more,
         and what it holds unspent keeps its debt from being repaid."""
-        return max(int(self.latest[tenant].total(now_ms)), self.largest[tenant]) if self.latest[tenant].count(now_ms) else 0
+        return (
+            max(int(self.latest[tenant].total(now_ms)), self.largest[tenant])
+            if self.latest[tenant].count(now_ms)
+            else 0
+        )
 
     def row_of(self, now_ms, tenant):
         """What an ask says of a tenant: first, what is over goes back."""
-        row, need, lack = self.rows.setdefault(tenant, Mine()), self.target(now_ms, tenant), self.lack(now_ms, tenant)
+        row, need, lack = (
+            self.rows.setdefault(tenant, Mine()),
+            self.target(now_ms, tenant),
+            self.lack(now_ms, tenant),
+        )
         # Risk: a front that wants nothing of what was scarce, or owing, asks nothing, and never hears that it is over. So both are for a time.
         scarce, owing = (now_ms < told.get(tenant, now_ms) for told in (self.scarce, self.owing))
-        if self.leaving or owing:           # a debtor holds no more than it needs now
+        if self.leaving or owing:  # a debtor holds no more than it needs now
             hold = keep = need = 0 if self.leaving else lack
         else:
             hold = 2 * need + (0 if scarce else self.stocks[tenant])
@@ -227,24 +256,39 @@
         if row.free > keep * 3 // 2:
             row.returned += row.free - keep
         debt = self.debts.get(tenant, 0)
-        return pb.Row(tenant=tenant, book=self.book, known_us=row.known, spent_us=row.spent, returned_us=row.returned,
-                      upto_us=row.known + max(0, hold - row.free) + debt, need_us=max(0, need - row.free) + debt,
-                      lack_us=max(0, min(need, lack) - row.free) + debt)
+        return pb.Row(
+            tenant=tenant,
+            book=self.book,
+            known_us=row.known,
+            spent_us=row.spent,
+            returned_us=row.returned,
+            upto_us=row.known + max(0, hold - row.free) + debt,
+            need_us=max(0, need - row.free) + debt,
+            lack_us=max(0, min(need, lack) - row.free) + debt,
+        )
 
     def told(self, now_ms):
         """What asks say: what queries lack, what is sealed, what the ledger has not noted; by turns if too many."""
         rows = [self.row_of(now_ms, t) for t in self.stocks if not self.leaving or self.debts.get(t)]
         # Risk: what was granted to an ask whose answer was lost is never known of, once nothing more is wanted.
-        rows = [r for r in rows if r.upto_us > r.known_us or self.rows[r.tenant].asked_no > self.rows[r.tenant].heard_no or r.known_us
-                and (r.spent_us, r.returned_us) != self.rows[r.tenant].noted]
-        rows += [pb.Row(tenant=t, book=b, known_us=m.known, spent_us=m.spent, returned_us=m.returned, sealed=True)
-                 for (b, t), m in self.old.items()]
+        rows = [
+            r
+            for r in rows
+            if r.upto_us > r.known_us
+            or self.rows[r.tenant].asked_no > self.rows[r.tenant].heard_no
+            or r.known_us
+            and (r.spent_us, r.returned_us) != self.rows[r.tenant].noted
+        ]
+        rows += [
+            pb.Row(tenant=t, book=b, known_us=m.known, spent_us=m.spent, returned_us=m.returned, sealed=True)
+            for (b, t), m in self.old.items()
+        ]
         most = MOST_ROWS * ASKS_AT_ONCE
         if len(rows) > most:
             at, self.turn = self.turn % len(rows), self.turn + most // 2
             rows = rows[at:] + rows[:at]
-            first = [r for r in rows if r.need_us][:most // 2]
-            rows = first + [r for r in rows if r not in first][:most - len(first)]
+            first = [r for r in rows if r.need_us][: most // 2]
+            rows = first + [r for r in rows if r not in first][: most - len(first)]
         return rows
 
     def tick(self, now_ms):
@@ -254,11 +298,15 @@
         self.asked_ms, rows = now_ms, self.told(now_ms)
         for at in range(0, max(1, len(rows)), MOST_ROWS):
             self.no += 1
-            for row in rows[at:at + MOST_ROWS]:
+            for row in rows[at : at + MOST_ROWS]:
                 if row.book == self.book and row.upto_us > row.known_us:
                     self.rows[row.tenant].asked_no = self.no
-            self.outbox.append((self._keeper[0], pb.Ask(book=self.book, no=self.no, pressed=self.pressed,
-                                                        rows=rows[at:at + MOST_ROWS])))
+            self.outbox.append(
+                (
+                    self._keeper[0],
+                    pb.Ask(book=self.book, no=self.no, pressed=self.pressed, rows=rows[at : at + MOST_ROWS]),
+                )
+            )
             self.sent[self.no] = now_ms
             self.sent.pop(self.no - SENT, None)
         self.due_ms = now_ms + (self.pace(now_ms) if rows or self.leaving else self.term_ms / 4)
@@ -277,4 +325,6 @@
         """Of each tenant with rights here: what may be spent now and what was, here; what it owes and may owe, in the
         fleet as last heard. In milliseconds."""
         self.lapse(now_ms)
-        return {t: (r.free / 1000, r.spent / 1000, *self.credit.get(t, (0.0, 0.0))) for t, r in self.rows.items()}
+        return {
+            t: (r.free / 1000, r.spent / 1000, *self.credit.get(t, (0.0, 0.0))) for t, r in self.rows.items()
+        }
--- a/lichenquay/simwire/__main__.py
+++ b/lichenquay/simwire/__main__.py
@@ -1,4 +1,5 @@
 """`sim`: reads the bench's batches on standard input, answers on standard output, ends with the input."""
+
 import sys
 
 from lichenquay.simwire.adapter import Adapter
--- a/lichenquay/simwire/adapter.py
+++ b/lichenquay/simwire/adapter.py
@@ -1,4 +1,5 @@
 """Turns the bench's lines into calls on the controller, and its answers into lines. No choice is made here."""
+
 import math
 import sys
 import traceback
@@ -7,8 +8,16 @@
 from lichenquay.opening import Opening
 from lichenquay.simwire.codec import Fields, Malformed, plain, us
 
-ENDINGS = {"S": io.FINISHED, "E": io.ERROR, "F": io.FULL, "T": io.TIMED_OUT, "C": io.NOT_CONNECTED,
-           "R": io.RESET, "X": io.CANCELLED, "N": io.NEVER_SENT}
+ENDINGS = {
+    "S": io.FINISHED,
+    "E": io.ERROR,
+    "F": io.FULL,
+    "T": io.TIMED_OUT,
+    "C": io.NOT_CONNECTED,
+    "R": io.RESET,
+    "X": io.CANCELLED,
+    "N": io.NEVER_SENT,
+}
 NOTES = {1: io.PROGRESS, 2: io.SPILLS, 3: io.WAITS}
 STATES = {"IN": io.LISTED, "LAME": io.DRAINING, "OUT": io.WITHDRAWN}
 
@@ -34,9 +43,17 @@
         project = f.text("project", "0")
         if project != "0" and project not in self.tenants:
             raise f.bad("project", f"never given: {project!r}")
-        q = io.Query(f.integer("req"), group, self.now_ms, self.now_ms + f.ms("ttl_us"), self.tenants.get(project),
-                     f.text("target", ""), f.ms("est_cost_us", 0), f.number("ram_mb", 0.0),
-                     f.text("tables", "") or None)
+        q = io.Query(
+            f.integer("req"),
+            group,
+            self.now_ms,
+            self.now_ms + f.ms("ttl_us"),
+            self.tenants.get(project),
+            f.text("target", ""),
+            f.ms("est_cost_us", 0),
+            f.number("ram_mb", 0.0),
+            f.text("tables", "") or None,
+        )
         self.queries[q.id] = q
         self.controller.take(q)
 
@@ -101,8 +118,15 @@
             state = row.text("status")
             if state not in STATES:
                 raise row.bad("status", f"unknown: {state!r}")
-            self.opening.describe(e, row.text("zone", ""), row.text("class_of_host", ""), row.integer("pack", 0),
-                                  STATES[state], row.number("units", 1.0), row.ms("ready_at_us", 0))
+            self.opening.describe(
+                e,
+                row.text("zone", ""),
+                row.text("class_of_host", ""),
+                row.integer("pack", 0),
+                STATES[state],
+                row.number("units", 1.0),
+                row.ms("ready_at_us", 0),
+            )
             named.append(e)
         self.controller.list_news(named, mode != "update")
 
@@ -182,8 +206,20 @@
 class Adapter:
     """All instances of this process. Lists are the process's and are resolved in the order they come."""
 
-    EVENTS = {name: getattr(Instance, "on_" + name) for name in (
-        "arrival", "response", "change", "first", "abandoned", "probe_done", "wakeup", "note_from", "targets")}
+    EVENTS = {
+        name: getattr(Instance, "on_" + name)
+        for name in (
+            "arrival",
+            "response",
+            "change",
+            "first",
+            "abandoned",
+            "probe_done",
+            "wakeup",
+            "note_from",
+            "targets",
+        )
+    }
 
     def __init__(self, read, write):
         self.read, self.write = read, write
--- a/lichenquay/simwire/codec.py
+++ b/lichenquay/simwire/codec.py
@@ -1,4 +1,5 @@
 """The bench's lines: reading fields and writing actions. Nothing is decided here."""
+
 from lichenquay.opening import Sheet
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """What every test leaves as it found it, and the worlds that tests make."""
+
 import signal
 
 import pytest
@@ -6,15 +7,27 @@
 from front_world import World
 
 
-
 def pytest_addoption(parser):
     parser.addoption("--figures", help="write what tests/fleet measured to this file, as JSON")
     parser.addoption("--runs", type=int, default=1, help="seeded runs of each kind in tests/fleet")
     parser.addoption("--seed", type=int, default=1, help="of the first of them")
 
 
-TOGETHER = ("test_cold_fleet", "test_matrix", "test_settings", "test_written_later", "test_closing", "test_engine_connections",
-            "test_members", "test_folder", "test_owner", "test_quota", "test_moves", "test_fleet", "test_start")
+TOGETHER = (
+    "test_cold_fleet",
+    "test_matrix",
+    "test_settings",
+    "test_written_later",
+    "test_closing",
+    "test_engine_connections",
+    "test_members",
+    "test_folder",
+    "test_owner",
+    "test_quota",
+    "test_moves",
+    "test_fleet",
+    "test_start",
+)
 
 
 def pytest_collection_modifyitems(items):
@@ -45,6 +58,7 @@
     def make(**more):
         worlds.append(World(tmp_path, **more))
         return worlds[-1]
+
     yield make
     for w in worlds:
         w.close()
--- a/tests/crossings/hooks.py
+++ b/tests/crossings/hooks.py
@@ -1,4 +1,5 @@
 """What tests of crossings own: the instant in which a connection comes up, a descriptor is free, or a byte is read."""
+
 import os
 import socket
 import time
@@ -15,7 +16,10 @@
 
     def __init__(self, world):
         self.reactor, self.held = world.service.engines.reactor, []
-        self.real, self.reactor.connectTCP = self.reactor.connectTCP, lambda *call, **more: self.held.append((call, more))
+        self.real, self.reactor.connectTCP = (
+            self.reactor.connectTCP,
+            lambda *call, **more: self.held.append((call, more)),
+        )
 
     def come_up(self, of=None):
         """Those held now, or the first `of` of them; what is asked for after `go_on` is not held any more."""
@@ -94,4 +98,7 @@
     client.socket.sendall(frames.frame(frames.IS_READY, 1, b"\0"))
     until(lambda: client.read() or client.ended)
     client.socket.close()
-    return any(kind == frames.READINESS and payload[0] == 0 for kind, _, payload in frames.FrameReader().feed(client.got))
+    return any(
+        kind == frames.READINESS and payload[0] == 0
+        for kind, _, payload in frames.FrameReader().feed(client.got)
+    )
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -1,4 +1,5 @@
 """A connection is closed while bytes come on it, or while its last answer is still on its way to a slow client."""
+
 import socket
 
 import pytest
@@ -12,14 +13,23 @@
 
 
 def ask(client, stream, group="status", allow=2000, statement=b"select 1"):
-    fields = [("service", group), ("ref", f"{stream:016x}"), ("allow", str(allow)), ("project", "acme"), ("effort", "20.0"),
-              ("memory", "96")]
+    fields = [
+        ("service", group),
+        ("ref", f"{stream:016x}"),
+        ("allow", str(allow)),
+        ("project", "acme"),
+        ("effort", "20.0"),
+        ("memory", "96"),
+    ]
     client.socket.sendall(frames.frame(frames.QUERY, stream, frames.write_fields(fields), statement))
 
 
 def answers(client):
-    return {stream: (payload[0], bytes(payload[2:])) for kind, stream, payload in frames.FrameReader().feed(client.read())
-            if kind == frames.ANSWER}
+    return {
+        stream: (payload[0], bytes(payload[2:]))
+        for kind, stream, payload in frames.FrameReader().feed(client.read())
+        if kind == frames.ANSWER
+    }
 
 
 def line_of(w):
@@ -33,7 +43,7 @@
     line = line_of(w)
     line.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     q = []
-    w.service.route.send.down = lambda flight, call: q.append(flight)       # nothing goes out: the test answers
+    w.service.route.send.down = lambda flight, call: q.append(flight)  # nothing goes out: the test answers
     ask(client, stream, **more)
     until(lambda: q)
     w.service.admit.answer(q[0].query, frames.FINISHED, [BIG])
@@ -46,8 +56,8 @@
     client = PlainClient(w.port)
     line = line_of(w)
     ask(client, 1)
-    until(lambda: told(w, "answers finished") == 1)     # nobody has read it
-    client.socket.sendall(frames.frame(frames.QUERY, 2)[:7])    # these lie unread when the front closes
+    until(lambda: told(w, "answers finished") == 1)  # nobody has read it
+    client.socket.sendall(frames.frame(frames.QUERY, 2)[:7])  # these lie unread when the front closes
     line.close()
     until(lambda: client.read() and client.ended)
     assert client.ended == "end" and answers(client)[1] == (frames.FINISHED, RESULT)
@@ -132,7 +142,7 @@
     try:
         client.socket.sendall(after)
     except TimeoutError:
-        pass            # more than the machine takes: the end comes behind what it took
+        pass  # more than the machine takes: the end comes behind what it took
     client.socket.close() if leaves == "end" else client.reset()
     until(lambda: told(w, "queries left by their clients") == 1, 1)
     until(lambda: w.engines[0].deletes, 1)
@@ -185,7 +195,9 @@
     until(lambda: w.engines[0].deletes)
     assert w.posts() == 1 and len(line.kept) == after
     w.engines[0].ways = []
-    until(lambda: {6, 7} <= set(answers(client)) if after else True, 5)     # once it reads, what was kept is taken in
+    until(
+        lambda: {6, 7} <= set(answers(client)) if after else True, 5
+    )  # once it reads, what was kept is taken in
     client.socket.close()
     over(w)
     until(lambda: w.service.clients.held == 0)
@@ -211,6 +223,8 @@
     c = w.client()
     with monkeypatch.context() as now:
         now.setattr(take_in, "MOST_OPEN", 0)
-        assert [answered(c, c.ask())[0] for _ in range(client_connection.MOST_SENSELESS + 2)] == [frames.DEFERRED] * 18
+        assert [answered(c, c.ask())[0] for _ in range(client_connection.MOST_SENSELESS + 2)] == [
+            frames.DEFERRED
+        ] * 18
     assert answered(c, c.ask())[0] == frames.FINISHED and 0 not in c.answers and not c.closed
     over(w)
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -1,4 +1,5 @@
 """The list between two words of the bulletin: silent before, in and behind an answer, moved, out of reach, and no descriptors."""
+
 import json
 import resource
 import socket
@@ -13,7 +14,7 @@
 from hooks import PlainClient, environment, free_port, is_ready, over
 from loopback import StandInBulletin, until, wait
 
-TOLD_AGAIN_S = 3.0      # LATER: after a stop, what it would have told counts as told 2 s after the wait that was asked for (1 s)
+TOLD_AGAIN_S = 3.0  # LATER: after a stop, what it would have told counts as told 2 s after the wait that was asked for (1 s)
 
 
 def test_a_front_without_its_bulletin_is_ready_by_its_last_list(world, monkeypatch):
@@ -47,7 +48,8 @@
             return heard(line, verb, path, headers, body)
         b.calls += 1
         if silent == "in":
-            line.transport.write(b"HTTP/1.1 200 X\r\nContent-Length: 500\r\n\r\n{\"no\": 2, \"items\"")
+            line.transport.write(b'HTTP/1.1 200 X\r\nContent-Length: 500\r\n\r\n{"no": 2, "items"')
+
     b.heard = answer
     for line in list(b.lines):
         line.transport.abortConnection()
@@ -109,12 +111,27 @@
 
     def start(w, sockets, **more):
         w.port = free_port()
-        w.path.write_text(json.dumps({**w.config, "listen": f"127.0.0.1:{w.port}",
-                                      "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, **more}))
-        runs.append(subprocess.Popen([sys.executable, "-m", "lichenquay.front"], stderr=subprocess.PIPE, text=True,
-                                     env=environment(w.path),
-                                     preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))))
+        w.path.write_text(
+            json.dumps(
+                {
+                    **w.config,
+                    "listen": f"127.0.0.1:{w.port}",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+                    **more,
+                }
+            )
+        )
+        runs.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "lichenquay.front"],
+                stderr=subprocess.PIPE,
+                text=True,
+                env=environment(w.path),
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+            )
+        )
         return runs[-1]
+
     yield start
     for run in runs:
         if run.poll() is None:
@@ -130,7 +147,7 @@
     run = program(w, 120, bulletin=f"127.0.0.1:{at}")
     until(lambda: connects(w.port), 10)
     crowd = []
-    for _ in range(200):        # they say nothing, and hold on as long as they may
+    for _ in range(200):  # they say nothing, and hold on as long as they may
         crowd.append(socket.create_connection(("127.0.0.1", w.port)))
     wait(0.5)
     w.bulletin.port.stopListening()
@@ -172,4 +189,5 @@
 
 def listening(stand_in, port):
     from twisted.internet import reactor
+
     return reactor.listenTCP(port, stand_in, interface="127.0.0.1")
--- a/tests/crossings/test_engine_connections.py
+++ b/tests/crossings/test_engine_connections.py
@@ -1,4 +1,5 @@
 """Bytes, an end or a reset on an engine's connection in the instant in which it is taken, in an answer, or behind one."""
+
 import socket
 
 import pytest
@@ -14,7 +15,9 @@
 
 def settled(w):
     """The connections to engines rest."""
-    until(lambda: w.service.engines.connections and all(x.call is None for x in w.service.engines.connections))
+    until(
+        lambda: w.service.engines.connections and all(x.call is None for x in w.service.engines.connections)
+    )
     wait(2 * REST_S)
 
 
@@ -30,7 +33,7 @@
 
     def idle(call):
         line = real(call)
-        if line is not None and e.lines:        # chosen, not yet looked at
+        if line is not None and e.lines:  # chosen, not yet looked at
             hub.idle = real
             far = next(iter(e.lines))
             if comes == "bytes":
@@ -40,6 +43,7 @@
             else:
                 far.transport.connectionLost(Failure(ConnectionAborted()))
         return line
+
     hub.idle = idle
     assert answered(c, c.ask(group, allow=4000)) == (frames.FINISHED, RESULT)
     assert w.posts() == 2 and hub.idle == real
@@ -61,6 +65,7 @@
         w.out.discard(ref)
         e.runs.pop(ref)
         line.answer(status, [("X-No-Effect", "1")] if status != 500 else [])
+
     e.start = first
     e.ways = ["refused", "hold"]
     stream = c.ask("status", allow=300)
@@ -71,7 +76,7 @@
     e.ways, e.still = ["ok"], True
     second = c.ask("manifest", allow=4000)
     until(lambda: any(call[1] == "POST" for call in e.held))
-    if lines[0].transport.connected:        # the copy, before the engine has read what came on the connection since
+    if lines[0].transport.connected:  # the copy, before the engine has read what came on the connection since
         lines[0].answer(status, [("X-No-Effect", "1")] if status != 500 else [])
     wait(0.05)
     e.go_on()
@@ -88,9 +93,14 @@
     def first(line, ref, way):
         e.start = type(e).start.__get__(e)
         w.out.discard(ref)
-        said = b"HTTP/1.1 200 X\r\nX-Parts: 1\r\nX-Cpu-Ms: 1\r\nX-Mem-Used: 8\r\nContent-Length: %d\r\n\r\n" % len(PAGES[0]) + PAGES[0]
+        said = (
+            b"HTTP/1.1 200 X\r\nX-Parts: 1\r\nX-Cpu-Ms: 1\r\nX-Mem-Used: 8\r\nContent-Length: %d\r\n\r\n"
+            % len(PAGES[0])
+            + PAGES[0]
+        )
         line.transport.socket.send(said)
         line.transport.connectionLost(Failure(ConnectionAborted()))
+
     e.start = first
     e.ways = ["ok"]
     assert answered(c, c.ask(group, allow=4000))[0] == frames.FINISHED and w.posts() == 1
@@ -112,6 +122,7 @@
             line.transport.write(b"HTTP/1.1 200 OK\r\nX-Parts: 3\r\nContent-Length: 5000\r\n\r\n1\ta\tb\n")
         else:
             (type(e).start if where == "answer" else type(e).page)(e, line, *_)
+
     setattr(e, "start" if where == "answer" else "page", half)
     stream = c.ask(group, allow=4000)
     until(lambda: hung)
@@ -121,7 +132,7 @@
     assert stream not in c.answers
     e.mute = False
     assert answered(c, stream) == (frames.FINISHED, RESULT)
-    assert w.posts() == 1 or group == "report"      # what may run again is moved, once the first surely is over
+    assert w.posts() == 1 or group == "report"  # what may run again is moved, once the first surely is over
     over(w)
 
 
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -1,4 +1,5 @@
 """The front leaves while something else happens: a connection that waits, a request in the last moment, another signal."""
+
 import json
 import signal
 import subprocess
@@ -25,13 +26,23 @@
 
 
 def query(stream, group="status", allow=2000):
-    fields = [("service", group), ("ref", f"{stream:016x}"), ("allow", str(allow)), ("project", "acme"), ("effort", "20.0"),
-              ("memory", "96")]
+    fields = [
+        ("service", group),
+        ("ref", f"{stream:016x}"),
+        ("allow", str(allow)),
+        ("project", "acme"),
+        ("effort", "20.0"),
+        ("memory", "96"),
+    ]
     return frames.frame(frames.QUERY, stream, frames.write_fields(fields), b"select 1")
 
 
 def answers(client):
-    return {stream: payload[0] for kind, stream, payload in frames.FrameReader().feed(client.read()) if kind == frames.ANSWER}
+    return {
+        stream: payload[0]
+        for kind, stream, payload in frames.FrameReader().feed(client.read())
+        if kind == frames.ANSWER
+    }
 
 
 @pytest.mark.parametrize("waiting", [1, 30])
@@ -40,7 +51,7 @@
     door resets what nobody here has accepted yet."""
     monkeypatch.setattr(service, "LISTEN_ON_MS", 60.0)
     w = world(engines=2)
-    w.service.clients.port.pauseProducing()         # this front's turn does not come
+    w.service.clients.port.pauseProducing()  # this front's turn does not come
     crowd = [PlainClient(w.port) for _ in range(waiting)]
     for i, client in enumerate(crowd):
         client.socket.sendall(query(1).replace(b"0" * 15 + b"1", f"{i + 1:016x}".encode()))
@@ -50,8 +61,10 @@
     until(lambda: w.ended)
 
 
-@pytest.mark.parametrize("mute", [False, True])      # a silent engine keeps the front to its last moment
-@pytest.mark.parametrize("deadline_ms, at_ms", [(400, 880), (400, 960), (50, 600), (50, 640), (300, 640), (2500, 640)])
+@pytest.mark.parametrize("mute", [False, True])  # a silent engine keeps the front to its last moment
+@pytest.mark.parametrize(
+    "deadline_ms, at_ms", [(400, 880), (400, 960), (50, 600), (50, 640), (300, 640), (2500, 640)]
+)
 def test_a_request_in_the_last_moment_is_answered(world, deadline_ms, at_ms, mute):
     """Risk: what comes after all was told to end, and before the program has, ends with it; more so where deadlines are shorter
     than the door stays open."""
@@ -66,7 +79,7 @@
         try:
             open_.socket.sendall(query(2, "report", deadline_ms))
         except OSError:
-            pass        # it was closed meanwhile
+            pass  # it was closed meanwhile
     until(lambda: w.ended, 5)
     killed_ms = min(3000, deadline_ms) + 700
     assert (time.monotonic() - begun) * 1000 < killed_ms + 50
@@ -110,18 +123,27 @@
     assert answered(c, stream) == (frames.FINISHED, RESULT)
     until(lambda: w.ended)
     w.service.leave()
-    w.service.read_again()      # between its last look and the end
+    w.service.read_again()  # between its last look and the end
     assert w.service.state == "ended"
 
 
-@pytest.mark.parametrize("signals", [(signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
-                                     (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1)])
+@pytest.mark.parametrize(
+    "signals",
+    [
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1),
+    ],
+)
 def test_signals_on_the_heels_of_each_other(world, signals):
     """To the program itself, with queries open; each is answered, and it ends in order."""
     w = world(engines=2, start=False)
     w.port = free_port()
     w.path.write_text(json.dumps({**w.config, "listen": f"127.0.0.1:{w.port}"}))
-    run = subprocess.Popen([sys.executable, "-m", "lichenquay.front"], stderr=subprocess.PIPE, text=True, env=environment(w.path))
+    run = subprocess.Popen(
+        [sys.executable, "-m", "lichenquay.front"], stderr=subprocess.PIPE, text=True, env=environment(w.path)
+    )
     until(lambda: w.bulletin.calls > 1, 10)
     until(lambda: is_ready(w.port), 5)
     for e in w.engines:
@@ -155,8 +177,12 @@
     w = world(engines=1, start=False)
     w.port = free_port()
     w.path.write_text(json.dumps({**w.config, "listen": f"127.0.0.1:{w.port}"}))
-    run = subprocess.Popen([sys.executable, "-c", STEPS, "1.5", str(step_s)], stderr=subprocess.PIPE, text=True,
-                           env=environment(w.path))
+    run = subprocess.Popen(
+        [sys.executable, "-c", STEPS, "1.5", str(step_s)],
+        stderr=subprocess.PIPE,
+        text=True,
+        env=environment(w.path),
+    )
     begun = time.monotonic()
     until(lambda: w.bulletin.calls > 1, 10)
     until(lambda: is_ready(w.port), 5)
@@ -185,5 +211,5 @@
     monkeypatch.setattr(service.time, "time", lambda: real() - 3600)
     w.bulletin.add({**w.engines[0].row(), "boot_ms": (real() - 3600) * 1000})
     until(lambda: w.service.discovery.no == 2)
-    seen, = w.service.admit.controller.fleet.values()
+    (seen,) = w.service.admit.controller.fleet.values()
     assert w.service.admit.controller.guards.warmth(seen.engine, w.service.admit.clock_ms()) < 0.35
--- a/tests/crossings/test_matrix.py
+++ b/tests/crossings/test_matrix.py
@@ -1,5 +1,6 @@
 """Each event against each state of a query: it is brought to the state, the event comes, the world goes on; then one answer or none,
 nothing submitted that may not be, nothing left over. docs/crossings.md names the cells and what cannot occur."""
+
 import pytest
 
 from lichenquay.front import frames
@@ -34,6 +35,7 @@
         def go_on():
             self.admit.step_ms = 5.0
             self.admit.poke(0.0)
+
         self.go_on = go_on
 
     def held(self):
@@ -57,6 +59,7 @@
         def go_on():
             engines.budget = budget
             engines.serve()
+
         self.go_on = go_on
 
     def written(self):
@@ -68,6 +71,7 @@
         def go_on():
             for e in self.w.engines:
                 e.go_on()
+
         self.go_on = go_on
 
     def known(self):
@@ -91,11 +95,12 @@
             for e, (line, ref, n) in kept:
                 if line.transport.connected and ref in e.runs:
                     e.page(line, ref, n)
+
         self.go_on = go_on
 
     def given_up(self):
         self.known()
-        q, = self.admit.open
+        (q,) = self.admit.open
         self.engine().mute = True
         self.admit.give_up(q)
         until(lambda: self.stream in self.client.answers)
@@ -121,14 +126,21 @@
         self.client.transport.abortConnection()
 
     def half_frame(self):
-        fields = [("service", "status"), ("ref", "00000000000000fd"), ("allow", "2000"), ("project", "acme"), ("effort", "20.0"),
-                  ("memory", "96")]
+        fields = [
+            ("service", "status"),
+            ("ref", "00000000000000fd"),
+            ("allow", "2000"),
+            ("project", "acme"),
+            ("effort", "20.0"),
+            ("memory", "96"),
+        ]
         whole = frames.frame(frames.QUERY, 77, frames.write_fields(fields), STATEMENT)
         self.client.transport.write(whole[:40])
 
         def after():
             self.client.transport.write(whole[40:])
             return answered(self.client, 77)[0] in DONE
+
         self.after = after
 
     def bad_frame(self):
@@ -166,6 +178,7 @@
             engines.budget = budget
             engines.serve()
             go_on()
+
         self.go_on = go_on_then
 
     def after(self):
@@ -173,8 +186,21 @@
 
 
 STATES = ["read", "held", "connecting", "descriptor", "written", "known", "gathering", "given_up", "answered"]
-EVENTS = ["request", "cancel", "end", "reset", "half_frame", "bad_frame", "drains", "gone_from_list", "broken", "half_answer", "stops",
-          "hangs_up", "no_descriptor"]
+EVENTS = [
+    "request",
+    "cancel",
+    "end",
+    "reset",
+    "half_frame",
+    "bad_frame",
+    "drains",
+    "gone_from_list",
+    "broken",
+    "half_answer",
+    "stops",
+    "hangs_up",
+    "no_descriptor",
+]
 
 
 @pytest.mark.parametrize("group", ["report", "manifest"])
@@ -188,7 +214,9 @@
     getattr(case, event)()
     if event in GONE and not had:
         until(lambda: told(w, "queries left by their clients") == 1, 1.0)
-    posts = w.posts() + sum(call[1] == "POST" for e in w.engines for call in e.held)     # those written, read or not
+    posts = w.posts() + sum(
+        call[1] == "POST" for e in w.engines for call in e.held
+    )  # those written, read or not
     wait(0.05)
     case.go_on()
     if event in GONE:
@@ -198,7 +226,12 @@
     else:
         code = answered(case.client, case.stream)[0]
         # What has not run by the event, and what the event cannot end, is finished.
-        ends_it = had or state == "known" and event in ("broken", "half_answer") or event in ("broken", "half_answer", "gone_from_list")
+        ends_it = (
+            had
+            or state == "known"
+            and event in ("broken", "half_answer")
+            or event in ("broken", "half_answer", "gone_from_list")
+        )
         assert code == frames.FINISHED or ends_it and code in DONE, code
         assert case.after()
     service = w.service
--- a/tests/crossings/test_settings.py
+++ b/tests/crossings/test_settings.py
@@ -1,4 +1,5 @@
 """Settings of other customers: odd, and served rightly; or impossible, and told in one clear line."""
+
 import json
 
 import pytest
@@ -31,15 +32,29 @@
     return w
 
 
-ODD = {"no tenants": changed(tenants=[]), "no zone": changed(my_zone=""), "one front": changed(replicas_of_me=1, slot_no=0),
-       "1,024 fronts": changed(replicas_of_me=1024, slot_no=1023), "a deadline of 30 s": changed(classes={"deadline_us": 30_000_000}),
-       "a window shorter than the connect limit": changed(classes={"effect": "keyed", "key_ttl_us": 100_000, "group": "all"}),
-       "no window": changed(classes={"effect": "keyed", "key_ttl_us": 0, "group": "zone"}), "all mutating": changed(classes={"effect": "unsafe"}),
-       "one try": changed(limits={"most_tries": 1}), "no cancel": changed(limits={"cancel": False}),
-       "no further submission": changed(rules={"extra_free": 0, "further_ratio": 0.0, "counted_over_us": 5_000_000}),
-       "no reports": changed(report={"how": "none", "columns": []}),
-       "no notes, no grants": changed(family_info={"progress_pace_us": 0, "takes_grants": False, "ranks_heeded": False, "says_cost": False}),
-       "placed elsewhere too": changed(classes={"failure_domains_only": ["a", "elsewhere"]}), "unknown parts": changed(whatever={"x": [1, {"y": None}]})}
+ODD = {
+    "no tenants": changed(tenants=[]),
+    "no zone": changed(my_zone=""),
+    "one front": changed(replicas_of_me=1, slot_no=0),
+    "1,024 fronts": changed(replicas_of_me=1024, slot_no=1023),
+    "a deadline of 30 s": changed(classes={"deadline_us": 30_000_000}),
+    "a window shorter than the connect limit": changed(
+        classes={"effect": "keyed", "key_ttl_us": 100_000, "group": "all"}
+    ),
+    "no window": changed(classes={"effect": "keyed", "key_ttl_us": 0, "group": "zone"}),
+    "all mutating": changed(classes={"effect": "unsafe"}),
+    "one try": changed(limits={"most_tries": 1}),
+    "no cancel": changed(limits={"cancel": False}),
+    "no further submission": changed(
+        rules={"extra_free": 0, "further_ratio": 0.0, "counted_over_us": 5_000_000}
+    ),
+    "no reports": changed(report={"how": "none", "columns": []}),
+    "no notes, no grants": changed(
+        family_info={"progress_pace_us": 0, "takes_grants": False, "ranks_heeded": False, "says_cost": False}
+    ),
+    "placed elsewhere too": changed(classes={"failure_domains_only": ["a", "elsewhere"]}),
+    "unknown parts": changed(whatever={"x": [1, {"y": None}]}),
+}
 
 
 @pytest.mark.parametrize("name", ODD)
@@ -47,12 +62,23 @@
     w = started(world, ODD[name])
     c = w.client()
     project = {"project": None} if name == "no tenants" else {}
-    assert [answered(c, c.ask(group, allow=2000, replay="a1", **project)) for group in ("status", "report", "manifest")] == \
-        [(frames.FINISHED, RESULT)] * 3
+    assert [
+        answered(c, c.ask(group, allow=2000, replay="a1", **project))
+        for group in ("status", "report", "manifest")
+    ] == [(frames.FINISHED, RESULT)] * 3
     over(w)
 
 
-@pytest.mark.parametrize("name", ["a window shorter than the connect limit", "no window", "all mutating", "one try", "no further submission"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "a window shorter than the connect limit",
+        "no window",
+        "all mutating",
+        "one try",
+        "no further submission",
+    ],
+)
 def test_what_may_not_be_sent_again_is_not(world, name):
     w = started(world, ODD[name])
     hits = ["error"] * 9
@@ -60,10 +86,13 @@
         e.ways = hits
     w.sent = lambda *sent: None
     c = w.client()
-    if name == "a window shorter than the connect limit":      # it may be, within its window
+    if name == "a window shorter than the connect limit":  # it may be, within its window
         assert answered(c, c.ask("manifest", replay="a1"))[0] in (frames.KILLED, frames.DEFERRED)
     else:
-        assert answered(c, c.ask("manifest", replay="a1"))[0] in (frames.KILLED, frames.DEFERRED) and w.posts() == 1
+        assert (
+            answered(c, c.ask("manifest", replay="a1"))[0] in (frames.KILLED, frames.DEFERRED)
+            and w.posts() == 1
+        )
     over(w)
 
 
@@ -79,9 +108,14 @@
     assert told(w, "answers finished") == 0
 
 
-BAD = {"no classes": (changed(classes=[]) | {"classes": []}, "no classes"), "an effect unknown": (changed(classes={"effect": "odd"}), "effect"),
-       "no deadline": (changed(classes={"deadline_us": None}), "deadline"), "words for figures": (changed(resolution_us="soon"), "resolution"),
-       "nothing": (None, "settings"), "a list": ([1], "settings")}
+BAD = {
+    "no classes": (changed(classes=[]) | {"classes": []}, "no classes"),
+    "an effect unknown": (changed(classes={"effect": "odd"}), "effect"),
+    "no deadline": (changed(classes={"deadline_us": None}), "deadline"),
+    "words for figures": (changed(resolution_us="soon"), "resolution"),
+    "nothing": (None, "settings"),
+    "a list": ([1], "settings"),
+}
 
 
 @pytest.mark.parametrize("name", BAD)
@@ -100,13 +134,26 @@
     before = w.service.discovery_at, w.service.engines.budget
     w.path.write_text(content)
     w.service.read_again()
-    assert (w.service.discovery_at, w.service.engines.budget) == before and told(w, "configurations not taken") == 1
+    assert (w.service.discovery_at, w.service.engines.budget) == before and told(
+        w, "configurations not taken"
+    ) == 1
     c = w.client()
     assert answered(c, c.ask())[0] == frames.FINISHED
 
 
-@pytest.mark.parametrize("told_", [b"", b"{", b"[]", b"null", b'{"no": 2}', b'{"no": 2, "items": [{"no": 2, "roster": {"all": false, "targets": [{"uid": "s-0", '
-                                   b'"endpoint": "127.0.0.1:9", "state": "ODD"}]}}]}', b'{"no": 2, "items": [{"no": 2, "roster": {"all": true}}]}'])
+@pytest.mark.parametrize(
+    "told_",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b'{"no": 2}',
+        b'{"no": 2, "items": [{"no": 2, "roster": {"all": false, "targets": [{"uid": "s-0", '
+        b'"endpoint": "127.0.0.1:9", "state": "ODD"}]}}]}',
+        b'{"no": 2, "items": [{"no": 2, "roster": {"all": true}}]}',
+    ],
+)
 def test_a_list_that_cannot_be_read_changes_nothing(world, told_):
     w = world(engines=1)
     w.bulletin.garbage = told_
--- a/tests/crossings/test_written_later.py
+++ b/tests/crossings/test_written_later.py
@@ -1,4 +1,5 @@
 """Decided now, written later: what comes between a submission's decision and its first byte."""
+
 import json
 import time
 
@@ -42,7 +43,7 @@
     """The event is taken, the turn that calls its submission off has not come: the connection comes up between them."""
     w = world(engines=1)
     connects, c, stream = asked(w)
-    w.service.admit.step_ms = 200.0         # the next turn is long in coming
+    w.service.admit.step_ms = 200.0  # the next turn is long in coming
     w.service.admit.turned_ms = w.service.admit.clock_ms()
     c.transport.write(frames.frame(frames.LEFT, stream))
     until(lambda: told(w, "queries left by their clients") == 1)
@@ -65,7 +66,7 @@
     """Its timer is due, and late: the connection comes up before it."""
     w = world(engines=1)
     connects, c, stream = asked(w, allow=300)
-    q, = w.service.admit.open
+    (q,) = w.service.admit.open
     w.service.admit.clock_ms = lambda: q.ends_ms + 1
     connects.go_on()
     until(lambda: told(w, "submissions never sent") == 1)
@@ -91,7 +92,9 @@
     until(lambda: w.service.discovery.no == 2)
     connects, c, stream = asked(w)
     w.drained.clear()
-    w.bulletin.add({**w.engines[1].row(), "uid": "s-0"})    # the uid that is connected to has the other's address now
+    w.bulletin.add(
+        {**w.engines[1].row(), "uid": "s-0"}
+    )  # the uid that is connected to has the other's address now
     until(lambda: w.service.discovery.no == 3)
     connects.go_on()
     assert answered(c, stream) == (frames.FINISHED, RESULT)
@@ -114,23 +117,32 @@
     w = tokened(world, 400, engines=1)
     w.engines[0].ways = ["error", "ok"]
     c = w.client()
-    w.service.engines.idle = lambda call: None      # the next submission needs a new connection
+    w.service.engines.idle = lambda call: None  # the next submission needs a new connection
     stream = c.ask("manifest", allow=3000, replay="a1")
     until(lambda: w.posts() == 1)
     connects = HeldConnects(w)
     until(lambda: connects.held, 2)
     wait(0.45)
     connects.go_on()
-    assert answered(c, stream)[0] in (frames.KILLED, frames.DEFERRED)       # its repeats are dropped: both are harmless
+    assert answered(c, stream)[0] in (
+        frames.KILLED,
+        frames.DEFERRED,
+    )  # its repeats are dropped: both are harmless
     assert w.posts() == 1
     over(w)
 
 
 def test_a_repeat_within_its_window_goes_out(world):
     w = tokened(world, 3000, engines=1)
-    w.engines[0].ways, w.sent = ["error", "ok"], lambda *sent: None     # its rule on mutating queries goes by the name
+    w.engines[0].ways, w.sent = (
+        ["error", "ok"],
+        lambda *sent: None,
+    )  # its rule on mutating queries goes by the name
     c = w.client()
-    assert answered(c, c.ask("manifest", allow=3000, replay="a1")) == (frames.FINISHED, RESULT) and w.posts() == 2
+    assert (
+        answered(c, c.ask("manifest", allow=3000, replay="a1")) == (frames.FINISHED, RESULT)
+        and w.posts() == 2
+    )
 
 
 @pytest.mark.parametrize("leaves", [True, False])
@@ -167,7 +179,7 @@
     """Times of a submission follow its first byte: how long it took, since when its repeat is dropped, and its engine's windows."""
     w = world(engines=1)
     connects, c, stream = asked(w)
-    q, = w.service.admit.open
+    (q,) = w.service.admit.open
     decided = q.submissions[0].sent_ms
     wait(0.3)
     connects.go_on()
@@ -181,10 +193,10 @@
     row = {**w.engines[0].row(), "boot_ms": 1000 * time.time()}
     w.bulletin.add(row)
     until(lambda: w.service.discovery.no == 2)
-    seen, = w.service.admit.controller.fleet.values()
+    (seen,) = w.service.admit.controller.fleet.values()
     guards = w.service.admit.controller.guards
     connects, c, stream = asked(w, effort="20.0")
-    q, = w.service.admit.open
+    (q,) = w.service.admit.open
     sub, later = q.submissions[0], w.service.admit.clock_ms() + 2 * guards.rules.cold_window_ms
     seen.cold_sent.add(later, guards.cold_budget(seen.engine, guards.warmth(seen.engine, later)))
     q.ends_ms = later + 1000
--- a/tests/fleet/broken_rules.py
+++ b/tests/fleet/broken_rules.py
@@ -4,6 +4,7 @@
 finds it, without any. Rules that are not in FOUND: no single mutation of those tried (some 200 each) found them in this
 scenario, as other rules bear them; they are kept here, planted in no test, and counted in no figure.
 """
+
 from contextlib import ExitStack
 from unittest.mock import patch
 
@@ -28,8 +29,10 @@
             for of, attribute, new in parts():
                 stack.enter_context(patch.object(of, attribute, new))
             return stack
+
         RULES[name] = broken
         return parts
+
     return keep
 
 
@@ -41,13 +44,15 @@
 
     def open_(self, data):
         from lichenquay.fleet import fleet_pb2
+
         try:
             return real(self, data)
         except ValueError as why:
             if str(why) != check:
                 raise
-            got = fleet_pb2.Datagram.FromString(bytes(data[SUM.size:]))
+            got = fleet_pb2.Datagram.FromString(bytes(data[SUM.size :]))
             return got.sender, got.incarnation, got.layer, got.body
+
     return [(Envelope, "open", open_)]
 
 
@@ -70,7 +75,10 @@
 
     def heard(self, name, incarnation, message):
         m = self.table.get(name)
-        return real(self, name, max(incarnation, m.incarnation) if m and name != self.name else incarnation, message)
+        return real(
+            self, name, max(incarnation, m.incarnation) if m and name != self.name else incarnation, message
+        )
+
     return [(Hearing, "_heard", heard)]
 
 
@@ -80,10 +88,15 @@
 
     def take(self, now_ms, name, incarnation, word, state):
         m = self.members.get(name)
-        if m and incarnation == m.incarnation and rank(incarnation, word, state) < rank(m.incarnation, m.word, m.state):
+        if (
+            m
+            and incarnation == m.incarnation
+            and rank(incarnation, word, state) < rank(m.incarnation, m.word, m.state)
+        ):
             m.word, m.state = 0, m.state
             m.state = min(m.state, 1)
         return real(self, now_ms, name, incarnation, word, state)
+
     return [(Table, "take", take)]
 
 
@@ -95,7 +108,10 @@
     def ack(self, now_ms):
         name, generation, number, token = self.last
         self.lease_of, self.waits_until_ms = self._promised_to, now_ms + self.settings.wait_ms
-        self.send(name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire())
+        self.send(
+            name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire()
+        )
+
     return [(Voter, "_behind", lambda self, sender, m: False), (Voter, "_ack", ack)]
 
 
@@ -108,6 +124,7 @@
             self._grant(sender, m)
         else:
             real(self, now_ms, sender, m)
+
     return [(Voter, "claim", claim)]
 
 
@@ -122,11 +139,13 @@
             if claim and self.promise.generation:
                 changes["promise"] = self.promise.SerializeToString()
             store(changes)
+
         self.store = without
         try:
             real(self, promise, log, claim)
         finally:
             self.store = store
+
     return [(Voter, "_write", write)]
 
 
@@ -140,12 +159,14 @@
             old, self.log = self.log, log
             self._ack(0)
             self.log = old
+
     ack = Voter._ack
 
     def with_time(self, now_ms):
         waits = self.waits_until_ms
         ack(self, now_ms)
         self.waits_until_ms = max(waits, self.waits_until_ms)
+
     return [(Voter, "_write", write), (Voter, "_ack", with_time)]
 
 
@@ -156,6 +177,7 @@
     def init(self, rng, settings, now_ms, *more):
         real(self, rng, settings, now_ms, *more)
         self.waits_until_ms = now_ms
+
     return [(Voter, "__init__", init)]
 
 
@@ -166,6 +188,7 @@
     def ack(self, now_ms):
         real(self, now_ms)
         self.waits_until_ms = now_ms
+
     return [(Voter, "_ack", ack)]
 
 
@@ -178,6 +201,7 @@
         if peer and peer.sent.get(m.number, (0, None))[1] == m.token and Position.of(m.position):
             peer.waits_ms = max(peer.waits_ms, now_ms)
         real(self, now_ms, sender, m)
+
     return [(Holder, "ack", ack)]
 
 
@@ -202,6 +226,7 @@
         real(self, now_ms, no, told)
         if told.tenant in self.rows and not told.gone:
             self.rows[told.tenant].known = known
+
     return [(Rights, "granted", granted), (Rights, "tick", ticks)]
 
 
@@ -210,6 +235,7 @@
     def risen(have, row):
         unheard = have.granted - row.known_us if row.sealed else 0
         return row.spent_us, row.returned_us + unheard, have.sealed or row.sealed
+
     return [(Ledger, "risen", staticmethod(risen))]
 
 
@@ -224,7 +250,11 @@
         real(self, word)
         if row is not None and lapsed and row.returned > before:
             account = self.accounts[word.row.tenant]
-            account.pool, account.issued = account.pool + row.returned - before, account.issued + row.returned - before
+            account.pool, account.issued = (
+                account.pool + row.returned - before,
+                account.issued + row.returned - before,
+            )
+
     return [(Ledger, "on_word", on_word)]
 
 
@@ -236,6 +266,7 @@
         real(self, now_ms, sender, answer)
         if answer.book == self.book and answer.no in self.sent and self.rows and not answer.closed:
             self.valid_ms = max(self.valid_ms, now_ms + self.term_ms)
+
     return [(Rights, "heard", heard)]
 
 
@@ -243,6 +274,7 @@
 def _():
     def lapse(self, now_ms):
         self.valid_ms = max(self.valid_ms, now_ms + 1) if self.valid_ms != float("-inf") else self.valid_ms
+
     return [(Rights, "lapse", lapse)]
 
 
@@ -256,6 +288,7 @@
             made, self.made = self.made, self.ahead
             self.answer(now_ms)
             self.made = made
+
     return [(Keeper, "batch", batch)]
 
 
@@ -268,6 +301,7 @@
         mine.CopyFrom(answer)
         mine.incarnation = self.incarnation
         real(self, now_ms, sender, mine)
+
     return [(Rights, "heard", heard)]
 
 
@@ -278,6 +312,7 @@
     def heard(self, now_ms, sender, ask):
         self.newest.pop(sender[0], None)
         real(self, now_ms, sender, ask)
+
     return [(Ledger, "may_grant", lambda self, front, incarnation, book: True), (Keeper, "heard", heard)]
 
 
@@ -288,6 +323,7 @@
     def batch(self, now_ms):
         self.office_ms = float("-inf")
         real(self, now_ms)
+
     return [(Keeper, "batch", batch)]
 
 
@@ -300,6 +336,7 @@
         more.CopyFrom(figures)
         more.limit_us *= 3
         real(self, more)
+
     return [(Ledger, "on_open", on_open), (Ledger, "law", staticmethod(check))]
 
 
@@ -311,6 +348,7 @@
         lender = self.accounts[loan.lender]
         real(self, loan, amount)
         lender.pool += amount
+
     return [(Ledger, "repaid", repaid)]
 
 
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -1,4 +1,5 @@
 """What runs on real processes measured, gathered over all tests of one call."""
+
 import json
 
 import pytest
--- a/tests/fleet/fleet_audit.py
+++ b/tests/fleet/fleet_audit.py
@@ -1,5 +1,6 @@
 """What must be true of fronts in virtual time after every step, and at rest; it knows more than any front. Amounts are
 microseconds."""
+
 from hashlib import blake2b
 
 from lichenquay.members.table import LEFT
@@ -7,7 +8,7 @@
 from virtual_fleet import ACCOUNTS
 
 LIMITS = {a[0]: a[3] * 1000 for a in ACCOUNTS}
-FAST = 1.05             # no clock is faster
+FAST = 1.05  # no clock is faster
 
 
 class Broken(AssertionError):
@@ -45,8 +46,13 @@
     # after every step
 
     def step(self, p):
-        holders = [q for q in self.world.all.values() if q.fleet is not None and q.fleet.accounts is not None
-                   and q.fleet.accounts.group.holds(q.now_ms())]
+        holders = [
+            q
+            for q in self.world.all.values()
+            if q.fleet is not None
+            and q.fleet.accounts is not None
+            and q.fleet.accounts.group.holds(q.now_ms())
+        ]
         if holders:
             self.must(len(holders) < 2, "two hold the ledger: {}", [q.name for q in holders])
             q = holders[0]
@@ -72,10 +78,19 @@
                 continue
             self.must(old is None or now > old, "{} goes back on {}: {} after {}", p.name, name, now, old)
             of = self.world.all.get(name)
-            self.must(of and m.incarnation in of.incarnations, "{} holds {} {}, who never was", p.name, name,
-                      m.incarnation)
-            self.must(m.state != LEFT or m.incarnation in of.left, "{} holds {} for left, which it has not", p.name,
-                      name)
+            self.must(
+                of and m.incarnation in of.incarnations,
+                "{} holds {} {}, who never was",
+                p.name,
+                name,
+                m.incarnation,
+            )
+            self.must(
+                m.state != LEFT or m.incarnation in of.left,
+                "{} holds {} for left, which it has not",
+                p.name,
+                name,
+            )
             self.must(old is None or watch.view.number >= seen[1], "{}: a lower view", p.name)
             seen[2][name] = now
         seen[1] = watch.view.number
@@ -92,9 +107,19 @@
             self.broken(f"the ledger at {p.name}: {bad}")
         state = made.state()
         digest = blake2b(state, digest_size=8).digest()
-        self.must(not fresh or made.no >= self.ledger.no, "{} begins at record {}, {} was made", p.name, made.no,
-                  self.ledger.no)
-        self.must(self.digests.setdefault(made.no, digest) == digest, "record {} is another one at {}", made.no, p.name)
+        self.must(
+            not fresh or made.no >= self.ledger.no,
+            "{} begins at record {}, {} was made",
+            p.name,
+            made.no,
+            self.ledger.no,
+        )
+        self.must(
+            self.digests.setdefault(made.no, digest) == digest,
+            "record {} is another one at {}",
+            made.no,
+            p.name,
+        )
         if made.no > self.ledger.no:
             self.learn(Ledger.load(state))
 
@@ -105,10 +130,17 @@
                 at = *key, tenant
                 before = self.rows.get(at)
                 if before:
-                    risen = (row.granted - before.granted, row.spent - before.spent, row.returned - before.returned)
+                    risen = (
+                        row.granted - before.granted,
+                        row.spent - before.spent,
+                        row.returned - before.returned,
+                    )
                     self.must(min(risen) >= 0, "totals of {} fall", at)
-                self.must(key not in self.lapsed or before and row.granted == before.granted,
-                          "{} is granted to after it was written off", at)
+                self.must(
+                    key not in self.lapsed or before and row.granted == before.granted,
+                    "{} is granted to after it was written off",
+                    at,
+                )
                 self.rows[at] = row
         self.lapsed |= ledger.lapsed
         for tenant, a in ledger.accounts.items():
@@ -129,7 +161,9 @@
         if not p.lives or p.lives[-1][1] is not rights:
             rights.old = Kept(rights.old)
             p.lives.append((rights.incarnation, rights))
-        for (book, tenant), mine in [((rights.book, t), m) for t, m in rights.rows.items()] + list(rights.old.items()):
+        for (book, tenant), mine in [((rights.book, t), m) for t, m in rights.rows.items()] + list(
+            rights.old.items()
+        ):
             used = mine.spent + mine.reserved
             least = min(mine.free, mine.spent, mine.reserved, mine.returned)
             self.must(least >= 0, "{} spends what it has not", p.name)
@@ -195,12 +229,15 @@
             return "loans are not repaid"
         for key in self.ledger.books:
             f = self.world.all[key[0]].fleet
-            if key not in self.ledger.lapsed and not (f and key[1:] == (f.incarnation, f.accounts.rights.book)):
+            if key not in self.ledger.lapsed and not (
+                f and key[1:] == (f.incarnation, f.accounts.rights.book)
+            ):
                 return f"book {key} is not closed"
         for p in self.world.all.values():
             for incarnation, rights in p.lives:
                 for (book, tenant), mine in rights.old.forgotten:
                     row = self.rows.get((p.name, incarnation, book, tenant))
-                    self.must(mine.spent <= (row.granted if row else 0), "{} spent other than was noted", p.name)
+                    self.must(
+                        mine.spent <= (row.granted if row else 0), "{} spent other than was noted", p.name
+                    )
         return None
-
--- a/tests/fleet/fleet_marks.py
+++ b/tests/fleet/fleet_marks.py
@@ -2,13 +2,27 @@
 
 Counters are left out: nothing is decided by them. So is what is set anew by whatever comes next (`now_ms`).
 """
+
 from hashlib import blake2b
 from random import Random
 
 from google.protobuf.message import Message
 
-SKIP = {"counts", "senseless", "foreign", "stray", "crowded", "barred", "doubts", "lapses", "now_ms", "figures",
-        "settings", "rng", "chance"}                # chance: one source for all of a front, looked at by itself
+SKIP = {
+    "counts",
+    "senseless",
+    "foreign",
+    "stray",
+    "crowded",
+    "barred",
+    "doubts",
+    "lapses",
+    "now_ms",
+    "figures",
+    "settings",
+    "rng",
+    "chance",
+}  # chance: one source for all of a front, looked at by itself
 PLAIN = (bool, int, str, bytes, type(None))
 
 
@@ -20,8 +34,23 @@
     out, seen = [], set()
     timer = f.timer.due if f.timer is not None and f.timer.active() else None
     a, disk = f.accounts, process.disk
-    for part in (process.deaf, f.incarnation, f.left, timer, disk.free_ms, disk.state, f.watch, a.group, a.keeper,
-                 a.rights, a.answered, a.deaf_since_ms, a.look_ms, a.asked_of, f.rng):
+    for part in (
+        process.deaf,
+        f.incarnation,
+        f.left,
+        timer,
+        disk.free_ms,
+        disk.state,
+        f.watch,
+        a.group,
+        a.keeper,
+        a.rights,
+        a.answered,
+        a.deaf_since_ms,
+        a.look_ms,
+        a.asked_of,
+        f.rng,
+    ):
         walk(part, out, seen)
     return process.name, blake2b(repr(out).encode(), digest_size=12).hexdigest()
 
@@ -54,7 +83,9 @@
     else:
         seen.add(id(x))
         out.append(type(x).__name__)
-        names = list(getattr(x, "__dict__", ())) + [n for c in type(x).__mro__ for n in getattr(c, "__slots__", ())]
+        names = list(getattr(x, "__dict__", ())) + [
+            n for c in type(x).__mro__ for n in getattr(c, "__slots__", ())
+        ]
         for name in names:
             if name not in SKIP:
                 walk(getattr(x, name, None), out, seen)
--- a/tests/fleet/fleet_mutants.py
+++ b/tests/fleet/fleet_mutants.py
@@ -8,6 +8,7 @@
     python fleet_mutants.py SEED SHARE SHARES PICKED     PICKED: - (all), or a file of [[number, mutation], ...]
     one line of JSON a mutant on standard output: [number, kind, mutation, same as or "", broken or null, stuck or null]
 """
+
 import gc
 import json
 import os
@@ -21,7 +22,7 @@
 from outside import outside
 from virtual_fleet import World
 
-CHECK_MS = 1e-3                 # after the mutant's arrival
+CHECK_MS = 1e-3  # after the mutant's arrival
 AT_ONCE = ("sealed for another", "lost")
 
 
@@ -56,7 +57,11 @@
             world.deliver(mail, mail.delay)
             return
         kind, ends = kind_of(mail.data), {}
-        chosen = [(n, c) for n, c in mutations(mail, self.starts) if self.wanted(mail.no, n) and not outside(kind, n)]
+        chosen = [
+            (n, c)
+            for n, c in mutations(mail, self.starts)
+            if self.wanted(mail.no, n) and not outside(kind, n)
+        ]
         if any(is_field(n) or n in AT_ONCE for n, _ in chosen):
             digest = self.fork(mail, "as it was", lambda w, m: w.deliver(m, m.delay), ends, True)[0]
             ends[digest] = "as it was", None, None
@@ -130,6 +135,7 @@
 
 def main(seed, share, shares, picked, rule=None):
     if picked == "-":
+
         def wanted(no, name):
             return no % shares == share
     else:
@@ -140,6 +146,7 @@
 
         def wanted(no, name):
             return no in mine if name is None else (no, name) in pairs
+
     if rule:
         with broken_rules.RULES[rule]():
             Worker(seed, wanted, sys.stdout).run()
--- a/tests/fleet/fleet_mutations.py
+++ b/tests/fleet/fleet_mutations.py
@@ -4,6 +4,7 @@
 `mutations(mail, starts)`: [(name, change(world, mail))], the same for the same datagram. A change does all of its
 delivery.
 """
+
 import zlib
 
 from google.protobuf.descriptor import FieldDescriptor as Field
@@ -15,7 +16,11 @@
 from lichenquay.owner import owner_pb2
 from lichenquay.quota import quota_pb2
 
-KINDS = {MEMBERS: (members_pb2.Message, "kind"), OWNER: (owner_pb2.Message, "body"), QUOTA: (quota_pb2.Message, "what")}
+KINDS = {
+    MEMBERS: (members_pb2.Message, "kind"),
+    OWNER: (owner_pb2.Message, "body"),
+    QUOTA: (quota_pb2.Message, "what"),
+}
 LAYERS = {MEMBERS: "members", OWNER: "owner", QUOTA: "quota"}
 LATE_MS, LONG_MS, AFTER_MS = 400.0, 1500.0, 0.1
 MOST_OF = {Field.CPPTYPE_UINT32: 2**32 - 1, Field.CPPTYPE_UINT64: 2**64 - 1}
@@ -23,7 +28,7 @@
 
 def opened(data):
     """(datagram, message) of what a front sent."""
-    datagram = fleet_pb2.Datagram.FromString(data[SUM.size:])
+    datagram = fleet_pb2.Datagram.FromString(data[SUM.size :])
     return datagram, KINDS[datagram.layer][0].FromString(datagram.body)
 
 
@@ -35,7 +40,8 @@
 def sealed(datagram, receiver=None, body=None):
     to = receiver or datagram.receiver
     return Envelope(datagram.fleet, datagram.fingerprint, datagram.sender, ()).seal(
-        datagram.incarnation, to, datagram.layer, datagram.body if body is None else body)
+        datagram.incarnation, to, datagram.layer, datagram.body if body is None else body
+    )
 
 
 # on its way
@@ -58,13 +64,16 @@
 def late_by(ms):
     def late(world, mail):
         world.wait_for(("next", mail.sender, mail.to), lambda: arrive_later(world, mail, ms))
+
     return late
 
 
 def late_past(name):
     """Past the next start of a front."""
+
     def late(world, mail):
         world.wait_for(("start", name(mail)), lambda: arrive_later(world, mail, AFTER_MS))
+
     return late
 
 
@@ -87,7 +96,7 @@
 
 
 def cut_off(world, mail):
-    world.deliver(mail, mail.delay, data=mail.data[:len(mail.data) * 2 // 3], whole=False)
+    world.deliver(mail, mail.delay, data=mail.data[: len(mail.data) * 2 // 3], whole=False)
 
 
 def flipped(world, mail):
@@ -96,10 +105,20 @@
     world.deliver(mail, mail.delay, data=bytes(data), whole=False)
 
 
-WAYS = {"lost": lost, "doubled": doubled, "doubled, late": doubled_late, "late past the next": late_by(LATE_MS),
-        "late by long": late_by(LONG_MS), "late past its receiver": late_past(lambda m: m.to),
-        "late past its sender": late_past(lambda m: m.sender), "swapped with the next": late_by(AFTER_MS),
-        "to another": other, "sealed for another": other_sealed, "cut off": cut_off, "flipped": flipped}
+WAYS = {
+    "lost": lost,
+    "doubled": doubled,
+    "doubled, late": doubled_late,
+    "late past the next": late_by(LATE_MS),
+    "late by long": late_by(LONG_MS),
+    "late past its receiver": late_past(lambda m: m.to),
+    "late past its sender": late_past(lambda m: m.sender),
+    "swapped with the next": late_by(AFTER_MS),
+    "to another": other,
+    "sealed for another": other_sealed,
+    "cut off": cut_off,
+    "flipped": flipped,
+}
 PAST = {"late past its receiver": "to", "late past its sender": "sender"}
 
 
@@ -121,8 +140,9 @@
                     if field.message_type:
                         yield from field_changes(value[i], f"{at}[{i}].")
                     else:
-                        yield from values(field, value[i], f"{at}[{i}]",
-                                          lambda new, v=value, i=i: v.__setitem__(i, new))
+                        yield from values(
+                            field, value[i], f"{at}[{i}]", lambda new, v=value, i=i: v.__setitem__(i, new)
+                        )
         elif field.message_type:
             if message.HasField(name):
                 yield from field_changes(value, at + ".")
@@ -166,6 +186,7 @@
 def field_mutation(index):
     def change(world, mail):
         world.deliver(mail, mail.delay, data=changed(mail, index))
+
     return change
 
 
