--- a/tests/fleet/fleet_scenario.py
+++ b/tests/fleet/fleet_scenario.py
@@ -1,9 +1,10 @@
 """The recorded scenario: join, borrow, lend back, repay, the keeper cut off, killed, back with its folder, and one that
 leaves in order."""
+
 from fleet_audit import Audit, Broken
 from virtual_fleet import LEASE_MS, World
 
-PHASES = (2000.0, 3900.0, 7700.0, 10_200.0, 12_700.0)     # of: join, borrow and repay, cut off, killed, leave
+PHASES = (2000.0, 3900.0, 7700.0, 10_200.0, 12_700.0)  # of: join, borrow and repay, cut off, killed, leave
 END_MS, REST_MS, LOOK_MS = PHASES[-1], 9_000.0, 100.0
 NAMES = "abc"
 
@@ -44,6 +45,7 @@
             world.at(world.now + back_ms, p.start)
         else:
             world.at(world.now + 1, lambda: look(times + 1))
+
     look()
 
 
@@ -60,15 +62,16 @@
     def at(true_ms, what):
         """A run of one change ends with the phase after it: what is planned for later is left out then."""
         world.at(true_ms, lambda: world.end_ms >= true_ms and not world.resting and what())
+
     for i, name in enumerate(NAMES):
         at(40 * i, all_[name].start)
-    for t in range(1700, int(END_MS) - 800, 130):       # some of each at every front, throughout
+    for t in range(1700, int(END_MS) - 800, 130):  # some of each at every front, throughout
         for i, name in enumerate(NAMES):
             at(t + 17 * i, lambda n=name: world.query(n, "lender", 1.0))
-    for t in range(2000, 3000, 40):                     # more than its quota: it borrows
+    for t in range(2000, 3000, 40):  # more than its quota: it borrows
         at(t, lambda: world.query("a", "borrower", 9.0))
         at(t + 20, lambda: world.query("b", "borrower", 9.0, over=1.0))
-    for t in range(3000, 3500, 50):                     # the lender wants its own back
+    for t in range(3000, 3500, 50):  # the lender wants its own back
         at(t, lambda: world.query(keeper(world).name, "lender", 25.0))
     at(4000, lambda: cut_off(world, keeper(world), 3200))
     for t in range(6600, 7100, 40):
@@ -90,6 +93,7 @@
             p.start()
         else:
             world.at(world.now + 50, back)
+
     world.at(world.now + 600, back)
 
 
@@ -119,6 +123,6 @@
             why = audit.unrest()
     except Broken as bad:
         return str(bad), None
-    except Exception as bad:        # a part that raises on what a message holds is a fault
+    except Exception as bad:  # a part that raises on what a message holds is a fault
         return f"{type(bad).__name__}: {bad}", None
     return (audit.found[0] if audit.found else None), why
--- a/tests/fleet/outside.py
+++ b/tests/fleet/outside.py
@@ -1,7 +1,8 @@
 """Field changes that no honest process would have said: outside the assumption that nobody forges messages."""
+
 import re
 
-OUTSIDE = (                 # (kind of message, field and change, why): patterns of whole texts
+OUTSIDE = (  # (kind of message, field and change, why): patterns of whole texts
     ("members .*", r"(rows\[\d\]|ack)\.incarnation (\+1|most)", "nobody started that front"),
     ("members .*", r"(rows\[\d\]\.)?state LEFT", "it never left"),
     ("quota answer", r"answer\.rows\[\d\]\.granted_us (\+1|most)", "nobody granted it"),
--- a/tests/fleet/relay.py
+++ b/tests/fleet/relay.py
@@ -3,6 +3,7 @@
 Front `a` sends what is for `b` to a socket of the relay's that is theirs alone, and the relay sends it on to where `b` listens. All
 chance is drawn from a seed. One thread; traffic on 127.0.0.1 only.
 """
+
 import heapq
 import random
 import selectors
@@ -15,12 +16,13 @@
 @dataclass
 class Link:
     """One direction. Shares are of 1, times in milliseconds."""
+
     loss: float = 0.0
     double: float = 0.0
     least_ms: float = 0.0
-    most_ms: float = 0.0            # drawn between the two, so that datagrams overtake each other
+    most_ms: float = 0.0  # drawn between the two, so that datagrams overtake each other
     cut: bool = False
-    change: object = None           # called with each datagram; gives what goes on in its place: a list
+    change: object = None  # called with each datagram; gives what goes on in its place: a list
     passed: int = 0
     dropped: int = 0
 
@@ -29,7 +31,12 @@
     def __init__(self, names, seed):
         super().__init__(daemon=True, name="relay")
         self.chance, self.links, self.sockets, self.targets = random.Random(seed), {}, {}, {}
-        self.poll, self.late, self.numbers, self.stopped = selectors.DefaultSelector(), [], 0, threading.Event()
+        self.poll, self.late, self.numbers, self.stopped = (
+            selectors.DefaultSelector(),
+            [],
+            0,
+            threading.Event(),
+        )
         for a in names:
             for b in names:
                 if a != b:
@@ -94,7 +101,7 @@
         self.links[pair].passed += 1
         try:
             self.sockets[pair].sendto(data, self.targets[pair[1]])
-        except OSError:             # nobody listens there now
+        except OSError:  # nobody listens there now
             pass
 
     def close(self):
--- a/tests/fleet/sitecustomize.py
+++ b/tests/fleet/sitecustomize.py
@@ -1,5 +1,6 @@
 """For fronts that tests start with LICHENQUAY_TEST_FULL: while the file of that name is there, their folders' disk is full; while the
 file of that name and `.slow` is there, every fsync takes five seconds. With LICHENQUAY_TEST_CLOCK_BACK_S their Unix clock is back by so much."""
+
 import errno
 import os
 import time
--- a/tests/fleet/terminals.py
+++ b/tests/fleet/terminals.py
@@ -1,4 +1,5 @@
 """Engines of ours, and terminals that ask fronts at a rate: a thread each, blocking sockets, every answer kept."""
+
 import json
 import random
 import socket
@@ -25,10 +26,25 @@
     def __enter__(self):
         conf = self.path / "world.textproto"
         from google.protobuf import text_format
+
         conf.write_text(text_format.MessageToString(self.lab))
         self.ledger = self.path / "engines.jsonl"
-        self.process = subprocess.Popen([sys.executable, "-m", "lichenquay.lab.emulator", "--conf", str(conf), "--ledger", str(self.ledger)],
-                                        env=environment(), text=True, stdin=subprocess.PIPE, stdout=subprocess.PIPE, start_new_session=True)
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "lichenquay.lab.emulator",
+                "--conf",
+                str(conf),
+                "--ledger",
+                str(self.ledger),
+            ],
+            env=environment(),
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            start_new_session=True,
+        )
         self.told = json.loads(hear(self.process, 15.0))
         return self
 
@@ -53,8 +69,19 @@
 
     def __init__(self, port, tenant, rate, group="status", work_ms=12.0, allow_ms=1500, seed=1):
         super().__init__(daemon=True)
-        self.port, self.tenant, self.rate, self.group, self.work_ms, self.allow_ms = port, tenant, rate, group, work_ms, allow_ms
-        self.chance, self.stopped, self.lock = random.Random(f"{seed}:{tenant}:{port}"), threading.Event(), threading.Lock()
+        self.port, self.tenant, self.rate, self.group, self.work_ms, self.allow_ms = (
+            port,
+            tenant,
+            rate,
+            group,
+            work_ms,
+            allow_ms,
+        )
+        self.chance, self.stopped, self.lock = (
+            random.Random(f"{seed}:{tenant}:{port}"),
+            threading.Event(),
+            threading.Lock(),
+        )
         self.asked, self.answers, self.lost, self.socket, self.refs = {}, {}, set(), None, {}
 
     def run(self):
@@ -65,7 +92,9 @@
             if not self.stopped.is_set():
                 self.ask()
         end = time.monotonic() + self.allow_ms / 1000 + 0.5
-        while time.monotonic() < end and any(r not in self.answers and r not in self.lost for r in self.asked):
+        while time.monotonic() < end and any(
+            r not in self.answers and r not in self.lost for r in self.asked
+        ):
             time.sleep(0.02)
         if self.socket:
             self.socket.close()
@@ -76,13 +105,21 @@
             if self.socket is None:
                 return
         ref, self.stream = f"{self.chance.getrandbits(64):016x}", self.stream + 1
-        fields = {"service": self.group, "ref": ref, "allow": str(self.allow_ms), "project": self.tenant, "effort": f"{self.work_ms:.1f}",
-                  "memory": "16"}
+        fields = {
+            "service": self.group,
+            "ref": ref,
+            "allow": str(self.allow_ms),
+            "project": self.tenant,
+            "effort": f"{self.work_ms:.1f}",
+            "memory": "16",
+        }
         statement = statement_of(Task(ref, self.group, self.work_ms, 16.0, tables="3"))
         with self.lock:
             self.asked[ref], self.refs[self.stream] = time.monotonic(), ref
         try:
-            self.socket.sendall(frames.frame(frames.QUERY, self.stream, frames.write_fields(fields.items()), statement))
+            self.socket.sendall(
+                frames.frame(frames.QUERY, self.stream, frames.write_fields(fields.items()), statement)
+            )
         except OSError:
             self.broke(self.socket)
 
--- a/tests/fleet/test_fleet_cost.py
+++ b/tests/fleet/test_fleet_cost.py
@@ -1,4 +1,5 @@
 """What the fleet costs a front: processor time of a query with it on and off, side by side. Only measured when figures are asked for."""
+
 import os
 import time
 from pathlib import Path
@@ -25,12 +26,14 @@
         for on in (True, False):
             path = tmp_path / str(on)
             path.mkdir()
-            fronts.append((on, Cluster(path, 2, 1, ACCOUNTS, e.told["bulletin"], e.told["known"], e.settings, fleet=on)))
+            fronts.append(
+                (on, Cluster(path, 2, 1, ACCOUNTS, e.told["bulletin"], e.told["known"], e.settings, fleet=on))
+            )
         with fronts[0][1] as with_fleet, fronts[1][1] as without:
             time.sleep(3.0)
             spent = {True: [], False: []}
             for turn in range(4):
-                for on, c in ((True, with_fleet), (False, without))[::1 if turn % 2 else -1]:
+                for on, c in ((True, with_fleet), (False, without))[:: 1 if turn % 2 else -1]:
                     before = cpu_ms(c.running["a"])
                     t = Terminal(c.doors["a"], ("north", "south")[turn % 2], RATE, work_ms=2.0, seed=turn)
                     t.start()
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -2,6 +2,7 @@
 
 `--runs N --seed S` for more of each; the figures go to --figures.
 """
+
 import os
 import shutil
 import signal
@@ -30,8 +31,12 @@
 
 
 def verdicts(c, names=None, of=None, states=("cut", "gone")):
-    return [(n, e) for n in names or c.names for e in c.events(n, "member")
-            if e["state"] in states and e["member"] in (of or c.names)]
+    return [
+        (n, e)
+        for n in names or c.names
+        for e in c.events(n, "member")
+        if e["state"] in states and e["member"] in (of or c.names)
+    ]
 
 
 def rank(values, share):
@@ -66,14 +71,20 @@
 def test_pauses_and_loss_make_nobody_gone_and_what_was_cut_is_back(tmp_path, seeds, figures):
     """Two seconds of SIGSTOP with 20 of 100 datagrams lost, of each front in turn."""
     told = figures("members")
-    told.update({"false_gone": told.get("false_gone", 0), "false_cut": told.get("false_cut", 0), "pauses": told.get("pauses", 0)})
+    told.update(
+        {
+            "false_gone": told.get("false_gone", 0),
+            "false_cut": told.get("false_cut", 0),
+            "pauses": told.get("pauses", 0),
+        }
+    )
     for seed in seeds:
         path = tmp_path / str(seed)
         path.mkdir()
         with Cluster(path, 4, seed) as c:
             all_there(c)
             c.relay.set(loss=0.2)
-            for name in c.names[seed % 2::2]:
+            for name in c.names[seed % 2 :: 2]:
                 c.pause(name, 2.0)
                 time.sleep(1.0)
             c.relay.heal()
@@ -87,7 +98,9 @@
 
 
 @pytest.mark.parametrize("to_all", [False, True])
-def test_a_front_heard_one_way_only_ends_in_one_condition_and_does_not_flap(tmp_path, request, figures, to_all):
+def test_a_front_heard_one_way_only_ends_in_one_condition_and_does_not_flap(
+    tmp_path, request, figures, to_all
+):
     """Cut from one other: it is kept. Cut from all, in one direction: it is cut everywhere, and says so itself."""
     seconds = 20.0 if request.config.getoption("--runs") > 1 else 8.0
     with Cluster(tmp_path, 4, 3) as c:
@@ -99,7 +112,11 @@
         time.sleep(max(0.0, seconds - (time.monotonic() - cut)))
         wanted = "cut" if to_all else "alive"
         until(lambda: c.agree(states={**dict.fromkeys("abc", "alive"), "d": wanted}), 5)
-        flaps = sum(max(0, len(verdicts(c, [n], [m], ["cut"])) - (to_all and m == "d")) for n in c.names for m in c.names)
+        flaps = sum(
+            max(0, len(verdicts(c, [n], [m], ["cut"])) - (to_all and m == "d"))
+            for n in c.names
+            for m in c.names
+        )
         figures("members")["flaps"] = figures("members").get("flaps", 0) + flaps
         assert flaps == 0
         if not to_all:
@@ -112,7 +129,10 @@
     with Cluster(tmp_path, 5, 4, folders=False) as c:
         all_there(c)
         c.relay.cut("ab", "cde")
-        until(lambda: c.agree("ab", dict.fromkeys("cde", "cut")) and c.agree("cde", dict.fromkeys("ab", "cut")), 15)
+        until(
+            lambda: c.agree("ab", dict.fromkeys("cde", "cut")) and c.agree("cde", dict.fromkeys("ab", "cut")),
+            15,
+        )
         c.relay.heal()
         all_there(c)
         began = time.monotonic()
@@ -135,16 +155,33 @@
     with Cluster(tmp_path, 2, 6) as c:
         all_there(c)
         link = c.relay.links["a", "b"]
-        link.change = lambda data: [data, data[:-1], data[:9] + bytes([data[9] ^ 4]) + data[10:], b"", b"\xff" * 1500]
+        link.change = lambda data: [
+            data,
+            data[:-1],
+            data[:9] + bytes([data[9] ^ 4]) + data[10:],
+            b"",
+            b"\xff" * 1500,
+        ]
         time.sleep(1.0)
         link.change = None
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
-            for fleet, name, to, incarnation in (("moor", "a", "b", 7), ("yard", "z", "b", 7), ("yard", "a", "a", 7), ("yard", "a", "b", 0)):
-                data = Envelope(fleet, 1, name, "ab").seal(incarnation, to, MEMBERS, members_pb2.Message().SerializeToString())
+            for fleet, name, to, incarnation in (
+                ("moor", "a", "b", 7),
+                ("yard", "z", "b", 7),
+                ("yard", "a", "a", 7),
+                ("yard", "a", "b", 0),
+            ):
+                data = Envelope(fleet, 1, name, "ab").seal(
+                    incarnation, to, MEMBERS, members_pb2.Message().SerializeToString()
+                )
                 s.sendto(data, c.relay.targets["b"])
         until(lambda: "datagrams dropped: another fleet" in c.log("b") or not c.told("b"), 5)
         said = " ".join(" ".join(w) for w in c.told("b"))
-        assert "dropped: unreadable" in said and "dropped: another fleet" in said and "dropped: other settings" in said
+        assert (
+            "dropped: unreadable" in said
+            and "dropped: another fleet" in said
+            and "dropped: other settings" in said
+        )
         assert c.agree(states=dict.fromkeys("ab", "alive")) and "Traceback" not in c.log("b")
 
 
@@ -152,7 +189,10 @@
     with Cluster(tmp_path, 2, 7) as c:
         all_there(c)
         port, c.ports["b"] = c.ports["b"], c.ports["a"]
-        for word, mend in (("cannot listen on", lambda: c.ports.update(b=port)), ("in use by another process", lambda: None)):
+        for word, mend in (
+            ("cannot listen on", lambda: c.ports.update(b=port)),
+            ("in use by another process", lambda: None),
+        ):
             before = len(c.log("b"))
             running = c.running["b"]
             if word.startswith("cannot"):
@@ -203,7 +243,9 @@
         said = members_pb2.Message(gossip=members_pb2.Gossip(), rows=[row])
         path = tmp_path / "a.textproto"
         settings = read_file(path, read_settings).fleet
-        data = Envelope("yard", fingerprint(settings), "a", c.names).seal(c.members("b")["a"][0], "b", MEMBERS, said.SerializeToString())
+        data = Envelope("yard", fingerprint(settings), "a", c.names).seal(
+            c.members("b")["a"][0], "b", MEMBERS, said.SerializeToString()
+        )
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as s:
             s.sendto(data, c.relay.targets["b"])
         until(lambda: [e for e in c.events("b", "gone, and back") if e["kept"]], 10)
--- a/tests/fleet/test_fleet_mutation.py
+++ b/tests/fleet/test_fleet_mutation.py
@@ -4,6 +4,7 @@
 The short form takes a seeded sample. `--runs N` with N from 2 to 17 takes every mutation of N - 1 sixteenths of the
 messages, spread over the whole scenario: 17 is all of it.
 """
+
 import json
 import os
 import subprocess
@@ -33,8 +34,13 @@
 
 def every(world, numbers=None):
     """[(number, mutation)] of the messages; what is outside the assumptions is left out."""
-    return [(mail.no, name) for mail in world.mails if numbers is None or mail.no in numbers
-            for name, _ in mutations(mail, world.starts) if not outside(kind_of(mail.data), name)]
+    return [
+        (mail.no, name)
+        for mail in world.mails
+        if numbers is None or mail.no in numbers
+        for name, _ in mutations(mail, world.starts)
+        if not outside(kind_of(mail.data), name)
+    ]
 
 
 def mutants(picked, tmp_path):
@@ -46,7 +52,14 @@
     workers, out = [], []
     for i in range(WORKERS):
         with open(tmp_path / f"out{i}", "w") as file:
-            call = [sys.executable, os.path.join(HERE, "fleet_mutants.py"), str(SEED), str(i), str(WORKERS), str(path)]
+            call = [
+                sys.executable,
+                os.path.join(HERE, "fleet_mutants.py"),
+                str(SEED),
+                str(i),
+                str(WORKERS),
+                str(path),
+            ]
             workers.append(subprocess.Popen(call, stdout=file, stderr=subprocess.PIPE, text=True, env=env))
     for i, worker in enumerate(workers):
         _, errors = worker.communicate(timeout=WITHIN_S)
@@ -61,9 +74,20 @@
     assert audit.most_owed > 0 and audit.repaid == audit.lent > 0
     assert len(audit.generations) >= 4 and len({name for name, _ in audit.generations.values()}) >= 2
     assert audit.within > 100 and audit.beyond > 10 and audit.lapsed
-    assert sum(len(p.incarnations) for p in record.all.values()) >= 6 and any(p.left for p in record.all.values())
-    assert {"owner claim", "owner grant", "owner round", "owner ack", "owner ended", "quota ask", "quota answer",
-            "members ping", "members leave"} <= set(kinds)
+    assert sum(len(p.incarnations) for p in record.all.values()) >= 6 and any(
+        p.left for p in record.all.values()
+    )
+    assert {
+        "owner claim",
+        "owner grant",
+        "owner round",
+        "owner ack",
+        "owner ended",
+        "quota ask",
+        "quota answer",
+        "members ping",
+        "members leave",
+    } <= set(kinds)
 
 
 def test_same_every_time(record):
@@ -81,14 +105,22 @@
     ends, found = [o for o in out if o[0] == 0], [o for o in out if o[0]]
     broken, stuck = [o for o in found if o[4]], [o for o in found if o[5]]
     figures("mutation").update(
-        messages=len({no for no, _ in picked}), messages_recorded=len(record.mails), mutants=len(found),
-        run_on=sum(not o[3] for o in found), violations=len(broken), stuck=len(stuck), outside=len(OUTSIDE))
-    assert ends == [[0, "none", "none", "", None, None]] * WORKERS      # after all the forks, the scenario itself
+        messages=len({no for no, _ in picked}),
+        messages_recorded=len(record.mails),
+        mutants=len(found),
+        run_on=sum(not o[3] for o in found),
+        violations=len(broken),
+        stuck=len(stuck),
+        outside=len(OUTSIDE),
+    )
+    assert ends == [[0, "none", "none", "", None, None]] * WORKERS  # after all the forks, the scenario itself
     assert sorted((o[0], o[2]) for o in found) == sorted(picked)
     assert not broken, broken[:20]
     assert not stuck, stuck[:20]
     spared = [o for o in found if o[3] and is_field(o[2])]
-    for number, kind, name, same, *_ in Random("spared").sample(spared, min(len(spared), 3 if runs == 1 else 60)):
+    for number, kind, name, same, *_ in Random("spared").sample(
+        spared, min(len(spared), 3 if runs == 1 else 60)
+    ):
         assert said(record, number, name) == said(record, number, same), (number, kind, name, same)
 
 
@@ -157,6 +189,7 @@
         kinds.append(kind_of(mail.data))
         # Risk: an error of this call would pass for one that the mutant caused.
         dict(mutations(mail, record.starts)).get(name, as_it_was)(world, mail)
+
     end_ms = end_of(record.mails[number - 1], name, record.starts)
     broken, stuck, _ = scenario.run({number: change}, SEED, end_ms=end_ms)
     return broken, stuck, "".join(kinds)
--- a/tests/fleet/test_fleet_quota.py
+++ b/tests/fleet/test_fleet_quota.py
@@ -1,5 +1,6 @@
 """One account of each tenant for all fronts, among processes of the real program under load: keepers that die, fronts that are paused,
 killed and back, cuts, a disk that fills. Audited: nothing spent that was not granted, loans neither lost nor doubled, debts paid."""
+
 import os
 import random
 import signal
@@ -12,10 +13,18 @@
 
 ACCOUNTS = "lease_ms: 1200 term_ms: 3000 " + " ".join(
     f'accounts {{ tenant: "{t}" rate_ms: {rate} bucket_ms: {bucket} credit_ms: {credit} due_ms: 8000 repay_share: 0.5 lend_share: 0.8 }}'
-    for t, rate, bucket, credit in (("north", 600, 600, 900), ("south", 600, 1200, 900), ("west", 600, 600, 0)))
+    for t, rate, bucket, credit in (
+        ("north", 600, 600, 900),
+        ("south", 600, 1200, 900),
+        ("west", 600, 600, 0),
+    )
+)
 WORLD = "engines { count: 3 } load { tables: 4 }"
 RATES = {"north": 600.0, "south": 600.0, "west": 600.0}
-BUCKETS, LIMITS = {"north": 600.0, "south": 1200.0, "west": 600.0}, {"north": 900.0, "south": 900.0, "west": 0.0}
+BUCKETS, LIMITS = (
+    {"north": 600.0, "south": 1200.0, "west": 600.0},
+    {"north": 900.0, "south": 900.0, "west": 0.0},
+)
 
 
 class Fleet:
@@ -23,12 +32,28 @@
 
     def __init__(self, path, count=3, seed=1, more=ACCOUNTS, env=None):
         self.engines = Engines(path, WORLD)
-        self.path, self.count, self.seed, self.more, self.env, self.terminals = path, count, seed, more, env, []
+        self.path, self.count, self.seed, self.more, self.env, self.terminals = (
+            path,
+            count,
+            seed,
+            more,
+            env,
+            [],
+        )
 
     def __enter__(self):
         told = self.engines.__enter__().told
         try:
-            self.c = Cluster(self.path, self.count, self.seed, self.more, told["bulletin"], told["known"], self.engines.settings, env=self.env)
+            self.c = Cluster(
+                self.path,
+                self.count,
+                self.seed,
+                self.more,
+                told["bulletin"],
+                told["known"],
+                self.engines.settings,
+                env=self.env,
+            )
             self.c.__enter__()
             self.began = time.monotonic()
         except BaseException:
@@ -86,17 +111,28 @@
     def audit(self, lost=None):
         """Conserved; no more taken as within quota than was ever issued, credit included."""
         rows, seconds = self.ledger(), time.monotonic() - self.began
-        said = []       # risk: between two looks a lease lapsed, and nobody is in office to say
-        until(lambda: said.append(" ".join(" ".join(w) for n in self.up() for w in self.c.told(n))) or "ledger conserved: " in said[-1]
-              and "conserved: not in office" not in said[-1], 15, 0.2)
+        said = []  # risk: between two looks a lease lapsed, and nobody is in office to say
+        until(
+            lambda: (
+                said.append(" ".join(" ".join(w) for n in self.up() for w in self.c.told(n)))
+                or "ledger conserved: " in said[-1]
+                and "conserved: not in office" not in said[-1]
+            ),
+            15,
+            0.2,
+        )
         assert "ledger conserved: yes" in said[-1] and "ledger trouble: none" in said[-1]
         over = {}
         for tenant, ms in self.within().items():
             owes = rows[tenant][3]
             assert 0 <= owes <= LIMITS[tenant]
-            over[tenant] = max(0.0, ms + (lost or {}).get(tenant, 0.0) - RATES[tenant] * seconds - BUCKETS[tenant] - owes)
+            over[tenant] = max(
+                0.0, ms + (lost or {}).get(tenant, 0.0) - RATES[tenant] * seconds - BUCKETS[tenant] - owes
+            )
         for n in self.up():
-            assert "Traceback" not in self.c.log(n) and "faults:" not in " ".join(" ".join(w) for w in self.c.told(n))
+            assert "Traceback" not in self.c.log(n) and "faults:" not in " ".join(
+                " ".join(w) for w in self.c.told(n)
+            )
         return sum(over.values())
 
     def answered(self):
@@ -122,7 +158,7 @@
             most = max(most, f.ledger()["north"][3])
         assert most > 100, "nothing was borrowed"
         f.rest()
-        until(lambda: f.ledger()["north"][3] == 0, 8, 0.2)       # the debt is paid from later quota
+        until(lambda: f.ledger()["north"][3] == 0, 8, 0.2)  # the debt is paid from later quota
         assert f.audit() == 0
         f.answered()
         figures("quota")["borrowed_ms"] = figures("quota").get("borrowed_ms", 0) + most
@@ -165,10 +201,12 @@
             time.sleep(3.0)
             f.c.signal(first, signal.SIGCONT)
         else:
-            time.sleep(4.0)         # longer than its rights last
+            time.sleep(4.0)  # longer than its rights last
             before = f.lines(first, "taken")[0][3]
             time.sleep(1.0)
-            assert f.lines(first, "taken")[0][3] == before and f.keeper([first]) is None, "it spends what it cannot hold"
+            assert f.lines(first, "taken")[0][3] == before and f.keeper([first]) is None, (
+                "it spends what it cannot hold"
+            )
             f.c.relay.heal()
         time.sleep(1.5)
         f.rest()
@@ -180,7 +218,9 @@
 def test_a_full_disk_makes_no_loans_and_holds_nothing_up(tmp_path, figures):
     """Every front's folder refuses writes from some time on: queries go on, rights run out, and it heals by itself."""
     full = tmp_path / "full"
-    with Fleet(tmp_path, env={"PYTHONPATH": os.path.dirname(__file__), "LICHENQUAY_TEST_FULL": str(full)}) as f:
+    with Fleet(
+        tmp_path, env={"PYTHONPATH": os.path.dirname(__file__), "LICHENQUAY_TEST_FULL": str(full)}
+    ) as f:
         has_keeper(f)
         f.load(("north", "a", 40), ("south", "b", 20))
         time.sleep(1.5)
@@ -206,10 +246,15 @@
         with Fleet(path, 3, seed) as f:
             has_keeper(f)
             f.load(*((t, n, chance.choice((10, 30, 60))) for t in ("north", "south") for n in f.c.names))
-            f.c.relay.set(loss=chance.choice((0.0, 0.05, 0.2)), double=0.1, most_ms=chance.choice((0.0, 30.0)))
+            f.c.relay.set(
+                loss=chance.choice((0.0, 0.05, 0.2)), double=0.1, most_ms=chance.choice((0.0, 30.0))
+            )
             lost = dict.fromkeys(RATES, 0.0)
             for _ in range(4):
-                name, what = chance.choice(f.c.names), chance.choice(("kill", "pause", "cut", "one way", "restart"))
+                name, what = (
+                    chance.choice(f.c.names),
+                    chance.choice(("kill", "pause", "cut", "one way", "restart")),
+                )
                 if what == "pause":
                     f.c.pause(name, chance.choice((0.3, 1.2, 3.5)))
                 elif what in ("cut", "one way"):
--- a/tests/fleet/virtual_fleet.py
+++ b/tests/fleet/virtual_fleet.py
@@ -5,6 +5,7 @@
 changed (`mutate`). Times are milliseconds of true time; each process has a clock of its own. All chance comes from one
 seed.
 """
+
 from heapq import heappop, heappush
 from random import Random
 from types import SimpleNamespace
@@ -102,7 +103,13 @@
     """As lichenquay.folder's, of a Disk."""
 
     def __init__(self, disk):
-        self.disk, self.state, self.opened, self.trouble, self.incarnation = disk, dict(disk.state), True, None, 0
+        self.disk, self.state, self.opened, self.trouble, self.incarnation = (
+            disk,
+            dict(disk.state),
+            True,
+            None,
+            0,
+        )
 
     def append(self, changes):
         for key, value in changes.items():
@@ -120,7 +127,13 @@
     """As lichenquay.folder's: stores one after the other, each told its end in the host's turn."""
 
     def __init__(self, reactor, folder):
-        self.reactor, self.disk, self.folder, self.counts, self.trouble = reactor, folder.disk, folder, {}, None
+        self.reactor, self.disk, self.folder, self.counts, self.trouble = (
+            reactor,
+            folder.disk,
+            folder,
+            {},
+            None,
+        )
 
     def store(self, changes, done):
         world, how = self.reactor.world, self.disk.how
@@ -131,6 +144,7 @@
             if how != "full":
                 self.folder.append(changes)
             done(how in ("well", "slow"))
+
         self.reactor.at(self.disk.free_ms, written)
 
     def close(self, within_ms):
@@ -159,25 +173,45 @@
             return
         self.starts, self.deaf, self.disk.free_ms = self.starts + 1, False, self.world.now
         reactor = Reactor(self)
-        self.fleet = Host(reactor, self.settings(), f"{self.world.seed}/{self.starts}", lambda: False, self.now_ms,
-                          lambda: UNIX_MS + self.world.now - self.unix_back, Log(),
-                          lambda *a, **k: MemoryFolder(self.disk),
-                          lambda folder, *a, **k: MemoryWriter(reactor, folder))
+        self.fleet = Host(
+            reactor,
+            self.settings(),
+            f"{self.world.seed}/{self.starts}",
+            lambda: False,
+            self.now_ms,
+            lambda: UNIX_MS + self.world.now - self.unix_back,
+            Log(),
+            lambda *a, **k: MemoryFolder(self.disk),
+            lambda folder, *a, **k: MemoryWriter(reactor, folder),
+        )
         assert self.fleet.open() is None
         self.fleet.begin()
-        self.unix_back = 3_600_000.0                    # its wall clock is set back before the next start
+        self.unix_back = 3_600_000.0  # its wall clock is set back before the next start
         self.world.started(self)
 
     def settings(self):
         ports = {name: port for port, name in self.world.ports.items()}
-        s = conf.Fleet(fleet="virtual", name=self.name, listen=f"127.0.0.1:{ports[self.name]}", folder=self.name,
-                       lease_ms=LEASE_MS, term_ms=TERM_MS)
+        s = conf.Fleet(
+            fleet="virtual",
+            name=self.name,
+            listen=f"127.0.0.1:{ports[self.name]}",
+            folder=self.name,
+            lease_ms=LEASE_MS,
+            term_ms=TERM_MS,
+        )
         for name, port in ports.items():
             if name != self.name:
                 s.peers.add(name=name, address=f"127.0.0.1:{port}")
         for tenant, rate, bucket, credit, due, repay, lend in ACCOUNTS:
-            s.accounts.add(tenant=tenant, rate_ms=rate, bucket_ms=bucket, credit_ms=credit, due_ms=due,
-                           repay_share=repay, lend_share=lend)
+            s.accounts.add(
+                tenant=tenant,
+                rate_ms=rate,
+                bucket_ms=bucket,
+                credit_ms=credit,
+                due_ms=due,
+                repay_share=repay,
+                lend_share=lend,
+            )
         return s
 
     def run(self, life, what):
@@ -210,11 +244,17 @@
     datagram's delivery."""
 
     def __init__(self, audit, seed=1, names="abc", mutate=None):
-        self.seed, self.rng, self.now, self.audit, self.mutate = seed, Random(f"fleet/{seed}"), 0.0, audit, mutate or {}
+        self.seed, self.rng, self.now, self.audit, self.mutate = (
+            seed,
+            Random(f"fleet/{seed}"),
+            0.0,
+            audit,
+            mutate or {},
+        )
         self.heap, self.count, self.sent, self.steps, self.mails = [], 0, 0, 0, None
-        self.said = 0                                   # a digest of all that was sent
+        self.said = 0  # a digest of all that was sent
         self.cut, self.waiting, self.held, self.starts = set(), {}, [], {n: [] for n in names}
-        self.end_ms, self.child, self.resting = 0.0, None, False     # a fork sets the first two to its own
+        self.end_ms, self.child, self.resting = 0.0, None, False  # a fork sets the first two to its own
         self.ports = {7001 + i: name for i, name in enumerate(names)}
         self.all = {n: Process(self, n, RATES[i % 3], 1e5 * (i + 1)) for i, n in enumerate(names)}
         audit.world = self
@@ -249,8 +289,9 @@
     def send(self, process, to, data):
         self.sent += 1
         self.said = hash((self.said, self.now, to, data))
-        mail = SimpleNamespace(no=self.sent, sender=process.name, to=to, data=data, at=self.now,
-                               delay=self.rng.uniform(1, 6))
+        mail = SimpleNamespace(
+            no=self.sent, sender=process.name, to=to, data=data, at=self.now, delay=self.rng.uniform(1, 6)
+        )
         if self.mails is not None:
             self.mails.append(mail)
         change = self.mutate.get(self.sent)
@@ -272,6 +313,7 @@
             if not once:
                 once.append(1)
                 what()
+
         self.waiting.setdefault(event, []).append(do)
         self.held.append(do)
 
--- a/tests/folder_measure.py
+++ b/tests/folder_measure.py
@@ -1,4 +1,5 @@
 """Times of a folder on this machine's disk, not a test: python tests/folder_measure.py FOLDER."""
+
 import queue
 import sys
 import tempfile
@@ -52,7 +53,9 @@
 def written(path, at_once, number=4000):
     """`at_once` stores are open at any time: the next goes out as one is told."""
     calls, times_ms, in_store_ms = queue.SimpleQueue(), [], []
-    writer = Writer(Folder(path / f"by{at_once}", "fleet", "front", MOST), lambda f, *a: calls.put((f, a)), now_ms)
+    writer = Writer(
+        Folder(path / f"by{at_once}", "fleet", "front", MOST), lambda f, *a: calls.put((f, a)), now_ms
+    )
     left = number
 
     def go():
@@ -60,7 +63,9 @@
         if left:
             left -= 1
             began_ms = now_ms()
-            writer.store({f"k{left % 100}": bytes(200)}, lambda ok: (times_ms.append(now_ms() - began_ms), go()))
+            writer.store(
+                {f"k{left % 100}": bytes(200)}, lambda ok: (times_ms.append(now_ms() - began_ms), go())
+            )
             in_store_ms.append(now_ms() - began_ms)
 
     began_ms = now_ms()
@@ -71,7 +76,9 @@
         f(*args)
     took_ms = now_ms() - began_ms
     batches = writer.counts["batches"]
-    print(f"writer, {at_once} open: {number / took_ms * 1000:.0f} stores/s, {number / max(batches, 1):.1f} a fsync")
+    print(
+        f"writer, {at_once} open: {number / took_ms * 1000:.0f} stores/s, {number / max(batches, 1):.1f} a fsync"
+    )
     said("  until told", times_ms)
     said("  the host's thread in store()", in_store_ms)
     writer.close(5000)
--- a/tests/folder_real.py
+++ b/tests/folder_real.py
@@ -1,4 +1,5 @@
 """What the tests of a folder on a real disk have in common."""
+
 import os
 
 from lichenquay.folder.folder import Folder
--- a/tests/folder_sim.py
+++ b/tests/folder_sim.py
@@ -1,4 +1,5 @@
 """A disk in memory that fails, tears and loses power as told, behind the calls of lichenquay.folder.disk."""
+
 import errno
 import os as real
 from os.path import basename, dirname
@@ -25,7 +26,7 @@
         end = 0
         for write in self.writes:
             data = taken(write)
-            out[write[0]:write[0] + len(data)] = data
+            out[write[0] : write[0] + len(data)] = data
             if data:
                 end = max(end, write[0] + len(data))
         return bytes(out[:end])
@@ -105,7 +106,7 @@
         return write[1]
     if mode == "none":
         return b""
-    return write[1][:rng.choice((0, rng.randrange(len(write[1]) + 1), len(write[1])))]
+    return write[1][: rng.choice((0, rng.randrange(len(write[1]) + 1), len(write[1])))]
 
 
 class SimOs:
@@ -145,13 +146,13 @@
     def read(self, fd, size):
         self._step("read", fd)
         node, at = self.fds[fd]
-        data = self.disk.nodes[node].content()[at:at + size]
+        data = self.disk.nodes[node].content()[at : at + size]
         self.fds[fd][1] += len(data)
         return data
 
     def write(self, fd, data):
         self._step("write", fd)
-        data = bytes(data[:self.most])
+        data = bytes(data[: self.most])
         node, at = self.fds[fd]
         self.disk.nodes[node].writes.append([at, data, "dirty"])
         self.fds[fd][1] += len(data)
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -1,4 +1,5 @@
 """The real front in this process between stand-ins and clients on loopback. They check the rules after every step."""
+
 import json
 import time
 from types import SimpleNamespace
@@ -11,21 +12,57 @@
 from loopback import PAGES, StandInBulletin, StandInEngine, until, wait
 
 SETTINGS = {
-    "seed": 1, "resolution_us": 5000, "replicas_of_me": 1, "my_zone": "a", "kinds": ["k"], "over_share_worth": 0.1,
+    "seed": 1,
+    "resolution_us": 5000,
+    "replicas_of_me": 1,
+    "my_zone": "a",
+    "kinds": ["k"],
+    "over_share_worth": 0.1,
     "classes": [
-        {"name": "status", "effect": "safe", "aim_us": 500000, "deadline_us": 2500000, "aim_stretch": 1.5, "worth": 1},
-        {"name": "report", "effect": "safe", "aim_us": 1000000, "deadline_us": 4000000, "aim_stretch": 2.5, "worth": 20},
-        {"name": "manifest", "effect": "unsafe", "aim_us": 1000000, "deadline_us": 4000000, "worth": 30}],
+        {
+            "name": "status",
+            "effect": "safe",
+            "aim_us": 500000,
+            "deadline_us": 2500000,
+            "aim_stretch": 1.5,
+            "worth": 1,
+        },
+        {
+            "name": "report",
+            "effect": "safe",
+            "aim_us": 1000000,
+            "deadline_us": 4000000,
+            "aim_stretch": 2.5,
+            "worth": 20,
+        },
+        {"name": "manifest", "effect": "unsafe", "aim_us": 1000000, "deadline_us": 4000000, "worth": 30},
+    ],
     "tenants": [{"name": "acme", "share": 1.0, "allowance_per_s": 50.0}],
     "limits": {"most_tries": 6, "cancel": True, "keepalive_us": 15000000, "connect_timeout_us": 250000},
-    "rules": {"answer_slack_us": 20000, "stop_sending_within_us": 250000, "start_capacity": 0.3, "ramp_time_us": 8000000,
-              "overload_factor": 3.0, "fall_us": 1500000},
+    "rules": {
+        "answer_slack_us": 20000,
+        "stop_sending_within_us": 250000,
+        "start_capacity": 0.3,
+        "ramp_time_us": 8000000,
+        "overload_factor": 3.0,
+        "fall_us": 1500000,
+    },
     "report": {"how": "answers", "columns": ["active"]},
-    "family_info": {"width_by_class": [1, 3, 2], "loads": [False, False, True], "size_cores": [8],
-                    "memory_by_kind_mb": [16384.0], "most_grant": 0.4, "progress_pace_us": 500000, "says_cost": True,
-                    "takes_grants": True, "ranks_heeded": True, "out_of_memory": "queue"}}
+    "family_info": {
+        "width_by_class": [1, 3, 2],
+        "loads": [False, False, True],
+        "size_cores": [8],
+        "memory_by_kind_mb": [16384.0],
+        "most_grant": 0.4,
+        "progress_pace_us": 500000,
+        "says_cost": True,
+        "takes_grants": True,
+        "ranks_heeded": True,
+        "out_of_memory": "queue",
+    },
+}
 STATEMENT = b"select id, n, 'from x_9.t' from sales_17.orders -- y_3.z"
-BROKEN = []         # rules that were seen broken: what fails inside the reactor fails no test by itself
+BROKEN = []  # rules that were seen broken: what fails inside the reactor fails no test by itself
 RESULT = b"".join(PAGES)
 
 
@@ -33,7 +70,13 @@
     """One client's connection: what it was answered, by stream; a second answer fails at once."""
 
     def __init__(self):
-        self.reader, self.answers, self.told, self.closed, self.streams = frames.FrameReader(), {}, [], False, 0
+        self.reader, self.answers, self.told, self.closed, self.streams = (
+            frames.FrameReader(),
+            {},
+            [],
+            False,
+            0,
+        )
 
     def dataReceived(self, data):
         for kind, stream, payload in self.reader.feed(data):
@@ -50,9 +93,16 @@
 
     def ask(self, group="status", ref=None, allow=2000, statement=STATEMENT, **fields):
         self.streams += 1
-        ref = ref or f"{id(self) % 2 ** 32:08x}{self.streams:08x}"
-        fields = {"service": group, "ref": ref, "allow": str(allow), "project": "acme", "effort": "20.0",
-                  "memory": "96", **fields}
+        ref = ref or f"{id(self) % 2**32:08x}{self.streams:08x}"
+        fields = {
+            "service": group,
+            "ref": ref,
+            "allow": str(allow),
+            "project": "acme",
+            "effort": "20.0",
+            "memory": "96",
+            **fields,
+        }
         pairs = [(n, v) for n, v in fields.items() if v is not None and n != "twice"]
         pairs += [("ref", ref)] if "twice" in fields else []
         self.transport.write(frames.frame(frames.QUERY, self.streams, frames.write_fields(pairs), statement))
@@ -62,26 +112,38 @@
 def reactor_for(world):
     """The reactor as a service sees it: one that ends with its world, not with the tests."""
     until(lambda: True)
-    return SimpleNamespace(callLater=reactor.callLater, connectTCP=reactor.connectTCP, listenTCP=reactor.listenTCP,
-                           adoptStreamConnection=reactor.adoptStreamConnection, seconds=reactor.seconds, callFromThread=reactor.callFromThread, stop=world.end,
-                           callWhenRunning=lambda call: call())
+    return SimpleNamespace(
+        callLater=reactor.callLater,
+        connectTCP=reactor.connectTCP,
+        listenTCP=reactor.listenTCP,
+        adoptStreamConnection=reactor.adoptStreamConnection,
+        seconds=reactor.seconds,
+        callFromThread=reactor.callFromThread,
+        stop=world.end,
+        callWhenRunning=lambda call: call(),
+    )
 
 
 class World:
     """Engines, a bulletin and the front between them and the clients, all in this process."""
 
     def __init__(self, tmp_path, engines=2, sockets=200, start=True):
-        self.out, self.may = set(), {}      # submissions out, by ref; those that may have run
-        self.drained = {}                   # engines, since when it is told that they drain
+        self.out, self.may = set(), {}  # submissions out, by ref; those that may have run
+        self.drained = {}  # engines, since when it is told that they drain
         BROKEN.clear()
         self.engines = [StandInEngine(self, f"s-{i}") for i in range(engines)]
         self.bulletin = StandInBulletin()
         self.bulletin.add(*(e.row() for e in self.engines), whole=True)
         self.path = tmp_path / "config.json"
-        self.config = {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-                       "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-                       "bulletin": self.bulletin.address, "known": json.loads(self.bulletin.told(0)),
-                       "settings": SETTINGS}
+        self.config = {
+            "name": "n1",
+            "listen": "127.0.0.1:0",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "bulletin": self.bulletin.address,
+            "known": json.loads(self.bulletin.told(0)),
+            "settings": SETTINGS,
+        }
         self.path.write_text(json.dumps(self.config))
         self.clients, self.ended = [], False
         if start:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,4 +1,5 @@
 """What the real front plays against on loopback: engines and a bulletin, and the reactor's turns in a test."""
+
 import json
 import time
 
@@ -6,12 +7,16 @@
 from twisted.internet.protocol import Factory, Protocol
 
 SPOILT = {
-    "garbled": b"no answer at all\r\n\r\n", "short": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 7\r\n\r\n1\ta\tb\n2\tc",
-    "endless head": b"HTTP/1.1 200 OK\r\n" + b"X-Odd: 1\r\n" * 3000, "no length": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\n\r\n1\ta\tb\n",
+    "garbled": b"no answer at all\r\n\r\n",
+    "short": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 7\r\n\r\n1\ta\tb\n2\tc",
+    "endless head": b"HTTP/1.1 200 OK\r\n" + b"X-Odd: 1\r\n" * 3000,
+    "no length": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\n\r\n1\ta\tb\n",
     "huge": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 50_000,
     "another page": b"HTTP/1.1 200 OK\r\nX-Part-No: 1\r\nContent-Length: 6\r\n\r\n1\ta\tb\n",
-    "another call": b"HTTP/1.1 204 X\r\n\r\n", "two lengths": b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n",
-    "waits": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 7\r\n\r\n1\ta"}
+    "another call": b"HTTP/1.1 204 X\r\n\r\n",
+    "two lengths": b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n",
+    "waits": b"HTTP/1.1 200 OK\r\nX-Parts: 1\r\nContent-Length: 7\r\n\r\n1\ta",
+}
 PAGES = [b"1\ta\tb\n2\tc\td\n", b"3\te\tf\n", b"4\t\xc3\xa9\t\n"]
 
 
@@ -67,6 +72,7 @@
 
 class StandIn(Factory):
     """Something that listens and speaks HTTP."""
+
     noisy = False
 
     def __init__(self):
@@ -85,7 +91,7 @@
         super().__init__()
         self.world, self.uid, self.ways, self.runs = world, uid, [], {}
         self.posts, self.deletes, self.ranks, self.news, self.mute = [], [], [], 0, False
-        self.still, self.held = False, []       # it stands still, and what has come meanwhile
+        self.still, self.held = False, []  # it stands still, and what has come meanwhile
 
     def heard(self, line, verb, path, headers, body):
         if self.mute:
@@ -96,15 +102,17 @@
             way = self.ways.pop(0) if self.ways else "ok"
             self.posts.append((headers, body))
             self.world.sent(self, headers, way)
-            if way.startswith("unread"):    # it has come whole, and is read only later; "cut": its connection ends at once
+            if way.startswith(
+                "unread"
+            ):  # it has come whole, and is read only later; "cut": its connection ends at once
                 reactor.callLater(0.02 if "cut" in way else 0.4, self.read, line, headers["X-Hop-Id"])
                 return line.transport.abortConnection() if "cut" in way else None
             self.runs[headers["X-Hop-Id"]] = way
             return line.answer(202) if way == "drop" else self.start(line, headers["X-Hop-Id"], way)
-        ref, _, page = path[len("/o/"):].partition("/")
+        ref, _, page = path[len("/o/") :].partition("/")
         if verb == "DELETE":
             self.deletes.append(ref)
-            if self.runs.pop(ref, None):        # what it has not read yet it cannot give up
+            if self.runs.pop(ref, None):  # what it has not read yet it cannot give up
                 self.world.out.discard(ref)
             return line.answer(204)
         if verb == "PUT":
@@ -132,15 +140,15 @@
             self.heard(*call)
 
     def start(self, line, ref, way):
-        if way == "slow":       # it runs for 0.1 s; what waits for its news is answered then
+        if way == "slow":  # it runs for 0.1 s; what waits for its news is answered then
             self.runs[ref] = "slower"
             reactor.callLater(0.1, lambda: self.runs.get(ref) == "slower" and self.runs.update({ref: "ok"}))
         if way in ("slow", "slower"):
             return reactor.callLater(0.03, lambda: line.answer(202))
-        if way == "later":          # not yet, for 0.05 s; then its news is its end
+        if way == "later":  # not yet, for 0.05 s; then its news is its end
             self.runs[ref] = "ok"
             return reactor.callLater(0.05, lambda: line.answer(202))
-        if way == "copied late":    # its own rows; a copy of the answer follows after a connection's rest
+        if way == "copied late":  # its own rows; a copy of the answer follows after a connection's rest
             self.world.out.discard(ref)
             self.runs[ref] = "ok"
             said = [("X-Parts", 1), ("X-Cpu-Ms", "3.5"), ("X-Mem-Used", "8")], ref.encode() + b"\tx\ty\n"
@@ -152,25 +160,35 @@
         if way in ("error", "odd"):
             self.world.out.discard(ref)
             return line.answer(500 if way == "error" else 418)
-        if way == "reset":          # it was not read, for all that anyone can tell
+        if way == "reset":  # it was not read, for all that anyone can tell
             self.world.out.discard(ref)
             self.runs.pop(ref)
             return line.transport.abortConnection()
-        if way in SPOILT:           # once: a good answer, spoilt on its way
+        if way in SPOILT:  # once: a good answer, spoilt on its way
             self.runs[ref] = "ok"
             return line.transport.write(SPOILT[way])
         if way == "noise":
             return line.transport.write(b"no answer at all\r\n\r\n")
         if way == "hold":
-            return reactor.callLater(0.05, lambda: line.answer(202, [("X-Tell", "share"), ("X-Amount", "0.5")]))
-        if way in ("drop", "drop post", "silent"):      # once: the answer breaks off, or never comes
+            return reactor.callLater(
+                0.05, lambda: line.answer(202, [("X-Tell", "share"), ("X-Amount", "0.5")])
+            )
+        if way in ("drop", "drop post", "silent"):  # once: the answer breaks off, or never comes
             self.runs[ref] = "ok"
             return None if way == "silent" else line.transport.abortConnection()
         self.world.out.discard(ref)
-        if way == "more":           # a good answer, with more than belongs to it
+        if way == "more":  # a good answer, with more than belongs to it
             line.transport.write(b"HTTP/1.1 102 Processing\r\n\r\n")
-        line.answer(200, [("X-Parts", len(PAGES)), ("X-Cpu-Ms", "12.5"), ("X-Mem-Used", "64"),
-                          ("X-Report", "inflight:7;odd")], PAGES[0])
+        line.answer(
+            200,
+            [
+                ("X-Parts", len(PAGES)),
+                ("X-Cpu-Ms", "12.5"),
+                ("X-Mem-Used", "64"),
+                ("X-Report", "inflight:7;odd"),
+            ],
+            PAGES[0],
+        )
         if way == "more":
             line.answer(200, [("X-Parts", 1)], b"9\tx\ty\n")
 
@@ -181,13 +199,25 @@
         if way == "drop page":
             self.runs[ref] = "ok"
             return line.transport.abortConnection()
-        if way == "copies" and line.transport.connected:    # a copy of this answer follows a moment later
+        if way == "copies" and line.transport.connected:  # a copy of this answer follows a moment later
             reactor.callLater(0.005, lambda: line.answer(200, [("X-Parts", 1)], b"9\tx\ty\n"))
-        line.answer(200, [("X-Part-No", n if way != "wrong page" else n + 1)], PAGES[n] * (9000 if way == "long" else 1))
+        line.answer(
+            200,
+            [("X-Part-No", n if way != "wrong page" else n + 1)],
+            PAGES[n] * (9000 if way == "long" else 1),
+        )
 
     def row(self, state="SERVING"):
-        return {"uid": self.uid, "endpoint": self.address, "az": "a", "model": "k", "pod_group": 0, "state": state,
-                "capacity_hint": 1, "boot_ms": 0}
+        return {
+            "uid": self.uid,
+            "endpoint": self.address,
+            "az": "a",
+            "model": "k",
+            "pod_group": 0,
+            "state": state,
+            "capacity_hint": 1,
+            "boot_ms": 0,
+        }
 
     def stop(self):
         for line in list(self.lines):
--- a/tests/moves_broken.py
+++ b/tests/moves_broken.py
@@ -1,4 +1,5 @@
 """Rules broken on purpose: each must be found by the audit of `moves_world`."""
+
 from lichenquay.moves import moves_pb2 as pb
 from lichenquay.moves.book import GONE, HELD, Book
 from lichenquay.moves.desk import Answer, Desk
@@ -21,7 +22,9 @@
 
     def _of(self, tenant, id):
         s = self.ahead.sittings.get(id)
-        return (s, None) if s is not None and s.tenant == tenant and s.state == HELD else super()._of(tenant, id)
+        return (
+            (s, None) if s is not None and s.tenant == tenant and s.state == HELD else super()._of(tenant, id)
+        )
 
     def _take(self, now_ms, id, ref, mutating, engine, left_ms, done):
         if mutating or id in self.made.sittings and self.made.sittings[id].state == HELD:
@@ -50,7 +53,9 @@
             if s is not None and s.state == GONE and not s.told:
                 wire = s.wire()
                 wire.generation, wire.state, wire.to, wire.no = s.generation + 1, HELD, "", 0
-                self.desk.send(s.to, handed=pb.Handed(no=s.no, floor=self.desk.ahead.floor(s.to), sitting=wire))
+                self.desk.send(
+                    s.to, handed=pb.Handed(no=s.no, floor=self.desk.ahead.floor(s.to), sitting=wire)
+                )
 
 
 class TakesOlder(Desk):
@@ -138,5 +143,17 @@
             done(now_ms, Answer("go", id, engine=engine, mutating=mutating))
 
 
-BROKEN = (NoFence, ActsBeforeRecord, KeptBeforeRecord, CommitBeforeRecord, TakesOlder, TookLater, ComesBack, RunsAgain,
-          ForgetsRefs, TellsOnce, ThawsNever, ActsWhileFrozen)
+BROKEN = (
+    NoFence,
+    ActsBeforeRecord,
+    KeptBeforeRecord,
+    CommitBeforeRecord,
+    TakesOlder,
+    TookLater,
+    ComesBack,
+    RunsAgain,
+    ForgetsRefs,
+    TellsOnce,
+    ThawsNever,
+    ActsWhileFrozen,
+)
--- a/tests/moves_client.py
+++ b/tests/moves_client.py
@@ -1,4 +1,5 @@
 """A terminal of `moves_world`: it knows its sitting's id, where it was last told to ask, and its query."""
+
 from moves_world import must
 
 
@@ -7,8 +8,22 @@
 
     def __init__(self, world, name, home, pause=120):
         self.world, self.name, self.home, self.pause = world, name, home, pause
-        self.tenant, self.id, self.ref, self.count, self.quiet, self.last = name[0], None, None, 0, False, None
-        self.order, self.taken, self.mutating, self.failed, self.ended, self.attached = 0, False, False, 0, 0, 0
+        self.tenant, self.id, self.ref, self.count, self.quiet, self.last = (
+            name[0],
+            None,
+            None,
+            0,
+            False,
+            None,
+        )
+        self.order, self.taken, self.mutating, self.failed, self.ended, self.attached = (
+            0,
+            False,
+            False,
+            0,
+            0,
+            0,
+        )
         world.clients.append(self)
         world.at(world.random.uniform(1, pause), self.act)
 
@@ -38,6 +53,7 @@
 
         def done(at_ms, answer):
             self.answered(at_ms, process, desk, home, ref, answer)
+
         # Again by the same ref, as one who got no answer: attached to where it was taken.
         desk.take(now_ms, self.tenant, self.id, ref, self.mutating, engine, 5000, done)
 
@@ -64,8 +80,17 @@
             self.attached += 1
             must(answer.mutating == self.mutating, "another query's run")
             if ref not in w.runs:
-                desk.again(now_ms, self.tenant, self.id, ref, "e1", 5000,
-                           lambda at, a: self.answered(at, process, desk, home, ref, a) if a.word != "attach" else None)
+                desk.again(
+                    now_ms,
+                    self.tenant,
+                    self.id,
+                    ref,
+                    "e1",
+                    5000,
+                    lambda at, a: (
+                        self.answered(at, process, desk, home, ref, a) if a.word != "attach" else None
+                    ),
+                )
             elif w.now >= w.runs[ref]:
                 desk.ended(now_ms, self.tenant, self.id, ref, "done")
         else:
--- a/tests/moves_explore.py
+++ b/tests/moves_explore.py
@@ -1,6 +1,7 @@
 """Every interleaving of a small world, on the real desks: three homes, one sitting whose home leaves, and in any order
 deliveries, records made, time, crashes and false takeovers, losses, doubles, and a client that asks the same mutating
 query anywhere. States are compared, so that none is gone on from twice; the search is whole where `whole` is True."""
+
 import copyreg
 import pickle
 from functools import partial
@@ -14,9 +15,16 @@
 from moves_world import Violation, must
 
 NAMES = "abc"
-MUTATING = {"q": True, "r": True, "s": False}    # queries that clients ask; q was taken before the home leaves
-SETTINGS = Settings(settle_ms=0.0, answer_ms=100.0, most_wait_ms=100.0, offers=2, freeze_ms=450.0, back_off_ms=100.0,
-                    period_ms=100.0)
+MUTATING = {"q": True, "r": True, "s": False}  # queries that clients ask; q was taken before the home leaves
+SETTINGS = Settings(
+    settle_ms=0.0,
+    answer_ms=100.0,
+    most_wait_ms=100.0,
+    offers=2,
+    freeze_ms=450.0,
+    back_off_ms=100.0,
+    period_ms=100.0,
+)
 
 
 def change_of(raw):
@@ -33,7 +41,7 @@
 class Group:
     def __init__(self, home):
         self.home, self.generation, self.holder, self.out = home, 1, (home, 1), None
-        self.late = []              # ends in doubt that their writer has not been told
+        self.late = []  # ends in doubt that their writer has not been told
         self.audit, self.log = Book(home), []
 
 
@@ -67,7 +75,7 @@
         self.budget = {"crash": 2, "depose": 2, "lose": 1, "double": 1, "ask": 2, "tick": 5} | budget
         self.make, self.now, self.net, self.goes, self.lives = make, 0.0, [], [], dict.fromkeys(NAMES, 1)
         self.groups = {n: Group(n) for n in NAMES}
-        self.desks = {}             # (process, home)
+        self.desks = {}  # (process, home)
         for n in NAMES:
             self.seat(n, n)
         desk = self.desks["a", "a"]
@@ -165,7 +173,7 @@
         for g in self.groups.values():
             if g.holder and g.holder[0] == name:
                 self.vacate(g, kept)
-        self.seat(name, name)       # started anew at once; it holds nothing
+        self.seat(name, name)  # started anew at once; it holds nothing
 
     def depose(self, home, kept):
         """The holder is alive, but slow: it loses the group and does not know it yet."""
@@ -182,7 +190,7 @@
         """Whoever comes after the last holder, in a ring."""
         g = self.groups[home]
         late, g.late = g.late, []
-        for done in late:           # if its process has ended, to nobody
+        for done in late:  # if its process has ended, to nobody
             done(self.now, None)
         g.generation += 1
         process = NAMES[(NAMES.index(home) + g.generation - 1) % 3]
@@ -193,13 +201,17 @@
         desk.tick(self.now)
 
     def ask(self, process, home, ref):
-        self.desks[process, home].take(self.now, "t", self.id, ref, MUTATING[ref], "e", 1000,
-                                       partial(self.answered, process, home, ref))
+        self.desks[process, home].take(
+            self.now, "t", self.id, ref, MUTATING[ref], "e", 1000, partial(self.answered, process, home, ref)
+        )
 
     def answered(self, process, home, ref, now_ms, answer):
         if answer.word == "go":
             g = self.groups[home]
-            must(g.holder == (process, self.lives[process]), f"{process} acts for {home}, which it does not hold")
+            must(
+                g.holder == (process, self.lives[process]),
+                f"{process} acts for {home}, which it does not hold",
+            )
             s = g.audit.sittings.get(self.id)
             must(s is not None and s.acted_for, f"{home} acts for what is not its own")
             if not MUTATING[ref]:
@@ -208,8 +220,9 @@
             must(ref not in self.goes, "a mutating query goes twice")
             self.goes.append(ref)
         elif answer.word == "attach":
-            self.desks[process, home].again(now_ms, "t", self.id, ref, "e", 1000,
-                                            partial(self.answered_again, process, home, ref))
+            self.desks[process, home].again(
+                now_ms, "t", self.id, ref, "e", 1000, partial(self.answered_again, process, home, ref)
+            )
 
     def answered_again(self, process, home, ref, now_ms, answer):
         if answer.word == "go":
@@ -224,10 +237,15 @@
     # What must hold.
 
     def check(self):
-        known = [s for g in self.groups.values() for s in [g.audit.sittings.get(getattr(self, "id", ""))] if s]
+        known = [
+            s for g in self.groups.values() for s in [g.audit.sittings.get(getattr(self, "id", ""))] if s
+        ]
         acting = [s.generation for s in known if s.acted_for]
         must(len(acting) <= 1, "two owners")
-        must(not known or not acting or acting[0] == max(s.generation for s in known), "an older generation acts")
+        must(
+            not known or not acting or acting[0] == max(s.generation for s in known),
+            "an older generation acts",
+        )
         must(not known or acting or any(s.state == GONE and not s.told for s in known), "lost: nobody has it")
         for (process, home), desk in self.desks.items():
             g = self.groups[home]
@@ -250,25 +268,44 @@
                 self.act(ready[0])
             self.act(("tick",))
             known = [s for g in self.groups.values() for s in [g.audit.sittings.get(self.id)] if s]
-            if [s.state for s in known if s.acted_for] == [HELD] and all(s.told for s in known if s.state == GONE):
+            if [s.state for s in known if s.acted_for] == [HELD] and all(
+                s.told for s in known if s.state == GONE
+            ):
                 return
         raise Violation("no owner")
 
     def print(self):
         """Two states with one print go on alike. A desk's books follow from the log, and what is out and pending."""
-        desks = tuple((key, d.generation, d.doubted, d.made and d.made.no, d.out and d.out[2],
-                       [c.SerializeToString() for c, _ in d.pending], d.mover.word,
-                       [(i, vars(t)) for i, t in d.mover.tries.items()], d.mover.telling, d.mover.reserved,
-                       d.mover.later, d.mover.due_ms) for key, d in sorted(self.desks.items()))
-        groups = tuple((g.generation, g.holder, g.out and g.out[0], len(g.late), g.log) for g in self.groups.values())
-        return hash(repr((desks, groups, sorted(self.net), sorted(self.goes), self.now, self.budget, self.lives)))
+        desks = tuple(
+            (
+                key,
+                d.generation,
+                d.doubted,
+                d.made and d.made.no,
+                d.out and d.out[2],
+                [c.SerializeToString() for c, _ in d.pending],
+                d.mover.word,
+                [(i, vars(t)) for i, t in d.mover.tries.items()],
+                d.mover.telling,
+                d.mover.reserved,
+                d.mover.later,
+                d.mover.due_ms,
+            )
+            for key, d in sorted(self.desks.items())
+        )
+        groups = tuple(
+            (g.generation, g.holder, g.out and g.out[0], len(g.late), g.log) for g in self.groups.values()
+        )
+        return hash(
+            repr((desks, groups, sorted(self.net), sorted(self.goes), self.now, self.budget, self.lives))
+        )
 
 
 def found(e, path):
     return f"{type(e).__name__}: {e}", path
 
 
-def explore(make=Desk, most=10 ** 9, rest_every=20, **budget):
+def explore(make=Desk, most=10**9, rest_every=20, **budget):
     """All that can be reached: {'states', 'whole', 'rests', 'found': (what, actions) or None}."""
     first = Small(make, **budget)
     stack, seen, rests = [(pickle.dumps(first), ())], {first.print()}, 0
@@ -288,7 +325,12 @@
                     rests += 1
                     world.rests()
             except Exception as e:
-                return {"states": len(seen), "whole": False, "rests": rests, "found": found(e, (*path, action))}
+                return {
+                    "states": len(seen),
+                    "whole": False,
+                    "rests": rests,
+                    "found": found(e, (*path, action)),
+                }
     return {"states": len(seen), "whole": not stack, "rests": rests, "found": None}
 
 
--- a/tests/moves_mutation.py
+++ b/tests/moves_mutation.py
@@ -1,5 +1,6 @@
 """Mutation of one message at a time: a scenario is recorded, then run again with one message lost, doubled, late,
 swapped with the next, sent elsewhere or changed; every audit of `moves_world` holds, and it comes to rest."""
+
 from google.protobuf.message import DecodeError
 
 from lichenquay.moves import moves_pb2 as pb
@@ -8,7 +9,7 @@
 from moves_world import World
 
 KINDS = ("lost", "doubled", "late", "late past a life", "swapped")
-EDGES = (0, 1, 2 ** 31 - 1, 2 ** 32 - 1, 2 ** 63 - 1, 2 ** 64 - 1)
+EDGES = (0, 1, 2**31 - 1, 2**32 - 1, 2**63 - 1, 2**64 - 1)
 
 
 def scenario(mutate=None, make=Desk):
@@ -79,6 +80,7 @@
         if isinstance(kind, tuple):
             return [(to, kind[1], delay)]
         return [(kind[3:], raw, delay)] if kind.startswith("to ") else copies
+
     mutate.hit = None
     return mutate
 
@@ -114,7 +116,7 @@
             try:
                 setattr(at, path[-1], other)
             except (ValueError, TypeError):
-                continue            # no such value in this field's type
+                continue  # no such value in this field's type
             yield ".".join(map(str, path)), message.SerializeToString()
     for cut in range(0, len(raw), 7):
         yield "cut", raw[:cut]
@@ -130,7 +132,7 @@
     try:
         message = pb.Message.FromString(changed_raw)
     except DecodeError:
-        return True                 # the host drops it
+        return True  # the host drops it
     if message == pb.Message.FromString(raw):
         return True
     before = desk.senseless
--- a/tests/moves_world.py
+++ b/tests/moves_world.py
@@ -1,6 +1,7 @@
 """Virtual time for `lichenquay.moves`: homes, the groups that keep their books (in memory, as `owner` promises it),
 processes that stop, pause and start, a network with every fault, engines and clients; and an audit after every step
 that knows more than any process."""
+
 from heapq import heappop, heappush
 from random import Random
 
@@ -80,7 +81,7 @@
     def snapshot(self):
         """A state, and records of which some are in it already."""
         at = max(0, len(self.group.log) - 7)
-        return self.group.states[at], self.group.log[max(0, at - 2):]
+        return self.group.states[at], self.group.log[max(0, at - 2) :]
 
     def write(self, now_ms, record, done):
         self.group.write(self, record, done)
@@ -96,7 +97,14 @@
         return self.world.now * self.rate + 1000.0 * len(self.name)
 
     def start(self):
-        self.life, self.up, self.paused, self.inbox, self.desks, self.ends = self.life + 1, True, False, [], {}, False
+        self.life, self.up, self.paused, self.inbox, self.desks, self.ends = (
+            self.life + 1,
+            True,
+            False,
+            [],
+            {},
+            False,
+        )
         self.desk(self.name)
 
     def desk(self, home):
@@ -258,9 +266,11 @@
     def poll(self, process, life, home, tenant, id, ref):
         if process.life == life and process.up:
             if self.now >= self.runs[ref]:
+
                 def end(now_ms):
                     if home in process.desks:
                         process.desks[home].ended(now_ms, tenant, id, ref, "done")
+
                 process.call(end)
             else:
                 self.at(100, lambda: self.poll(process, life, home, tenant, id, ref))
@@ -268,17 +278,27 @@
     def go(self, process, home, tenant, id, ref, mutating):
         """An act is allowed now: audited by what is on record."""
         group = self.groups[home]
-        must(group.holder == (process.name, process.life), f"{process.name} acts for {home}, which it does not hold")
+        must(
+            group.holder == (process.name, process.life),
+            f"{process.name} acts for {home}, which it does not hold",
+        )
         s = group.audit.sittings.get(id)
         must(s is not None and s.acted_for, f"{home} acts for {id}, which is not its own")
-        must(all(g is group or id not in g.audit.sittings or g.audit.sittings[id].generation < s.generation
-                 for g in self.groups.values()), f"{home} acts for {id} by an older generation")
+        must(
+            all(
+                g is group or id not in g.audit.sittings or g.audit.sittings[id].generation < s.generation
+                for g in self.groups.values()
+            ),
+            f"{home} acts for {id} by an older generation",
+        )
         must(not mutating or ref in s.refs, f"{ref} goes before it is on record")
         must(s.tenant == tenant, f"{id} is not of {tenant}")
         self.goes += 1
         life = process.life
-        self.at(self.random.choice([0, 1, 15]), lambda: process.call(
-            lambda now_ms: self.submit(process, life, home, tenant, id, ref, mutating)))
+        self.at(
+            self.random.choice([0, 1, 15]),
+            lambda: process.call(lambda now_ms: self.submit(process, life, home, tenant, id, ref, mutating)),
+        )
 
     # The audit.
 
@@ -298,8 +318,12 @@
 
     def owners(self):
         for id in self.opened:
-            acting = [(g.home, s.generation) for g in self.groups.values() for s in [g.audit.sittings.get(id)]
-                      if s is not None and s.acted_for]
+            acting = [
+                (g.home, s.generation)
+                for g in self.groups.values()
+                for s in [g.audit.sittings.get(id)]
+                if s is not None and s.acted_for
+            ]
             must(len(acting) <= 1, f"{id} has two owners: {acting}")
             there = [s.generation for g in self.groups.values() for s in [g.audit.sittings.get(id)] if s]
             must(id in self.dropped or there, f"{id} is lost")
@@ -311,7 +335,10 @@
                 must(desk.trouble is None, desk.trouble)
                 if desk.made and desk.group.holds(0) and desk.out is None and desk.made.no != desk.checked:
                     desk.checked = desk.made.no
-                    must(desk.made.state() == self.groups[home].states.get(desk.made.no), f"{p.name}: another book")
+                    must(
+                        desk.made.state() == self.groups[home].states.get(desk.made.no),
+                        f"{p.name}: another book",
+                    )
 
     def rest(self):
         """No more faults: within REST_MS each sitting has one owner that acts, and no client waits."""
@@ -340,7 +367,11 @@
     def rested(self):
         for id in self.opened:
             states = [s for g in self.groups.values() for s in [g.audit.sittings.get(id)] if s]
-            must(id in self.dropped or [s.state for s in states if s.acted_for] == [HELD], f"{id} has no owner")
-            must(all(s.told for s in states if s.state == GONE), f"{id} was handed over and that is not known")
+            must(
+                id in self.dropped or [s.state for s in states if s.acted_for] == [HELD], f"{id} has no owner"
+            )
+            must(
+                all(s.told for s in states if s.state == GONE), f"{id} was handed over and that is not known"
+            )
         for c in self.clients:
             must(c.ref is None and c.id, f"{c.name} waits: {c.id} {c.ref} {c.home} {c.last}")
--- a/tests/owner_audit.py
+++ b/tests/owner_audit.py
@@ -1,4 +1,5 @@
 """What must be true of a group after every step, whatever happens; and a world of such groups to try it on."""
+
 from random import Random
 
 from lichenquay.owner.group import Group
@@ -7,7 +8,7 @@
 from virtual import World
 
 QUICK = Settings(lease_ms=1000, renew_ms=200, retry_ms=50, spread_ms=100, most_records=8)
-SIZE = 8                                # of a record: its number
+SIZE = 8  # of a record: its number
 
 
 class Broken(AssertionError):
@@ -47,8 +48,10 @@
         demand(len(set(whole)) == len(whole), f"{when}: a record twice in {whole}")
         demand(not self.never & set(whole), f"{when}: a refused record in {whole}")
         made = set(self.made)
-        demand([n for n in whole if n in made] == self.made,
-               f"{when}: {whole} lacks some of {self.made} or their order")
+        demand(
+            [n for n in whole if n in made] == self.made,
+            f"{when}: {whole} lacks some of {self.made} or their order",
+        )
         return whole
 
     def told(self, part, what, generation):
@@ -57,13 +60,17 @@
             self.held.append(generation)
             whole = self.right(part, f"{part.name} holds {generation}")
             # What one holder began with, in doubt or not, is the beginning for all later ones.
-            demand(whole[:len(self.taken)] == self.taken,
-                   f"{part.name} holds {generation} with {whole}, one before with {self.taken}")
+            demand(
+                whole[: len(self.taken)] == self.taken,
+                f"{part.name} holds {generation} with {whole}, one before with {self.taken}",
+            )
             self.taken = whole
 
     def step(self, processes, local):
         """processes: things with name, kept, part; local(process) its clock now."""
-        holders = [(p.name, p.part.generation) for p in processes if p.part is not None and p.part.holds(local(p))]
+        holders = [
+            (p.name, p.part.generation) for p in processes if p.part is not None and p.part.holds(local(p))
+        ]
         demand(len(holders) <= 1, f"two hold at once: {holders}")
         for p in processes:
             is_, (lost, was) = promise_of(p.kept), self.promised.get(p.name, (0, 0))
@@ -77,11 +84,16 @@
         """What a voter says is on its disk first."""
         kind = message.WhichOneof("body")
         if kind == "grant":
-            demand(promise_of(p.kept) >= message.grant.generation,
-                   f"{p.name} grants {message.grant.generation} before its disk has it")
+            demand(
+                promise_of(p.kept) >= message.grant.generation,
+                f"{p.name} grants {message.grant.generation} before its disk has it",
+            )
         if kind == "ack":
             said = message.ack.position.label, message.ack.position.index
-            demand(position_of(p.kept) >= said, f"{p.name} answers for {said}, its disk has {position_of(p.kept)}")
+            demand(
+                position_of(p.kept) >= said,
+                f"{p.name} answers for {said}, its disk has {position_of(p.kept)}",
+            )
             self.answered[p.name] = p.lost, max(said, self._answered(p))
 
     def _answered(self, p):
@@ -105,15 +117,26 @@
 def split(base):
     at = 0
     while at < len(base):
-        size = int.from_bytes(base[at:at + 2], "big")
-        yield base[at + 2:at + 2 + size]
+        size = int.from_bytes(base[at : at + 2], "big")
+        yield base[at + 2 : at + 2 + size]
         at += 2 + size
 
 
 def group_of(audit, name, incarnation, voters, now_ms, kept, seed=0, settings=QUICK, fresh=False, kind=Group):
     made = []
-    part = kind("g", name, incarnation, voters, Random(f"{seed}/{name}/{incarnation}"), settings, now_ms, dict(kept),
-                fresh=fresh, fold=fold, told=lambda now, what: audit.told(made[0], what, made[0].generation))
+    part = kind(
+        "g",
+        name,
+        incarnation,
+        voters,
+        Random(f"{seed}/{name}/{incarnation}"),
+        settings,
+        now_ms,
+        dict(kept),
+        fresh=fresh,
+        fold=fold,
+        told=lambda now, what: audit.told(made[0], what, made[0].generation),
+    )
     made.append(part)
     return part
 
@@ -123,10 +146,21 @@
     audit = Audit()
 
     def make(p, local_ms):
-        part = group_of(audit, p.name, p.incarnation, voters, local_ms, p.kept, seed, settings,
-                        fresh=fresh and not p.lost, kind=kind)
+        part = group_of(
+            audit,
+            p.name,
+            p.incarnation,
+            voters,
+            local_ms,
+            p.kept,
+            seed,
+            settings,
+            fresh=fresh and not p.lost,
+            kind=kind,
+        )
         part.want(local_ms, True)
         return part
+
     world = World([*voters, *more], make, seed, **net)
     world.heeds.append(audit.spoken)
     world.checks.append(lambda w: audit.step(w.all.values(), lambda p: p.local(w.now)))
@@ -135,13 +169,17 @@
 
 def write(world, audit, name, pad=0):
     """One record by whoever thinks that it holds."""
+
     def what(part, local_ms):
         if part.holds(local_ms):
             record = audit.record(pad)
             number = audit.next
             part.write(local_ms, record, lambda now, ok: audit.done(number, part, ok))
+
     world.call(name, what)
 
 
 def holder(world):
-    return next((p.name for p in world.all.values() if p.part is not None and p.part.holds(p.local(world.now))), None)
+    return next(
+        (p.name for p in world.all.values() if p.part is not None and p.part.holds(p.local(world.now))), None
+    )
--- a/tests/owner_broken.py
+++ b/tests/owner_broken.py
@@ -1,4 +1,5 @@
 """Rules of `lichenquay/owner` broken on purpose, one at a time: what the methods of proof have to find."""
+
 from contextlib import ExitStack, contextmanager
 from unittest.mock import patch
 
@@ -10,6 +11,7 @@
 
 def rule(*patches):
     """patches: (class, name, maker of the new method from the old)."""
+
     def named(name):
         @contextmanager
         def broken():
@@ -17,21 +19,26 @@
                 for kind, what, made in patches:
                     new = made(getattr(kind, what))
                     if not isinstance(new, property):
-                        new.__name__ = what             # or its bound methods could not be pickled
+                        new.__name__ = what  # or its bound methods could not be pickled
                     stack.enter_context(patch.object(kind, what, new))
                 yield
+
         BROKEN[name] = broken
+
     return named
 
 
 def then(after):
     """The method as it is, and `after(self, now_ms, ...)` behind it."""
+
     def made(old):
         def new(self, *args, **more):
             result = old(self, *args, **more)
             after(self, *args, **more)
             return result
+
         return new
+
     return made
 
 
@@ -42,7 +49,10 @@
 def of_any_generation(old):
     def new(self, now_ms):
         name, generation, number, token = self.last
-        self.send(name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire())
+        self.send(
+            name, "ack", generation=generation, number=number, token=token, position=self.log.position.wire()
+        )
+
     return new
 
 
@@ -62,6 +72,7 @@
     def new(self, promise, log, claim=None):
         old(self, promise, log, claim)
         self.stored(self.now_ms, True)
+
     return new
 
 
@@ -69,6 +80,7 @@
     def new(self, now_ms, sender, kind, m):
         self.now_ms = now_ms
         old(self, now_ms, sender, kind, m)
+
     return new
 
 
@@ -87,6 +99,7 @@
 def first_grant(old):
     def new(self, now_ms, name):
         old(self, now_ms, next(n for n, p in self.peers.items() if p.position is not None))
+
     return new
 
 
@@ -96,6 +109,7 @@
             for peer in self.peers.values():
                 peer.kept = max(p.kept for p in self.peers.values())
         old(self, now_ms)
+
     return new
 
 
@@ -106,6 +120,7 @@
         for record in records:
             log.append(record)
         return log
+
     return new
 
 
@@ -120,12 +135,14 @@
             self.phase, self.failed = "holding", 0
             self.told(now_ms, "holds")
         old(self, now_ms)
+
     return new
 
 
 def always_fresh(old):
     def new(self, rng, settings, now_ms, kept, fresh, *more):
         old(self, rng, settings, now_ms, kept, True, *more)
+
     return new
 
 
@@ -134,6 +151,7 @@
         if self.phase == "holding":
             self._say_ended(now_ms, self.generation, self.log.index, 1)
         old(self, now_ms)
+
     return new
 
 
@@ -144,8 +162,11 @@
 rule((V, "__init__", then(no_wait_at_start)))("no wait after the voter's own start")
 rule((V, "_ack", then(no_wait_after_answer)))("no wait after an answer to the holder")
 rule((group.Group, "_store", without_promise))("promise not stored")
-rule((V, "_write", before_disk), (V, "heard", knows_time), (V, "stored", lambda old: lambda self, now_ms, ok:
-     old(self, now_ms, ok) if self.flying else None))("answers before the disk did")
+rule(
+    (V, "_write", before_disk),
+    (V, "heard", knows_time),
+    (V, "stored", lambda old: lambda self, now_ms, ok: old(self, now_ms, ok) if self.flying else None),
+)("answers before the disk did")
 rule((H, "ack", then(from_answer)))("lease counted from the answer")
 rule((H, "ack", then(any_round)))("an old round's answer counted for the latest")
 rule((H, "_take", first_grant))("state of the first grant")
--- a/tests/owner_explore.py
+++ b/tests/owner_explore.py
@@ -6,6 +6,7 @@
 `steps` time goes on by `step` of a lease for all, at each one's rate, and what is due is done (renewals, asking
 again). A message that never comes is a lost one: that needs no step; `cut` links (from, to) take nothing.
 """
+
 import copyreg
 import pickle
 from collections import deque
@@ -51,8 +52,9 @@
     def __init__(self, kind, name, incarnation, now_ms, kept):
         self.said, self.incarnation = [], incarnation
         chance = Counter((ord(name) << 32) + (incarnation << 16))
-        self.group = kind("g", name, incarnation, "abc", chance, QUICK, now_ms, kept,
-                          fresh=True, fold=fold, told=self.told)
+        self.group = kind(
+            "g", name, incarnation, "abc", chance, QUICK, now_ms, kept, fresh=True, fold=fold, told=self.told
+        )
 
     def told(self, now_ms, what):
         self.said.append((what, self.group.state))
@@ -63,7 +65,7 @@
 
 @dataclass(frozen=True)
 class Budget:
-    claims: tuple = ()              # who claims, in this order
+    claims: tuple = ()  # who claims, in this order
     writes: int = 0
     crashes: int = 0
     steps: int = 0
@@ -72,15 +74,15 @@
     leaves: int = 0
     step: float = 0.6
     cut: tuple = ()
-    slow_disks: bool = False        # else a disk answers within the step
+    slow_disks: bool = False  # else a disk answers within the step
 
 
 @dataclass(frozen=True)
 class State:
-    nodes: tuple                    # of (name, pickled Node)
-    kept: tuple                     # of (name, sorted items)
-    disks: tuple                    # of (name, number, changes), under way
-    net: frozenset                  # of (sender, to, bytes)
+    nodes: tuple  # of (name, pickled Node)
+    kept: tuple  # of (name, sorted items)
+    disks: tuple  # of (name, number, changes), under way
+    net: frozenset  # of (sender, to, bytes)
     budget: Budget
     time: int = 0
     asked: int = 0
@@ -100,15 +102,24 @@
 
     def start(self):
         nodes = {n: Node(self.kind, n, 1, 0.0, {}) for n in "abc"}
-        s = State(tuple((n, pickled(nodes[n])) for n in "abc"), tuple((n, ()) for n in "abc"), (), frozenset(),
-                  self.budget)
+        s = State(
+            tuple((n, pickled(nodes[n])) for n in "abc"),
+            tuple((n, ()) for n in "abc"),
+            (),
+            frozenset(),
+            self.budget,
+        )
         for name in self.begin:
             # Before the exploration: it claims, and all goes well.
             s = self.act(replace(s, budget=Budget()), name, claim, claim)
             while s.net:
                 m = min(s.net)
-                s = self.act(replace(s, net=s.net - {m}), m[1], m,
-                             lambda n, now: n.group.heard(now, m[0], Message.FromString(m[2])))
+                s = self.act(
+                    replace(s, net=s.net - {m}),
+                    m[1],
+                    m,
+                    lambda n, now: n.group.heard(now, m[0], Message.FromString(m[2])),
+                )
             demand(self.holds(dict(s.nodes)[name], 0), f"{name} does not hold")
         return replace(s, budget=self.budget)
 
@@ -155,6 +166,7 @@
 
             def hear(n, now, m=m):
                 n.group.heard(now, m[0], Message.FromString(m[2]))
+
             yield text, lambda m=m, hear=hear: self.act(replace(s, net=s.net - {m}), m[1], m, hear)
             if b.doubles:
                 less = replace(s, budget=replace(b, doubles=b.doubles - 1))
@@ -162,8 +174,10 @@
         for disk in s.disks:
             yield f"{disk[0]}'s disk", lambda d=disk: self.disk(s, d, True)
             if b.fails:
-                yield f"{disk[0]}'s disk fails", lambda d=disk: self.disk(
-                    replace(s, budget=replace(b, fails=b.fails - 1)), d, False)
+                yield (
+                    f"{disk[0]}'s disk fails",
+                    lambda d=disk: self.disk(replace(s, budget=replace(b, fails=b.fails - 1)), d, False),
+                )
         if b.claims:
             less = replace(s, budget=replace(b, claims=b.claims[1:]))
             yield f"{b.claims[0]} claims", lambda: self.act(less, b.claims[0], claim, claim)
@@ -205,8 +219,10 @@
         for _, _, data in sent:
             m = Message.FromString(data)
             if m.WhichOneof("body") == "grant":
-                demand(promise_of(kept) >= m.grant.generation,
-                       f"{name} grants {m.grant.generation} before its disk has it")
+                demand(
+                    promise_of(kept) >= m.grant.generation,
+                    f"{name} grants {m.grant.generation} before its disk has it",
+                )
             elif m.WhichOneof("body") == "ack":
                 at = m.ack.position.label, m.ack.position.index
                 demand(position_of(kept) >= at, f"{name} answers for {at}, its disk has {position_of(kept)}")
@@ -215,7 +231,9 @@
                 made += (s.asked,)
             if what == "holds":
                 has = records(it)
-                demand([r for r in has if r in made] == list(made), f"{name} holds with {has}, made is {made}")
+                demand(
+                    [r for r in has if r in made] == list(made), f"{name} holds with {has}, made is {made}"
+                )
         nodes = tuple((n, node if n == name else p) for n, p in s.nodes)
         net = s.net | {m for m in sent if (m[0][0], m[1]) not in s.budget.cut}
         new = replace(s, nodes=nodes, net=net, disks=s.disks + disks, made=made)
@@ -241,7 +259,9 @@
         node = pickle.loads(dict(s.nodes)[name])
         now = s.local(name)
         new = Node(self.kind, name, node.incarnation + 1, now, dict(dict(s.kept)[name]))
-        return self.after(replace(s, disks=tuple(d for d in s.disks if d[0] != name)), name, *self.taken(name, new))
+        return self.after(
+            replace(s, disks=tuple(d for d in s.disks if d[0] != name)), name, *self.taken(name, new)
+        )
 
     def time(self, s):
         for name in "abc":
@@ -259,7 +279,6 @@
         return self._holds[key]
 
 
-
 def pickled(node):
     return pickle.dumps(node, 5)
 
--- a/tests/owner_faults.py
+++ b/tests/owner_faults.py
@@ -1,11 +1,12 @@
 """Seeded schedules of faults on a group in virtual time."""
+
 from dataclasses import replace
 from random import Random
 
 from owner_audit import QUICK, SIZE, holder, demand, world_of, write
 
 FAULTS = ("kill", "folder", "pause", "cut", "one_way", "disk", "leave", "loss", "slow")
-REST_MS = 15 * QUICK.lease_ms           # after the last fault: somebody holds, and a record is made
+REST_MS = 15 * QUICK.lease_ms  # after the last fault: somebody holds, and a record is made
 
 
 def kinds(seed):
@@ -18,8 +19,12 @@
     rng = Random(f"faults/{seed}")
     names, others = "abcde"[:voters], "xyz"[:more]
     everyone = [*names, *others]
-    net = {"loss": rng.choice((0, 0.05, 0.2)), "double": rng.choice((0, 0.1)), "late": rng.choice((0, 0.05, 0.4)),
-           "delay": rng.choice(((0.2, 8), (0.2, 8), (1, 250)))}
+    net = {
+        "loss": rng.choice((0, 0.05, 0.2)),
+        "double": rng.choice((0, 0.1)),
+        "late": rng.choice((0, 0.05, 0.4)),
+        "delay": rng.choice(((0.2, 8), (0.2, 8), (1, 250))),
+    }
     # Where a round takes one record, what a voter lacks comes in many.
     settings = replace(QUICK, round_bytes=rng.choice((800, SIZE))) if not pad else QUICK
     world, audit = world_of(names, seed, settings, more=others, **net, **how)
@@ -46,7 +51,11 @@
             return
         if not folder:
             # Fewer than a majority may be without their state at a time: that is what is assumed.
-            blank = [n for n in voters if n != name and (world.all[n].part is None or world.all[n].part.voter.birth)]
+            blank = [
+                n
+                for n in voters
+                if n != name and (world.all[n].part is None or world.all[n].part.voter.birth)
+            ]
             folder = name not in voters or len(blank) >= (len(voters) - 1) // 2
         world.kill(name)
         if not folder:
@@ -75,11 +84,22 @@
     def loss():
         before, world.loss = world.loss, 0.6
         world.at(world.now + much, lambda: setattr(world, "loss", before))
+
     all_ = [(name, n) for n in everyone]
-    world.at(at, {"kill": kill, "folder": lambda: kill(False), "pause": lambda: world.pause(name, much),
-                  "cut": lambda: cut(*all_, *[(b, a) for a, b in all_]), "leave": leave, "loss": loss, "slow": slow,
-                  "one_way": lambda: cut(*rng.choice([all_, [(name, other)], [(b, a) for a, b in all_]])),
-                  "disk": lambda: disk(rng.choice(("full", "unsure", "slow")))}[what])
+    world.at(
+        at,
+        {
+            "kill": kill,
+            "folder": lambda: kill(False),
+            "pause": lambda: world.pause(name, much),
+            "cut": lambda: cut(*all_, *[(b, a) for a, b in all_]),
+            "leave": leave,
+            "loss": loss,
+            "slow": slow,
+            "one_way": lambda: cut(*rng.choice([all_, [(name, other)], [(b, a) for a, b in all_]])),
+            "disk": lambda: disk(rng.choice(("full", "unsure", "slow"))),
+        }[what],
+    )
 
 
 def _mend(world, everyone):
@@ -101,6 +121,9 @@
         for name in everyone:
             write(world, audit, name)
         world.run(world.now + 50)
-    demand(len(audit.made) > made, f"no record made in {REST_MS} ms after the last fault; held by {holder(world)}")
+    demand(
+        len(audit.made) > made,
+        f"no record made in {REST_MS} ms after the last fault; held by {holder(world)}",
+    )
     world.run(world.now + 3 * QUICK.lease_ms)
     return world.now - begun - 3 * QUICK.lease_ms
--- a/tests/owner_mutation.py
+++ b/tests/owner_mutation.py
@@ -16,15 +16,28 @@
 No mutation of one field gives any of these: a position carries a digest of its parts and of the records, a round and
 a claim a number drawn by chance that its answer must bring back. So every single field is tried.
 """
+
 from google.protobuf.message import DecodeError
 
 from lichenquay.owner.owner_pb2 import Message
 from owner_audit import QUICK, Broken, demand, holder, world_of, write
 
-EDGES = {"uint64": (0, 1, 2 ** 32, 2 ** 64 - 1), "fixed64": (0, 2 ** 64 - 1), "uint32": (0, 2 ** 32 - 1),
-         "fixed32": (0, 2 ** 32 - 1)}
-WHOLE = ("lost", "doubled", "late past the next", "late past the incarnation", "swapped with the next", "to another",
-         "cut off", "flipped")
+EDGES = {
+    "uint64": (0, 1, 2**32, 2**64 - 1),
+    "fixed64": (0, 2**64 - 1),
+    "uint32": (0, 2**32 - 1),
+    "fixed32": (0, 2**32 - 1),
+}
+WHOLE = (
+    "lost",
+    "doubled",
+    "late past the next",
+    "late past the incarnation",
+    "swapped with the next",
+    "to another",
+    "cut off",
+    "flipped",
+)
 NAMES = "abc"
 
 
@@ -44,6 +57,7 @@
             change(world, sender, to, message, deliver, held)
             return True
         return False
+
     world.on_send = on_send
     for name in NAMES:
         world.start(name)
@@ -104,12 +118,14 @@
             yield (*path, f.name), f, getattr(message, f.name)
 
 
-KINDS = {4: "uint64", 6: "fixed64", 13: "uint32", 7: "fixed32"}       # protobuf's numbers of types
+KINDS = {4: "uint64", 6: "fixed64", 13: "uint32", 7: "fixed32"}  # protobuf's numbers of types
 
 
 def others(field, value):
     if field.name == "records":
-        return [list(value)[:-1], list(value)[1:], [*value, b"more"], [*value, *value]] if value else [[b"more"]]
+        return (
+            [list(value)[:-1], list(value)[1:], [*value, b"more"], [*value, *value]] if value else [[b"more"]]
+        )
     if field.type == field.TYPE_STRING:
         return ["", value + "x"]
     if field.type == field.TYPE_BYTES:
@@ -133,6 +149,7 @@
         else:
             setattr(inner, path[-1], value)
         world.at(world.now + 2.2, lambda: deliver(data=new.SerializeToString()))
+
     return change
 
 
@@ -144,6 +161,7 @@
     def change(world, sender, to, message, deliver, held):
         world.at(world.now + 2.2, deliver)
         world.at(world.now + 2.7, deliver)
+
     return change
 
 
@@ -151,6 +169,7 @@
     def change(world, sender, to, message, deliver, held):
         # Past the next round of the same two, or past all that these incarnations do.
         world.at(world.now + (QUICK.renew_ms + 20 if name.endswith("next") else 2.5 * QUICK.wait_ms), deliver)
+
     return change
 
 
@@ -162,25 +181,35 @@
     def change(world, sender, to, message, deliver, held):
         other = next(n for n in NAMES if n not in (to, sender[0]))
         world.at(world.now + 2.2, lambda: deliver(to=other))
+
     return change
 
 
 def _damaged(name):
     """What the envelope's checksum finds is lost; read all the same, it must not throw anything but what says that it
     cannot be read."""
+
     def change(world, sender, to, message, deliver, held):
         data = message.SerializeToString()
         for at in range(len(data)):
             try:
-                flipped = data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:]
+                flipped = data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1 :]
                 Message.FromString(data[:at] if name == "cut off" else flipped)
             except DecodeError:
                 pass
+
     return change
 
 
-WAYS = {"lost": _lost, "doubled": _doubled, "late": _late, "swapped": _swapped, "to": _to, "cut": _damaged,
-        "flipped": _damaged}
+WAYS = {
+    "lost": _lost,
+    "doubled": _doubled,
+    "late": _late,
+    "swapped": _swapped,
+    "to": _to,
+    "cut": _damaged,
+    "flipped": _damaged,
+}
 
 
 def run(seed, take=None, first=False):
--- a/tests/quota_ways.py
+++ b/tests/quota_ways.py
@@ -1,11 +1,18 @@
 """A scenario of the quota, and each way in which one of its messages may be changed."""
+
 from random import Random
 
 from quota_world import STEP_MS, TERM_MS, World, figures
 
 from lichenquay.quota import quota_pb2 as pb
 
-ACCOUNTS = [figures("a"), figures("b"), figures("c", rate=50, limit=0), figures("d", rate=20, term_ms=1000, limit=150)]
+ACCOUNTS = [
+    figures("a"),
+    figures("b"),
+    figures("c", rate=50, limit=0),
+    figures("d", rate=20, term_ms=1000, limit=150),
+]
+
 
 def scenario(mutate=None, group=None):
     """Borrow, lend back, repay, a keeper that crashes, a front that is cut off for longer than its term and returns,
@@ -23,16 +30,17 @@
             for name, (tenant, rate) in rates.items():
                 if chance.random() < rate * STEP_MS / 1000:
                     world.query(world.fronts[name], tenant, 20, 20 * chance.uniform(0.5, 1.5))
+
     f = world.fronts
     world.run(500)
-    traffic(2500, f0=("a", 4), f1=("a", 16))                # borrows
-    traffic(1500, f1=("a", 16), f2=("b", 16))               # its lender needs it
-    f["f0"].kill()                                          # the keeper
+    traffic(2500, f0=("a", 4), f1=("a", 16))  # borrows
+    traffic(1500, f1=("a", 16), f2=("b", 16))  # its lender needs it
+    f["f0"].kill()  # the keeper
     traffic(700, f1=("a", 4))
     world.group.elect("f1")
     traffic(500, f2=("b", 4))
     world.cut = {("f2", "f1"), ("f1", "f2")}
-    traffic(2600, f2=("b", 4))                              # lapses
+    traffic(2600, f2=("b", 4))  # lapses
     world.cut = set()
     f["f0"].start()
     traffic(1200, f2=("b", 4), f0=("c", 4))
@@ -56,12 +64,27 @@
     yield "book 0", changed(message, lambda m: setattr(m, "book", 0))
     yield "no 0", changed(message, lambda m: setattr(m, "no", 0))
     yield "of a later book", changed(message, lambda m: m.rows.add(tenant="a", book=m.book + 1))
-    yield "spent without grant", changed(message, lambda m: [setattr(r, "spent_us", r.known_us + 1) for r in m.rows]
-                                         or m.rows.add(tenant="a", book=m.book, spent_us=1))
+    yield (
+        "spent without grant",
+        changed(
+            message,
+            lambda m: (
+                [setattr(r, "spent_us", r.known_us + 1) for r in m.rows]
+                or m.rows.add(tenant="a", book=m.book, spent_us=1)
+            ),
+        ),
+    )
     yield "knows without grant", changed(message, lambda m: [setattr(r, "known_us", 1 << 62) for r in m.rows])
-    yield "nobody's", changed(message, lambda m: m.rows.add(tenant="nobody", book=m.book, upto_us=1000, need_us=1000))
-    yield "wants all", changed(message, lambda m: [r.MergeFrom(pb.Row(upto_us=(1 << 63) - 1, need_us=1 << 62))
-                                                   for r in m.rows])
+    yield (
+        "nobody's",
+        changed(message, lambda m: m.rows.add(tenant="nobody", book=m.book, upto_us=1000, need_us=1000)),
+    )
+    yield (
+        "wants all",
+        changed(
+            message, lambda m: [r.MergeFrom(pb.Row(upto_us=(1 << 63) - 1, need_us=1 << 62)) for r in m.rows]
+        ),
+    )
 
 
 def answers(message):
@@ -102,6 +125,7 @@
     def note(number, copies):
         messages.append(copies[0])
         return copies
+
     world, _ = scenario(note)
     return messages, world
 
@@ -111,4 +135,7 @@
     for i, copy in enumerate(messages):
         before = next((m for m in reversed(messages[:i]) if m[0] == copy[0] and m[1] == copy[1]), None)
         for what, instead in ways(copy, before):
-            yield f"message {i + 1}: {what}", lambda no, copies, at=i + 1, use=instead: use if no == at else copies
+            yield (
+                f"message {i + 1}: {what}",
+                lambda no, copies, at=i + 1, use=instead: use if no == at else copies,
+            )
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -1,5 +1,6 @@
 """Virtual time for the quota's decision modules: fronts with clocks of their own, a group in memory that stands in for
 `owner`, a network with every fault, and an audit after every step that knows more than any front."""
+
 from heapq import heappop, heappush
 from random import Random
 
@@ -13,8 +14,15 @@
 
 def figures(tenant, rate=100, bucket=200, limit=100, term_ms=5000, repay=500, lend=250):
     """Rate, bucket and limit in milliseconds of work."""
-    return pb.Open(tenant=tenant, rate_us=rate * 1000, bucket_us=bucket * 1000, limit_us=limit * 1000, term_ms=term_ms,
-                   repay_permille=repay, lend_permille=lend)
+    return pb.Open(
+        tenant=tenant,
+        rate_us=rate * 1000,
+        bucket_us=bucket * 1000,
+        limit_us=limit * 1000,
+        term_ms=term_ms,
+        repay_permille=repay,
+        lend_permille=lend,
+    )
 
 
 class Violation(AssertionError):
@@ -45,8 +53,8 @@
     def __init__(self, world):
         self.world, self.generation, self.holder, self.out = world, 0, None, []
         self.log, self.kept, self.compacted = [], b"", 0
-        self.audit = Ledger()           # all that was made, replayed
-        self.rows = {}                  # of it, with those that it forgot since
+        self.audit = Ledger()  # all that was made, replayed
+        self.rows = {}  # of it, with those that it forgot since
         self.states = {0: self.audit.state()}
         self.doubt = 0.0
         self.delay = lambda: 5.0
@@ -76,7 +84,7 @@
         if made:
             self.make(record)
         front = self.world.fronts[seat.name]
-        if front.seat is seat:          # else its process has ended
+        if front.seat is seat:  # else its process has ended
             front.call(lambda now_ms: done(now_ms, ok))
 
     def make(self, record):
@@ -134,7 +142,13 @@
         return self.world.now * self.rate + self.offset
 
     def start(self):
-        world, self.incarnation, self.up, self.paused, self.inbox = self.world, self.incarnation + 1, True, False, []
+        world, self.incarnation, self.up, self.paused, self.inbox = (
+            self.world,
+            self.incarnation + 1,
+            True,
+            False,
+            [],
+        )
         stocks = stocks_of(world.figures, world.count)
         self.seat = Seat(world.group, self.name)
         self.keeper = world.make_keeper(self.seat, world.figures, TERM_MS, PERIOD_MS)
@@ -221,13 +235,17 @@
             times = 2 if self.random.random() < self.double else 1
             for _ in range(times):
                 more = self.random.expovariate(1 / 2000) if self.random.random() < self.late else 0.0
-                self.at(delay + more, lambda d=(to, name, incarnation, message.SerializeToString(), type(message)):
-                        self.deliver(*d))
+                self.at(
+                    delay + more,
+                    lambda d=(to, name, incarnation, message.SerializeToString(), type(message)): (
+                        self.deliver(*d)
+                    ),
+                )
 
     def deliver(self, to, name, incarnation, raw, kind):
         front = self.fronts.get(to)
         if front is not None:
-            part = front.keeper if kind is pb.Ask else front.rights     # the process of then, not of later
+            part = front.keeper if kind is pb.Ask else front.rights  # the process of then, not of later
             front.call(lambda now_ms: part.heard(now_ms, (name, incarnation), kind.FromString(raw)))
 
     # queries
@@ -243,7 +261,11 @@
             must(key not in self.group.audit.lapsed, f"{key} spends what was written off")
             must(tenant in self.group.audit.books.get(key, {}), f"{key} spends what no record granted")
             work = estimate_ms if work_ms is None else work_ms
-            end = (lambda t: rights.settle(t, ticket, work)) if ends == "settle" else (lambda t: rights.drop(t, ticket))
+            end = (
+                (lambda t: rights.settle(t, ticket, work))
+                if ends == "settle"
+                else (lambda t: rights.drop(t, ticket))
+            )
             self.at(runs_ms, lambda: front.rights is rights and front.call(end))
         counts = self.within if within else self.beyond
         counts[tenant] = counts.get(tenant, 0) + 1
@@ -256,7 +278,9 @@
         if change.HasField("loan"):
             loan, to = change.loan, ledger.accounts[change.loan.borrower]
             ages = [x.age_ms for x in ledger.loans.values() if x.borrower == loan.borrower]
-            must(max(ages, default=0) <= to.figures.term_ms, f"{loan.borrower} borrows while a loan is overdue")
+            must(
+                max(ages, default=0) <= to.figures.term_ms, f"{loan.borrower} borrows while a loan is overdue"
+            )
             must(to.owes + loan.amount_us <= to.figures.limit_us, f"{loan.borrower} borrows over its limit")
 
     @staticmethod
@@ -274,7 +298,10 @@
                 for (book, tenant), mine in self.rows(life):
                     used = mine.spent + mine.reserved
                     free = mine.known - used - mine.returned
-                    must(min(free, mine.spent, mine.reserved, mine.returned) >= 0, f"{f.name} spends what it has not")
+                    must(
+                        min(free, mine.spent, mine.reserved, mine.returned) >= 0,
+                        f"{f.name} spends what it has not",
+                    )
                     row = self.group.rows.get((f.name, life.incarnation, book, tenant))
                     if used:
                         truth[tenant] += used
@@ -284,9 +311,15 @@
             made = f.keeper.made
             if made is not None and f.checked != (id(made), made.no):
                 f.checked = id(made), made.no
-                must(made.state() == self.group.states.get(made.no), f"the keeper at {f.name} has another ledger")
+                must(
+                    made.state() == self.group.states.get(made.no),
+                    f"the keeper at {f.name} has another ledger",
+                )
         for tenant, a in ledger.accounts.items():
-            must(truth[tenant] <= a.spent + a.held + a.written + a.lost, f"{tenant}: spent what was not granted")
+            must(
+                truth[tenant] <= a.spent + a.held + a.written + a.lost,
+                f"{tenant}: spent what was not granted",
+            )
             most = a.figures.bucket_us + a.figures.rate_us * self.now * 1.03 / 1000
             must(a.issued <= most, f"{tenant}: more issued than its rate and bucket")
             must(truth[tenant] <= most + a.owes, f"{tenant}: spent more than its rate, bucket and loans")
@@ -317,20 +350,36 @@
         must(not ledger.loans, "loans are not repaid in time")
         for f in self.fronts.values():
             for life in f.lives:
-                told = {}               # a late answer may make an empty row again of one that is noted
+                told = {}  # a late answer may make an empty row again of one that is noted
                 for key, mine in life.old.forgotten:
                     told[key] = max(mine.spent, told.get(key, 0))
                 for key, spent in told.items():
                     row = self.group.rows.get((f.name, life.incarnation, *key))
-                    must(spent == (row.spent if row else 0), f"{f.name} spent and told other than the ledger noted")
+                    must(
+                        spent == (row.spent if row else 0),
+                        f"{f.name} spent and told other than the ledger noted",
+                    )
             must(not f.rights.leaving or f.rights.returned, f"{f.name} has not left")
-            must(not f.rights.old and not f.rights.tickets, f"{f.name} has sealed books that the ledger does not note")
+            must(
+                not f.rights.old and not f.rights.tickets,
+                f"{f.name} has sealed books that the ledger does not note",
+            )
             must(not any(f.rights.debts.values()), f"{f.name} has debts")
             for tenant, mine in f.rights.rows.items():
                 row = ledger.books.get((f.name, f.incarnation, f.rights.book), {}).get(tenant)
-                must((row.granted, row.spent, row.returned) == (mine.known, mine.spent, mine.returned) if row
-                     else not mine.known, f"{f.name} and the ledger differ on {tenant}")
+                must(
+                    (row.granted, row.spent, row.returned) == (mine.known, mine.spent, mine.returned)
+                    if row
+                    else not mine.known,
+                    f"{f.name} and the ledger differ on {tenant}",
+                )
         for key in ledger.books:
             now = self.fronts[key[0]]
-            must(key in ledger.lapsed or key[1:] == (now.incarnation, now.rights.book), f"book {key} was not closed")
-            must(key not in ledger.lapsed or key[1] < now.incarnation, f"book {key}: its front lives and has told")
+            must(
+                key in ledger.lapsed or key[1:] == (now.incarnation, now.rights.book),
+                f"book {key} was not closed",
+            )
+            must(
+                key not in ledger.lapsed or key[1] < now.incarnation,
+                f"book {key}: its front lives and has told",
+            )
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,4 +1,5 @@
 """What the controller plays against: a fake front, which checks the rules after every step."""
+
 import heapq
 
 from lichenquay.admission import interface as io
@@ -25,15 +26,36 @@
         self.now_ms, self.timers, self.n = 1000.0, [], 0
         self.queries, self.subs, self.done, self.cancelled, self.logs, self.lines = [], [], {}, [], [], []
         self.told, self.key_free, self.probes, self.ranks, self.watched = {}, {}, [], [], 0
-        self.licence = io.Licence(figures.get("most", 4), figures.get("cancel", True), figures.get("probe", True),
-                                  False, 500.0)
-        self.rules = io.Safeguards(20.0, 250.0, 0.3, 15000.0, 3.0, 1500.0, figures.get("rest", 300.0),
-                                   figures.get("free"), figures.get("share", 0.0), figures.get("window", 0.0), 10000.0)
-        self.make = figures.get("make") or io.EngineMake(True, True, 0.4, "queue", 500.0, True, ("active",), "answers")
+        self.licence = io.Licence(
+            figures.get("most", 4), figures.get("cancel", True), figures.get("probe", True), False, 500.0
+        )
+        self.rules = io.Safeguards(
+            20.0,
+            250.0,
+            0.3,
+            15000.0,
+            3.0,
+            1500.0,
+            figures.get("rest", 300.0),
+            figures.get("free"),
+            figures.get("share", 0.0),
+            figures.get("window", 0.0),
+            10000.0,
+        )
+        self.make = figures.get("make") or io.EngineMake(
+            True, True, 0.4, "queue", 500.0, True, ("active",), "answers"
+        )
         self.fronts, self.engines = fronts, list(engines)
-        self.sharers = fronts if figures.get("number") is None else 1      # of a cold engine's budget, at least
-        self.c = Controller(self, io.Gateway("a", fronts, seed, 5.0, on_request, figures.get("number")), list(groups), list(tenants),
-                            self.licence, self.rules, self.make)
+        self.sharers = fronts if figures.get("number") is None else 1  # of a cold engine's budget, at least
+        self.c = Controller(
+            self,
+            io.Gateway("a", fronts, seed, 5.0, on_request, figures.get("number")),
+            list(groups),
+            list(tenants),
+            self.licence,
+            self.rules,
+            self.make,
+        )
         self.c.list_news(self.engines, True)
 
     # the door
@@ -46,13 +68,17 @@
         assert g.effect != io.MUTATING or not may, "rule 2: mutating sent again"
         if g.effect == io.TOKENED and may:
             where = {"all": lambda x: 0, "zone": lambda x: x.place, "cell": lambda x: x.cell}[g.dedup]
-            assert all(where(s.engine) == where(e) and self.now_ms - s.sent_ms < g.memory_window_ms for s in may), "rule 2"
+            assert all(
+                where(s.engine) == where(e) and self.now_ms - s.sent_ms < g.memory_window_ms for s in may
+            ), "rule 2"
         assert e.state == io.LISTED, "rule 3"
         assert (not g.places or e.place in g.places) and (not g.kinds or e.kind in g.kinds), "rule 6"
         if g.in_order and q.key:
             ahead = [x for x in self.lines if x.key == q.key and x.group.in_order and x.id < q.id]
             assert all(x.over and all(s.ending for s in x.submissions) for x in ahead), "rule 5: out of turn"
-            assert self.now_ms >= self.key_free.get((q.key, q.id), self.key_free.get(q.key, 0.0)), "rule 5: no rest"
+            assert self.now_ms >= self.key_free.get((q.key, q.id), self.key_free.get(q.key, 0.0)), (
+                "rule 5: no rest"
+            )
         sub = io.Submission(q, len(q.submissions), e, self.now_ms)
         q.submissions.append(sub)
         self.subs.append(sub)
@@ -63,9 +89,14 @@
             taken = sum(1 for x in self.queries if x.arrived_ms > since)
             assert further <= r.further_free + r.further_share * taken, "rule 7"
         if e.started_ms is not None and self.now_ms - e.started_ms < r.cold_ms:
-            sent = sum(s.query.work_ms for s in self.subs if s.engine is e
-                       and s.sent_ms >= max(self.told.get(e, 0.0), self.now_ms - r.cold_window_ms))
-            assert sent <= r.cold_multiple * self.warm(e) * 0.85 * e.cores * r.cold_window_ms / self.sharers, "rule 4"
+            sent = sum(
+                s.query.work_ms
+                for s in self.subs
+                if s.engine is e and s.sent_ms >= max(self.told.get(e, 0.0), self.now_ms - r.cold_window_ms)
+            )
+            assert (
+                sent <= r.cold_multiple * self.warm(e) * 0.85 * e.cores * r.cold_window_ms / self.sharers
+            ), "rule 4"
         return sub
 
     def warm(self, e):
@@ -80,7 +111,9 @@
     def defer(self, q, pause_ms):
         g = q.group
         may = [s for s in q.submissions if s.ending not in io.NEVER_RAN]
-        assert g.effect == io.READ_ONLY or not may or (g.effect == io.TOKENED and g.dedup == "all"), "rule 2: deferred"
+        assert g.effect == io.READ_ONLY or not may or (g.effect == io.TOKENED and g.dedup == "all"), (
+            "rule 2: deferred"
+        )
         assert 0 <= pause_ms <= self.licence.longest_pause_ms
         self.end(q, "deferred")
 
@@ -112,8 +145,15 @@
     # the world
 
     def take(self, g, work=200.0, memory=100.0, ttl=None, **more):
-        q = io.Query(len(self.queries) + 1, g, self.now_ms, self.now_ms + (ttl or g.timeout_ms), work_ms=work,
-                     memory_mb=memory, **more)
+        q = io.Query(
+            len(self.queries) + 1,
+            g,
+            self.now_ms,
+            self.now_ms + (ttl or g.timeout_ms),
+            work_ms=work,
+            memory_mb=memory,
+            **more,
+        )
         self.queries.append(q)
         self.lines.append(q)
         self.c.take(q)
@@ -126,7 +166,7 @@
             self.end(q, "finished")
         if ending in (io.TIMED_OUT, io.RESET, io.CANCELLED) and q.group.in_order:
             self.key_free[q.key] = self.now_ms + self.rules.order_rest_ms
-            self.key_free[q.key, q.id] = 0.0        # the rest does not delay the query whose turn it is
+            self.key_free[q.key, q.id] = 0.0  # the rest does not delay the query whose turn it is
         self.c.answered(sub, self.now_ms - sub.sent_ms, cost, report)
 
     def until(self, at_ms):
@@ -139,7 +179,9 @@
 
     def overdue(self):
         for q in self.queries:
-            assert q.over or self.now_ms <= q.ends_ms + self.rules.answer_slack_ms, "rule 1: no answer in time"
+            assert q.over or self.now_ms <= q.ends_ms + self.rules.answer_slack_ms, (
+                "rule 1: no answer in time"
+            )
         self.queries = [q for q in self.queries if not q.over or q.arrived_ms > self.now_ms - 30000]
 
     def out(self):
--- a/tests/test_certainty.py
+++ b/tests/test_certainty.py
@@ -1,5 +1,6 @@
 """What the front may conclude of a submission: the account alone, against a model of the engine's side that keeps the truth,
 and the whole front before stand-ins that read late, stand still, close their door or lose their address."""
+
 import random
 import time
 from types import SimpleNamespace
@@ -20,6 +21,7 @@
 
 # the account alone
 
+
 def sent(at=100.0):
     life = c.Life()
     life.wrote(at)
@@ -39,7 +41,9 @@
     life = sent()
     for at in range(110, 590, 60):
         assert not life.unknown(at, at + 1.0) and life.may_run
-    assert not life.unknown(601.0, 602.0) and not life.unknown(603.0, 640.0) and not life.unknown(610.0, 630.0)
+    assert (
+        not life.unknown(601.0, 602.0) and not life.unknown(603.0, 640.0) and not life.unknown(610.0, 630.0)
+    )
     assert life.unknown(650.0, 651.0) and life.proof == "long sent and unknown"
 
 
@@ -47,7 +51,7 @@
     life = sent()
     life.cut(150.0)
     assert not life.unknown(149.0, 200.0) and not life.unknown(151.0, 160.0)
-    assert not life.unknown(155.0, 300.0)           # it was out when the first came: one look may have answered both
+    assert not life.unknown(155.0, 300.0)  # it was out when the first came: one look may have answered both
     assert life.unknown(205.0, 206.0) and life.proof == "cut off and unknown"
 
 
@@ -57,8 +61,8 @@
     assert not life.unknown(140.0, 160.0) and life.unknown(150.0, 161.0)
     life = sent()
     life.known(150.0)
-    assert not life.unknown(160.0, 161.0, other=True)       # perhaps a stranger's word
-    life.cut(170.0)                                         # the connection on which it was known
+    assert not life.unknown(160.0, 161.0, other=True)  # perhaps a stranger's word
+    life.cut(170.0)  # the connection on which it was known
     assert not life.unknown(171.0, 172.0, other=True) and life.unknown(222.0, 223.0, other=True)
 
 
@@ -74,7 +78,7 @@
     life = sent()
     life.asked(1000.0)
     assert not life.passed(3499.0)
-    assert not life.unknown(1000.0, 1010.0, other=True)     # that call kept nobody at it
+    assert not life.unknown(1000.0, 1010.0, other=True)  # that call kept nobody at it
     assert life.passed(2601.0) and life.proof == "its time is over"
 
 
@@ -88,15 +92,16 @@
 
 # against a model of the engine's side
 
+
 class EngineSide:
     """The truth of one submission: a process that reads what its connections hold when it is awake, a call on a connection
     of its own after `hold` at the latest, in any order within a look of 40 ms; times in ms."""
 
     def __init__(self, chance):
         self.chance, self.now, self.wakes_ms = chance, 1e6, 0.0
-        self.process, self.door = True, True        # it lives; it takes connections
-        self.stranger = False                       # another one has its address
-        self.post = None                            # when it will be read: None: nothing is there
+        self.process, self.door = True, True  # it lives; it takes connections
+        self.stranger = False  # another one has its address
+        self.post = None  # when it will be read: None: nothing is there
         self.running, self.kept_ms = False, 0.0
 
     def reads(self, at):
@@ -130,14 +135,16 @@
 class Conclusions(RuleBasedStateMachine):
     """Orders of delivery drawn at will: nothing may be concluded that the engine's side contradicts."""
 
-    @initialize(seed=st.integers(0, 2 ** 32), hold=st.sampled_from([0.0, 50.0, 250.0, 400.0]), lost=st.booleans())
+    @initialize(
+        seed=st.integers(0, 2**32), hold=st.sampled_from([0.0, 50.0, 250.0, 400.0]), lost=st.booleans()
+    )
     def begin(self, seed, hold, lost):
         self.side, self.life = EngineSide(random.Random(seed)), c.Life()
         self.side.pass_time(1e6)
-        self.first = self.own = "open"          # its POST's connection; the one that it was last known on
+        self.first = self.own = "open"  # its POST's connection; the one that it was last known on
         self.own = None
         self.leaves, self.calls, self.apart = False, [], 0.0
-        self.here = False                       # this side ended the one that it was last known on
+        self.here = False  # this side ended the one that it was last known on
         self.life.wrote(self.side.now)
         self.side.sent(hold, lost)
 
@@ -190,7 +197,7 @@
             self.life.asked(written)
         if not on_own and not s.door and not s.stranger:
             if not drop:
-                self.life.asked_ms = self.life.before_ms        # refused: nothing was written
+                self.life.asked_ms = self.life.before_ms  # refused: nothing was written
             return self.refused()
         stranger = s.stranger and not on_own
         if not stranger and not s.process:
@@ -218,7 +225,7 @@
     @rule()
     def ends(self):
         if self.side.running and self.side.now >= self.side.wakes_ms:
-            self.side.running = False       # its end may be told, or lost and then unknown
+            self.side.running = False  # its end may be told, or lost and then unknown
 
     @rule(takes_over=st.booleans())
     def dies(self, takes_over):
@@ -246,14 +253,17 @@
             assert not self.side.out, self.life.proof
 
 
-Conclusions.TestCase.settings = settings(max_examples=600, stateful_step_count=25, deadline=None, derandomize=True)
+Conclusions.TestCase.settings = settings(
+    max_examples=600, stateful_step_count=25, deadline=None, derandomize=True
+)
 TestConclusions = Conclusions.TestCase
 
 
 # the front before stand-ins
 
+
 def both(w, way):
-    ways = [way]        # of the first submission, wherever it goes
+    ways = [way]  # of the first submission, wherever it goes
     for e in w.engines:
         e.ways = ways
 
@@ -276,7 +286,11 @@
     asked = []
     for turn in range(6):
         w.engines[turn % 2].stand_still(0.37)
-        asked += [(client, client.ask(group, allow=2500)) for client in clients for group in ("status", "report", "manifest")]
+        asked += [
+            (client, client.ask(group, allow=2500))
+            for client in clients
+            for group in ("status", "report", "manifest")
+        ]
         wait(0.2)
     assert all(answered(*x)[0] == frames.FINISHED for x in asked) and not BROKEN
 
@@ -288,7 +302,9 @@
     other = w.client()
     busy.ways, spare = [], next(e for e in w.engines if e is not busy)
     spare.ways = ["full"] * 9
-    until(lambda: (answered(other, other.ask("status")), len(busy.posts) > 1)[1])   # leaves an idle connection behind
+    until(
+        lambda: (answered(other, other.ask("status")), len(busy.posts) > 1)[1]
+    )  # leaves an idle connection behind
     wait(0.05)
     spare.ways = []
     busy.port.stopListening()
@@ -299,7 +315,11 @@
             theirs.transport.abortConnection()
     wait(0.3)
     busy.runs = {ref: "ok" for ref in busy.runs}
-    assert answered(client, stream) == (frames.FINISHED, RESULT) and not BROKEN and not spare.posts[len(spare.posts):]
+    assert (
+        answered(client, stream) == (frames.FINISHED, RESULT)
+        and not BROKEN
+        and not spare.posts[len(spare.posts) :]
+    )
     assert w.service.metrics.counters["submissions reset"] == 0
 
 
@@ -320,7 +340,7 @@
     w.engines.append(new)
     w.bulletin.add(old.row("DELETED"), new.row())
     since = time.monotonic()
-    reactor.callLater(2.0, w.out.discard, ref)      # it has not been asked for so long
+    reactor.callLater(2.0, w.out.discard, ref)  # it has not been asked for so long
     assert answered(client, stream)[0] == frames.FINISHED and not BROKEN
     assert time.monotonic() - since > 2.0
 
@@ -335,8 +355,9 @@
         if f"{host}:{port}" != cut_off.address:
             return connect(host, port, factory, timeout=timeout)
         reactor.callLater(timeout, factory.clientConnectionFailed, None, Failure(TimeoutError()))
+
     w.service.engines.reactor.connectTCP, cut_off.mute = fails, True
-    reactor.callLater(2.4, w.out.discard, ref)      # 0.4 s until the last call was read, and 2 s
+    reactor.callLater(2.4, w.out.discard, ref)  # 0.4 s until the last call was read, and 2 s
     assert answered(client, stream)[0] == frames.FINISHED and not BROKEN and w.posts() == 2
 
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -1,5 +1,6 @@
 """Many controllers in virtual time before engines that have just started: what all of them together send in any window, also as part
 of the fronts start again in it; that every query has one answer; that cold engines get work at all. Planted faults are found."""
+
 import heapq
 from math import sqrt
 from random import Random
@@ -18,11 +19,25 @@
 
     def __init__(self, fleet, number, plant):
         self.fleet, self.number, self.plant, self.open = fleet, number, plant, set()
-        self.engines = [io.Engine(e, "a", "k", 0, io.LISTED, 1.0, t, CORES, 16000.0) for e, t in fleet.starts.items()]
-        gateway = io.Gateway("a", fleet.fronts if plant != "share" else fleet.fronts // 3, fleet.rng.getrandbits(60), 5.0,
-                             number=number)
-        self.c = Controller(self, gateway, [fleet.group], [], io.Licence(4, True, False, False, 0.0), fleet.rules,
-                            io.EngineMake(False, False, 0.4, "queue", 0.0, False, (), "none"))
+        self.engines = [
+            io.Engine(e, "a", "k", 0, io.LISTED, 1.0, t, CORES, 16000.0) for e, t in fleet.starts.items()
+        ]
+        gateway = io.Gateway(
+            "a",
+            fleet.fronts if plant != "share" else fleet.fronts // 3,
+            fleet.rng.getrandbits(60),
+            5.0,
+            number=number,
+        )
+        self.c = Controller(
+            self,
+            gateway,
+            [fleet.group],
+            [],
+            io.Licence(4, True, False, False, 0.0),
+            fleet.rules,
+            io.EngineMake(False, False, 0.4, "queue", 0.0, False, (), "none"),
+        )
         if plant == "weight":
             self.c.guards.weight = lambda q: q.work_ms * 0.4
         self.c.list_news(self.engines, True)
@@ -35,7 +50,13 @@
         return self.fleet.now
 
     def take(self, work):
-        q = io.Query(self.fleet.count(), self.fleet.group, self.now_ms, self.now_ms + self.fleet.group.timeout_ms, work_ms=work)
+        q = io.Query(
+            self.fleet.count(),
+            self.fleet.group,
+            self.now_ms,
+            self.now_ms + self.fleet.group.timeout_ms,
+            work_ms=work,
+        )
         self.open.add(q)
         self.fleet.taken += 1
         self.c.take(q)
@@ -53,7 +74,9 @@
         if not self.c.may_go(sub, self.now_ms):
             return self.end(sub, io.NEVER_SENT)
         self.fleet.sent[sub.engine.id].append((self.now_ms, sub.query.work_ms))
-        self.fleet.at(self.now_ms + sub.query.work_ms, lambda: self.gone or sub.ending or self.end(sub, io.FINISHED))
+        self.fleet.at(
+            self.now_ms + sub.query.work_ms, lambda: self.gone or sub.ending or self.end(sub, io.FINISHED)
+        )
 
     def end(self, sub, ending):
         sub.ending = ending
@@ -98,11 +121,16 @@
         self.sent = {e: [] for e in self.starts}
         self.all = [Front(self, i, plant) for i in range(fronts)]
         self.plant = plant
-        rate = 6 * engines * CORES * 0.85 / work            # of all, a millisecond: those with little traffic use their share up, too
+        rate = (
+            6 * engines * CORES * 0.85 / work
+        )  # of all, a millisecond: those with little traffic use their share up, too
         shares = [self.rng.choice((0.2, 0.5, 1.0, 4.0)) for _ in range(fronts)]
         for i, share in enumerate(shares):
             self.ask(i, rate * share / sum(shares))
-        for at in (3000.0, 3000.0 + window_ms / 2):         # twice within a window, and much is asked just before and after
+        for at in (
+            3000.0,
+            3000.0 + window_ms / 2,
+        ):  # twice within a window, and much is asked just before and after
             self.at(at, lambda: self.restart(again))
             for burst in (at - 60, at + 60):
                 self.at(burst, self.burst)
@@ -117,25 +145,39 @@
     def ask(self, i, rate):
         def one():
             if not self.all[i].gone:
-                self.all[i].take(self.work * self.rng.lognormvariate(-self.spread ** 2 / 2, self.spread))
+                self.all[i].take(self.work * self.rng.lognormvariate(-(self.spread**2) / 2, self.spread))
             self.at(self.now + self.rng.expovariate(rate), one)
+
         self.at(self.now + self.rng.expovariate(rate), one)
 
     def burst(self):
         for front in self.all:
-            for _ in range(3 + int(2 * len(self.starts) * MULTIPLE * CORES * self.rules.cold_window_ms / self.work / self.fronts)):
+            for _ in range(
+                3
+                + int(
+                    2
+                    * len(self.starts)
+                    * MULTIPLE
+                    * CORES
+                    * self.rules.cold_window_ms
+                    / self.work
+                    / self.fronts
+                )
+            ):
                 front.gone or front.take(self.work)
 
     def restart(self, part):
         for i in self.rng.sample(range(self.fronts), int(part * self.fronts)):
-            self.all[i].gone, self.all[i].open = True, set()        # killed: what it had is its clients' again
+            self.all[i].gone, self.all[i].open = True, set()  # killed: what it had is its clients' again
             self.at(self.now + 20.0, lambda i=i: self.all.__setitem__(i, Front(self, i, self.plant)))
 
     def run(self, until_ms):
         while self.heap[0][0] <= until_ms:
             self.now, _, call = heapq.heappop(self.heap)
             call()
-            assert all(q.ends_ms + 10 >= self.now for q in self.all[self.no % self.fronts].open), "a query without an answer"
+            assert all(q.ends_ms + 10 >= self.now for q in self.all[self.no % self.fronts].open), (
+                "a query without an answer"
+            )
         return self
 
     def audit(self):
@@ -163,7 +205,7 @@
 def test_all_fronts_together_stay_within_a_cold_engines_budget(seed, fronts, work):
     fleet = Fleet(seed, fronts, work).run(9000.0)
     assert fleet.audit() < 1.0
-    for e, at in fleet.starts.items():      # and it gets work, through two restarts in one window too
+    for e, at in fleet.starts.items():  # and it gets work, through two restarts in one window too
         done = sum(w for t, w in fleet.sent[e] if at + 1500 < t < at + 5500)
         assert done > 0.05 * COLD_SHARE * 0.85 * CORES * 4000, (e, done)
 
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -1,5 +1,6 @@
 """Settings in protobuf text format: read whole or refused in one line that names file, line and cause; the generated code
 is current."""
+
 import subprocess
 import sys
 
@@ -10,11 +11,24 @@
 from lichenquay.conf import lichenquay_pb2 as pb
 from lichenquay.conf.fleet import fingerprint, voters_of
 from lichenquay.conf.make import HERE, PROTOS
-from lichenquay.conf.read import RANGES, BadSettings, fault_of, fields, read_file, read_lab, read_settings, rules_of
+from lichenquay.conf.read import (
+    RANGES,
+    BadSettings,
+    fault_of,
+    fields,
+    read_file,
+    read_lab,
+    read_settings,
+    rules_of,
+)
 
 
 def test_the_generated_code_is_current(tmp_path):
-    subprocess.run([sys.executable, "-c", f"from lichenquay.conf.make import make; make({str(tmp_path)!r})"], check=True, cwd=HERE.parents[1])
+    subprocess.run(
+        [sys.executable, "-c", f"from lichenquay.conf.make import make; make({str(tmp_path)!r})"],
+        check=True,
+        cwd=HERE.parents[1],
+    )
     assert len(PROTOS) > 1
     for proto in PROTOS:
         name = proto.stem + "_pb2.py"
@@ -22,23 +36,39 @@
 
 
 def test_what_is_left_out_has_its_usual_value_and_zero_can_be_said():
-    lab = read_lab('load { skew: 0 rate: 7 } groups { name: "one" target_ms: 5 timeout_ms: 9 threads: 1 share: 1 work_ms: 1 }')
+    lab = read_lab(
+        'load { skew: 0 rate: 7 } groups { name: "one" target_ms: 5 timeout_ms: 9 threads: 1 share: 1 work_ms: 1 }'
+    )
     assert lab.load.skew == 0 and lab.load.rate == 7 and lab.load.workers == 2 and lab.engines.count == 4
     assert [g.name for g in lab.groups] == ["one"] and len(lab.tenants) == 3
     assert read_lab("engines { zones: 'z' }").engines.zones == ["z"]
 
 
-@pytest.mark.parametrize("text, said", [
-    ("load {\n  rat: 3\n}", ':2: Message type "lichenquay.conf.Load" has no field named "rat"'),
-    ("load {\n  rate: 'x'\n}", "Couldn't parse float: 'x'"), ("load {", ":1: "),
-    ("\nengines {\n  count: 0\n}", ":3: engines.count: 0 is not between 1 and 10000"),
-    ("load { workers: 9 connections: 4 addresses: 1 }", ":1: load.workers: 9 of them need a connection each, there are 4"),
-    ("groups { name: 'a' work_ms: 1 threads: 1 share: 1 target_ms: 1 timeout_ms: 1 }\ngroups { name: 'a'\n }", "groups[1].target_ms: 0 is not between"),
-    ("faults { at_ms: 3 }", "faults[0].kind: missing"), ("faults { kind: HANG engine: 4 }", "faults[0].engine: 4, but there are 4"),
-    ("faults { kind: LOSE amount: 1.5 }", "faults[0].amount: 1.5 is no share"),
-    ("faults { kind: SLOW }", "faults[0].amount: 0 is no factor"), ("faults { kind: ZONE_CUT zone: 'q' }", "no engine is in 'q'"),
-    ("load { addresses: 50 }", "load.addresses: 50 of them need as many"), ("load { rate: nan }", "load.rate: nan"),
-    ("tenants { share: 1 }", "tenants: each needs a name")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("load {\n  rat: 3\n}", ':2: Message type "lichenquay.conf.Load" has no field named "rat"'),
+        ("load {\n  rate: 'x'\n}", "Couldn't parse float: 'x'"),
+        ("load {", ":1: "),
+        ("\nengines {\n  count: 0\n}", ":3: engines.count: 0 is not between 1 and 10000"),
+        (
+            "load { workers: 9 connections: 4 addresses: 1 }",
+            ":1: load.workers: 9 of them need a connection each, there are 4",
+        ),
+        (
+            "groups { name: 'a' work_ms: 1 threads: 1 share: 1 target_ms: 1 timeout_ms: 1 }\ngroups { name: 'a'\n }",
+            "groups[1].target_ms: 0 is not between",
+        ),
+        ("faults { at_ms: 3 }", "faults[0].kind: missing"),
+        ("faults { kind: HANG engine: 4 }", "faults[0].engine: 4, but there are 4"),
+        ("faults { kind: LOSE amount: 1.5 }", "faults[0].amount: 1.5 is no share"),
+        ("faults { kind: SLOW }", "faults[0].amount: 0 is no factor"),
+        ("faults { kind: ZONE_CUT zone: 'q' }", "no engine is in 'q'"),
+        ("load { addresses: 50 }", "load.addresses: 50 of them need as many"),
+        ("load { rate: nan }", "load.rate: nan"),
+        ("tenants { share: 1 }", "tenants: each needs a name"),
+    ],
+)
 def test_what_makes_no_sense_is_refused_in_one_line(text, said):
     with pytest.raises(BadSettings) as bad:
         read_lab(text, "w.textproto")
@@ -62,8 +92,32 @@
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(st.text(max_size=60) | st.lists(st.sampled_from(
-    ["load", "engines", "{", "}", ":", "rate", "count", "3", "-1", "1e400", "'x'", "nan", "faults", "kind", "DIE", "\n"]), max_size=14).map(" ".join))
+@given(
+    st.text(max_size=60)
+    | st.lists(
+        st.sampled_from(
+            [
+                "load",
+                "engines",
+                "{",
+                "}",
+                ":",
+                "rate",
+                "count",
+                "3",
+                "-1",
+                "1e400",
+                "'x'",
+                "nan",
+                "faults",
+                "kind",
+                "DIE",
+                "\n",
+            ]
+        ),
+        max_size=14,
+    ).map(" ".join)
+)
 def test_no_text_does_more_than_be_refused(text):
     try:
         lab = read_lab(text)
@@ -76,10 +130,17 @@
         assert again == lab
 
 
-@pytest.mark.parametrize("text, said", [
-    ("gate {\n address { per_s: 5 } }", "gate.address.burst: 0 lets nobody in"), ("gate { known: '10.0.0.0/99' }", "gate.known: '10.0.0.0/99' does not"),
-    ("gate { reserve: 3 }", "gate.reserve: 3, but no range is known"), ("gate { prefix4: 99 }", "gate.prefix4: 99 is not between 8 and 32"),
-    ("gat { }", 'no field named "gat"'), ("gate { prefix { held_bytes: 10000000000000 } }", "gate.prefix.held_bytes: 1e+13 is not")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("gate {\n address { per_s: 5 } }", "gate.address.burst: 0 lets nobody in"),
+        ("gate { known: '10.0.0.0/99' }", "gate.known: '10.0.0.0/99' does not"),
+        ("gate { reserve: 3 }", "gate.reserve: 3, but no range is known"),
+        ("gate { prefix4: 99 }", "gate.prefix4: 99 is not between 8 and 32"),
+        ("gat { }", 'no field named "gat"'),
+        ("gate { prefix { held_bytes: 10000000000000 } }", "gate.prefix.held_bytes: 1e+13 is not"),
+    ],
+)
 def test_a_gate_that_makes_no_sense_is_refused_in_one_line(text, said):
     with pytest.raises(BadSettings) as bad:
         read_settings(text, "s")
@@ -87,8 +148,21 @@
 
 
 def test_a_gates_rules():
-    r = rules_of(read_settings("gate { address { connections: 3 per_s: 2 burst: 4 } known: '10.0.0.1' reserve: 5 lag_ms: 0 }").gate, 70)
-    assert (r.most, r.address.connections, r.address.burst, r.reserve, r.lag_ms, r.prefix4, r.again_ms) == (70, 3, 4, 5, 0, 24, 1000)
+    r = rules_of(
+        read_settings(
+            "gate { address { connections: 3 per_s: 2 burst: 4 } known: '10.0.0.1' reserve: 5 lag_ms: 0 }"
+        ).gate,
+        70,
+    )
+    assert (r.most, r.address.connections, r.address.burst, r.reserve, r.lag_ms, r.prefix4, r.again_ms) == (
+        70,
+        3,
+        4,
+        5,
+        0,
+        24,
+        1000,
+    )
     assert str(r.known[0]) == "10.0.0.1/32"
 
 
@@ -96,20 +170,51 @@
 peers { name: "c" address: "127.0.0.1:4003" } %s }"""
 
 
-@pytest.mark.parametrize("text, said", [
-    ('fleet { }', "fleet.fleet: missing"), ('fleet { fleet: "x" name: "a" listen: "127.0.0.1:1" }', "a fleet is two fronts at least"),
-    (FLEET % 'peers { name: "b" address: "127.0.0.1:4004" }', ":2: fleet.peers[2].name: 'b' is another peer's"),
-    (FLEET % 'peers { name: "a" address: "127.0.0.1:4004" }', "fleet.peers[2].name: 'a' is this front itself"),
-    (FLEET % 'peers { name: "d" address: "127.0.0.1:4002" }', "fleet.peers[2].address: '127.0.0.1:4002' is another's"),
-    (FLEET % 'peers { name: "d" address: "nowhere" }', "fleet.peers[2].address: 'nowhere' is no address:port"),
-    (FLEET % 'peers { name: "d d" address: "127.0.0.1:9" }', "fleet.peers[2].name: 'd d' is no name"),
-    (FLEET % 'voters: "a" voters: "z" voters: "b"', "fleet.voters: 'z' is no front"), (FLEET % 'voters: "a"', "fleet.voters: 1 of them"),
-    (FLEET % 'accounts { tenant: "t" rate_ms: -1 bucket_ms: 1 }', "fleet.accounts[0].rate_ms: -1 is not between"),
-    (FLEET % 'accounts { tenant: "t" bucket_ms: 1 }', "fleet.accounts[0].rate_ms: missing"),
-    (FLEET % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 } accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }', "a tenant of its own"),
-    (FLEET % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 credit_ms: 900 }', "fleet.accounts[0]: quota of 't': a limit of 900 ms cannot be repaid"),
-    (FLEET % 'lease_ms: 2000 term_ms: 3000', "fleet.term_ms: 3000 is under two leases"),
-    (FLEET.replace('folder: "f"', "") % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }', "fleet.folder: missing")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("fleet { }", "fleet.fleet: missing"),
+        ('fleet { fleet: "x" name: "a" listen: "127.0.0.1:1" }', "a fleet is two fronts at least"),
+        (
+            FLEET % 'peers { name: "b" address: "127.0.0.1:4004" }',
+            ":2: fleet.peers[2].name: 'b' is another peer's",
+        ),
+        (
+            FLEET % 'peers { name: "a" address: "127.0.0.1:4004" }',
+            "fleet.peers[2].name: 'a' is this front itself",
+        ),
+        (
+            FLEET % 'peers { name: "d" address: "127.0.0.1:4002" }',
+            "fleet.peers[2].address: '127.0.0.1:4002' is another's",
+        ),
+        (
+            FLEET % 'peers { name: "d" address: "nowhere" }',
+            "fleet.peers[2].address: 'nowhere' is no address:port",
+        ),
+        (FLEET % 'peers { name: "d d" address: "127.0.0.1:9" }', "fleet.peers[2].name: 'd d' is no name"),
+        (FLEET % 'voters: "a" voters: "z" voters: "b"', "fleet.voters: 'z' is no front"),
+        (FLEET % 'voters: "a"', "fleet.voters: 1 of them"),
+        (
+            FLEET % 'accounts { tenant: "t" rate_ms: -1 bucket_ms: 1 }',
+            "fleet.accounts[0].rate_ms: -1 is not between",
+        ),
+        (FLEET % 'accounts { tenant: "t" bucket_ms: 1 }', "fleet.accounts[0].rate_ms: missing"),
+        (
+            FLEET
+            % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 } accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }',
+            "a tenant of its own",
+        ),
+        (
+            FLEET % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 credit_ms: 900 }',
+            "fleet.accounts[0]: quota of 't': a limit of 900 ms cannot be repaid",
+        ),
+        (FLEET % "lease_ms: 2000 term_ms: 3000", "fleet.term_ms: 3000 is under two leases"),
+        (
+            FLEET.replace('folder: "f"', "") % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }',
+            "fleet.folder: missing",
+        ),
+    ],
+)
 def test_a_fleet_that_makes_no_sense_is_refused_in_one_line(text, said):
     with pytest.raises(BadSettings) as bad:
         read_settings(text, "s")
@@ -119,8 +224,28 @@
 def test_a_fleets_fingerprint_is_alike_where_it_has_to_be():
     def print_of(text):
         return fingerprint(read_settings(text).fleet)
+
     own = FLEET % 'accounts { tenant: "t" rate_ms: 1 bucket_ms: 1 }'
-    other = own.replace('name: "a"', 'name: "x"').replace('name: "b"', 'name: "a"').replace('name: "x"', 'name: "b"').replace('"f"', '"g"')
-    assert print_of(own) == print_of(other) == print_of(own.replace("bucket_ms: 1", "bucket_ms: 1 repay_share: 0.25"))
-    assert len({print_of(own), print_of(FLEET % ""), print_of(own.replace("yard", "moor")), print_of(own.replace("rate_ms: 1", "rate_ms: 2"))}) == 4
+    other = (
+        own.replace('name: "a"', 'name: "x"')
+        .replace('name: "b"', 'name: "a"')
+        .replace('name: "x"', 'name: "b"')
+        .replace('"f"', '"g"')
+    )
+    assert (
+        print_of(own)
+        == print_of(other)
+        == print_of(own.replace("bucket_ms: 1", "bucket_ms: 1 repay_share: 0.25"))
+    )
+    assert (
+        len(
+            {
+                print_of(own),
+                print_of(FLEET % ""),
+                print_of(own.replace("yard", "moor")),
+                print_of(own.replace("rate_ms: 1", "rate_ms: 2")),
+            }
+        )
+        == 4
+    )
     assert voters_of(read_settings(own).fleet) == ["a", "b", "c"]
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -1,4 +1,5 @@
 """Queries' ends, moves, silence and the list; and seeded random runs that check the rules at every step."""
+
 import random
 from io import StringIO
 
@@ -82,7 +83,7 @@
     g = group()
     door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
     sub = door.take(g, work=2000.0).submissions[0]
-    door.c.noted(sub, io.WAITS, 1)          # one note, then silence until it runs
+    door.c.noted(sub, io.WAITS, 1)  # one note, then silence until it runs
     door.until(door.now_ms + 1500)
     assert not door.cancelled and not any(s.silent for s in door.c.fleet.values())
     for done in (0.001, 0.3):
@@ -134,7 +135,7 @@
         assert not door.subs
         door.c.list_confirmed() if confirmed else door.until(door.now_ms + 7000)
         door.take(g)
-        assert len(door.subs) == 1 + confirmed      # what waited longer than a tenth of its time was refused
+        assert len(door.subs) == 1 + confirmed  # what waited longer than a tenth of its time was refused
 
 
 def test_a_failed_call_to_the_list_is_made_again():
@@ -145,12 +146,16 @@
 
 
 def test_the_adapter_reads_a_batch_and_answers_it():
-    hello = ("hello\tseed=5\tclasses.count=1\tclasses.0.aim_us=1000000\tclasses.0.deadline_us=6000000"
-             "\tclasses.0.effect=safe\tclasses.0.name=lookup\tlimits.most_tries=3\tkinds=k\tnew_key=1\n")
+    hello = (
+        "hello\tseed=5\tclasses.count=1\tclasses.0.aim_us=1000000\tclasses.0.deadline_us=6000000"
+        "\tclasses.0.effect=safe\tclasses.0.name=lookup\tlimits.most_tries=3\tkinds=k\tnew_key=1\n"
+    )
     rows = "sheet\ttable=3\trows_in=1\nengine\tengine=e1\tclass_of_host=k\tstatus=IN\n"
-    text = ("clock\tmoment_us=1000\n" + rows + "about\twho=front_2\n" + hello + "targets\ttable=3\tstamp=1\t"
-            "mode=restored\narrival\treq=7\tlane=lookup\tttl_us=90000\ngo\nclock\tmoment_us=2500\nabout\twho=front_2\n"
-            "response\treq=7\tleg=0\tengine=e1\tending=E\twait_time_us=1500\tterminal=0\ngo\n")
+    text = (
+        "clock\tmoment_us=1000\n" + rows + "about\twho=front_2\n" + hello + "targets\ttable=3\tstamp=1\t"
+        "mode=restored\narrival\treq=7\tlane=lookup\tttl_us=90000\ngo\nclock\tmoment_us=2500\nabout\twho=front_2\n"
+        "response\treq=7\tleg=0\tengine=e1\tending=E\twait_time_us=1500\tterminal=0\ngo\n"
+    )
     out = StringIO()
     Adapter(StringIO(text), out).run()
     assert out.getvalue().count("send\treq=7\tengine=e1\tpatience_us=90000\n") == 1
@@ -165,23 +170,71 @@
     groups = [quick()]
     for i in range(r.randint(0, 4)):
         effect = r.choice((io.READ_ONLY, io.TOKENED, io.MUTATING))
-        groups.append(group(f"g{i}", effect, threads=r.randint(1, 4), is_load=r.random() < 0.3,
-                            yields=r.random() < 0.3, in_order=r.random() < 0.4, dedup=r.choice(("all", "zone", "cell")),
-                            memory_window_ms=r.choice((0.0, 500.0, 4000.0)), timeout_ms=r.choice((800.0, 4000.0)),
-                            target_ms=r.choice((0.0, 500.0, 2000.0)), value=r.choice((0.0, 1.0, 20.0)),
-                            places=r.choice((None, frozenset("a"))), kinds=r.choice((None, frozenset("k")))))
+        groups.append(
+            group(
+                f"g{i}",
+                effect,
+                threads=r.randint(1, 4),
+                is_load=r.random() < 0.3,
+                yields=r.random() < 0.3,
+                in_order=r.random() < 0.4,
+                dedup=r.choice(("all", "zone", "cell")),
+                memory_window_ms=r.choice((0.0, 500.0, 4000.0)),
+                timeout_ms=r.choice((800.0, 4000.0)),
+                target_ms=r.choice((0.0, 500.0, 2000.0)),
+                value=r.choice((0.0, 1.0, 20.0)),
+                places=r.choice((None, frozenset("a"))),
+                kinds=r.choice((None, frozenset("k"))),
+            )
+        )
     bare = r.random() < 0.3
-    make = io.EngineMake(r.random() < 0.7, r.random() < 0.7, 0.4, r.choice(("queue", "swap", "trim")),
-                         r.choice((0.0, 500.0)), r.random() < 0.5, *r.choice(
-                             ((("active",), "answers"), (("cpu", "waiting", "x1"), "answers"), (("waiting", "x0"), "probe"),
-                              ((), "none"))))
-    engines = [engine(f"e{i}", r.choice("ab"), r.choice(("k", "m")), r.randint(0, 2), None, 0.0 if bare else 8.0,
-                      0.0 if bare else 16000.0) for i in range(r.choice((0, 1, 2, 6)))]
-    tenants = [io.Tenant("t", 0.5, 10.0, 0.1), io.Tenant("u", 0.5, 10.0, 0.1)][:r.choice((0, 2))]
-    return r, groups, tenants, FakeDoor(
-        groups, engines, tenants, fronts=r.choice((1, 3)), seed=seed, make=make, most=r.randint(1, 5),
-        cancel=r.random() < 0.6, probe=r.random() < 0.5, on_request=r.random() < 0.2,
-        **(dict(free=2.0, share=0.1, window=2000.0) if r.random() < 0.5 else {}))
+    make = io.EngineMake(
+        r.random() < 0.7,
+        r.random() < 0.7,
+        0.4,
+        r.choice(("queue", "swap", "trim")),
+        r.choice((0.0, 500.0)),
+        r.random() < 0.5,
+        *r.choice(
+            (
+                (("active",), "answers"),
+                (("cpu", "waiting", "x1"), "answers"),
+                (("waiting", "x0"), "probe"),
+                ((), "none"),
+            )
+        ),
+    )
+    engines = [
+        engine(
+            f"e{i}",
+            r.choice("ab"),
+            r.choice(("k", "m")),
+            r.randint(0, 2),
+            None,
+            0.0 if bare else 8.0,
+            0.0 if bare else 16000.0,
+        )
+        for i in range(r.choice((0, 1, 2, 6)))
+    ]
+    tenants = [io.Tenant("t", 0.5, 10.0, 0.1), io.Tenant("u", 0.5, 10.0, 0.1)][: r.choice((0, 2))]
+    return (
+        r,
+        groups,
+        tenants,
+        FakeDoor(
+            groups,
+            engines,
+            tenants,
+            fronts=r.choice((1, 3)),
+            seed=seed,
+            make=make,
+            most=r.randint(1, 5),
+            cancel=r.random() < 0.6,
+            probe=r.random() < 0.5,
+            on_request=r.random() < 0.2,
+            **(dict(free=2.0, share=0.1, window=2000.0) if r.random() < 0.5 else {}),
+        ),
+    )
 
 
 @pytest.mark.parametrize("seed", range(60))
@@ -191,9 +244,15 @@
     for step in range(500):
         door.until(door.now_ms + r.choice((1, 5, 20, 90)))
         for _ in range(r.choice((0, 1, 1, 6))):
-            door.take(r.choice(groups), work=r.choice((0.0, 100.0, 900.0)), memory=r.choice((0.0, 200.0, 9e5)),
-                      ttl=r.choice((60.0, 400.0, 4000.0)), key=r.choice(("", "x", "y")), tables=r.choice((None, "1")),
-                      tenant=r.choice(tenants) if tenants else None)
+            door.take(
+                r.choice(groups),
+                work=r.choice((0.0, 100.0, 900.0)),
+                memory=r.choice((0.0, 200.0, 9e5)),
+                ttl=r.choice((60.0, 400.0, 4000.0)),
+                key=r.choice(("", "x", "y")),
+                tables=r.choice((None, "1")),
+                tenant=r.choice(tenants) if tenants else None,
+            )
         report = {c: r.choice((0.0, 0.5, 1.0, 40.0)) for c in door.make.columns} or None
         for sub in door.out():
             late = door.now_ms >= sub.query.ends_ms
@@ -202,9 +261,14 @@
             elif sub in door.cancelled and r.random() < 0.5:
                 door.answer(sub, r.choice((io.CANCELLED, io.FINISHED)), report)
             elif r.random() < 0.25:
-                door.answer(sub, r.choice([io.FINISHED] * 6 + endings), report, r.choice((None, (150.0, 300.0))))
+                door.answer(
+                    sub, r.choice([io.FINISHED] * 6 + endings), report, r.choice((None, (150.0, 300.0)))
+                )
             elif r.random() < 0.2 and not sub.query.over:
-                door.c.noted(sub, *r.choice(((io.PROGRESS, r.random()), (io.SPILLS, 90.0), (io.WAITS, 2), (io.WAITS, 1))))
+                door.c.noted(
+                    sub,
+                    *r.choice(((io.PROGRESS, r.random()), (io.SPILLS, 90.0), (io.WAITS, 2), (io.WAITS, 1))),
+                )
         for q in [q for q in door.queries if not q.over]:
             if r.random() < 0.003:
                 q.over = True
@@ -239,13 +303,15 @@
     make = io.EngineMake(True, False, 0.4, "queue", 0.0, False, ("cpu",), "answers")
     long, short = group(), quick()
     door = FakeDoor([long, short], [engine("a")], make=make, probe=False)
-    seen, = door.c.fleet.values()
-    first = door.take(long, work=1000.0)        # 500 ms of two threads: overdue after four times that
+    (seen,) = door.c.fleet.values()
+    first = door.take(long, work=1000.0)  # 500 ms of two threads: overdue after four times that
     door.until(door.now_ms + 1900)
     assert first.submissions and not seen.silent and not door.cancelled
     second = door.take(long, work=4000.0)
     door.until(door.now_ms + 300)
-    assert first.submissions[0] in door.cancelled and second.submissions and not seen.silent      # lost alone: it is moved
+    assert (
+        first.submissions[0] in door.cancelled and second.submissions and not seen.silent
+    )  # lost alone: it is moved
     door.answer(first.submissions[0], io.CANCELLED)
     door.answer(first.submissions[-1], io.FINISHED) if first.submissions[-1].ending is None else None
     door.until(door.now_ms + 8500)
--- a/tests/test_controller_slots.py
+++ b/tests/test_controller_slots.py
@@ -1,4 +1,5 @@
 """Slots and their feedback, shares of engines, and the draw: plain cases of the design and of each failure found."""
+
 from zlib import crc32
 
 import pytest
@@ -7,7 +8,7 @@
 from lichenquay.admission import interface as io
 from lichenquay.admission.slots import MAX, MIN
 
-REPORT = {"active": 60.0}       # a busy report: more threads than cores hold
+REPORT = {"active": 60.0}  # a busy report: more threads than cores hold
 
 
 def closed(late, waiters, running=1.0, report=None, maximum=3, minimum=0, pool=1000.0):
@@ -97,11 +98,11 @@
     door.c.reported(door.c.fleet[door.engines[0]], REPORT)
     for _ in range(30):
         door.take(q)
-    assert len(door.out()) == 4     # two threads a core, of which a quarter is ours
+    assert len(door.out()) == 4  # two threads a core, of which a quarter is ours
 
 
 def test_where_our_share_of_an_engine_is_below_one_query_the_fleets_shares_are_pooled():
-    g = group()         # of 6 engines x 16 threads a fiftieth is ours: one query of two threads
+    g = group()  # of 6 engines x 16 threads a fiftieth is ours: one query of two threads
     door = FakeDoor([quick(), g], [engine(f"e{i}") for i in range(6)], fronts=50)
     for seen in door.c.fleet.values():
         door.c.reported(seen, REPORT)
@@ -113,12 +114,14 @@
 
 
 def test_pooled_groups_keep_to_our_share_of_the_fleets_memory_where_it_swaps_not_of_one_engines():
-    g = group(threads=3)        # a twentieth of an engine's memory is less than one query
+    g = group(threads=3)  # a twentieth of an engine's memory is less than one query
     swap = io.EngineMake(True, True, 0.4, "swap", 500.0, False, ("cpu",), "answers")
     door = FakeDoor([quick(), g], [engine(f"e{i}") for i in range(10)], fronts=20, make=swap)
     for _ in range(12):
         door.take(g, memory=1600.0)
-    assert len(door.out()) == 5     # of 160000 MB a twentieth is ours, less the set-aside; the last one passes it
+    assert (
+        len(door.out()) == 5
+    )  # of 160000 MB a twentieth is ours, less the set-aside; the last one passes it
 
 
 def test_an_old_report_counts_as_the_average_of_the_fresh():
@@ -137,7 +140,7 @@
     door = FakeDoor([quick(), g], [engine("e1")], make=swap)
     for _ in range(20):
         door.take(g, memory=1600.0)
-    assert len(door.out()) == 4     # of 16000 MB half is ours, less the set-aside
+    assert len(door.out()) == 4  # of 16000 MB half is ours, less the set-aside
 
 
 def test_an_engine_told_to_be_short_of_memory_gets_only_dashboards_for_a_note():
@@ -167,7 +170,7 @@
             assert sent.count("a") < 25 and sent.count("b") > 100 and sent.count("c") > 100
     q, left = door.take(far, work=5000.0), door.cancelled
     door.c.left(q)
-    assert left == [q.submissions[0]]       # risk: what nobody waits for holds its engine
+    assert left == [q.submissions[0]]  # risk: what nobody waits for holds its engine
 
 
 def test_loads_of_the_same_tables_are_not_lined_up_past_their_target():
@@ -180,13 +183,13 @@
     assert len(out) == 6 and {q.submissions[0].engine.id for q in out} == {"e1", "e2"} and other.submissions
     door.until(door.now_ms + 300)
     door.answer(out[0].submissions[0], io.FINISHED)
-    assert sum(bool(q.submissions) for q in same) == len(out) + 1      # the next one takes its place
+    assert sum(bool(q.submissions) for q in same) == len(out) + 1  # the next one takes its place
 
 
 def test_table_homes_draw_about_a_third_in_any_fleet():
     for n in (6, 40):
         door = FakeDoor([quick(), group()], [engine(f"e{i}") for i in range(n)])
-        door.c.picker.near = list(door.c.fleet.values())    # as with traffic that hears of them all
+        door.c.picker.near = list(door.c.fleet.values())  # as with traffic that hears of them all
         homes, far = door.c.picker.homes_of("t1")
         q = io.Query(1, group(), door.now_ms, door.now_ms + 1000, work_ms=100, tables="t1")
         picks = [next(door.c.picker.draw(q, door.now_ms)) for _ in range(300)]
@@ -195,7 +198,7 @@
 
 def test_thin_traffic_draws_first_from_the_few_engines_that_it_hears_of():
     g, drawn = quick(), []
-    for seed in range(40):      # of many gateways, each with 4 queries in the time that a report counts (2 s)
+    for seed in range(40):  # of many gateways, each with 4 queries in the time that a report counts (2 s)
         door = FakeDoor([g], [engine(f"e{i}") for i in range(40)], fronts=200, seed=seed)
         for _ in range(60):
             door.take(g, work=20.0)
@@ -226,9 +229,17 @@
         e = engine(name, started=1000.0)
         for age in range(0, 15000, 500):
             now, rules = 1000.0 + age, doors[0].rules
-            at = [[d.c.guards.cold_budget(e, d.c.guards.warmth(e, t)) for d in doors] for t in (now, now + 1500)]
-            told = rules.cold_multiple * 0.85 * e.cores * rules.cold_window_ms * doors[0].c.guards.warmth(e, now + 1500)
-            assert sum(map(max, *at)) <= 0.81 * told         # also while another one joins in the same window
+            at = [
+                [d.c.guards.cold_budget(e, d.c.guards.warmth(e, t)) for d in doors] for t in (now, now + 1500)
+            ]
+            told = (
+                rules.cold_multiple
+                * 0.85
+                * e.cores
+                * rules.cold_window_ms
+                * doors[0].c.guards.warmth(e, now + 1500)
+            )
+            assert sum(map(max, *at)) <= 0.81 * told  # also while another one joins in the same window
             assert max(at[0]) >= doors[0].c.guards.query
     few = FakeDoor([g], [], fronts=3, number=2)
     assert few.c.guards.cold_budget(e, 0.5) == pytest.approx(0.8 * 3 * 1500 * 0.85 * 8 * 0.5 / 3)
@@ -240,7 +251,9 @@
         engines = [engine("cold", started=1000.0), *(engine(f"e{i}") for i in range(40))]
         door = FakeDoor([g], engines, fronts=200, number=(100 * (not ours) - crc32(b"cold")) % 200)
         assert (engines[0] in [s.engine for s in door.c.picker.near]) == ours
-        door.until(1000.0 + 1.2 * door.rules.cold_window_ms)    # what the process before it may have sent counts no more
+        door.until(
+            1000.0 + 1.2 * door.rules.cold_window_ms
+        )  # what the process before it may have sent counts no more
         for _ in range(30):
             door.take(g, work=300.0)
         assert (engines[0] in {s.engine for s in door.subs}) == ours
--- a/tests/test_fleet_tenants.py
+++ b/tests/test_fleet_tenants.py
@@ -1,4 +1,5 @@
 """What queries tell an account, and what it tells of them; no processes."""
+
 from types import SimpleNamespace
 
 import pytest
@@ -10,7 +11,12 @@
 
 class Account:
     def __init__(self, within):
-        self.within, self.figures, self.told, self.rights = within, [SimpleNamespace(tenant="north")], [], self
+        self.within, self.figures, self.told, self.rights = (
+            within,
+            [SimpleNamespace(tenant="north")],
+            [],
+            self,
+        )
 
     def take(self, now_ms, q, work_ms):
         self.told.append(("take", work_ms))
@@ -24,11 +30,15 @@
 
 
 def query(tenant):
-    return io.Query(1, group("report"), 0.0, 1000.0, tenant and io.Tenant(tenant, 0.5, 1.0, 0.1), work_ms=40.0)
+    return io.Query(
+        1, group("report"), 0.0, 1000.0, tenant and io.Tenant(tenant, 0.5, 1.0, 0.1), work_ms=40.0
+    )
 
 
-@pytest.mark.parametrize("within, tenant, beyond", [
-    (True, "north", False), (False, "north", True), (True, "south", None), (False, None, None)])
+@pytest.mark.parametrize(
+    "within, tenant, beyond",
+    [(True, "north", False), (False, "north", True), (True, "south", None), (False, None, None)],
+)
 def test_only_a_tenant_with_an_account_is_told_of(within, tenant, beyond):
     account = Account(within)
     tenants = Tenants(account, lambda: 0.0, lambda: None)
@@ -36,8 +46,15 @@
     assert account.told == ([("take", 40.0)] if tenant == "north" else [])
 
 
-@pytest.mark.parametrize("endings, told", [
-    ([], ("settle", 0.0)), ([io.FULL, io.NOT_CONNECTED], ("settle", 0.0)), ([io.FULL, None], ("drop",)), ([io.ERROR], ("drop",))])
+@pytest.mark.parametrize(
+    "endings, told",
+    [
+        ([], ("settle", 0.0)),
+        ([io.FULL, io.NOT_CONNECTED], ("settle", 0.0)),
+        ([io.FULL, None], ("drop",)),
+        ([io.ERROR], ("drop",)),
+    ],
+)
 def test_what_never_ran_costs_nothing_and_what_may_have_its_estimate(endings, told):
     account, q = Account(True), query("north")
     q.submissions = [io.Submission(q, i, None, 0.0, e) for i, e in enumerate(endings)]
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -1,4 +1,5 @@
 """A folder on a real disk: what it keeps, what is refused, what is left out."""
+
 import errno
 import os
 import random
@@ -97,7 +98,9 @@
 def newer(path):
     folder = filled(path)
     its = path / file_name(folder.generation + 1, "snapshot")
-    data = bytearray(form.header_bytes(form.Header(form.SNAPSHOT, folder.generation + 1, 9, "fleet", "front"))[0])
+    data = bytearray(
+        form.header_bytes(form.Header(form.SNAPSHOT, folder.generation + 1, 9, "fleet", "front"))[0]
+    )
     data[8:10] = struct.pack(">H", form.VERSION + 1)
     data[12:16] = struct.pack(">I", form._header_sum(bytes(data[:16]), bytes(data[16:])))
     its.write_bytes(data)
@@ -144,10 +147,13 @@
 
 
 def test_two_processes_on_one_folder(tmp_path):
-    code = ("import sys\nfrom lichenquay.folder.folder import Folder\n"
-            "f = Folder(sys.argv[1], 'fleet', 'front', 1 << 20)\nprint('open', flush=True)\nsys.stdin.read()")
-    first = subprocess.Popen([sys.executable, "-c", code, tmp_path / "f"], cwd=ROOT, stdin=subprocess.PIPE,
-                             stdout=subprocess.PIPE)
+    code = (
+        "import sys\nfrom lichenquay.folder.folder import Folder\n"
+        "f = Folder(sys.argv[1], 'fleet', 'front', 1 << 20)\nprint('open', flush=True)\nsys.stdin.read()"
+    )
+    first = subprocess.Popen(
+        [sys.executable, "-c", code, tmp_path / "f"], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
+    )
     try:
         assert first.stdout.readline() == b"open\n"
         with pytest.raises(BadFolder, match="in use by another process"):
@@ -168,7 +174,7 @@
     if how == "empty":
         data.clear()
     elif how == "cut":
-        del data[rng.randrange(len(data)):]
+        del data[rng.randrange(len(data)) :]
     elif how == "flip":
         data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
     elif how == "zeros":
@@ -194,7 +200,7 @@
         generation = filled(path, 6).generation
         damage(path, file_name(generation, which), how, random.Random(seed))
         found = make(path)
-        assert found.sure and dict(found.state) in pasts[3 if which == "journal" else 6:]
+        assert found.sure and dict(found.state) in pasts[3 if which == "journal" else 6 :]
         assert len(found.left_out) == 1 and file_name(generation, which) in found.left_out[0]
         assert [n for n in names(path) if n.startswith("bad.")] == ["bad." + file_name(generation, which)]
         found.close()
@@ -238,7 +244,7 @@
     os.mkfifo(path / file_name(999_999_999_999, "journal"))
     (path / file_name(999_999_999_998, "snapshot")).mkdir()
     for i in range(100):
-        (path / file_name(10 ** 11 + i, "snapshot")).write_bytes(b"")
+        (path / file_name(10**11 + i, "snapshot")).write_bytes(b"")
     (path / "notes.txt").write_text("not ours")
     found = make(path)
     assert found.state == state and found.sure and len(found.left_out) == reading.MOST_SAID
--- a/tests/test_folder_crash.py
+++ b/tests/test_folder_crash.py
@@ -1,5 +1,6 @@
 """A folder over a simulated disk: power lost or killed at every call, every call failing, short writes, failed
 fsyncs."""
+
 import errno
 import os
 import random
@@ -21,8 +22,14 @@
 
 def batch_of(step, rng):
     """Changes that tell their step, so that two histories never look the same; some large, some deletions."""
-    return [{f"k{rng.randrange(4)}": b"%d.%d" % (step, i) + bytes(rng.choice((0, 20, 500))),
-             f"k{rng.randrange(4)}": None, "step": b"%d.%d" % (step, i)} for i in range(rng.choice((1, 1, 2, 3)))]
+    return [
+        {
+            f"k{rng.randrange(4)}": b"%d.%d" % (step, i) + bytes(rng.choice((0, 20, 500))),
+            f"k{rng.randrange(4)}": None,
+            "step": b"%d.%d" % (step, i),
+        }
+        for i in range(rng.choice((1, 1, 2, 3)))
+    ]
 
 
 def play(os_, model, seed=1, steps=14, opens=3):
@@ -130,9 +137,20 @@
     """Some kinds of calls fail for a while, with short writes before it; then power goes, at chance."""
     rng = random.Random(seed)
     first = rng.randrange(300)
-    only = rng.choice((None, ("fsync",), ("write",), ("write", "fsync"), ("rename",), ("unlink", "rename"),
-                       ("fsync", "unlink")))
-    fails = fails_from(first, first + rng.randrange(1, 80), rng.choice((errno.ENOSPC, errno.EIO, errno.EROFS)), only)
+    only = rng.choice(
+        (
+            None,
+            ("fsync",),
+            ("write",),
+            ("write", "fsync"),
+            ("rename",),
+            ("unlink", "rename"),
+            ("fsync", "unlink"),
+        )
+    )
+    fails = fails_from(
+        first, first + rng.randrange(1, 80), rng.choice((errno.ENOSPC, errno.EIO, errno.EROFS)), only
+    )
     for crash_at in (first + 5, first + rng.randrange(100), first + rng.randrange(200)):
         disk, model = Disk(), Model()
         try:
@@ -177,7 +195,9 @@
 def test_what_failed_never_comes_back_between_later_records():
     """A failed record lies whole in the old journal, the snapshot after it rots: the later journal does not follow."""
     disk, bad = Disk(), []
-    folder = opened(SimOs(disk, fails=lambda n, name: errno.EIO if name == "fsync" and bad and bad.pop() else None))
+    folder = opened(
+        SimOs(disk, fails=lambda n, name: errno.EIO if name == "fsync" and bad and bad.pop() else None)
+    )
     folder.append({"a": b"1"})
     folder.flush(0.0)
     bad.append(True)
@@ -228,7 +248,9 @@
         waits.append(folder.due_ms - now_ms)
         now_ms = folder.due_ms
     assert waits[:3] == [250.0, 500.0, 1000.0] and waits[-1] == 30_000.0
-    assert not any(name.endswith(".new") for name in os_.listdir(PATH))  # what a full disk refused takes no room
+    assert not any(
+        name.endswith(".new") for name in os_.listdir(PATH)
+    )  # what a full disk refused takes no room
     full.clear()
     assert folder.heal(now_ms) and folder.trouble is None
 
@@ -240,7 +262,9 @@
     folder.flush(0.0)
     folder.close()
     gone = [True]
-    late = opened(SimOs(disk, fails=lambda n, name: errno.EIO if gone and name in ("read", "listdir") else None))
+    late = opened(
+        SimOs(disk, fails=lambda n, name: errno.EIO if gone and name in ("read", "listdir") else None)
+    )
     assert not late.opened and "Input/output" in late.trouble
     with pytest.raises(NotStored):
         late.append({"a": b"2"})
@@ -284,7 +308,9 @@
         folder.append({"a": b"%d" % i})
         folder.flush(0.0)
     folder.close()
-    late = opened(SimOs(disk, fails=lambda n, name: errno.EIO if fails and name in ("read", "write") else None))
+    late = opened(
+        SimOs(disk, fails=lambda n, name: errno.EIO if fails and name in ("read", "write") else None)
+    )
     while late.due_ms < 90_000.0:
         assert not late.opened and not late.state and not late.heal(late.due_ms)
     fails.clear()
--- a/tests/test_folder_faults.py
+++ b/tests/test_folder_faults.py
@@ -1,4 +1,5 @@
 """A folder of real processes on a real disk: killed, full, gone."""
+
 import os
 import random
 import shutil
@@ -91,7 +92,9 @@
 
 @pytest.mark.parametrize("more", [[], ["heal"]])
 def test_files_that_may_not_grow(tmp_path, more):
-    out = subprocess.run([sys.executable, "-c", FULL, tmp_path / "f", *more], cwd=ROOT, capture_output=True, text=True)
+    out = subprocess.run(
+        [sys.executable, "-c", FULL, tmp_path / "f", *more], cwd=ROOT, capture_output=True, text=True
+    )
     assert out.returncode == 0, out.stderr
     stored, last, healed, trouble, *_ = out.stdout.split()
     assert int(stored) > 20 and int(last) == int(stored) - 1 and (healed, trouble) == ("True", "None")
@@ -102,6 +105,7 @@
 
 class FullOs(RealOs):
     """Writes go to /dev/full while `full`: the kernel's own ENOSPC."""
+
     full = False
 
     def write(self, fd, data):
--- a/tests/test_folder_form.py
+++ b/tests/test_folder_form.py
@@ -1,4 +1,5 @@
 """The form of a folder's files against hostile bytes."""
+
 import struct
 import tracemalloc
 
@@ -13,8 +14,9 @@
 
 def journal_bytes(number=len(CHANGES)):
     first, seed = form.header_bytes(HEADER)
-    return first + b"".join(form.frame(seed, 41 + i, form.CHANGE, form.changes_bytes(c))
-                            for i, c in enumerate(CHANGES[:number]))
+    return first + b"".join(
+        form.frame(seed, 41 + i, form.CHANGE, form.changes_bytes(c)) for i, c in enumerate(CHANGES[:number])
+    )
 
 
 def read_either(data):
@@ -47,26 +49,28 @@
     bytes_ = bytearray(whole)
     for at in data.draw(st.lists(st.integers(0, 8 * len(whole) - 1), max_size=3, unique=True)):
         bytes_[at // 8] ^= 1 << at % 8
-    del bytes_[data.draw(st.integers(0, len(bytes_))):]
+    del bytes_[data.draw(st.integers(0, len(bytes_))) :]
     bytes_ += data.draw(st.binary(max_size=30))
     for found in read_either(bytes(bytes_)):
-        assert found.header == HEADER and found.changes == CHANGES[:len(found.changes)]
+        assert found.header == HEADER and found.changes == CHANGES[: len(found.changes)]
         assert found.why or bytes(bytes_) == journal_bytes(len(found.changes))
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.binary(max_size=60), st.integers(0, 255), st.integers(0, 2 ** 64 - 1))
+@given(st.binary(max_size=60), st.integers(0, 255), st.integers(0, 2**64 - 1))
 def test_whole_records_with_hostile_content(payload, kind, number):
     """Checksums are no defence against who can make them: no exception, and nothing that does not parse."""
     first, seed = form.header_bytes(HEADER)
-    journal = form.read_journal(first + form.frame(seed, 41, kind, payload) + form.frame(seed, number, kind, payload))
+    journal = form.read_journal(
+        first + form.frame(seed, 41, kind, payload) + form.frame(seed, number, kind, payload)
+    )
     assert len(journal.changes) <= 2 and (kind == form.CHANGE or not journal.changes)
 
 
 def test_a_hostile_length_takes_no_memory():
     first, seed = form.header_bytes(HEADER)
     tracemalloc.start()
-    journal = form.read_journal(first + struct.pack(">IQBI", 2 ** 32 - 1, 41, 1, 0) + bytes(1000))
+    journal = form.read_journal(first + struct.pack(">IQBI", 2**32 - 1, 41, 1, 0) + bytes(1000))
     peak = tracemalloc.get_traced_memory()[1]
     tracemalloc.stop()
     assert journal.why == "cut off" and peak < 100_000
@@ -95,7 +99,7 @@
     whole = b"".join(parts)
     assert form.read_snapshot(whole) == (header, state)
     wrong = [whole[:i] for i in range(len(whole))] + [whole + b"\0", whole + parts[-1]]
-    wrong += [b"".join(parts[:i] + parts[i + 1:]) for i in range(len(parts))]
+    wrong += [b"".join(parts[:i] + parts[i + 1 :]) for i in range(len(parts))]
     for data in wrong:
         try:
             form.read_snapshot(data)
--- a/tests/test_folder_writer.py
+++ b/tests/test_folder_writer.py
@@ -1,4 +1,5 @@
 """The thread that writes a folder: order, batches, bounds, a disk that stalls or fails, an end in time."""
+
 import errno
 import queue
 import random
@@ -44,15 +45,23 @@
         self.calls, self.told, self.log, self.late = queue.SimpleQueue(), [], CapturingLogger(), []
         self.os = os_ or HeldOs()
         self.folder = Folder(path, "fleet", "front", most, os=self.os, now_ms=self.now_ms())
-        self.writer = Writer(self.folder, lambda f, *args: self.calls.put((f, args)), self.now_ms,
-                             opened=self.late.append, log=Bound(self.log), **more)
+        self.writer = Writer(
+            self.folder,
+            lambda f, *args: self.calls.put((f, args)),
+            self.now_ms,
+            opened=self.late.append,
+            log=Bound(self.log),
+            **more,
+        )
 
     def now_ms(self):
         return time.monotonic() * 1000
 
     def store(self, name, **changes):
         me = threading.get_ident()
-        self.writer.store(changes, lambda ok: self.told.append((name, ok)) if threading.get_ident() == me else None)
+        self.writer.store(
+            changes, lambda ok: self.told.append((name, ok)) if threading.get_ident() == me else None
+        )
 
     def turn(self, wait=10):
         f, args = self.calls.get(timeout=wait)
@@ -106,7 +115,11 @@
         host.store(i, a=b"%d" % i)
     host.os.free.set()
     host.until(101)
-    assert host.os.fsyncs == before + 1 and host.writer.counts["batches"] == 2 and host.writer.counts["stored"] == 101
+    assert (
+        host.os.fsyncs == before + 1
+        and host.writer.counts["batches"] == 2
+        and host.writer.counts["stored"] == 101
+    )
     host.writer.close(5000)
 
 
@@ -125,7 +138,11 @@
         host.store(i, **{f"k{i}": bytes(size)})
     assert time.monotonic() - began < 1.0
     refused = [name for name, ok in host.told if not ok]
-    assert refused and refused == list(range(100 - len(refused), 100)) and host.writer.counts["full"] == len(refused)
+    assert (
+        refused
+        and refused == list(range(100 - len(refused), 100))
+        and host.writer.counts["full"] == len(refused)
+    )
     assert len(refused) == 90 if most_queued == 10 else 90 < len(refused) < 98
     assert len(host.lines("folder: takes no more stores")) == 1
     time.sleep(0.05)
@@ -147,7 +164,7 @@
         host.until(i + 2)
     assert host.told[1:] == [(i, False) for i in range(30)] and "told to fail" in host.writer.trouble
     assert host.writer.counts["failed"] == 30 and 1 <= host.writer.counts["failures"] < 5
-    line, = host.lines("folder: does not store")
+    (line,) = host.lines("folder: does not store")
     assert line["member"] == "front" and "told to fail" in line["why"]
     host.os.fails = None
     deadline = time.monotonic() + 5
@@ -205,7 +222,9 @@
     host.writer._thread.join(5)
     while not host.calls.empty():
         host.turn()
-    assert len(host.told) == 2 and reread(tmp_path / "f") == {"a": b"1"}  # 'not known' it was, and it is there
+    assert len(host.told) == 2 and reread(tmp_path / "f") == {
+        "a": b"1"
+    }  # 'not known' it was, and it is there
 
 
 def test_a_folder_that_opens_late_tells_its_state_once(tmp_path):
@@ -248,7 +267,7 @@
     with open(tmp_path / "f" / f"{host.folder.generation:012d}.journal", "ab") as out:
         out.write(b"torn")
     host = Host(tmp_path / "f")
-    line, = host.lines("folder: files left out")
+    (line,) = host.lines("folder: files left out")
     assert line["bytes"] == 4 and "cut off" in line["files"][0] and host.folder.state == {"a": b"1"}
     host.writer.close(5000)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,5 @@
 """The whole front before stand-ins: queries, what goes wrong at engines, and the connections to them."""
+
 import random
 import time
 from types import SimpleNamespace
@@ -21,35 +22,56 @@
     assert answered(c, c.ask("report", ref="9b1f03aa5c7e2d41", odd="x")) == (frames.FINISHED, RESULT)
     headers, body = w.engines[0].posts[0]
     assert headers["X-Hop-Id"] == "9b1f03aa5c7e2d41" and headers["X-Sort"] == "report" and body == STATEMENT
-    assert 1900 < int(headers["X-Budget"]) <= 2000 and float(headers["X-Mem-Limit"]) == 96 and headers["X-Nice"] in "0123"
+    assert (
+        1900 < int(headers["X-Budget"]) <= 2000
+        and float(headers["X-Mem-Limit"]) == 96
+        and headers["X-Nice"] in "0123"
+    )
     assert c.told == [(frames.READINESS, 9, b"\0\0")]
-    seen, = w.service.admit.controller.fleet.values()
-    until(lambda: seen.report == {"active": 7.0})       # the end is told with its report and its cost
+    (seen,) = w.service.admit.controller.fleet.values()
+    until(lambda: seen.report == {"active": 7.0})  # the end is told with its report and its cost
     assert w.service.admit.controller.slots.needed[w.service.opening.groups["report"]] == 64.0
     assert w.service.metrics.counters["answers finished"] == 1 and w.service.metrics.out == 0
 
 
-@pytest.mark.parametrize("way, group, posts, code", [
-    ("drop", "manifest", 1, frames.FINISHED), ("silent", "manifest", 1, frames.FINISHED),
-    ("drop page", "manifest", 1, frames.FINISHED), ("full", "manifest", 2, frames.FINISHED),
-    ("error", "report", 2, frames.FINISHED), ("reset", "report", 2, frames.FINISHED),
-    ("lost page", "report", 2, frames.FINISHED), ("wrong page", "report", 2, frames.FINISHED),
-    ("long", "report", 2, frames.FINISHED), ("noise", "report", 2, frames.FINISHED), ("odd", "report", 2, frames.FINISHED),
-    ("error", "manifest", 1, frames.KILLED), ("reset", "manifest", 1, frames.KILLED),
-    ("lost page", "manifest", 1, frames.KILLED), ("noise", "manifest", 1, frames.KILLED),
-    *((way, "manifest", 1, frames.FINISHED) for way in (*SPOILT, "drop post", "more", "copies"))])
+@pytest.mark.parametrize(
+    "way, group, posts, code",
+    [
+        ("drop", "manifest", 1, frames.FINISHED),
+        ("silent", "manifest", 1, frames.FINISHED),
+        ("drop page", "manifest", 1, frames.FINISHED),
+        ("full", "manifest", 2, frames.FINISHED),
+        ("error", "report", 2, frames.FINISHED),
+        ("reset", "report", 2, frames.FINISHED),
+        ("lost page", "report", 2, frames.FINISHED),
+        ("wrong page", "report", 2, frames.FINISHED),
+        ("long", "report", 2, frames.FINISHED),
+        ("noise", "report", 2, frames.FINISHED),
+        ("odd", "report", 2, frames.FINISHED),
+        ("error", "manifest", 1, frames.KILLED),
+        ("reset", "manifest", 1, frames.KILLED),
+        ("lost page", "manifest", 1, frames.KILLED),
+        ("noise", "manifest", 1, frames.KILLED),
+        *((way, "manifest", 1, frames.FINISHED) for way in (*SPOILT, "drop post", "more", "copies")),
+    ],
+)
 def test_what_goes_wrong_at_an_engine(world, way, group, posts, code):
     """Risk: an ending that proves too much sends a mutating query twice, one that proves too little loses it, and so
     does one that takes a spoilt answer, or a connection's fault, for the query's."""
     w = world(engines=2)
     hits = [way]
-    for e in w.engines:     # the first submission, wherever it goes
+    for e in w.engines:  # the first submission, wherever it goes
         e.ways = hits
     c = w.client()
     got = answered(c, c.ask(group, allow=4000))
     assert got[0] == code and (code or got[1] == RESULT) and w.posts() == posts
     wait(0.1)
-    assert way == "noise" or not w.out and w.service.metrics.out == 0 and w.service.metrics.counters["faults"] == 0
+    assert (
+        way == "noise"
+        or not w.out
+        and w.service.metrics.out == 0
+        and w.service.metrics.counters["faults"] == 0
+    )
 
 
 def test_a_connection_reset_when_new_proves_nothing(world):
@@ -63,13 +85,21 @@
         if not failures:
             return connect(host, port, factory, timeout=timeout)
         reactor.callLater(0, factory.clientConnectionFailed, None, Failure(failures.pop()))
+
     w.service.engines.reactor.connectTCP = fails
-    assert answered(c, c.ask("manifest", allow=4000))[0] == frames.FINISHED and len(e.posts) == 1 and not failures
+    assert (
+        answered(c, c.ask("manifest", allow=4000))[0] == frames.FINISHED
+        and len(e.posts) == 1
+        and not failures
+    )
     assert not w.service.metrics.counters["submissions not connected"]
     for line in list(e.lines):
-        line.transport.write(b"late")       # nobody has asked for it; the front may not have read it yet
+        line.transport.write(b"late")  # nobody has asked for it; the front may not have read it yet
     assert answered(c, c.ask("manifest"))[0] == frames.FINISHED and len(e.posts) == 2
-    assert not w.service.metrics.counters["first calls broken"] and not w.service.metrics.counters["first calls garbled"]
+    assert (
+        not w.service.metrics.counters["first calls broken"]
+        and not w.service.metrics.counters["first calls garbled"]
+    )
 
 
 def test_news_of_a_long_query_and_a_new_priority(world):
@@ -78,7 +108,7 @@
     e.ways = ["hold"]
     stream = c.ask("report", ref="00000000000000aa")
     until(lambda: e.news > 3)
-    q, = w.service.admit.open
+    (q,) = w.service.admit.open
     for rank in (3, 0, 2):
         w.service.admit.allot(q, 10.0, rank)
     until(lambda: len(e.ranks) > 1)
@@ -105,7 +135,7 @@
     w = world(engines=2)
     c, stream, bad = w.hold()
     bad.mute, asked = True, time.time()
-    w.out.clear()       # it drops what nobody asks for; that this front waits for it is checked below
+    w.out.clear()  # it drops what nobody asks for; that this front waits for it is checked below
     assert answered(c, stream)[0] == frames.FINISHED
     assert time.time() - asked >= 1.9 and w.posts() == 2
 
@@ -170,7 +200,9 @@
     w = world(engines=1)
     c, w.engines[0].ways = w.client(), ["copied late", "later"]
     first = c.ask("status", allow=4000)
-    assert answered(c, first) == (frames.FINISHED, c.answers[first][1]) and c.answers[first][1].endswith(b"\tx\ty\n")
+    assert answered(c, first) == (frames.FINISHED, c.answers[first][1]) and c.answers[first][1].endswith(
+        b"\tx\ty\n"
+    )
     wait(0.035)
     second = c.ask("status", allow=4000)
     assert answered(c, second) == (frames.FINISHED, RESULT) and w.posts() == 2
@@ -186,10 +218,14 @@
         lines.append(EngineConnection(hub, Call(e, b"", http.is_news)))
         lines[-1].idle_since = at
         e.idle.append(lines[-1])
-    assert hub.idle(Call(e, b"", http.is_news)) is lines[1]                     # the last that has rested
+    assert hub.idle(Call(e, b"", http.is_news)) is lines[1]  # the last that has rested
     lines[2].owner = "its query"
-    assert hub.idle(Call(e, b"", http.is_news, connection=lines[2], owner="its query")) is lines[2]    # but its own query's next call
-    assert hub.idle(Call(e, b"", http.is_news, connection=lines[2], owner="another")) is lines[1]    # not once another's went there
+    assert (
+        hub.idle(Call(e, b"", http.is_news, connection=lines[2], owner="its query")) is lines[2]
+    )  # but its own query's next call
+    assert (
+        hub.idle(Call(e, b"", http.is_news, connection=lines[2], owner="another")) is lines[1]
+    )  # not once another's went there
     assert hub.idle(Call(e, b"", http.is_news, fresh=True)) is None
     e.idle.popleft()
     e.idle.popleft()
@@ -197,13 +233,13 @@
     clock.now += 0.03
     assert hub.idle(Call(e, b"", http.is_news)) is lines[2]
     hub.aged(0.05)
-    assert hub.stale_s == hub.idle_s == 0.5     # young ones break too
+    assert hub.stale_s == hub.idle_s == 0.5  # young ones break too
     hub.aged(0.3)
     hub.watch()
     assert 0.15 < hub.stale_s < 0.151
     clock.now += 0.1
     assert hub.idle(Call(e, b"", http.is_news)) is lines[2]
-    clock.now += 0.06       # risk: a POST on a connection that something on the way has ended by now
+    clock.now += 0.06  # risk: a POST on a connection that something on the way has ended by now
     assert hub.idle(Call(e, b"", http.is_news)) is None
 
 
@@ -213,7 +249,7 @@
     assert answered(c, c.ask())[0] == frames.FINISHED
     hub = w.service.engines
     assert hub.open == 1
-    line, = hub.connections
+    (line,) = hub.connections
     line.idle_since -= hub.idle_s + 0.1
     hub.watch()
     until(lambda: not w.engines[0].lines)
@@ -235,8 +271,19 @@
     w, chance = world(engines=3), random.Random(seed)
     clients = [w.client() for _ in range(3)]
     asked, left = {}, set()
-    ways = ["ok"] * 8 + ["full", "error", "reset", "drop", "drop page", "lost page", *SPOILT, "more",
-                         "drop post", "hold", "odd"]
+    ways = ["ok"] * 8 + [
+        "full",
+        "error",
+        "reset",
+        "drop",
+        "drop page",
+        "lost page",
+        *SPOILT,
+        "more",
+        "drop post",
+        "hold",
+        "odd",
+    ]
     for step in range(120):
         for e in w.engines:
             e.ways = e.ways or [chance.choice(ways)]
--- a/tests/test_front_clients.py
+++ b/tests/test_front_clients.py
@@ -1,4 +1,5 @@
 """Clients before the whole front: what makes no sense, who is taken and told, what they make the front hold."""
+
 import errno
 import time
 import socket
@@ -20,20 +21,35 @@
     open_ = bad.ask("report", ref="00000000000000bb")
     until(lambda: w.posts() == 1)
     same = good.ask("report", ref="00000000000000bb", statement=b"select 1")
-    assert answered(good, same)[0] == frames.KILLED and w.posts() == 1      # risk: the answer to another statement
+    assert (
+        answered(good, same)[0] == frames.KILLED and w.posts() == 1
+    )  # risk: the answer to another statement
     bad.transport.write(frames.frame(frames.READINESS, 5))
     idle.transport.write(b"\1\0\0\0")
     until(lambda: idle.closed and 0 in bad.answers)
     assert idle.answers[0][0] == bad.answers[0][0] == frames.KILLED and not bad.closed
-    w.engines[0].runs["00000000000000bb"] = "ok"        # what was taken on it is still answered
+    w.engines[0].runs["00000000000000bb"] = "ok"  # what was taken on it is still answered
     until(lambda: bad.closed)
     assert bad.answers[open_][:2] == (frames.FINISHED, RESULT)
     assert answered(good, good.ask())[0] == frames.FINISHED
 
 
-@pytest.mark.parametrize("wrong", [dict(group="none"), dict(project="none"), dict(project=None), dict(ref="short"),
-                                   dict(allow="soon"), dict(twice=True), dict(effort=None), dict(memory="nan"), dict(allow="-1"),
-                                   dict(allow="9e9"), dict(effort="1e300")])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        dict(group="none"),
+        dict(project="none"),
+        dict(project=None),
+        dict(ref="short"),
+        dict(allow="soon"),
+        dict(twice=True),
+        dict(effort=None),
+        dict(memory="nan"),
+        dict(allow="-1"),
+        dict(allow="9e9"),
+        dict(effort="1e300"),
+    ],
+)
 def test_a_request_that_makes_no_query_is_answered_alone(world, wrong):
     w = world(engines=1)
     c = w.client()
@@ -48,7 +64,7 @@
     streams = [c.ask("status", allow=600) for _ in range(33)]
     assert answered(c, streams[-1])[0] == frames.DEFERRED
     c.transport.write(frames.frame(frames.LEFT, streams[0]) + frames.frame(frames.LEFT, 999))
-    until(lambda: len(c.answers) == 32)     # all but the one that was left
+    until(lambda: len(c.answers) == 32)  # all but the one that was left
     assert streams[0] not in c.answers
 
 
@@ -63,7 +79,11 @@
     for _ in range(18):
         begun, c = time.monotonic(), w.client()
         until(lambda: c.closed)
-        assert time.monotonic() - begun < 0.15 and c.answers[0][0] == frames.DEFERRED and b"no room; come back in" in c.answers[0][1]
+        assert (
+            time.monotonic() - begun < 0.15
+            and c.answers[0][0] == frames.DEFERRED
+            and b"no room; come back in" in c.answers[0][1]
+        )
     assert len(w.service.clients.connections) == 4 and not any(c.closed for c, _ in streams)
     for e in w.engines:
         e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
@@ -86,9 +106,10 @@
 
         def accept(self):
             left[0] -= 1
-            if left[0] in (2, 0):       # as the machine says it, until one is closed
+            if left[0] in (2, 0):  # as the machine says it, until one is closed
                 raise OSError(errno.EMFILE, "too many")
             return real.accept()
+
     port.socket = Short()
     second = w.client()
     until(lambda: second.closed)
@@ -97,7 +118,10 @@
     assert w.service.metrics.counters["connections refused: no descriptor"] >= 1
     for e in w.engines:
         e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
-    assert answered(first, stream)[0] == frames.FINISHED and answered(third := w.client(), third.ask())[0] == frames.FINISHED
+    assert (
+        answered(first, stream)[0] == frames.FINISHED
+        and answered(third := w.client(), third.ask())[0] == frames.FINISHED
+    )
 
 
 def test_the_reserve_is_called_back_and_what_was_taken_gets_its_answer_first(world):
@@ -112,7 +136,7 @@
     until(lambda: len(w.out) == 2)
     gate = w.service.clients.gate
     gate.change(decide.Rules(2, 0, known=known, reserve=1, lag_ms=0.0))
-    gate.holders.clear()            # as if those had come from elsewhere
+    gate.holders.clear()  # as if those had come from elsewhere
     depot = w.client()
     until(lambda: any(c.closed for c in others))
     gone = next(c for c in others if c.closed)
@@ -127,7 +151,7 @@
 def test_silent_connections_make_room_and_end_in_time(world):
     """Risk: connections by the hundreds that say nothing, or hold on after one query, keep the usual clients out."""
     w = world(engines=2, sockets=150)
-    crowd = [w.client() for _ in range(70)]     # one more than fits after each of the last
+    crowd = [w.client() for _ in range(70)]  # one more than fits after each of the last
     half, held = crowd[-1], w.client()
     half.transport.write((200).to_bytes(4, "little") + b"\2\1\0\0\0")
     assert answered(held, held.ask())[0] == frames.FINISHED
@@ -141,28 +165,57 @@
 def test_the_same_nonsense_again_and_again_is_held_up():
     """Risk: a client that comes back at once with what makes no sense takes the turns of others."""
     later, said, clock = [], [], SimpleNamespace(now=0.0)
-    desk = SimpleNamespace(gate=decide.Gate(decide.Rules(9, 0), 0.0), gate_ms=lambda: clock.now * 1000, now_ms=lambda: 0.0,
-                           seconds=lambda: clock.now, held=0, room=1 << 20, fits=lambda *size: True, refs={}, ANSWERS={2: "x"},
-                           reactor=SimpleNamespace(callLater=lambda s, call: later.append(call) or later),
-                           metrics=SimpleNamespace(count=lambda what: None), log=lambda *line: None)
+    desk = SimpleNamespace(
+        gate=decide.Gate(decide.Rules(9, 0), 0.0),
+        gate_ms=lambda: clock.now * 1000,
+        now_ms=lambda: 0.0,
+        seconds=lambda: clock.now,
+        held=0,
+        room=1 << 20,
+        fits=lambda *size: True,
+        refs={},
+        ANSWERS={2: "x"},
+        reactor=SimpleNamespace(callLater=lambda s, call: later.append(call) or later),
+        metrics=SimpleNamespace(count=lambda what: None),
+        log=lambda *line: None,
+    )
 
     def query(*what):
         raise BadQuery("odd")
+
     desk.query = query
     line = ClientConnection(desk, "127.0.0.1")
-    line.transport = SimpleNamespace(socket=SimpleNamespace(send=lambda data, flags: said.append(data) or len(data)),
-                                     pauseProducing=lambda: said.append("p"), resumeProducing=lambda: said.append("r"), loseWriteConnection=lambda: said.append("x"),
-                                     unregisterProducer=lambda: None, abortConnection=lambda: None)
+    line.transport = SimpleNamespace(
+        socket=SimpleNamespace(send=lambda data, flags: said.append(data) or len(data)),
+        pauseProducing=lambda: said.append("p"),
+        resumeProducing=lambda: said.append("r"),
+        loseWriteConnection=lambda: said.append("x"),
+        unregisterProducer=lambda: None,
+        abortConnection=lambda: None,
+    )
     nonsense = frames.frame(frames.QUERY, 1, b"\0")
     line.dataReceived(nonsense)
     assert said[1] == "p" and len(later) == 1
     later.pop()()
     assert said[2] == "r"
     line.dataReceived(nonsense)
-    assert said[-1] == "x" and frames.answer(0, 2, b"stream 1 is not new") in said   # two under one number, one answer
+    assert (
+        said[-1] == "x" and frames.answer(0, 2, b"stream 1 is not new") in said
+    )  # two under one number, one answer
     line = ClientConnection(desk, "127.0.0.1")
-    line.transport = SimpleNamespace(socket=SimpleNamespace(send=lambda data, flags: len(data)), **{n: lambda *a: None for n in (
-        "pauseProducing", "resumeProducing", "unregisterProducer", "abortConnection", "loseWriteConnection")})
+    line.transport = SimpleNamespace(
+        socket=SimpleNamespace(send=lambda data, flags: len(data)),
+        **{
+            n: lambda *a: None
+            for n in (
+                "pauseProducing",
+                "resumeProducing",
+                "unregisterProducer",
+                "abortConnection",
+                "loseWriteConnection",
+            )
+        },
+    )
     line.dataReceived(b"".join(frames.frame(frames.QUERY, i, b"\0") for i in range(1, 100)))
     assert line.bad and line.senseless == 17
 
@@ -171,22 +224,48 @@
     """Risk: hundreds of queries taken back at once go out to engines and are called off there."""
     w = world(engines=1)
     c = w.client()
-    c.transport.write(b"".join(frames.frame(frames.QUERY, i, frames.write_fields(
-        [("service", "status"), ("ref", f"{i:016x}"), ("allow", "900"), ("project", "acme"), ("effort", "1"), ("memory", "1")]),
-        STATEMENT) + frames.frame(frames.LEFT, i) for i in range(1, 300)))
+    c.transport.write(
+        b"".join(
+            frames.frame(
+                frames.QUERY,
+                i,
+                frames.write_fields(
+                    [
+                        ("service", "status"),
+                        ("ref", f"{i:016x}"),
+                        ("allow", "900"),
+                        ("project", "acme"),
+                        ("effort", "1"),
+                        ("memory", "1"),
+                    ]
+                ),
+                STATEMENT,
+            )
+            + frames.frame(frames.LEFT, i)
+            for i in range(1, 300)
+        )
+    )
     c.streams = 300
     assert answered(c, c.ask("report"))[0] == frames.FINISHED and w.posts() == 1 and not w.service.admit.open
     w.engines[0].ways = ["hold"]
     gone = c.ask("report", ref="00000000000000dd")
     until(lambda: w.posts() == 2)
     c.transport.write(frames.frame(frames.LEFT, gone))
-    until(lambda: w.engines[0].deletes == ["00000000000000dd"], 0.5)    # and what is out is called off
+    until(lambda: w.engines[0].deletes == ["00000000000000dd"], 0.5)  # and what is out is called off
 
 
 def test_a_client_that_does_not_read_is_bounded():
-    desk = SimpleNamespace(gate=decide.Gate(decide.Rules(9, 0), 0.0), gate_ms=lambda: 0.0, now_ms=lambda: 0.0,
-                           seconds=lambda: 0.0, held=0, room=32 << 20, metrics=SimpleNamespace(count=lambda what: None),
-                           log=lambda *line: None, fits=lambda *size: True)
+    desk = SimpleNamespace(
+        gate=decide.Gate(decide.Rules(9, 0), 0.0),
+        gate_ms=lambda: 0.0,
+        now_ms=lambda: 0.0,
+        seconds=lambda: 0.0,
+        held=0,
+        room=32 << 20,
+        metrics=SimpleNamespace(count=lambda what: None),
+        log=lambda *line: None,
+        fits=lambda *size: True,
+    )
     line, done, full = ClientConnection(desk, "127.0.0.1"), [], SimpleNamespace(sends=1)
 
     def send(data, flags):
@@ -194,20 +273,27 @@
         if full.sends < 0:
             raise BlockingIOError
         return 40_000
-    line.transport = SimpleNamespace(write=lambda data: done.append(len(data)), pauseProducing=lambda: done.append("p"),
-                                     resumeProducing=lambda: done.append("r"), abortConnection=lambda: done.append("x"),
-                                     socket=SimpleNamespace(send=send))
+
+    line.transport = SimpleNamespace(
+        write=lambda data: done.append(len(data)),
+        pauseProducing=lambda: done.append("p"),
+        resumeProducing=lambda: done.append("r"),
+        abortConnection=lambda: done.append("x"),
+        socket=SimpleNamespace(send=send),
+    )
     for _ in range(1000):
         line.put(b"x" * 48_000)
         if done[-1] == "x":
             break
-    assert done[:3] == [8_000, 48_000, 48_000] and done[-1] == "x" and line.stuck   # in order
+    assert done[:3] == [8_000, 48_000, 48_000] and done[-1] == "x" and line.stuck  # in order
     assert sum(d for d in done if d not in ("p", "x")) <= 32 << 20 and full.sends == 0
-    for stream in (1, 2):       # nothing more is taken in from it, and past a bound it is read no further
+    for stream in (1, 2):  # nothing more is taken in from it, and past a bound it is read no further
         assert done[-1] == "x"
         line.dataReceived(frames.frame(frames.QUERY, stream, b"x" * 40_000))
     assert done[-1] == "p" and list(line.kept) == [1, 2]
-    line.dataReceived(frames.frame(frames.LEFT, 1) + frames.frame(frames.LEFT, 2))      # what else it says is heard
+    line.dataReceived(
+        frames.frame(frames.LEFT, 1) + frames.frame(frames.LEFT, 2)
+    )  # what else it says is heard
     assert not line.kept
     line.resumeProducing()
     assert desk.held == 0 and done[-1] == "r"
@@ -217,7 +303,7 @@
     """Risk: long statements, or frames that never end, take the memory that the front may have."""
     w = world(engines=1)
     c, desk, long = w.client(), w.service.clients, STATEMENT + b" " * 200_000
-    desk.room = 3_400_000       # for one long statement, or one long frame, at a time
+    desk.room = 3_400_000  # for one long statement, or one long frame, at a time
     w.engines[0].ways = ["hold"]
     first = c.ask("report", ref=f"{0:016x}", statement=long)
     until(lambda: w.posts() == 1)
@@ -230,7 +316,7 @@
     for x in crowd:
         x.transport.write((262_144).to_bytes(4, "little") + b"\2\1\0\0\0" + b"x" * 205_000)
     until(lambda: any(x.closed for x in crowd))
-    assert answered(c, c.ask())[0] == frames.FINISHED       # what is small finds room all the same
+    assert answered(c, c.ask())[0] == frames.FINISHED  # what is small finds room all the same
     assert sum(x.closed for x in crowd) < 3 and 0 < desk.held <= desk.room
     for x in crowd:
         x.transport.abortConnection()
@@ -261,5 +347,6 @@
             except BlockingIOError:
                 pass
             return len(got) == len(bodies)
+
         until(read)
     assert got == bodies and line.unsent == 0 and not w.service.metrics.counters["faults"]
