--- a/tests/test_front_list.py
+++ b/tests/test_front_list.py
@@ -1,4 +1,5 @@
 """The list before the whole front: a bulletin that goes wrong, engines that leave and come back."""
+
 import pytest
 
 from lichenquay.admission import interface as io
@@ -43,7 +44,7 @@
 def test_what_was_announced_while_a_front_started_is_known_before_the_first_submission(world):
     """Seen on herd+mass: 22 queries went to engines that had been announced as leaving while the front started."""
     w = world(engines=2, start=False)
-    w.tell(w.engines[0], "DRAINING")        # after the configuration was written
+    w.tell(w.engines[0], "DRAINING")  # after the configuration was written
     w.drained[w.engines[0]] -= 1
     w.bulletin.mute = True
     w.start()
@@ -62,7 +63,7 @@
     w = world(engines=1)
     until(w.service.is_ready, 0.5)
     wait(0.1)
-    assert w.bulletin.calls == 2        # one that is answered at once, one that waits for news
+    assert w.bulletin.calls == 2  # one that is answered at once, one that waits for news
 
 
 def test_a_submission_on_its_way_meets_a_drain():
@@ -82,7 +83,7 @@
         line.transport.abortConnection()
     calls = w.bulletin.calls
     until(lambda: w.bulletin.calls > calls + 1)
-    assert answered(c, c.ask())[0] == frames.FINISHED       # the last good list is kept
+    assert answered(c, c.ask())[0] == frames.FINISHED  # the last good list is kept
     w.bulletin.garbage = None
     w.bulletin.add(w.engines[0].row("DRAINING"))
     until(lambda: w.service.discovery.no == 2)
--- a/tests/test_front_parsers.py
+++ b/tests/test_front_parsers.py
@@ -1,4 +1,5 @@
 """The front without connections: parsers at every split and with garbage, what is read of the settings, the log."""
+
 import io as text_io
 import random
 from types import SimpleNamespace
@@ -36,7 +37,7 @@
     assert pairs == [("service", "status"), ("ref", "ééé")] and body == b"body"
 
 
-@pytest.mark.parametrize("length", [0, 4, 262_145, 2 ** 32 - 1])
+@pytest.mark.parametrize("length", [0, 4, 262_145, 2**32 - 1])
 def test_a_frame_of_no_length_is_told(length):
     with pytest.raises(frames.BadFrame):
         fed(frames.FrameReader(), length.to_bytes(4, "little") + b"\2\0\0\0\0", ())
@@ -47,15 +48,19 @@
     for _ in range(400):
         data = bytes(chance.choice((0, 1, 2, 5, 200, 255)) for _ in range(chance.randrange(60)))
         try:
-            for _, _, payload in fed(frames.FrameReader(), data, sorted(chance.choices(range(len(data) + 1), k=3))):
+            for _, _, payload in fed(
+                frames.FrameReader(), data, sorted(chance.choices(range(len(data) + 1), k=3))
+            ):
                 frames.read_fields(memoryview(payload))
         except frames.BadFrame:
             pass
 
 
-REPLIES = [b"HTTP/1.1 200 OK\r\nX-Parts: 2\r\nContent-Length: 5\r\n\r\nab\r\nc",
-           b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nab\r\r\n2\r\n\nc\r\n0\r\nT: 1\r\n\r\n",
-           b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length:5\r\nconnection: close\r\n\r\nab\r\nc"]
+REPLIES = [
+    b"HTTP/1.1 200 OK\r\nX-Parts: 2\r\nContent-Length: 5\r\n\r\nab\r\nc",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nab\r\r\n2\r\n\nc\r\n0\r\nT: 1\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length:5\r\nconnection: close\r\n\r\nab\r\nc",
+]
 
 
 @pytest.mark.parametrize("data", REPLIES)
@@ -66,27 +71,39 @@
         assert reply is None
         reply = reader.feed(data[cut:])
         assert (reply.status, bytes(reply.body)) == (200, b"ab\r\nc") and not reply.more
-        assert reply.keep is (b"close" not in data) and reader.feed(data) is not None      # and the next one
+        assert reply.keep is (b"close" not in data) and reader.feed(data) is not None  # and the next one
     reader, reply = http.ReplyReader(), None
     for i in range(len(data)):
         assert reply is None
-        reply = reader.feed(data[i:i + 1])
+        reply = reader.feed(data[i : i + 1])
     assert bytes(reply.body) == b"ab\r\nc"
     reply = http.ReplyReader().feed(data + b"HTTP/1.1 500 X\r\n\r\n")
-    assert bytes(reply.body) == b"ab\r\nc" and reply.more and not reply.keep      # good, its connection is not
+    assert bytes(reply.body) == b"ab\r\nc" and reply.more and not reply.keep  # good, its connection is not
 
 
 def test_an_answer_until_the_connection_closes():
     reader = http.ReplyReader()
-    assert reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab") is None and reader.feed(b"c") is None
+    assert (
+        reader.feed(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab") is None and reader.feed(b"c") is None
+    )
     reply = reader.closed()
     assert reply.body == b"abc" and not reply.keep and http.ReplyReader().closed() is None
 
 
-@pytest.mark.parametrize("data", [b"nonsense\r\n\r\n", b"HTTP/1.1 20x OK\r\n\r\n", b"HTTP/1.1 200 OK\r\n no\r\n\r\n",
-                                  b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"x" * 20_000,
-                                  b"HTTP/1.1 200 OK\r\n\r\nab", b"HTTP/1.1 100 X\r\n\r\n" * 2000, b"HTTP/1.1 2000 OK\r\n\r\n",
-                                  b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 20x OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n no\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"x" * 20_000,
+        b"HTTP/1.1 200 OK\r\n\r\nab",
+        b"HTTP/1.1 100 X\r\n\r\n" * 2000,
+        b"HTTP/1.1 2000 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    ],
+)
 def test_what_is_no_answer_is_told(data):
     with pytest.raises(http.BadReply):
         http.ReplyReader().feed(data)
@@ -105,15 +122,32 @@
             pass
 
 
-@pytest.mark.parametrize("text, tables", [
-    ("select a from sales_17.orders", "17"),
-    ("SELECT id, 'from lake_0.decoy' as note -- from mart_1.old\nFROM \"sales_7\".\"orders\" o_2 where o_2.x = 1", "7"),
-    ("select o_1.a /* mart_1.old /* nested */ lake_2.x */ from sales_12.items o_1 join ops_12.t x_3 on x_3.i = o_1.i", "12"),
-    ("insert into staging.load select * from \"odd\"\"_4\".t", "4"), ("copy into staging.x from 's_3.t'", None),
-    ("update lake_5.t set a = 'it''s s_1.t' where b_2.c = 1.5", "5"), ("delete from ops_9.t", "9"),
-    ("with w as (select * from lake_3.stock) select id from w", "3"), ("select 1", None), ("", None),
-    ("select extract(day from o_1.at), $$ from q_2.r $$ from db.s_8.t o_1", "8"), ("from s_6 . t", "6"),
-    ("merge into `m_2`.t using u_2.v on true", "2"), ("select 'open from s_1.t", None), ("/* from s_1.t", None)])
+@pytest.mark.parametrize(
+    "text, tables",
+    [
+        ("select a from sales_17.orders", "17"),
+        (
+            'SELECT id, \'from lake_0.decoy\' as note -- from mart_1.old\nFROM "sales_7"."orders" o_2 where o_2.x = 1',
+            "7",
+        ),
+        (
+            "select o_1.a /* mart_1.old /* nested */ lake_2.x */ from sales_12.items o_1 join ops_12.t x_3 on x_3.i = o_1.i",
+            "12",
+        ),
+        ('insert into staging.load select * from "odd""_4".t', "4"),
+        ("copy into staging.x from 's_3.t'", None),
+        ("update lake_5.t set a = 'it''s s_1.t' where b_2.c = 1.5", "5"),
+        ("delete from ops_9.t", "9"),
+        ("with w as (select * from lake_3.stock) select id from w", "3"),
+        ("select 1", None),
+        ("", None),
+        ("select extract(day from o_1.at), $$ from q_2.r $$ from db.s_8.t o_1", "8"),
+        ("from s_6 . t", "6"),
+        ("merge into `m_2`.t using u_2.v on true", "2"),
+        ("select 'open from s_1.t", None),
+        ("/* from s_1.t", None),
+    ],
+)
 def test_the_group_of_tables(text, tables):
     assert tables_of(text) == tables
 
@@ -121,8 +155,14 @@
 def test_the_lexer_takes_anything():
     chance = random.Random(7)
     for _ in range(500):
-        tables_of("".join(chance.choice(["'", '"', "/*", "*/", "--", "\n", "$$", "s_1", ".", "(", ")", " from ", "`", "é"])
-                          for _ in range(30)))
+        tables_of(
+            "".join(
+                chance.choice(
+                    ["'", '"', "/*", "*/", "--", "\n", "$$", "s_1", ".", "(", ")", " from ", "`", "é"]
+                )
+                for _ in range(30)
+            )
+        )
 
 
 def test_both_fronts_open_alike():
@@ -131,7 +171,12 @@
     one, other = Opening(Sheet(parts), 5), Opening(Fields(1, line), 5)
     assert [vars(g) for g in one.groups.values()] == [vars(g) for g in other.groups.values()]
     assert (one.gateway, one.licence, one.safeguards, one.make, one.makes) == (
-        other.gateway, other.licence, other.safeguards, other.make, other.makes)
+        other.gateway,
+        other.licence,
+        other.safeguards,
+        other.make,
+        other.makes,
+    )
     assert one.groups["manifest"].effect == io.MUTATING and one.groups["manifest"].is_load
     assert one.licence.most_submissions == 6 and one.makes == {"k": (8.0, 16384.0)}
 
@@ -139,14 +184,24 @@
 def test_reports_costs_and_rows():
     def said(**headers):
         return SimpleNamespace(headers={"x-" + n.replace("_", "-"): v for n, v in headers.items()})
+
     assert http.report_of(said(report="inflight:7;util:0.61;odd;x:")) == {"active": 7.0, "cpu": 0.61}
     assert http.report_of(said()) is None and http.report_of(said(report="odd")) is None
     assert http.cost_of(said(cpu_ms="12.5", mem_used="64")) == (12.5, 64.0) and http.cost_of(said()) is None
-    assert http.cost_of(said(cpu_ms="inf", mem_used="64")) is None and http.report_of(said(report="inflight:-1")) is None
+    assert (
+        http.cost_of(said(cpu_ms="inf", mem_used="64")) is None
+        and http.report_of(said(report="inflight:-1")) is None
+    )
     assert http.note_of(said(tell="held", amount="2")) == (io.WAITS, 2.0)
-    assert not any(http.note_of(said(**more)) for more in (
-        {}, dict(tell="held"), dict(tell="odd", amount="1"), dict(tell="share", amount="nan")))
-    for row in ({"uid": "a", "endpoint": "h:1", "state": "ASLEEP"}, {"uid": "a", "endpoint": "h", "state": "SERVING"}, 3):
+    assert not any(
+        http.note_of(said(**more))
+        for more in ({}, dict(tell="held"), dict(tell="odd", amount="1"), dict(tell="share", amount="nan"))
+    )
+    for row in (
+        {"uid": "a", "endpoint": "h:1", "state": "ASLEEP"},
+        {"uid": "a", "endpoint": "h", "state": "SERVING"},
+        3,
+    ):
         with pytest.raises(BadList):
             read_rows({"roster": {"all": False, "targets": [row]}})
 
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -1,4 +1,5 @@
 """The front as a program: its start, configurations that are read again, leaving."""
+
 import json
 import os
 import signal
@@ -20,7 +21,9 @@
     settings = tmp_path / "s.textproto"
     settings.write_text("gate { address { connections: 3 queries: 2 } }")
     w = world(engines=2, start=False)
-    w.service = Service(reactor_for(w), {"BALANCER_CONFIG": str(w.path), "LICHENQUAY_SETTINGS": str(settings)})
+    w.service = Service(
+        reactor_for(w), {"BALANCER_CONFIG": str(w.path), "LICHENQUAY_SETTINGS": str(settings)}
+    )
     w.service.start()
     w.port = w.service.clients.port.getHost().port
     for e in w.engines:
@@ -36,7 +39,10 @@
     assert w.service.clients.gate.rules.address.connections == 1 and not any(x.closed for x in (a, b, c))
     settings.write_text("gate { address { connections: -1 } }")
     w.service.read_again()
-    assert w.service.clients.gate.rules.address.connections == 1 and w.service.metrics.counters["configurations not taken"] == 1
+    assert (
+        w.service.clients.gate.rules.address.connections == 1
+        and w.service.metrics.counters["configurations not taken"] == 1
+    )
     for e in w.engines:
         e.ways, e.runs = [], dict.fromkeys(e.runs, "ok")
     assert all(answered(a, s)[0] == frames.FINISHED for s in streams[:2])
@@ -52,8 +58,13 @@
     other.events = list(old.events)
     new = {**w.config, "bulletin": other.address, "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 150}}
     before = w.service.discovery_at, w.service.clients.most, w.service.clients.room
-    for bad in ("{", json.dumps({**new, "known": {"no": 9, "items": [{"no": 9}]}}), json.dumps({**new, "settings": 3}),
-                json.dumps({**new, "limits": {}}), "[" * 100_000):
+    for bad in (
+        "{",
+        json.dumps({**new, "known": {"no": 9, "items": [{"no": 9}]}}),
+        json.dumps({**new, "settings": 3}),
+        json.dumps({**new, "limits": {}}),
+        "[" * 100_000,
+    ):
         w.path.write_text(bad)
         w.service.read_again()
         assert (w.service.discovery_at, w.service.clients.most, w.service.clients.room) == before
@@ -72,7 +83,7 @@
         e.runs = dict.fromkeys(e.runs, "ok")
     assert answered(c, stream)[0] == frames.FINISHED and not c.closed
     old.events, old.garbage = [], None
-    w.engines.append(old)       # closed with the rest
+    w.engines.append(old)  # closed with the rest
     w.engines[-1].port = SimpleNamespace(stopListening=lambda: None)
 
 
@@ -80,12 +91,16 @@
     w = world(engines=1)
     c, e = w.client(), w.engines[0]
     e.ways = ["hold", "ok", "hold"]
-    slow, quick, endless = c.ask("report", ref="00000000000000cc"), c.ask("status"), c.ask("manifest", allow=9000)
+    slow, quick, endless = (
+        c.ask("report", ref="00000000000000cc"),
+        c.ask("status"),
+        c.ask("manifest", allow=9000),
+    )
     until(lambda: w.posts() == 3)
     left = time.time()
     w.service.leave()
     until(lambda: (frames.NO_MORE, 0, b"") in c.told)
-    late = w.client()       # PROTOCOL: they go on coming
+    late = w.client()  # PROTOCOL: they go on coming
     assert answered(late, late.ask())[0] == frames.FINISHED
     e.runs["00000000000000cc"] = "ok"
     until(lambda: w.ended)
@@ -94,8 +109,12 @@
 
 
 def program(config):
-    return subprocess.Popen([sys.executable, "-m", "lichenquay.front"], stderr=subprocess.PIPE, text=True,
-                            env={**os.environ, "PYTHONPATH": ".", "BALANCER_CONFIG": str(config)})
+    return subprocess.Popen(
+        [sys.executable, "-m", "lichenquay.front"],
+        stderr=subprocess.PIPE,
+        text=True,
+        env={**os.environ, "PYTHONPATH": ".", "BALANCER_CONFIG": str(config)},
+    )
 
 
 def test_what_the_program_cannot_start_with(tmp_path, world):
@@ -104,9 +123,14 @@
     bad = tmp_path / "bad.json"
     settings = json.loads(json.dumps(SETTINGS))
     settings["classes"][0]["effect"] = "odd"
-    for content, word in ((None, "bad.json"), ("{", "bad.json"), ({**w.config, "listen": "x"}, "bad.json"),
-                          ({**w.config, "listen": taken}, taken), ({**w.config, "settings": settings}, "effect"),
-                          ({**w.config, "known": {"no": 1, "items": [{}]}}, "known")):
+    for content, word in (
+        (None, "bad.json"),
+        ("{", "bad.json"),
+        ({**w.config, "listen": "x"}, "bad.json"),
+        ({**w.config, "listen": taken}, taken),
+        ({**w.config, "settings": settings}, "effect"),
+        ({**w.config, "known": {"no": 1, "items": [{}]}}, "known"),
+    ):
         bad.unlink(missing_ok=True)
         if content is not None:
             bad.write_text(content if isinstance(content, str) else json.dumps(content))
--- a/tests/test_front_tokens.py
+++ b/tests/test_front_tokens.py
@@ -1,4 +1,5 @@
 """Classes whose repeats engines drop by a token, and classes that keep an order: what clients say of them goes on unchanged."""
+
 import json
 
 import pytest
@@ -13,6 +14,7 @@
 @pytest.fixture
 def other(world):
     """A deployment whose manifests are tokened, or keep an order."""
+
     def make(**more):
         w = world(engines=2, start=False)
         settings = json.loads(json.dumps(SETTINGS))
@@ -21,6 +23,7 @@
         w.start()
         until(lambda: w.service.discovery.answered)
         return w
+
     return make
 
 
@@ -34,7 +37,7 @@
     hits = ["error", "ok"]
     for e in w.engines:
         e.ways = hits
-    w.sent = lambda *sent: None         # its rule on mutating queries knows the name only
+    w.sent = lambda *sent: None  # its rule on mutating queries knows the name only
     c = w.client()
     assert answered(c, c.ask("manifest", replay=TOKEN)) == (frames.FINISHED, RESULT)
     assert [said["X-Replay-Key"] for said in headers(w)] == [TOKEN, TOKEN]
@@ -66,7 +69,9 @@
     assert [answered(c, s)[0] for s in (first, second, third)] == [frames.FINISHED] * 3 and w.posts() == 3
 
 
-@pytest.mark.parametrize("odd", [{"replay": "a\r\nX-Nice: 3"}, {"lookup": "a b"}, {"replay": "x" * 257}, {"lookup": "\u00e9"}])
+@pytest.mark.parametrize(
+    "odd", [{"replay": "a\r\nX-Nice: 3"}, {"lookup": "a b"}, {"replay": "x" * 257}, {"lookup": "\u00e9"}]
+)
 def test_a_mark_that_is_none_makes_no_query(other, odd):
     """Risk: a client's field becomes another header, or another call, on an engine's connection."""
     w = other()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,11 +1,30 @@
 """The gate's decisions alone: rules by example, and a stateful machine that checks what must hold after every step."""
+
 import pytest
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from lichenquay.gate.accounts import BUSY, ENDING, GOING, IDLE, SILENT
-from lichenquay.gate.decide import (BYTES, CALM, CONNECTIONS, CRITICAL, FULL, LEAVING, NO_ROOM, OVERLOAD, QUERIES, RATE, REFUSE,
-                                    STATES, TAKE, TIGHT, Caps, Gate, Rules, networks)
+from lichenquay.gate.decide import (
+    BYTES,
+    CALM,
+    CONNECTIONS,
+    CRITICAL,
+    FULL,
+    LEAVING,
+    NO_ROOM,
+    OVERLOAD,
+    QUERIES,
+    RATE,
+    REFUSE,
+    STATES,
+    TAKE,
+    TIGHT,
+    Caps,
+    Gate,
+    Rules,
+    networks,
+)
 
 KNOWN = "10.9.0.1"
 
@@ -33,7 +52,11 @@
 def test_caps_hold_for_an_address_and_for_its_prefix():
     g = gate(most=99, address=Caps(connections=2, queries=1, held_bytes=50), prefix=Caps(connections=3))
     a, b = come(g, "10.1.1.1"), come(g, "10.1.1.1")
-    assert g.arrives("10.1.1.1", 1.0).why == CONNECTIONS and come(g, "10.1.1.2") and g.arrives("10.1.1.3", 1.0).why == CONNECTIONS
+    assert (
+        g.arrives("10.1.1.1", 1.0).why == CONNECTIONS
+        and come(g, "10.1.1.2")
+        and g.arrives("10.1.1.3", 1.0).why == CONNECTIONS
+    )
     assert come(g, "10.1.2.3")
     assert g.asks(a, 51, 1.0).why == BYTES
     g.asked(a, 1.0)
@@ -41,7 +64,11 @@
     g.answered(a, 2.0)
     assert g.asks(b, 1, 2.0).answer == TAKE
     six = gate(most=99, address=Caps(connections=1))
-    assert come(six, "2001:db8::1") and six.arrives("2001:db8::2", 1.0).why == CONNECTIONS and come(six, "2001:db8:0:1::2")
+    assert (
+        come(six, "2001:db8::1")
+        and six.arrives("2001:db8::2", 1.0).why == CONNECTIONS
+        and come(six, "2001:db8:0:1::2")
+    )
 
 
 def test_new_connections_come_at_a_rate_and_the_refusal_says_when():
@@ -51,12 +78,22 @@
     assert v.why == RATE and v.again_ms == 100.0 and come(g, "10.1.1.2")
     assert g.arrives("10.1.1.1", 0.0).why == RATE and g.arrives("10.1.1.1", 199.0).why == RATE
     assert come(g, "10.1.1.1", 201.0) and g.arrives("10.1.1.1", 201.0).why == RATE
-    assert [bool(come(g, "10.1.1.1", 1e9)) for _ in range(4)] == [True, True, True, False]     # a clock that jumps fills one bucket
+    assert [bool(come(g, "10.1.1.1", 1e9)) for _ in range(4)] == [
+        True,
+        True,
+        True,
+        False,
+    ]  # a clock that jumps fills one bucket
 
 
 def test_connections_are_given_up_in_order():
     g = gate(most=5)
-    going, silent, idle, busy = come(g, "10.1.0.1"), come(g, "10.1.0.2"), come(g, "10.1.0.3"), come(g, "10.1.0.4", ask=True)
+    going, silent, idle, busy = (
+        come(g, "10.1.0.1"),
+        come(g, "10.1.0.2"),
+        come(g, "10.1.0.3"),
+        come(g, "10.1.0.4", ask=True),
+    )
     late = come(g, "10.1.0.4", 101.0, ask=True)
     g.spoke(idle, 100.0)
     g.goes(going, 100.0)
@@ -74,7 +111,7 @@
     assert come(g, "10.1.0.4", 202.0) is None
     g2 = gate(most=5)
     lines = [come(g2, "10.1.0.4", i, ask=True) for i in range(5)]
-    assert g2.arrives("10.2.0.1", 10.0).end is lines[-1]         # who holds most gives its youngest
+    assert g2.arrives("10.2.0.1", 10.0).end is lines[-1]  # who holds most gives its youngest
 
 
 def test_what_ends_has_a_little_room_of_its_own_and_is_cut_off_beyond_it():
@@ -84,7 +121,9 @@
     g.goes(b, 100.0)
     assert a.stands == ENDING and b.stands == GOING and come(g, "10.1.0.3", 101.0) is not None
     v = g.arrives("10.1.0.4", 102.0)
-    assert v.answer == TAKE and v.abort is b and v.end is None      # one with a query to be answered is never cut off
+    assert (
+        v.answer == TAKE and v.abort is b and v.end is None
+    )  # one with a query to be answered is never cut off
     g.closed(b, 102.0)
     come(g, "10.1.0.4", 102.0)
     assert g.arrives("10.1.0.5", 103.0).why == NO_ROOM
@@ -123,8 +162,16 @@
     g = gate()
     assert g.measured(0.8, 0, 0.0) == TIGHT and g.measured(0.99, 0, 1.0) == FULL
     assert g.arrives("10.1.0.1", 2.0).why == OVERLOAD and g.arrives(KNOWN, 2.0).answer == TAKE
-    assert g.measured(0.95, 0, 500.0) == FULL and g.measured(0.5, 0, 600.0) == FULL and g.measured(0.5, 0, 740.0) == FULL
-    assert g.measured(0.5, 0, 760.0) == CRITICAL and g.measured(0.5, 0, 1020.0) == TIGHT and g.measured(0.5, 0, 1300.0) == CALM
+    assert (
+        g.measured(0.95, 0, 500.0) == FULL
+        and g.measured(0.5, 0, 600.0) == FULL
+        and g.measured(0.5, 0, 740.0) == FULL
+    )
+    assert (
+        g.measured(0.5, 0, 760.0) == CRITICAL
+        and g.measured(0.5, 0, 1020.0) == TIGHT
+        and g.measured(0.5, 0, 1300.0) == CALM
+    )
 
 
 def test_lag_counts_only_where_it_stands():
@@ -150,15 +197,34 @@
         networks(["10.9.0.0/33"])
 
 
-ADDRESSES = [f"10.1.{i % 3}.{i}" for i in range(12)] + [f"10.9.0.{i}" for i in range(3)] + ["2001:db8::1", "2001:db8:1::1"]
+ADDRESSES = (
+    [f"10.1.{i % 3}.{i}" for i in range(12)]
+    + [f"10.9.0.{i}" for i in range(3)]
+    + ["2001:db8::1", "2001:db8:1::1"]
+)
 
 
 class Decisions(RuleBasedStateMachine):
-    @initialize(most=st.integers(1, 12), queries=st.integers(0, 10), cap=st.integers(0, 4), wide=st.integers(0, 6), rate=st.sampled_from([0, 2]),
-                reserve=st.integers(0, 4), seen=st.integers(2, 6))
+    @initialize(
+        most=st.integers(1, 12),
+        queries=st.integers(0, 10),
+        cap=st.integers(0, 4),
+        wide=st.integers(0, 6),
+        rate=st.sampled_from([0, 2]),
+        reserve=st.integers(0, 4),
+        seen=st.integers(2, 6),
+    )
     def begin(self, most, queries, cap, wide, rate, reserve, seen):
-        self.rules = Rules(most, queries, Caps(cap, rate, 2 * rate, 3, 100, 2), Caps(wide, 0, 0, 5, 200), known=networks(["10.9.0.0/16"]),
-                           reserve=reserve, most_seen=seen, spare=2)
+        self.rules = Rules(
+            most,
+            queries,
+            Caps(cap, rate, 2 * rate, 3, 100, 2),
+            Caps(wide, 0, 0, 5, 200),
+            known=networks(["10.9.0.0/16"]),
+            reserve=reserve,
+            most_seen=seen,
+            spare=2,
+        )
         self.g, self.now, self.lines = Gate(self.rules, 0.0), 0.0, []
 
     def drop(self, line):
@@ -173,7 +239,10 @@
     @rule(address=st.sampled_from(ADDRESSES))
     def one_comes(self, address):
         g = self.g
-        full, known = sum(x.stands not in (ENDING, GOING) for x in self.lines) >= self.rules.most, address.startswith("10.9.")
+        full, known = (
+            sum(x.stands not in (ENDING, GOING) for x in self.lines) >= self.rules.most,
+            address.startswith("10.9."),
+        )
         over = len(self.lines) >= self.rules.most + self.rules.spare
         h = g.holder(address)
         active = [x.holder.active for x in g.lines[False] if x.stands not in (ENDING, GOING)]
@@ -182,11 +251,15 @@
             if v.why == NO_ROOM:
                 assert full or over
                 assert over or not (known and active), "the reserve is called back at once"
-                assert over or known or h.active + 1 >= max(active, default=0), "nobody holds two more than one that is refused"
+                assert over or known or h.active + 1 >= max(active, default=0), (
+                    "nobody holds two more than one that is refused"
+                )
             return
         assert (v.end is not None) == full and (v.abort is not None) == over
         if v.abort is not None:
-            assert not v.abort.queries, "a query that was taken gets its final answer before its connection goes"
+            assert not v.abort.queries, (
+                "a query that was taken gets its final answer before its connection goes"
+            )
             g.closed(v.abort, self.now)
             self.lines.remove(v.abort)
         if v.end is not None:
@@ -230,8 +303,16 @@
 
     @rule(cap=st.integers(1, 4), most=st.integers(1, 12))
     def limits_change(self, cap, most):
-        self.rules = Rules(most, self.rules.most_queries, Caps(cap, 0, 0, 3, 100, 2), self.rules.prefix, known=self.rules.known,
-                           reserve=self.rules.reserve, most_seen=self.rules.most_seen, spare=2)
+        self.rules = Rules(
+            most,
+            self.rules.most_queries,
+            Caps(cap, 0, 0, 3, 100, 2),
+            self.rules.prefix,
+            known=self.rules.known,
+            reserve=self.rules.reserve,
+            most_seen=self.rules.most_seen,
+            spare=2,
+        )
         self.g.change(self.rules)
         self.lowered = True
 
@@ -244,7 +325,11 @@
         assert len(g.lines[True]) + len(g.lines[False]) == len(self.lines)
         for h in {x.holder for x in self.lines}:
             mine = [x for x in self.lines if x.holder is h]
-            assert h.count == len(mine) == len(h.lines) and h.queries == sum(x.queries for x in mine) and h.held == sum(x.held for x in mine)
+            assert (
+                h.count == len(mine) == len(h.lines)
+                and h.queries == sum(x.queries for x in mine)
+                and h.held == sum(x.held for x in mine)
+            )
             caps = self.rules.address
             if not hasattr(self, "lowered"):
                 assert not caps.connections or h.count <= caps.connections
@@ -260,9 +345,17 @@
             assert set(g.asking[known]) == {x for x in g.lines[known] if x.queries}
             assert g.queries[known] == sum(x.queries for x in g.lines[known])
         assert not self.rules.most_queries or sum(g.queries.values()) <= self.rules.most_queries
-        assert len(g.idle_holders) <= self.rules.most_seen and len(g.holders) <= len(g.idle_holders) + 2 * len(self.lines)
-
-
-Decisions.TestCase.settings = settings(max_examples=200, stateful_step_count=40, deadline=None, derandomize=True,
-                                       phases=(Phase.generate,), report_multiple_bugs=False)
+        assert len(g.idle_holders) <= self.rules.most_seen and len(g.holders) <= len(
+            g.idle_holders
+        ) + 2 * len(self.lines)
+
+
+Decisions.TestCase.settings = settings(
+    max_examples=200,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.generate,),
+    report_multiple_bugs=False,
+)
 TestDecisions = Decisions.TestCase
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,5 +1,6 @@
 """The laboratory: the emulated engine against what is published and against its own bounds, the emulator on sockets, the
 audit against fronts that break one rule each, and a whole trial of the real front."""
+
 import json
 import subprocess
 import sys
@@ -18,25 +19,38 @@
 
 
 def figures(**more):
-    usual = dict(cores=1, memory_mb=1e9, most_open=10 ** 9, warm_tables=0, cold_table=0.0, spill=0.0, cold_ms=0.0, cold_share=1.0,
-                 cold_multiple=3.0, fall_ms=1000.0)
+    usual = dict(
+        cores=1,
+        memory_mb=1e9,
+        most_open=10**9,
+        warm_tables=0,
+        cold_table=0.0,
+        spill=0.0,
+        cold_ms=0.0,
+        cold_share=1.0,
+        cold_multiple=3.0,
+        fall_ms=1000.0,
+    )
     return SimpleNamespace(**{**usual, **more})
 
 
 # the model
 
+
 @pytest.mark.parametrize("load", [0.3, 0.6, 0.8])
 def test_service_under_processor_sharing_is_as_published(load):
     """M/G/1-PS: the mean time is E[S] / (1 - load), whatever the work's distribution (Kleinrock 1976)."""
     means, n = [], 2500
     for seed in range(16):
         rng, e, tasks = np.random.default_rng([seed, 7]), Engine("e", figures()), []
-        for at, work in zip(np.cumsum(rng.exponential(10 / load, n)), rng.lognormal(np.log(10) - 0.5, 1.0, n)):
+        for at, work in zip(
+            np.cumsum(rng.exponential(10 / load, n)), rng.lognormal(np.log(10) - 0.5, 1.0, n)
+        ):
             tasks.append(Task(f"{len(tasks)}", "g", float(work)))
             e.start(float(at), tasks[-1])
         e.advance(1e9)
         means.append(np.mean([t.ended_ms - t.asked_ms for t in tasks[200:]]))
-    want, half = 10 / (1 - load), 2.95 * np.std(means, ddof=1) / 4      # 99 of 100 (t, 15 degrees)
+    want, half = 10 / (1 - load), 2.95 * np.std(means, ddof=1) / 4  # 99 of 100 (t, 15 degrees)
     assert abs(np.mean(means) - want) < half and half < 0.2 * want
 
 
@@ -47,15 +61,22 @@
         e.start(now, task)
         e.advance(now + 1000)
         return task.ended_ms - now
+
     assert took(0, Task("a", "g", 100)) == pytest.approx(100)
-    assert took(1000, Task("b", "g", 100, 80, grant_mb=40)) == pytest.approx(150)       # half of it spills
-    assert took(2000, Task("c", "g", 100, tables="1")) == pytest.approx(150)            # cold tables
+    assert took(1000, Task("b", "g", 100, 80, grant_mb=40)) == pytest.approx(150)  # half of it spills
+    assert took(2000, Task("c", "g", 100, tables="1")) == pytest.approx(150)  # cold tables
     assert took(3000, Task("d", "g", 100, tables="1")) == pytest.approx(100)
-    assert took(4000, Task("f", "g", 100, tables="2")) == pytest.approx(150) and took(5000, Task("g", "g", 100, tables="1")) == pytest.approx(150)
+    assert took(4000, Task("f", "g", 100, tables="2")) == pytest.approx(150) and took(
+        5000, Task("g", "g", 100, tables="1")
+    ) == pytest.approx(150)
     first, second = Task("h", "g", 100, 80, grant_mb=80), Task("i", "g", 100, 80, grant_mb=80)
     e.start(6000, first)
     e.start(6000, second)
-    assert second.waits == "memory" and e.note_of(6000, second) == ("held", 1) and e.note_of(6001, second) is None
+    assert (
+        second.waits == "memory"
+        and e.note_of(6000, second) == ("held", 1)
+        and e.note_of(6001, second) is None
+    )
     e.advance(7000)
     assert second.ended_ms == pytest.approx(6200)
     load, reader = Task("j", "g", 100, tables="7", load=True), Task("k", "g", 10, tables="7")
@@ -68,11 +89,16 @@
 
 def test_a_cold_engine_warms_and_falls_when_pushed():
     told = []
-    e = Engine("e", figures(cores=2, cold_ms=1000, cold_share=0.25, fall_ms=500), 0.0, lambda kind, ref, **f: told.append(kind))
+    e = Engine(
+        "e",
+        figures(cores=2, cold_ms=1000, cold_share=0.25, fall_ms=500),
+        0.0,
+        lambda kind, ref, **f: told.append(kind),
+    )
     assert e.capacity(0) == 0.25 and e.capacity(500) == pytest.approx(0.625) and e.capacity(2000) == 1
     for i in range(8):
         e.start(1.0, Task(f"{i}", "g", 100))
-    assert "fell" in told           # 750 ms of work and a little more are allowed in its first half second
+    assert "fell" in told  # 750 ms of work and a little more are allowed in its first half second
     told.clear()
     e = Engine("e", figures(cores=2, cold_ms=1000), None, lambda kind, ref, **f: told.append(kind))
     for i in range(50):
@@ -81,11 +107,27 @@
 
 
 @settings(max_examples=120, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.floats(0, 80), st.floats(0.1, 200), st.floats(0, 90), st.integers(1, 6), st.sampled_from(["", "1", "2"]),
-                          st.booleans(), st.sampled_from(["start", "forget", "rank"])), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0, 80),
+            st.floats(0.1, 200),
+            st.floats(0, 90),
+            st.integers(1, 6),
+            st.sampled_from(["", "1", "2"]),
+            st.booleans(),
+            st.sampled_from(["start", "forget", "rank"]),
+        ),
+        max_size=40,
+    )
+)
 def test_no_order_of_events_breaks_the_engine(events):
     """Memory is never overdrawn but by a single query, rates fit the cores, tables have one load, all of it ends."""
-    e, now, tasks = Engine("e", figures(cores=3, memory_mb=100, most_open=12, warm_tables=1, cold_table=0.3, spill=0.5)), 0.0, []
+    e, now, tasks = (
+        Engine("e", figures(cores=3, memory_mb=100, most_open=12, warm_tables=1, cold_table=0.3, spill=0.5)),
+        0.0,
+        [],
+    )
     for i, (gap, work, memory, threads, tables, load, what) in enumerate(events):
         now += gap
         if what == "start":
@@ -107,7 +149,14 @@
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
-@given(st.floats(0.001, 1e5), st.floats(0, 1e5), st.integers(1, 99), st.integers(0, 400), st.integers(1, 10 ** 6), st.booleans())
+@given(
+    st.floats(0.001, 1e5),
+    st.floats(0, 1e5),
+    st.integers(1, 99),
+    st.integers(0, 400),
+    st.integers(1, 10**6),
+    st.booleans(),
+)
 def test_a_statement_says_what_it_needs(work, memory, threads, rows, tables, load):
     task = Task("00" * 8, "g", work, memory, threads, rows, str(tables), load)
     got = task_of(task.ref, "g", statement_of(task), 0.0, 1)
@@ -118,17 +167,35 @@
 
 # the audit
 
-@pytest.mark.parametrize("fault, check", [
-    ("silent", a.ONE_ANSWER), ("twice", a.NOTHING_AFTER), ("rows", a.ROWS), ("runs twice", a.TWICE), ("copies", a.COPIES),
-    ("ignores drains", a.DRAINED), ("one engine", a.PUSHED), ("makes up", a.ORPHAN), ("late", a.IN_TIME), ("strange", a.STRANGE), ("none", None)])
+
+@pytest.mark.parametrize(
+    "fault, check",
+    [
+        ("silent", a.ONE_ANSWER),
+        ("twice", a.NOTHING_AFTER),
+        ("rows", a.ROWS),
+        ("runs twice", a.TWICE),
+        ("copies", a.COPIES),
+        ("ignores drains", a.DRAINED),
+        ("one engine", a.PUSHED),
+        ("makes up", a.ORPHAN),
+        ("late", a.IN_TIME),
+        ("strange", a.STRANGE),
+        ("none", None),
+    ],
+)
 def test_each_check_finds_the_front_that_breaks_its_rule(tmp_path, fault, check):
     """Risk: an audit that cannot fail."""
     pushed = fault == "one engine"
-    lab = read_lab(f"load {{ seconds: 2 rate: {400 if pushed else 80} workers: 1 connections: 4 }} engines {{ cold_multiple: {0.3 if pushed else 3} }}"
-                   'groups { name: "status" target_ms: 500 timeout_ms: 900 threads: 1 share: 3 work_ms: 8 rows: 3 memory_mb: 1 }'
-                   'groups { name: "manifest" effect: MUTATING target_ms: 500 timeout_ms: 900 threads: 1 share: 2 work_ms: 8 rows: 1 memory_mb: 1 }'
-                   + {"one engine": "faults { kind: SUCCEED engine: 3 at_ms: 300 }",
-                      "ignores drains": "faults { kind: DRAIN engine: 1 at_ms: 300 for_ms: 5000 }"}.get(fault, ""))
+    lab = read_lab(
+        f"load {{ seconds: 2 rate: {400 if pushed else 80} workers: 1 connections: 4 }} engines {{ cold_multiple: {0.3 if pushed else 3} }}"
+        'groups { name: "status" target_ms: 500 timeout_ms: 900 threads: 1 share: 3 work_ms: 8 rows: 3 memory_mb: 1 }'
+        'groups { name: "manifest" effect: MUTATING target_ms: 500 timeout_ms: 900 threads: 1 share: 2 work_ms: 8 rows: 1 memory_mb: 1 }'
+        + {
+            "one engine": "faults { kind: SUCCEED engine: 3 at_ms: 300 }",
+            "ignores drains": "faults { kind: DRAIN engine: 1 at_ms: 300 for_ms: 5000 }",
+        }.get(fault, "")
+    )
     got = trial(lab, tmp_path, "lichenquay.lab.badfront", (fault,))
     names = {x.partition(":")[0] for x in got["broken_rules"]}
     assert check in names if check else not names, got["broken_rules"]
@@ -153,11 +220,18 @@
 
 
 def test_the_front_keeps_its_rules_amid_all_faults(tmp_path):
-    got = trial(read_lab(f"load {{ seconds: 4 rate: 80 leave_share: 0.05 repeats: 1 shape: BURST peak: 3 }} {FAULTS}"), tmp_path)
+    got = trial(
+        read_lab(
+            f"load {{ seconds: 4 rate: 80 leave_share: 0.05 repeats: 1 shape: BURST peak: 3 }} {FAULTS}"
+        ),
+        tmp_path,
+    )
     assert got["broken_rules"] == [] and not got["silent"] and got["front_exit"] == 0 and got["asked"] > 250
     assert got["finished"] > 0.8 * got["asked"] and got["submissions"] >= got["finished"]
     told = json.loads((tmp_path / "report.json").read_text())
-    assert told["asked"] == got["asked"] and (tmp_path / "report.html").read_text().count("data:image/png") == 3
+    assert (
+        told["asked"] == got["asked"] and (tmp_path / "report.html").read_text().count("data:image/png") == 3
+    )
 
 
 def test_a_front_that_stands_still_while_arrivals_go_on(tmp_path):
@@ -173,10 +247,13 @@
 
 # the platform
 
+
 def test_the_platforms_front_imports_none_of_it():
     """Risk: 32 MB and a part of a core, spent on what it never uses."""
-    code = ("import sys, lichenquay.front.service; print(sorted(m for m in sys.modules if m.split('.')[0] in "
-            "('numpy', 'pyarrow', 'hdrh', 'click', 'rich', 'structlog', 'google', 'matplotlib', 'h11', 'google_crc32c') or "
-            "m.startswith(tuple('lichenquay.' + p for p in ('lab', 'load', 'cli', 'conf', 'fleet', 'members', 'folder', 'owner', 'quota')))))")
+    code = (
+        "import sys, lichenquay.front.service; print(sorted(m for m in sys.modules if m.split('.')[0] in "
+        "('numpy', 'pyarrow', 'hdrh', 'click', 'rich', 'structlog', 'google', 'matplotlib', 'h11', 'google_crc32c') or "
+        "m.startswith(tuple('lichenquay.' + p for p in ('lab', 'load', 'cli', 'conf', 'fleet', 'members', 'folder', 'owner', 'quota')))))"
+    )
     got = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
     assert got.stdout.strip() == "[]"
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,5 +1,6 @@
 """Who is there, in virtual time: rules that hold after every call of any watch, whatever the network does, and what
 must come of it."""
+
 import random
 import subprocess
 import sys
@@ -17,7 +18,9 @@
 from lichenquay.members.wire import MAX_BODY, MAX_INCARNATION, MAX_TOLD, MAX_WORD, good_row
 
 ROOT = Path(__file__).resolve().parents[1]
-QUICK = Settings(period_ms=100, hold_ms=600, gone_ms=3_000, sync_ms=1_000, slow_ms=300, stall_ms=150, rest_ms=300)
+QUICK = Settings(
+    period_ms=100, hold_ms=600, gone_ms=3_000, sync_ms=1_000, slow_ms=300, stall_ms=150, rest_ms=300
+)
 
 
 class Rules:
@@ -36,7 +39,12 @@
             assert c.view == number, f"view {c.view} after {number - 1}"
             old = held.get(c.name)
             assert (None if old is None or old[0] != c.incarnation else old[1]) == c.old
-            assert old is None or c.incarnation > old[0] and old[1] in ("left", "gone") or c.incarnation == old[0]
+            assert (
+                old is None
+                or c.incarnation > old[0]
+                and old[1] in ("left", "gone")
+                or c.incarnation == old[0]
+            )
             assert c.old not in ("gone",) and (c.old, c.new) != ("left", "alive")
             held[c.name] = c.incarnation, c.new
         assert number == watch.view.number
@@ -44,7 +52,13 @@
         for m in watch.table.members.values():
             now, before = rank(m.incarnation, m.word, m.state), rows.get(m.name)
             assert before is None or now >= before, f"{m.name} went back from {before} to {now}"
-            assert before is None or now == before or m.incarnation > before[0] or before[1] == 0 or before[3] == LEFT
+            assert (
+                before is None
+                or now == before
+                or m.incarnation > before[0]
+                or before[1] == 0
+                or before[3] == LEFT
+            )
             rows[m.name] = now
         assert len(watch.table.members) <= MAX_MEMBERS and host.longest <= MAX_BODY
         assert len(watch.ask.probes) <= MAX_EXTRA + 1 and len(watch.ask.relays) <= MAX_RELAYS
@@ -69,8 +83,10 @@
 
 
 def test_decisions_need_neither_a_network_nor_the_rest_of_the_program():
-    code = "import sys, lichenquay.members.watch; print([m for m in sys.modules if m.split('.')[0] == 'twisted' " \
-           "or m.startswith(('lichenquay.front', 'lichenquay.lab', 'lichenquay.admission'))])"
+    code = (
+        "import sys, lichenquay.members.watch; print([m for m in sys.modules if m.split('.')[0] == 'twisted' "
+        "or m.startswith(('lichenquay.front', 'lichenquay.lab', 'lichenquay.admission'))])"
+    )
     ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT)
     assert ran.stdout.strip() == "[]"
 
@@ -126,7 +142,9 @@
 
 def test_what_an_older_incarnation_says_is_dropped_and_counted():
     fleet = ruled(3, 5)
-    late = pb.Message(word=9, gossip=pb.Gossip(), rows=[pb.Row(name="f2", incarnation=1, word=7, state=pb.CUT)])
+    late = pb.Message(
+        word=9, gossip=pb.Gossip(), rows=[pb.Row(name="f2", incarnation=1, word=7, state=pb.CUT)]
+    )
     fleet.net.kill("f1")
     fleet.net.start("f1")
     assert fleet.until(fleet.agree, 5_000) is not None
@@ -139,10 +157,10 @@
 def test_a_front_that_some_do_not_hear_is_kept_by_all_and_nothing_flaps(n, deaf):
     """One-sided: f0 is not heard by `deaf` of the others, for 20 s; each is told by those who hear it."""
     fleet = ruled(n, 100 * n + deaf, Weather(loss=0.02))
-    fleet.net.between(["f0"], fleet.names[1:1 + deaf], cut=True)
+    fleet.net.between(["f0"], fleet.names[1 : 1 + deaf], cut=True)
     fleet.run(20_000)
     assert not verdicts(fleet) and fleet.all_hold("f0", "alive")
-    assert all("f0" not in fleet.watch(name).reach for name in fleet.names[1:1 + deaf])
+    assert all("f0" not in fleet.watch(name).reach for name in fleet.names[1 : 1 + deaf])
     assert "f0" in fleet.watch(fleet.names[-1]).reach
     fleet.net.mend()
     assert fleet.until(fleet.agree, 10_000) is not None and not verdicts(fleet)
@@ -157,7 +175,9 @@
         fleet.net.between(fleet.names, ["f0"], cut=True)
     fleet.run(20_000)
     assert fleet.all_hold("f0", "cut") and fleet.watch("f0").state_of("f0") == "cut"
-    assert {w.state_of(n) for w in fleet.up() for n in fleet.names[1:]} == {"alive"}  # The ill one accuses nobody.
+    assert {w.state_of(n) for w in fleet.up() for n in fleet.names[1:]} == {
+        "alive"
+    }  # The ill one accuses nobody.
     assert len({w.view.digest for w in fleet.up()}) == 1 and fleet.watch("f0").reach == []
     fleet.net.mend()
     assert fleet.until(fleet.agree, 15_000) is not None
@@ -195,7 +215,9 @@
         fleet = ruled(5, seed)
         fleet.run(500)
         fleet.net.kill("f4")
-        assert fleet.until(lambda: fleet.all_hold("f4", "suspect"), 3_000) is not None  # One whose time is running.
+        assert (
+            fleet.until(lambda: fleet.all_hold("f4", "suspect"), 3_000) is not None
+        )  # One whose time is running.
         fleet.net.start("f4")
         for name in fleet.names:
             fleet.net.pause(name, 30_000)
@@ -242,7 +264,10 @@
     assert [fleet.watch("f3").state_of(n) for n in fleet.names] == ["gone", "gone", "alive", "alive", "alive"]
     fleet.net.mend()
     assert fleet.until(fleet.agree, 15_000) is not None
-    assert fleet.watch("f0").incarnation == fleet.watch("f1").incarnation == 2 and fleet.watch("f3").incarnation == 1
+    assert (
+        fleet.watch("f0").incarnation == fleet.watch("f1").incarnation == 2
+        and fleet.watch("f3").incarnation == 1
+    )
 
 
 def test_as_many_names_as_there_is_room_for_and_no_more():
@@ -264,12 +289,15 @@
     assert {n for n, *_ in other.members()} == {n for n, *_ in w.members()}
 
 
-rows = st.builds(pb.Row, name=st.sampled_from(["a", "b", "me", "", "x" * 65, "ü"]),
-                 incarnation=st.sampled_from([0, 1, 2, 3, MAX_TOLD - 1, MAX_TOLD, MAX_INCARNATION, 2**64 - 1]),
-                 word=st.sampled_from([0, 1, 2, MAX_WORD - 2, MAX_WORD - 1, MAX_WORD, 2**64 - 1]),
-                 state=st.integers(0, 6),
-                 by=st.lists(st.sampled_from(["a", "b", "c", "me", "", "y" * 70]), max_size=6),
-                 silent_ms=st.sampled_from([0, 5, 2**32 - 1]))
+rows = st.builds(
+    pb.Row,
+    name=st.sampled_from(["a", "b", "me", "", "x" * 65, "ü"]),
+    incarnation=st.sampled_from([0, 1, 2, 3, MAX_TOLD - 1, MAX_TOLD, MAX_INCARNATION, 2**64 - 1]),
+    word=st.sampled_from([0, 1, 2, MAX_WORD - 2, MAX_WORD - 1, MAX_WORD, 2**64 - 1]),
+    state=st.integers(0, 6),
+    by=st.lists(st.sampled_from(["a", "b", "c", "me", "", "y" * 70]), max_size=6),
+    silent_ms=st.sampled_from([0, 5, 2**32 - 1]),
+)
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
@@ -288,22 +316,44 @@
 
 
 kinds = st.one_of(
-    st.builds(pb.Ping, no=st.integers(0, 3), name=st.sampled_from(["me", "a", ""])).map(lambda x: {"ping": x}),
-    st.builds(pb.PingAsk, no=st.integers(0, 3),
-              name=st.sampled_from(["me", "a", "b", ""])).map(lambda x: {"ping_ask": x}),
-    st.builds(pb.Ack, no=st.integers(0, 2**32 - 1), name=st.sampled_from(["me", "a"]),
-              ok=st.booleans()).map(lambda x: {"ack": x}),
-    st.builds(pb.Sync, digests=st.lists(st.integers(0, 2**64 - 1), min_size=31,
-                                        max_size=33)).map(lambda x: {"sync": x}),
-    st.builds(pb.Piece, parts=st.lists(st.integers(0, 40), max_size=40), after=st.text(max_size=3),
-              until=st.text(max_size=3), back=st.booleans()).map(lambda x: {"piece": x}),
-    st.sampled_from([{"join": pb.Join()}, {"leave": pb.Leave()}, {"gossip": pb.Gossip()}, {}]))
+    st.builds(pb.Ping, no=st.integers(0, 3), name=st.sampled_from(["me", "a", ""])).map(
+        lambda x: {"ping": x}
+    ),
+    st.builds(pb.PingAsk, no=st.integers(0, 3), name=st.sampled_from(["me", "a", "b", ""])).map(
+        lambda x: {"ping_ask": x}
+    ),
+    st.builds(pb.Ack, no=st.integers(0, 2**32 - 1), name=st.sampled_from(["me", "a"]), ok=st.booleans()).map(
+        lambda x: {"ack": x}
+    ),
+    st.builds(pb.Sync, digests=st.lists(st.integers(0, 2**64 - 1), min_size=31, max_size=33)).map(
+        lambda x: {"sync": x}
+    ),
+    st.builds(
+        pb.Piece,
+        parts=st.lists(st.integers(0, 40), max_size=40),
+        after=st.text(max_size=3),
+        until=st.text(max_size=3),
+        back=st.booleans(),
+    ).map(lambda x: {"piece": x}),
+    st.sampled_from([{"join": pb.Join()}, {"leave": pb.Leave()}, {"gossip": pb.Gossip()}, {}]),
+)
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.sampled_from(["a", "b", "me", "", "z" * 70]), st.sampled_from([0, 1, 2, 2**48, 2**70]),
-                          kinds, st.lists(rows, max_size=4), st.integers(0, 5),
-                          st.sampled_from([0, 1, 2**40, 2**64 - 1]), st.floats(0, 3_000)), max_size=12))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a", "b", "me", "", "z" * 70]),
+            st.sampled_from([0, 1, 2, 2**48, 2**70]),
+            kinds,
+            st.lists(rows, max_size=4),
+            st.integers(0, 5),
+            st.sampled_from([0, 1, 2**40, 2**64 - 1]),
+            st.floats(0, 3_000),
+        ),
+        max_size=12,
+    )
+)
 def test_no_message_does_more_than_be_dropped_or_taken(mail):
     w, now = Watch("me", 2, ["a", "b"], random.Random(3), QUICK, 0.0), 0.0
     for name, incarnation, kind, some, state, word, wait in mail:
--- a/tests/test_members_faults.py
+++ b/tests/test_members_faults.py
@@ -1,5 +1,6 @@
 """Faults by chance, and one message changed at a time, over the rules of test_members: never an exception, always
 one view in the end."""
+
 import random
 
 import pytest
@@ -22,7 +23,9 @@
     fleet.run(1_000)
     running = {w.name: w.incarnation for w in fleet.up()}
     assert fleet.agree()
-    assert not [c for *_, c in fleet.log if c.new in ("cut", "gone", "left") and running.get(c.name) == c.incarnation]
+    assert not [
+        c for *_, c in fleet.log if c.new in ("cut", "gone", "left") and running.get(c.name) == c.incarnation
+    ]
 
 
 def act(fleet, what, a, b):
@@ -48,13 +51,36 @@
         net.mend()
 
 
-ACTS = ["kill", "start", "start", "pause", "long pause", "leave", "one way", "not heard", "part", "mend", "mend"]
-
-
-@settings(max_examples=30, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck),
-          phases=(Phase.generate,))  # A failing schedule takes minutes to shrink.
-@given(st.integers(0, 2**32), st.lists(st.tuples(st.sampled_from(ACTS), st.integers(0, 4), st.integers(0, 4),
-                                                 st.integers(0, 3_000)), min_size=1, max_size=12))
+ACTS = [
+    "kill",
+    "start",
+    "start",
+    "pause",
+    "long pause",
+    "leave",
+    "one way",
+    "not heard",
+    "part",
+    "mend",
+    "mend",
+]
+
+
+@settings(
+    max_examples=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.generate,),
+)  # A failing schedule takes minutes to shrink.
+@given(
+    st.integers(0, 2**32),
+    st.lists(
+        st.tuples(st.sampled_from(ACTS), st.integers(0, 4), st.integers(0, 4), st.integers(0, 3_000)),
+        min_size=1,
+        max_size=12,
+    ),
+)
 def test_whatever_happened_the_fleet_comes_to_rest_in_one_view(seed, acts):
     fleet = ruled(4, seed, STORM, QUICK, joined=False)
     fleet.run(500)
@@ -80,9 +106,13 @@
     fleet = ruled(3, seed, Weather(), s, joined=False)
     fleet.net.meddle = meddle
     net = fleet.net
-    for ms, what, *args in ((2_000, net.kill, "f1"), (5_500, net.start, "f1"),
-                            (6_500, net.call, "f2", "members", "leave"), (7_200, net.start, "f2"),
-                            (8_000, net.pause, "f0", 600)):
+    for ms, what, *args in (
+        (2_000, net.kill, "f1"),
+        (5_500, net.start, "f1"),
+        (6_500, net.call, "f2", "members", "leave"),
+        (7_200, net.start, "f2"),
+        (8_000, net.pause, "f0", 600),
+    ):
         net.at(ms, what, *args)
     net.run(9_000)
     return fleet
@@ -130,13 +160,31 @@
 
 def mutant(rng, target, message):
     """What comes instead: (how, [(target, delay_ms, message)])."""
-    how = rng.choice(["lost", "doubled", "late", "later than the incarnation", "past the next", "another's",
-                      "rows lost", "field", "field", "field"])
+    how = rng.choice(
+        [
+            "lost",
+            "doubled",
+            "late",
+            "later than the incarnation",
+            "past the next",
+            "another's",
+            "rows lost",
+            "field",
+            "field",
+            "field",
+        ]
+    )
     others = [n for n in ("f0", "f1", "f2") if n != target]
-    return how, {"lost": [], "doubled": [(target, 1, message), (target, 30, message)], "late": [(target, 700, message)],
-                 "later than the incarnation": [(target, 5_600, message)], "past the next": [(target, 3, message)],
-                 "another's": [(rng.choice(others), 1, message)], "field": [(target, 1, change(rng, message))],
-                 "rows lost": [(target, 1, bare(message))]}[how]
+    return how, {
+        "lost": [],
+        "doubled": [(target, 1, message), (target, 30, message)],
+        "late": [(target, 700, message)],
+        "later than the incarnation": [(target, 5_600, message)],
+        "past the next": [(target, 3, message)],
+        "another's": [(rng.choice(others), 1, message)],
+        "field": [(target, 1, change(rng, message))],
+        "rows lost": [(target, 1, bare(message))],
+    }[how]
 
 
 def bare(message):
@@ -162,6 +210,7 @@
             how, instead = mutant(rng, target, message)
             found.add(how)
             return instead
+
         fleet = scenario(part, meddle)
         fleet.net.meddle = None
         rests(fleet, 200)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -1,4 +1,5 @@
 """Hand-overs in virtual time: what a home does, by itself and with every fault."""
+
 from random import Random
 
 import pytest
@@ -57,7 +58,10 @@
             p.kill()
         elif what == "pause":
             p.paused = True
-            world.at(random.choice([200, 2000, 6000]), lambda p=p, life=p.life: p.life == life and p.up and p.resume())
+            world.at(
+                random.choice([200, 2000, 6000]),
+                lambda p=p, life=p.life: p.life == life and p.up and p.resume(),
+            )
         elif what == "cut":
             link = p.name, random.choice(list(world.processes))
             world.cut.add(link)
--- a/tests/test_moves_book.py
+++ b/tests/test_moves_book.py
@@ -1,12 +1,22 @@
 """The book's laws, who takes what, what an earlier ref is answered, and bad input."""
+
 from random import Random
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from lichenquay.moves import moves_pb2 as pb
-from lichenquay.moves.book import (GONE, HELD, MOST_BYTES, MOST_NAME, MOST_SITTINGS, MOST_STONES, SITTING_BYTES, Book,
-                                   BookError)
+from lichenquay.moves.book import (
+    GONE,
+    HELD,
+    MOST_BYTES,
+    MOST_NAME,
+    MOST_SITTINGS,
+    MOST_STONES,
+    SITTING_BYTES,
+    Book,
+    BookError,
+)
 from lichenquay.moves.choose import LEAVES, WANTS, Member, in_order, may_leave, taker
 from lichenquay.moves.desk import Desk, marked
 from lichenquay.moves.kept import MOST_STATE, Seat, fold_of
@@ -43,8 +53,18 @@
     kept = {}
 
     def life(incarnation, now_ms):
-        group = Group("moves/f0", "f0", incarnation, ["f0"], Random(1), GroupSettings(most_state=MOST_STATE), now_ms,
-                      dict(kept), fresh=not kept, fold=fold_of("f0"))
+        group = Group(
+            "moves/f0",
+            "f0",
+            incarnation,
+            ["f0"],
+            Random(1),
+            GroupSettings(most_state=MOST_STATE),
+            now_ms,
+            dict(kept),
+            fresh=not kept,
+            fold=fold_of("f0"),
+        )
         desk = Desk("f0", Seat(group))
         group.want(now_ms, True)
 
@@ -63,6 +83,7 @@
                     if now_ms >= part.due_ms:
                         part.tick(now_ms)
             raise AssertionError("it does not come")
+
         return group, desk, until
 
     group, desk, until = life(1, 0.0)
@@ -71,7 +92,7 @@
     desk.open(now, "t", "s", lambda at, answer: said.append(answer))
     now = until(lambda at: said, now)
     id = said.pop().id
-    for i in range(150):                # past several folds
+    for i in range(150):  # past several folds
         desk.take(now, "t", id, f"m{i}", True, "e", 500, lambda at, answer: said.append(answer))
         now = until(lambda at: said, now)
         assert said.pop().word == "go" and desk.ended(now, "t", id, f"m{i}", "done")
@@ -80,7 +101,10 @@
     now = until(lambda at: said, now)
     group, desk, until = life(2, now)
     now = until(lambda at: group.holds(at) and desk.in_office(at), now)
-    assert desk.attach(now, "t", id, "last").word == "attach" and desk.attach(now, "t", id, "m148").outcome == "done"
+    assert (
+        desk.attach(now, "t", id, "last").word == "attach"
+        and desk.attach(now, "t", id, "m148").outcome == "done"
+    )
     desk.again(now, "t", id, "last", "e", 500, lambda at, answer: said.append(answer))
     now = until(lambda at: len(said) > 1, now)
     assert said[-1].outcome == "failed"
@@ -111,8 +135,8 @@
     assert (answer.word, answer.engine, answer.mutating) == ("attach", "e1", True)
     assert ask(desk.take, "t", id, "m", True, "e1", 500).word == "attach"
     assert desk.attach(1.0, "t", id, "never").word == "unknown"
-    assert desk.attach(1.0, "u", id, "m").word == "refused"           # another tenant's sitting
-    assert desk.attach(1.0, "u", other, "m").word == "refused"        # its own sitting, another's ref
+    assert desk.attach(1.0, "u", id, "m").word == "refused"  # another tenant's sitting
+    assert desk.attach(1.0, "u", other, "m").word == "refused"  # its own sitting, another's ref
     assert desk.ended(1.0, "t", id, "r", "done") and not desk.ended(1.0, "t", id, "r", "failed")
     assert desk.attach(1.0, "t", id, "r").outcome == "done"
     # Taken by this office: not yet given up for an engine's word.
@@ -129,16 +153,21 @@
     desk = desk_of()
     id = opened(desk)
     desk.group.group.held = False
-    assert ask(desk.take, "t", id, "m", True, "e", 1).word == "lost" and desk.attach(0.0, "t", id, "m").word == "lost"
-    desk.group.group.held, desk.group.group.ok = True, None           # in doubt
+    assert (
+        ask(desk.take, "t", id, "m", True, "e", 1).word == "lost"
+        and desk.attach(0.0, "t", id, "m").word == "lost"
+    )
+    desk.group.group.held, desk.group.group.ok = True, None  # in doubt
     assert ask(desk.take, "t", id, "m", True, "e", 1).word == "lost"
     desk.group.group.ok = True
-    assert ask(desk.take, "t", id, "m2", True, "e", 1).word == "lost"     # not in this generation
+    assert ask(desk.take, "t", id, "m2", True, "e", 1).word == "lost"  # not in this generation
     desk.group.group.generation = 2
     assert ask(desk.take, "t", id, "m2", True, "e", 1).word == "go"
 
 
-@pytest.mark.parametrize("tenant, name", [("t", ""), ("", "s"), ("t", "s" * (MOST_NAME + 1)), ("t", "é" * 33)])
+@pytest.mark.parametrize(
+    "tenant, name", [("t", ""), ("", "s"), ("t", "s" * (MOST_NAME + 1)), ("t", "é" * 33)]
+)
 def test_names(tenant, name):
     assert ask(desk_of().open, tenant, name).word == "refused"
 
@@ -150,7 +179,10 @@
     for i in range(MOST_SITTINGS):
         assert opened(desk, name=f"n{i}")
     assert desk.dropped == 2 and len(desk.made.live) == MOST_SITTINGS
-    assert desk.attach(0.0, "t", first, "x").word == "unknown" and desk.attach(0.0, "t", busy, "m").word == "attach"
+    assert (
+        desk.attach(0.0, "t", first, "x").word == "unknown"
+        and desk.attach(0.0, "t", busy, "m").word == "attach"
+    )
 
 
 def test_a_full_sitting_forgets_what_ended_never_what_may_run():
@@ -192,7 +224,9 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 11), st.integers(0, 5), st.sampled_from(["f1", "f2"])), max_size=120))
+@given(
+    st.lists(st.tuples(st.integers(0, 11), st.integers(0, 5), st.sampled_from(["f1", "f2"])), max_size=120)
+)
 def test_any_decisions(steps):
     """Whatever is decided in whatever order: the laws hold, from any snapshot and the records after it too."""
     book, records, states, no = Book("f0"), [], [], 0
@@ -203,14 +237,21 @@
         s = book.sittings.get(id)
         one, come = pb.Sitting(tenant="t", id=f"z@{to}.{i}", generation=2), pb.Sitting(tenant="t", id=id)
         come.generation = i + (s.generation if s else 0)
-        return [lambda: book.decide_open("t", f"n{i}"), lambda: book.decide_pin(id, "e", i),
-                lambda: book.decide_took(id, f"r{i}", i % 2 == 0, "e", 1, 5),
-                lambda: book.decide_ended(id, f"r{i}", "done"),
-                lambda: book.decide_freeze(id), lambda: book.decide_offer(id, to), lambda: book.decide_gone(id, to),
-                lambda: s and book.decide_told(id, s.to, s.no), lambda: book.decide_back(id), book.decide_drop,
-                lambda: book.decide_accept(to, i + 1, max(1, i - 1), one),
-                lambda: s and book.decide_accept(to, 9 + i, 3, come),
-                ][kind]()
+        return [
+            lambda: book.decide_open("t", f"n{i}"),
+            lambda: book.decide_pin(id, "e", i),
+            lambda: book.decide_took(id, f"r{i}", i % 2 == 0, "e", 1, 5),
+            lambda: book.decide_ended(id, f"r{i}", "done"),
+            lambda: book.decide_freeze(id),
+            lambda: book.decide_offer(id, to),
+            lambda: book.decide_gone(id, to),
+            lambda: s and book.decide_told(id, s.to, s.no),
+            lambda: book.decide_back(id),
+            book.decide_drop,
+            lambda: book.decide_accept(to, i + 1, max(1, i - 1), one),
+            lambda: s and book.decide_accept(to, 9 + i, 3, come),
+        ][kind]()
+
     for step in steps:
         change = change_of(*step)
         if change is not None:
@@ -222,7 +263,7 @@
             book.check()
     for at in (0, len(states) // 2):
         if states:
-            assert Book.load("f0", states[at], records[max(0, at - 3):]).state() == book.state()
+            assert Book.load("f0", states[at], records[max(0, at - 3) :]).state() == book.state()
 
 
 def test_fold_keeps_the_same_book():
@@ -241,8 +282,12 @@
     book = Book("f0")
     for _ in range(MOST_STONES + 9):
         id = book.decide_open("t", "s").opened.id
-        for decide in (lambda: book.decide_open("t", "s"), lambda: book.decide_freeze(id),
-                       lambda: book.decide_offer(id, "f1"), lambda: book.decide_gone(id, "f1")):
+        for decide in (
+            lambda: book.decide_open("t", "s"),
+            lambda: book.decide_freeze(id),
+            lambda: book.decide_offer(id, "f1"),
+            lambda: book.decide_gone(id, "f1"),
+        ):
             book.change(decide())
         s = book.sittings[id]
         book.change(book.decide_told(id, "f1", s.no))
@@ -251,9 +296,15 @@
     assert book.where(f"s@f0.{MOST_STONES + 9}") == (GONE, "f1")
 
 
-ROOM = [Member("a", 9000, zone="x"), Member("b", 9000, zone="y"), Member("c", 9000, new=True, zone="y"),
-        Member("d", 9000, new=True, ready=False, zone="x"), Member("e", 10), Member("g", 9000, word=LEAVES),
-        Member("h", 9000, alive=False)]
+ROOM = [
+    Member("a", 9000, zone="x"),
+    Member("b", 9000, zone="y"),
+    Member("c", 9000, new=True, zone="y"),
+    Member("d", 9000, new=True, ready=False, zone="x"),
+    Member("e", 10),
+    Member("g", 9000, word=LEAVES),
+    Member("h", 9000, alive=False),
+]
 
 
 def test_who_takes_what():
@@ -266,7 +317,9 @@
     members = [Member("a", 1000), Member("b", 1000, weight=3.0), Member("c", 2000)]
     takers = [taker(f"s{i}", 10, "", members) for i in range(3000)]
     share = {n: takers.count(n) / 3000 for n in "abc"}
-    assert abs(share["a"] - 1 / 6) < 0.03 and abs(share["b"] - 3 / 6) < 0.03 and abs(share["c"] - 2 / 6) < 0.03
+    assert (
+        abs(share["a"] - 1 / 6) < 0.03 and abs(share["b"] - 3 / 6) < 0.03 and abs(share["c"] - 2 / 6) < 0.03
+    )
     # One that is away moves only its own.
     rest = [taker(f"s{i}", 10, "", members[:2]) for i in range(3000)]
     assert all(r == t for r, t in zip(rest, takers) if t != "c")
@@ -279,7 +332,7 @@
     leaving = [m._replace(word=LEAVES) if m.name in ("f1", "f4") else m for m in wanting]
     assert not may_leave("f6", leaving, 0.25)
     assert may_leave("f6", [m._replace(word="", alive=m.name != "f1") for m in leaving], 0.25)
-    assert not may_leave("f0", [Member("f0", 9, word=WANTS)], 1.0)    # nobody would stay
+    assert not may_leave("f0", [Member("f0", 9, word=WANTS)], 1.0)  # nobody would stay
 
 
 def test_idle_first_mutating_last():
@@ -304,7 +357,7 @@
         for i in range(30):
             ask(desk.take, "t" * MOST_NAME, id, f"{i:064}", i % 2 == 0, "e" * MOST_NAME, 1e9)
     for s in list(desk.made.live):
-        assert desk.pin(0.0, s.tenant, s.id, "p" * MOST_NAME, 2 ** 40)
+        assert desk.pin(0.0, s.tenant, s.id, "p" * MOST_NAME, 2**40)
         for ref in list(s.refs):
             desk.ended(0.0, s.tenant, s.id, ref, "o" * 16)
     desk.made.check()
@@ -317,7 +370,17 @@
     offers, desk.outbox[:] = [m for _, m in desk.outbox], []
     assert offers
     for m in offers:
-        desk.heard(0.0, ("g", 1), marked(pb.Message(home="g" * 32, to="f0", office=1, room=pb.Room(
-            id=m.offer.id, generation=1, yes=True, free=9999))))
+        desk.heard(
+            0.0,
+            ("g", 1),
+            marked(
+                pb.Message(
+                    home="g" * 32,
+                    to="f0",
+                    office=1,
+                    room=pb.Room(id=m.offer.id, generation=1, yes=True, free=9999),
+                )
+            ),
+        )
     out = [m.ByteSize() for _, m in desk.outbox if m.WhichOneof("body") == "handed"]
     assert out and max(out) < 1100, out
--- a/tests/test_moves_explore.py
+++ b/tests/test_moves_explore.py
@@ -1,4 +1,5 @@
 """The hand-over in every order: explored whole where that is small enough, by ways drawn by chance beyond that."""
+
 import pytest
 
 from moves_broken import BROKEN, NoFence
--- a/tests/test_moves_mutation.py
+++ b/tests/test_moves_mutation.py
@@ -1,4 +1,5 @@
 """One message of a recorded scenario lost, doubled, late, swapped, sent elsewhere or changed."""
+
 from random import Random
 
 import pytest
@@ -19,6 +20,7 @@
     def note(world, sent, copies):
         raws.append(copies[0][:2])
         return copies
+
     world = scenario(note)
     return world, raws
 
@@ -66,8 +68,16 @@
         return False
 
 
-@pytest.mark.parametrize("name, kind", [("TellsOnce", "handed"), ("ThawsNever", "offer"), ("CommitBeforeRecord", None),
-                                        ("ForgetsRefs", None), ("TakesOlder", None)])
+@pytest.mark.parametrize(
+    "name, kind",
+    [
+        ("TellsOnce", "handed"),
+        ("ThawsNever", "offer"),
+        ("CommitBeforeRecord", None),
+        ("ForgetsRefs", None),
+        ("TakesOlder", None),
+    ],
+)
 def test_broken_rules_that_a_message_finds(name, kind):
     """Which lost message does it; None: the scenario as it was recorded."""
     broken = next(b for b in BROKEN if b.__name__ == name)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,4 +1,5 @@
 """One owner at a time: what a group does in the plain cases, its bounds, and what it refuses."""
+
 from random import Random
 
 import pytest
@@ -34,7 +35,9 @@
     assert [int.from_bytes(r, "big") for r in [*split(base), *records]] == audit.made
     assert part.holder == (part.name, part.generation) and len(records) <= QUICK.most_records
     others = [p.part for p in world.all.values() if p.part is not part]
-    assert all(o.holder == (part.name, part.generation) and o.state is None and o.generation == 0 for o in others)
+    assert all(
+        o.holder == (part.name, part.generation) and o.state is None and o.generation == 0 for o in others
+    )
 
 
 def test_another_takes_over_when_the_holder_dies_and_not_before_its_lease_is_over():
@@ -56,7 +59,7 @@
     first = holder(world)
     write(world, audit, first)
     world.call(first, lambda part, ms: part.give_up(ms))
-    assert holder(world) == first               # the record is under way
+    assert holder(world) == first  # the record is under way
     begin = world.now
     assert world.run(begin + 5000, lambda: holder(world) not in (None, first))
     assert audit.made == [1] and world.now - begin < 2 * QUICK.spread_ms
@@ -126,7 +129,7 @@
     for name in "abc":
         world.all[name].disk = "full"
     writes(world, audit, 10)
-    assert audit.made == [] and holder(world)   # it renews, and makes no record
+    assert audit.made == [] and holder(world)  # it renews, and makes no record
     for name in "abc":
         world.all[name].disk = "well"
     world.run(world.now + 1000)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -13,17 +13,25 @@
 
 
 def word(tenant, known, spent, returned=0, sealed=False, book=1):
-    return pb.Row(tenant=tenant, book=book, known_us=known, spent_us=spent, returned_us=returned, sealed=sealed)
+    return pb.Row(
+        tenant=tenant, book=book, known_us=known, spent_us=spent, returned_us=returned, sealed=sealed
+    )
 
 
 def test_figures_that_make_no_sense_are_refused_in_one_line():
     good = dict(tenant="a", rate_ms=100, bucket_ms=200, limit_ms=100, term_ms=2000)
     assert figures_of(**good).limit_us == 100 * MS
-    for bad, said in ((dict(limit_ms=-1), "limit -1"), (dict(rate_ms=-1), "rate -1"), (dict(term_ms=0), "term 0"),
-                      (dict(repay_share=0), "repay share 0"), (dict(lend_share=2), "lend share 2"),
-                      (dict(tenant=""), "name"),
-                      (dict(tenant="x" * 65), "name"), (dict(limit_ms=101), "cannot be repaid in its term: 100 ms"),
-                      (dict(bucket_ms=float("nan")), "bucket nan")):
+    for bad, said in (
+        (dict(limit_ms=-1), "limit -1"),
+        (dict(rate_ms=-1), "rate -1"),
+        (dict(term_ms=0), "term 0"),
+        (dict(repay_share=0), "repay share 0"),
+        (dict(lend_share=2), "lend share 2"),
+        (dict(tenant=""), "name"),
+        (dict(tenant="x" * 65), "name"),
+        (dict(limit_ms=101), "cannot be repaid in its term: 100 ms"),
+        (dict(bucket_ms=float("nan")), "bucket nan"),
+    ):
         with pytest.raises(ValueError, match=said) as e:
             figures_of(**{**good, **bad})
         assert "\n" not in str(e.value)
@@ -31,6 +39,7 @@
 
 # rights at a front
 
+
 def front(term_ms=2000.0, **stocks):
     rights = Rights("f0", 3, stocks or {"a": 0}, term_ms, 200.0)
     rights.keeper = ("f1", 1)
@@ -60,9 +69,15 @@
     asked = ask(rights, 100.0)
     assert asked.rows[0].need_us == 10 * MS
     rights.heard(900.0, ("f1", 1), answer(rights, asked, a=25))
-    assert rights.take(900.0, "a", 10.0, 1) and rights.take(900.0, "a", 15.0, 2) and not rights.take(900.0, "a", 1.0, 3)
+    assert (
+        rights.take(900.0, "a", 10.0, 1)
+        and rights.take(900.0, "a", 15.0, 2)
+        and not rights.take(900.0, "a", 1.0, 3)
+    )
     rights.settle(1000.0, 1, 4.0)
-    assert rights.take(2099.0, "a", 6.0, 4) and not rights.take(2100.0, "a", 0.001, 5)    # 2000 from the sending
+    assert rights.take(2099.0, "a", 6.0, 4) and not rights.take(
+        2100.0, "a", 0.001, 5
+    )  # 2000 from the sending
     assert rights.book == 2 and rights.lapses == 1
     rights.settle(2200.0, 2, 5.0)
     old = [r for r in ask(rights, 2300.0).rows if r.sealed]
@@ -82,7 +97,7 @@
         rights.heard(300.0, ("f1", 1), strange)
     rights.heard(300.0, ("f1", 1), answer(rights, second, nobody=1))
     spoilt = answer(rights, second, a=30)
-    spoilt.rows[0].book = 0             # no book of ours; kept as a sealed one, every later ask would make no sense
+    spoilt.rows[0].book = 0  # no book of ours; kept as a sealed one, every later ask would make no sense
     rights.heard(300.0, ("f1", 1), spoilt)
     assert rights.senseless == 6 and rights.rows["a"].known == 30 * MS and not rights.old
 
@@ -95,7 +110,11 @@
     assert rights.debts == {"a": 30 * MS} and not rights.take(60.0, "a", 1.0, 2)
     assert ask(rights, 60.0).rows[0].need_us >= 30 * MS
     hold(rights, 70.0, a=45)
-    assert rights.debts == {"a": 5 * MS} and rights.rows["a"].spent == 45 * MS and not rights.take(80.0, "a", 1.0, 3)
+    assert (
+        rights.debts == {"a": 5 * MS}
+        and rights.rows["a"].spent == 45 * MS
+        and not rights.take(80.0, "a", 1.0, 3)
+    )
     hold(rights, 90.0, a=60)
     assert rights.take(90.0, "a", 10.0, 4) and not rights.take(90.0, "a", 0.1, 5)
 
@@ -107,8 +126,8 @@
         assert rights.take(0.0, "a", 10.0, ticket)
     rights.drop(10.0, 1)
     rights.settle(10.0, 2, 0.0)
-    rights.settle(10.0, 2, 0.0)         # ended already
-    rights.drop(10.0, 99)               # beyond quota, or never seen
+    rights.settle(10.0, 2, 0.0)  # ended already
+    rights.drop(10.0, 99)  # beyond quota, or never seen
     row = rights.rows["a"]
     assert (row.spent, row.reserved, row.free) == (10 * MS, 10 * MS, 10 * MS)
 
@@ -130,7 +149,7 @@
             rights.tick(float(ms))
             count += len(rights.outbox)
             rights.outbox.clear()
-    assert 40 <= count <= 81            # four a period of 200
+    assert 40 <= count <= 81  # four a period of 200
     rights.keeper = None
     rights.take(5000.0, "a", 5.0, "x")
     assert rights.due_ms == float("inf")
@@ -144,10 +163,16 @@
         for _, asked in rights.outbox:
             assert asked.ByteSize() < 1200
             said |= {r.tenant for r in asked.rows}
-            large = dict(granted_us=1 << 48, spent_us=1 << 47, returned_us=1 << 47, owes_us=1 << 48, limit_us=1 << 48)
+            large = dict(
+                granted_us=1 << 48, spent_us=1 << 47, returned_us=1 << 47, owes_us=1 << 48, limit_us=1 << 48
+            )
             told = [pb.Granted(tenant=r.tenant, book=1, scarce=True, **large) for r in asked.rows]
-            assert pb.Answer(front="f" * 32, incarnation=1 << 48, generation=1 << 48, book=1, no=1 << 32,
-                             rows=told).ByteSize() < 1200
+            assert (
+                pb.Answer(
+                    front="f" * 32, incarnation=1 << 48, generation=1 << 48, book=1, no=1 << 32, rows=told
+                ).ByteSize()
+                < 1200
+            )
         rights.outbox.clear()
     assert len(said) == 100
 
@@ -171,6 +196,7 @@
 
 # the keeper
 
+
 def run_of(world, ms, rates, work=20):
     """Queries by chance: `rates` of (front, tenant) a second."""
     end, chance = world.now + ms, Random(7)
@@ -186,8 +212,8 @@
     world.group.elect("f0")
     world.run(1000)
     run_of(world, 10000, {("f2", "a"): 2})
-    assert world.beyond.get("a", 0) <= 2        # while the first ones' asks are under way
-    run_of(world, 16000, {("f3", "a"): 12})         # more than there is: all of it serves f3
+    assert world.beyond.get("a", 0) <= 2  # while the first ones' asks are under way
+    run_of(world, 16000, {("f3", "a"): 12})  # more than there is: all of it serves f3
     issued, before = world.group.audit.accounts["a"], dict(world.within)
     run_of(world, 10000, {("f3", "a"): 12})
     assert world.within["a"] - before["a"] >= 0.9 * 1000 / 20 and issued.borrowed == 0
@@ -230,9 +256,14 @@
     keeper.heard(0.0, ("f0", 1), pb.Ask(book=1, no=1))
     assert keeper.stray == 1 and keeper.seen() == {}
     world.group.elect("f0")
-    for bad in (pb.Ask(book=0, no=1), pb.Ask(book=1, no=0), pb.Ask(book=1, no=1, rows=[word("a", 1, 2)]),
-                pb.Ask(book=1, no=1, rows=[word("a", 1, 1, book=2)]), pb.Ask(book=2, no=1, rows=[word("a", 1, 1)]),
-                pb.Ask(book=1, no=1, rows=[word("a", 0, 0), word("a", 0, 0)])):
+    for bad in (
+        pb.Ask(book=0, no=1),
+        pb.Ask(book=1, no=0),
+        pb.Ask(book=1, no=1, rows=[word("a", 1, 2)]),
+        pb.Ask(book=1, no=1, rows=[word("a", 1, 1, book=2)]),
+        pb.Ask(book=2, no=1, rows=[word("a", 1, 1)]),
+        pb.Ask(book=1, no=1, rows=[word("a", 0, 0), word("a", 0, 0)]),
+    ):
         keeper.heard(0.0, ("f0", 1), bad)
     keeper.heard(0.0, ("f0", 1), pb.Ask(book=1, no=1, rows=[word("a", 5, 5), word("nobody", 5, 5)]))
     world.run(500)
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -1,5 +1,6 @@
 """The quota under faults, in virtual time: seeded runs, each message of a scenario changed in each way, and broken
 rules that the audit must find."""
+
 import os
 from contextlib import contextmanager
 from itertools import islice
@@ -15,7 +16,7 @@
 from lichenquay.quota.ledger import Ledger, LedgerError
 from lichenquay.quota.rights import Mine, Rights
 
-REST_MS = 20000.0           # limit 150 at half of 20 a second, and one term
+REST_MS = 20000.0  # limit 150 at half of 20 a second, and one term
 
 
 KINDS = ("pause", "kill", "cut", "elect", "heal", "leave", "pressed")
@@ -41,8 +42,14 @@
         for tenant, rate in rates.items():
             if chance.random() < rate:
                 work = chance.choice([2, 10, 40])
-                world.query(world.fronts[chance.choice(names)], tenant, work, work * chance.uniform(0, 2.5),
-                            chance.choice([20.0, 200.0, 3000.0]), chance.choice(["settle", "settle", "drop"]))
+                world.query(
+                    world.fronts[chance.choice(names)],
+                    tenant,
+                    work,
+                    work * chance.uniform(0, 2.5),
+                    chance.choice([20.0, 200.0, 3000.0]),
+                    chance.choice(["settle", "settle", "drop"]),
+                )
         if world.now > fault_ms:
             fault_ms = world.now + chance.uniform(200, 2500)
             fault(world, chance, world.fronts[chance.choice(names)], chance.choice(kinds))
@@ -69,7 +76,9 @@
         world.group.elect(front.name)
     elif kind == "leave" and front.up and not front.paused and world.group.holder != front.name:
         front.rights.return_all(front.now_ms)
-        world.at(1500.0, lambda: front.up and world.group.holder != front.name and (front.kill(), front.start()))
+        world.at(
+            1500.0, lambda: front.up and world.group.holder != front.name and (front.kill(), front.start())
+        )
     elif kind == "pressed":
         front.rights.pressed = not front.rights.pressed
 
@@ -91,6 +100,7 @@
         seen["lapses"] += sum(life.lapses for f in world.fronts.values() for life in f.lives)
         seen["doubts"] += sum(f.keeper.doubts for f in world.fronts.values())
         seen["barred"] += sum(f.keeper.barred for f in world.fronts.values())
+
     for seed in range(30, 36):
         count(chaos(seed, 20))
     assert all(seen[n] for n in ("borrowed", "given_back", "lapses", "doubts", "barred")), seen
@@ -98,6 +108,7 @@
 
 # one message changed
 
+
 def each_changed(part):
     """The scenario once; at each message it forks for every `part`th of its ways, and the child goes on with that
     one change. Two at a time. Returns what broke, by message and way, how many mutants there were, and the unchanged
@@ -131,6 +142,7 @@
             running.append((f"message {number}: {what}", pid, read))
         before[link] = copies[0]
         return copies
+
     try:
         world, _ = scenario(mutate)
     except BaseException as e:
@@ -166,11 +178,13 @@
 
 # broken rules
 
+
 class Broken:
     """Each breaks one rule. `keeper`, `rights`: used instead; `ledger`: patched in."""
 
     class EagerKeeper(Keeper):
         """Tells what was decided, not what was made."""
+
         def batch(self, now_ms):
             super().batch(now_ms)
             if self.out:
@@ -180,12 +194,14 @@
 
     class HastyKeeper(Keeper):
         """Writes a front off before its rights have lapsed."""
+
         def __init__(self, *args):
             super().__init__(*args)
             self.silence_ms = 0.3 * TERM_MS
 
     class NewKeeper(Keeper):
         """Takes fronts that it has not heard for silent when it takes office."""
+
         def in_office(self, now_ms):
             holds = super().in_office(now_ms)
             self.office_ms = float("-inf")
@@ -193,34 +209,40 @@
 
     class BoldKeeper(Keeper):
         """Takes a write whose end is in doubt for made."""
+
         def done(self, now_ms, record, ok):
             super().done(now_ms, record, True)
 
     class ForgetfulKeeper(Keeper):
         """Takes what older incarnations say for the newest one's word."""
+
         def heard(self, now_ms, sender, ask):
             newest = self.newest.get(sender[0], (0,))[0]
             super().heard(now_ms, (sender[0], max(newest, sender[1])), ask)
 
     class AddingRights(Rights):
         """Takes totals for further grants."""
+
         def granted(self, now_ms, no, told):
             mine = self.rows.setdefault(told.tenant, Mine())
             mine.known += told.granted_us
 
     class LastingRights(Rights):
         """Spends what has lapsed."""
+
         def lapse(self, now_ms):
             self.valid_ms = max(self.valid_ms, now_ms + 1)
 
     class AnyonesRights(Rights):
         """Counts answers to older incarnations, and to other fronts."""
+
         def heard(self, now_ms, sender, answer):
             answer.front, answer.incarnation = self.name, self.incarnation
             super().heard(now_ms, sender, answer)
 
     class SameBookRights(Rights):
         """Uses a book again that it has sealed."""
+
         def seal(self):
             super().seal()
             self.book -= 1
@@ -240,14 +262,21 @@
 def no_limit(self, borrower, amount_us):
     lender = max((t for t in self.accounts if t != borrower), key=lambda t: self.accounts[t].spare)
     amount = min(amount_us, self.accounts[lender].spare)
-    return pb.Change(loan=pb.Loan(id=self.loans_made + 1, lender=lender, borrower=borrower, amount_us=amount)) \
-        if amount > 0 and not self.accounts[borrower].pool else None
+    return (
+        pb.Change(loan=pb.Loan(id=self.loans_made + 1, lender=lender, borrower=borrower, amount_us=amount))
+        if amount > 0 and not self.accounts[borrower].pool
+        else None
+    )
 
 
 def gives_back(self, lapse):
     for tenant, row in self.books.get((lapse.front, lapse.incarnation, lapse.book), {}).items():
         account, left = self.accounts[tenant], row.left
-        row.returned, account.held, account.pool = row.returned + left, account.held - left, account.pool + left
+        row.returned, account.held, account.pool = (
+            row.returned + left,
+            account.held - left,
+            account.pool + left,
+        )
 
 
 RULES = {
@@ -272,8 +301,10 @@
 @contextmanager
 def broken(keeper=Keeper, rights=Rights, ledger=None):
     make, use = World.__init__, {"keeper": keeper, "rights": rights}
-    with mock.patch.multiple(Ledger, **ledger or {"VERSION": 1}, create=True), \
-            mock.patch.object(World, "__init__", lambda self, *a, **k: make(self, *a, **{**k, **use})):
+    with (
+        mock.patch.multiple(Ledger, **ledger or {"VERSION": 1}, create=True),
+        mock.patch.object(World, "__init__", lambda self, *a, **k: make(self, *a, **{**k, **use})),
+    ):
         yield
 
 
--- a/tests/test_quota_ledger.py
+++ b/tests/test_quota_ledger.py
@@ -23,7 +23,9 @@
 
 
 def word(tenant, known, spent, returned=0, sealed=False, book=1):
-    return pb.Row(tenant=tenant, book=book, known_us=known, spent_us=spent, returned_us=returned, sealed=sealed)
+    return pb.Row(
+        tenant=tenant, book=book, known_us=known, spent_us=spent, returned_us=returned, sealed=sealed
+    )
 
 
 NAMES, FRONTS = st.sampled_from("abc"), st.sampled_from(["f0", "f1"])
@@ -31,12 +33,22 @@
 STEPS = st.one_of(
     st.tuples(st.just("beat"), st.integers(0, 5000)),
     st.tuples(st.just("grant"), NAMES, FRONTS, st.integers(1, 3), st.integers(1, 3), WORK),
-    st.tuples(st.just("word"), FRONTS, st.integers(1, 3), st.integers(1, 3), NAMES, st.floats(0, 1), st.floats(0, 1),
-              st.floats(0, 1), st.booleans()),
+    st.tuples(
+        st.just("word"),
+        FRONTS,
+        st.integers(1, 3),
+        st.integers(1, 3),
+        NAMES,
+        st.floats(0, 1),
+        st.floats(0, 1),
+        st.floats(0, 1),
+        st.booleans(),
+    ),
     st.tuples(st.just("lapse"), FRONTS, st.integers(1, 3), st.integers(1, 3)),
     st.tuples(st.just("loan"), NAMES, WORK),
     st.tuples(st.just("recall"), NAMES, WORK),
-    st.tuples(st.just("open"), NAMES, st.integers(0, 300), st.integers(0, 300), st.integers(0, 200)))
+    st.tuples(st.just("open"), NAMES, st.integers(0, 300), st.integers(0, 300), st.integers(0, 200)),
+)
 
 
 def decide(led, step):
@@ -75,7 +87,7 @@
         led.check()
         assert not led.apply(records[-1])
     for i in {0, len(states) // 2, len(states) - 1} & set(range(len(states))):
-        again = Ledger.load(states[i], [r.SerializeToString() for r in records[max(0, i - 2):]])
+        again = Ledger.load(states[i], [r.SerializeToString() for r in records[max(0, i - 2) :]])
         assert again.state() == led.state()
 
 
@@ -95,8 +107,8 @@
     do(led, led.decide_lapse("f0", 1, 1))
     account = led.accounts["a"]
     assert (account.held, account.written) == (0, 60 * MS) and account.pool == 140 * MS
-    assert led.decide_grant("a", "f0", 1, 1, MS) is None      # the book is closed
-    do(led, led.decide_word("f0", 1, word("a", 40 * MS, 10 * MS)))          # from before: not its last word
+    assert led.decide_grant("a", "f0", 1, 1, MS) is None  # the book is closed
+    do(led, led.decide_word("f0", 1, word("a", 40 * MS, 10 * MS)))  # from before: not its last word
     assert account.written == 50 * MS and account.pool == 140 * MS
     last = word("a", 40 * MS, 25 * MS, 15 * MS, True)
     do(led, led.decide_word("f0", 1, last))
@@ -124,19 +136,19 @@
 
 def test_loans_wait_for_an_empty_pool_stay_in_the_limit_and_are_barred_when_overdue():
     led = ledger(figures("a"), figures("b"), figures("c", bucket=1000))
-    assert led.decide_loan("a", MS) is None                     # it has its own
+    assert led.decide_loan("a", MS) is None  # it has its own
     do(led, led.decide_grant("a", "f0", 1, 1, 200 * MS))
-    assert do(led, led.decide_loan("a", 70 * MS)).loan.lender == "c"        # the most unused
+    assert do(led, led.decide_loan("a", 70 * MS)).loan.lender == "c"  # the most unused
     do(led, led.decide_grant("a", "f0", 1, 1, 70 * MS))
     assert do(led, led.decide_loan("a", 70 * MS)).loan.amount_us == 30 * MS
     do(led, led.decide_grant("a", "f0", 1, 1, 30 * MS))
-    assert led.decide_loan("a", MS) is None                     # limit
+    assert led.decide_loan("a", MS) is None  # limit
     a = led.accounts["a"]
     for _ in range(51):
         do(led, led.decide_beat(100))
         do(led, led.decide_word("f0", 1, word("a", a.spent + a.held, a.spent + min(9 * MS, a.held))))
         do(led, led.decide_grant("a", "f0", 1, 1, a.pool))
-    assert not led.loans                                        # half of 100 a second for 5 s
+    assert not led.loans  # half of 100 a second for 5 s
     late = ledger(figures("a", term_ms=50), figures("b"))
     do(late, late.decide_grant("a", "f0", 1, 1, 200 * MS))
     do(late, late.decide_loan("a", 50 * MS))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,4 +1,5 @@
 """Stops that come while a front starts: it ends in order whenever they come, from its first line on."""
+
 import json
 import os
 import random
@@ -16,9 +17,11 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 # runs the program as `python -m` does, and tells that its first line comes next
-FIRST_LINE = ("import os, runpy, sys, lichenquay.front; os.write(1, b'up'); sys.argv = ['lichenquay.front'];"
-              "runpy.run_module('lichenquay.front', run_name='__main__', alter_sys=True)")
-FIRST_LINE_CPU_S = 0.03         # of the processor; the imports that follow take ten times as much
+FIRST_LINE = (
+    "import os, runpy, sys, lichenquay.front; os.write(1, b'up'); sys.argv = ['lichenquay.front'];"
+    "runpy.run_module('lichenquay.front', run_name='__main__', alter_sys=True)"
+)
+FIRST_LINE_CPU_S = 0.03  # of the processor; the imports that follow take ten times as much
 
 
 def free_port():
@@ -29,11 +32,26 @@
 
 def front(tmp_path, port):
     config = tmp_path / "config.json"
-    config.write_text(json.dumps({"name": "n1", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964", "settings": SETTINGS,
-                                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"no": 0, "items": []},
-                                  "bulletin": f"127.0.0.1:{free_port()}"}))
-    return subprocess.Popen([sys.executable, "-c", FIRST_LINE], stdout=subprocess.PIPE, stderr=subprocess.PIPE, cwd=ROOT,
-                            env={**os.environ, "BALANCER_CONFIG": str(config)})
+    config.write_text(
+        json.dumps(
+            {
+                "name": "n1",
+                "listen": f"127.0.0.1:{port}",
+                "seed": "8c1f30d27a5be964",
+                "settings": SETTINGS,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                "known": {"no": 0, "items": []},
+                "bulletin": f"127.0.0.1:{free_port()}",
+            }
+        )
+    )
+    return subprocess.Popen(
+        [sys.executable, "-c", FIRST_LINE],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(config)},
+    )
 
 
 def cpu_s(process):
@@ -55,7 +73,9 @@
         time.sleep(0.001)
 
 
-@pytest.mark.parametrize("numbers", [(signal.SIGTERM,), (signal.SIGINT,), (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)])
+@pytest.mark.parametrize(
+    "numbers", [(signal.SIGTERM,), (signal.SIGINT,), (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)]
+)
 def test_a_stop_at_any_time_of_the_start_ends_in_order(tmp_path, numbers):
     chance, fronts = random.Random(str(numbers)), []
     for i in range(6):
@@ -90,7 +110,14 @@
                 except ConnectionRefusedError:
                     time.sleep(0.005)
             with client:
-                fields = {"service": "report", "ref": f"{i:016x}", "allow": "300", "project": "acme", "effort": "5", "memory": "1"}
+                fields = {
+                    "service": "report",
+                    "ref": f"{i:016x}",
+                    "allow": "300",
+                    "project": "acme",
+                    "effort": "5",
+                    "memory": "1",
+                }
                 query = frames.frame(frames.QUERY, 1, frames.write_fields(fields.items()), b"select 1")
                 if chance.random() < 0.5:
                     f.send_signal(signal.SIGTERM)
@@ -101,8 +128,16 @@
                 client.settimeout(5)
                 reader, answers = frames.FrameReader(), []
                 while data := client.recv(65_536):
-                    answers += [(stream, payload[0]) for kind, stream, payload in reader.feed(data) if kind == frames.ANSWER]
-            assert f.wait(10) == 0 and [s for s, _ in answers] == [1] and answers[0][1] in (frames.DEFERRED, frames.KILLED)
+                    answers += [
+                        (stream, payload[0])
+                        for kind, stream, payload in reader.feed(data)
+                        if kind == frames.ANSWER
+                    ]
+            assert (
+                f.wait(10) == 0
+                and [s for s, _ in answers] == [1]
+                and answers[0][1] in (frames.DEFERRED, frames.KILLED)
+            )
         finally:
             f.kill()
             f.communicate()
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -4,6 +4,7 @@
 Times are milliseconds of true time; each process has a clock of its own with rate and offset. All chance comes from
 one seed.
 """
+
 import heapq
 from random import Random
 
@@ -17,11 +18,11 @@
         self.name, self.rate, self.offset = name, rate, offset
         self.incarnation, self.kept, self.part = 0, {}, None
         self.paused_until = 0.0
-        self.disk = "well"              # well | full | unsure (there, but said not to be) | slow
+        self.disk = "well"  # well | full | unsure (there, but said not to be) | slow
         self.disk_free = 0.0
-        self.starts = 0                 # of whatever was begun before the last stop nothing comes back
+        self.starts = 0  # of whatever was begun before the last stop nothing comes back
         self.tick_no = 0
-        self.lost = 0                   # times that its folder was
+        self.lost = 0  # times that its folder was
 
     def local(self, true_ms):
         return self.offset + self.rate * true_ms
@@ -34,11 +35,17 @@
         self.rng, self.make, self.now = Random(seed), make, 0.0
         self.delay, self.loss, self.double, self.late = delay, loss, double, late
         self.cut, self.checks, self.heeds, self.steps, self.sent = set(), [], [], 0, 0
-        self.slow = {}                  # (from, to) -> ms more
-        self.on_send = None             # (sender, name, message, deliver) -> True: taken care of
+        self.slow = {}  # (from, to) -> ms more
+        self.on_send = None  # (sender, name, message, deliver) -> True: taken care of
         self._heap, self._no = [], 0
-        self.all = {n: Process(n, self.rng.choice([1 - drift, 1 + drift, self.rng.uniform(1 - drift, 1 + drift)]),
-                               self.rng.uniform(0, 1e6)) for n in names}
+        self.all = {
+            n: Process(
+                n,
+                self.rng.choice([1 - drift, 1 + drift, self.rng.uniform(1 - drift, 1 + drift)]),
+                self.rng.uniform(0, 1e6),
+            )
+            for n in names
+        }
 
     # Events.
 
@@ -115,27 +122,33 @@
             def tick():
                 if p.tick_no == no:
                     self._in(p, starts, lambda part, local_ms: part.tick(local_ms))
+
             self.at((part.due_ms - p.offset) / p.rate + 1e-3, tick)
 
     # Messages.
 
     def send(self, p, name, message):
         self.sent += 1
-        for heed in self.heeds:         # heed(process, to, message): checks of what is said
+        for heed in self.heeds:  # heed(process, to, message): checks of what is said
             heed(p, name, message)
         sender, data, kind = (p.name, p.incarnation), message.SerializeToString(), type(message)
 
         def deliver(to=name, data=data):
             q = self.all.get(to)
             if q is not None and q.part is not None:
-                self._in(q, q.starts, lambda part, local_ms: part.heard(local_ms, sender, kind.FromString(data)))
+                self._in(
+                    q, q.starts, lambda part, local_ms: part.heard(local_ms, sender, kind.FromString(data))
+                )
+
         if self.on_send and self.on_send(sender, name, message, deliver):
             return
         if (p.name, name) in self.cut or self.rng.random() < self.loss:
             return
         for _ in range(1 + (self.rng.random() < self.double)):
             late = self.rng.uniform(0, 5000) if self.rng.random() < self.late else 0
-            self.at(self.now + self.rng.uniform(*self.delay) + late + self.slow.get((p.name, name), 0), deliver)
+            self.at(
+                self.now + self.rng.uniform(*self.delay) + late + self.slow.get((p.name, name), 0), deliver
+            )
 
     # Disks.
 
@@ -149,7 +162,10 @@
                 return
             for key, value in changes.items():
                 p.kept.pop(key, None) if value is None else p.kept.__setitem__(key, value)
+
         self.at(begun, write)
         ok = how in ("well", "slow")
-        self.at(begun + self.rng.uniform(0, 1), 
-                lambda: self._in(p, starts, lambda part, ms: part.stored(ms, number, ok)))
+        self.at(
+            begun + self.rng.uniform(0, 1),
+            lambda: self._in(p, starts, lambda part, ms: part.stored(ms, number, ok)),
+        )
