--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -1,7 +1,6 @@
 """M&M admission control (Brown, Mehta, Carey, Livny, VLDB 1994) at one gateway: the stages joined.
 
-How it is called: a front builds `Controller(door, ...)` with what it read at start and calls it as things
-happen; it answers at once by calls on the door. Both sides are typed in interface.py; state.py keeps records.
+A front builds `Controller(door, ...)`, calls it as things happen and is answered by calls on the door.
 A query goes down Duty -> Order -> Slots -> Picker -> Guards -> send, and what comes back goes up by Slots and
 Order to Duty: order.py, slots.py, picker.py, guards.py, and Duty here. Each imports only what is below it.
 "Departure": neither the paper's nor the design's; docs/design.md says when it acts."""
@@ -24,12 +23,13 @@
         quickest = min((g.target_ms for g in groups if g.target_ms), default=1000.0)
         self.step_ms, self.bucket = gateway.step_ms, quickest / 2
         self.beat = max(gateway.step_ms, quickest / 10)
-        self.picker = Picker(gateway.seed, self.guards, self.fleet, self.bucket)
+        self.picker = Picker(gateway, self.guards, self.fleet, self.bucket, groups, make)
         self.slots = Slots(door, self.guards, self.picker, make, groups, gateway.fronts, self.finish)
         self.order = Order(door, rules.order_rest_ms, self.slots.down)
         self.quiet_ms = 1.5 * make.note_every_ms or quickest  # unheard after a note's time and a half
         self.traffic = {t: Ring(quickest, 8) for t in tenants}
         self.due_ms, self.look_ms, self.probes = None, 0.0, 0.0  # next beat (None: nothing to watch), look
+        self.withdrawn = {}  # engines off the list on which work of ours runs on
         if gateway.list_on_request:
             door.watch_list()
 
@@ -40,24 +40,33 @@
             seen = self.fleet.get(e)
             if seen is None:
                 cold_sent = Ring(self.rules.cold_window_ms / 8 or 1.0, 9)
-                self.fleet[e] = Seen(e, now, Ring(self.bucket, 8), cold_sent, Ring(2 * self.bucket, 8))
+                seen = Seen(e, now, Ring(self.bucket, 8), cold_sent, Ring(2 * self.bucket, 8))
+                self.picker.joins(seen)
                 if new and e.started_ms:  # Risk: a front that starts again spends its share twice.
                     cold_sent.add(now, 0.75 * self.guards.cold_budget(e, self.guards.warmth(e, now)))
             elif e.started_ms and e.started_ms > seen.heard_ms:  # a new start: forget the old one
                 seen.silent, seen.report, seen.heard_ms = False, None, now
-        for e in list(self.fleet):
-            e.state = io.WITHDRAWN if whole and e not in engines else e.state
-            if e.state == io.WITHDRAWN and not self.fleet[e].runs:
-                del self.fleet[e]
-        self.picker.homes.clear()
-        self.picker.order.clear()
+            if self.guards.part(e, now) < 1:
+                self.picker.cold[seen] = True
+        self.withdraw(engines, whole)
         self.picker.gather(now)
         self.slots.stir(now)
 
+    def withdraw(self, engines, whole):
+        """Forgets what left the list once none of our work is there; a part of it without a pass over all."""
+        named = set(engines)
+        for e in list(self.fleet) if whole else [*engines, *self.withdrawn]:
+            e.state = io.WITHDRAWN if whole and e not in named else e.state
+            self.withdrawn.pop(e, None)
+            if e.state == io.WITHDRAWN and e in self.fleet:
+                if self.fleet[e].runs:
+                    self.withdrawn[e] = True
+                else:
+                    self.picker.leaves(self.fleet.pop(e))
+
     def list_doubted(self, most_ms):
-        """Departure: what a front knew at its start says nothing of what was announced while it started, and
-        that counts as told. Queries wait as for a slot until the list is confirmed; where it cannot be, the
-        last one is in force."""
+        """Departure: what was announced while a front started counts as told, and it never heard it. Queries
+        wait as for a slot until the list is confirmed; where it cannot be, the last one is in force."""
         self.guards.doubt_ms = self.door.now_ms + most_ms
 
     def in_doubt(self, now):
@@ -74,9 +83,7 @@
         now = self.door.now_ms
         q.passed, q.over_share = False, self.beyond_share(q, now)
         self.guards.take(q, now)
-        self.picker.taken.add(now, 1)
-        self.picker.since = self.picker.since or now
-        self.picker.threads += (q.group.threads - self.picker.threads) / 100
+        self.picker.take(q, now)
         self.door.wake(q.ends_ms, lambda: self.finish(q))
         self.order.down(q)
         self.ask(now)
@@ -94,7 +101,7 @@
         if not run.noted and what != io.ALIVE and run.group not in self.slots.quick:
             self.slots.told.add(now, what == io.WAITS and amount == 1)
         run.heard_ms, run.noted = now, run.noted or what != io.ALIVE
-        self.heard(seen, now)
+        seen.heard(now)
         if what == io.SPILLS:
             self.slots.learn(run.group, True, run.grant + amount)
         elif what == io.WAITS:
@@ -124,7 +131,7 @@
         if seen is not None:
             self.reported(seen, report)
             if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
-                self.heard(seen, now)
+                seen.heard(now)
             elif sub.ending in (io.NOT_CONNECTED, io.RESET):
                 self.unheard(seen, now)
         if run is not None:
@@ -143,8 +150,9 @@
 
     def probed(self, engine, ok, took, report):
         if ok and engine in self.fleet:
-            self.reported(self.fleet[engine], report)
-            self.heard(self.fleet[engine], self.door.now_ms)
+            seen = self.fleet[engine]
+            self.reported(seen, report)
+            seen.heard(self.door.now_ms)
 
     def ask(self, now):
         """Where reports must be asked for, one probe for three queries taken: the oldest report's engine."""
@@ -158,6 +166,8 @@
     def reported(self, seen, report):
         if report:
             seen.report, seen.report_ms, seen.due_ms = report, self.door.now_ms, 0.0
+            if seen.engine in self.fleet:
+                self.picker.touched[seen] = True
 
     def beyond_share(self, q, now):
         """Whether a query counts beyond its tenant's share: as an account of all tells, else by chance."""
@@ -197,9 +207,6 @@
             run.called_off = True
             self.door.cancel(run.sub)
 
-    def heard(self, seen, now):
-        seen.heard_ms, seen.silent = now, False
-
     def unheard(self, seen, now):
         """No notes, time-outs, failed connects: one symptom. Nothing new goes there but trials."""
         if not seen.silent:
@@ -221,9 +228,7 @@
         if stood > 0:
             self.due_ms = now
             for seen in self.fleet.values():
-                seen.heard_ms += stood
-                for run in seen.runs.values():
-                    run.heard_ms, run.waited_ms = run.heard_ms + stood, run.waited_ms + stood
+                seen.shift(stood)
         return now
 
     def tick(self):
@@ -250,10 +255,12 @@
             self.due_ms = now + self.beat
             self.door.wake(self.due_ms, self.tick)
 
-    def look(self, now):  # once in a while, over the whole fleet: paces, intervals, trials
-        self.picker.look(now)
-        for i, seen in enumerate(self.fleet.values()):
-            for g, slot in (*seen.slots.items(), *(() if i else self.slots.pool.items())):
+    def look(self, now):
+        """Once in a while, over the engines that we used or heard of: paces, intervals, trials."""
+        touched = self.picker.look(now)
+        first = next(iter(self.fleet.values()), None)  # stands for all, where slots are pooled
+        for seen in touched if first in self.picker.touched or first is None else [first, *touched]:
+            for g, slot in (*seen.slots.items(), *(self.slots.pool.items() if seen is first else ())):
                 if slot.n and now - slot.since > 4 * g.target_ms or now - slot.since > g.timeout_ms:
                     self.slots.close(slot, seen, g, now)  # silence too closes an interval
             if seen.silent and now >= seen.trial_ms and self.licence.probe and seen.engine.state == io.LISTED:
--- a/lichenquay/admission/guards.py
+++ b/lichenquay/admission/guards.py
@@ -1,10 +1,13 @@
 """What every submission passes, whatever else speaks for it; and the measures of a query's work."""
 
+from operator import attrgetter
 from zlib import crc32
 
 from lichenquay.admission import interface as io
 from lichenquay.admission.rings import Ring
 
+SCOPES = {"zone": attrgetter("place"), "cell": attrgetter("cell")}  # alike: they drop each other's repeats
+
 
 def work_of(q):
     """The query's work over all threads: its estimate, else what its target runtime leaves room for."""
@@ -15,6 +18,11 @@
     return work_of(q) / q.group.threads
 
 
+def placed(group, engine):  # whether queries of the group may run there
+    by_kind = not group.kinds or engine.kind in group.kinds
+    return by_kind and (not group.places or engine.place in group.places)
+
+
 class Guards:
     """What every submission passes: placement, drain, cold budget, submission budget, no duplicate effect."""
 
@@ -40,6 +48,9 @@
         age = max(0.0, now - engine.started_ms) / self.rules.cold_ms
         return 1.0 if age >= 1 else self.rules.cold_share + (1 - self.rules.cold_share) * age * age
 
+    def part(self, engine, now):  # of its capacity, that new work can count on: none while it drains
+        return self.warmth(engine, now) if engine.state == io.LISTED else 0.0
+
     def may_submit(self, q, now):
         if not q.submissions or q.over:
             return not q.over
@@ -54,18 +65,13 @@
 
     def allows(self, q, seen, now, due=None):  # due: decided already, about to be written
         e, g = seen.engine, q.group
-        if e.state != io.LISTED or g.places and e.place not in g.places or g.kinds and e.kind not in g.kinds:
+        if e.state != io.LISTED or not placed(g, e):
             return False
         tokened = q.submissions if q.effect == io.TOKENED else ()
         ran = [s for s in tokened if s is not due and s.ending not in io.NEVER_RAN]
-        if any(
-            now - s.sent_ms >= g.memory_window_ms - self.rules.answer_slack_ms
-            or g.dedup == "zone"
-            and s.engine.place != e.place
-            or g.dedup == "cell"
-            and s.engine.cell != e.cell
-            for s in ran
-        ):
+        until = now - g.memory_window_ms + self.rules.answer_slack_ms
+        scope = SCOPES.get(g.dedup, lambda engine: None)
+        if any(s.sent_ms <= until or scope(s.engine) != scope(e) for s in ran):
             return False  # sent again only where and while its repeat is dropped
         warmth = self.warmth(e, now)
         more = 0.0 if due and now - due.sent_ms < self.rules.cold_window_ms else self.weight(q)
@@ -76,15 +82,8 @@
         it waited for a descriptor, and it is not right any more. It counts in the windows it goes out in."""
         q, late = sub.query, now - sub.sent_ms
         again = sub.number and late > self.further.width_ms
-        if (
-            not seen
-            or q.over
-            or sub.ending
-            or now >= q.ends_ms
-            or not self.allows(q, seen, now, sub)
-            or again
-            and not self.rationed(now)
-        ):
+        over = not seen or q.over or sub.ending or now >= q.ends_ms
+        if over or not self.allows(q, seen, now, sub) or again and not self.rationed(now):
             return False
         seen.cold_sent.add(now, self.weight(q)) if late > seen.cold_sent.width_ms else None
         self.further.add(now, 1) if again else None
@@ -104,9 +103,6 @@
         return whole * warmth / (sharers + 1) if ours else 0.0
 
     def may_defer(self, q):  # a deferral says that trying again is harmless
-        g = q.group
-        return (
-            q.effect == io.READ_ONLY
-            or (q.effect == io.TOKENED and g.dedup == "all")
-            or all(s.ending in io.NEVER_RAN for s in q.submissions)
-        )
+        may_have_run = any(s.ending not in io.NEVER_RAN for s in q.submissions)
+        repeats_dropped = q.effect == io.TOKENED and q.group.dedup == "all"
+        return q.effect == io.READ_ONLY or repeats_dropped or not may_have_run
--- a/lichenquay/admission/interface.py
+++ b/lichenquay/admission/interface.py
@@ -4,8 +4,9 @@
 decides anything: a front fills these in and the controller reads them.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Callable, Optional, Protocol
+from typing import Protocol
 
 READ_ONLY, TOKENED, MUTATING = "read-only", "tokened", "mutating"
 # how a submission ended
@@ -47,8 +48,8 @@
     in_order: bool = False  # queries of one key one at a time
     dedup: str = "all"  # tokened: "all", "zone" or "cell" drops repeats
     memory_window_ms: float = 0.0  # tokened: how long a token is remembered
-    places: Optional[frozenset] = None
-    kinds: Optional[frozenset] = None
+    places: frozenset | None = None
+    kinds: frozenset | None = None
 
 
 @dataclass(eq=False)
@@ -67,7 +68,7 @@
     cell: int = 0
     state: str = LISTED
     units: float = 1.0
-    started_ms: Optional[float] = None  # latest start; None: long ago
+    started_ms: float | None = None  # latest start; None: long ago
     cores: float = 0.0
     memory_mb: float = 0.0
 
@@ -78,15 +79,15 @@
     group: ResourceGroup
     arrived_ms: float
     ends_ms: float  # when its client gives up
-    tenant: Optional[Tenant] = None
+    tenant: Tenant | None = None
     key: str = ""
     work_ms: float = 0.0  # estimate of all its threads' work; 0: none
     memory_mb: float = 0.0  # estimate; 0: none
-    tables: Optional[str] = None
+    tables: str | None = None
     submissions: list = field(default_factory=list)
     tokened: bool = True  # it carries a token by which engines drop its repeats, where its group says so
     over: bool = False  # finished, deferred, killed, or its client left
-    beyond: Optional[bool] = (
+    beyond: bool | None = (
         None  # its tenant's quota, where an account of many fronts tells; None: nobody tells
     )
 
@@ -106,7 +107,7 @@
     number: int
     engine: Engine
     sent_ms: float
-    ending: Optional[str] = None  # None while it is out
+    ending: str | None = None  # None while it is out
 
 
 @dataclass(frozen=True)
@@ -118,7 +119,7 @@
     seed: int
     step_ms: float  # least time between two turns
     list_on_request: bool = False
-    number: Optional[int] = None  # its own among those fronts, from 0; None: not told
+    number: int | None = None  # its own among those fronts, from 0; None: not told
 
 
 @dataclass(frozen=True)
@@ -143,7 +144,7 @@
     cold_multiple: float  # it falls when sent this multiple ...
     cold_window_ms: float  # ... for this time
     order_rest_ms: float = 0.0
-    further_free: Optional[float] = None
+    further_free: float | None = None
     further_share: float = 0.0
     further_window_ms: float = 0.0
     must_ask_ms: float = 0.0
@@ -193,12 +194,10 @@
     def list_confirmed(self) -> None: ...  # all there was to tell has been told
     def take(self, q: Query) -> None: ...
     def noted(self, sub: Submission, what: str, amount: float) -> None: ...
-    def answered(
-        self, sub: Submission, took_ms: float, cost: Optional[tuple], report: Optional[dict]
-    ) -> None: ...
+    def answered(self, sub: Submission, took_ms: float, cost: tuple | None, report: dict | None) -> None: ...
     def may_go(
         self, sub: Submission, now_ms: float
     ) -> bool: ...  # asked in the instant before its first byte
     def left(self, q: Query) -> None: ...
     def finish(self, q: Query) -> None: ...
-    def probed(self, engine: Engine, ok: bool, took_ms: float, report: Optional[dict]) -> None: ...
+    def probed(self, engine: Engine, ok: bool, took_ms: float, report: dict | None) -> None: ...
--- a/lichenquay/admission/picker.py
+++ b/lichenquay/admission/picker.py
@@ -4,9 +4,18 @@
 from zlib import crc32
 
 from lichenquay.admission import interface as io
+from lichenquay.admission.guards import placed, work_of
 from lichenquay.admission.rings import Ring
+from lichenquay.admission.state import NUMBER, RANK, EngineSums
 
 THREADS_A_CORE = 2.0  # the design's starting limit
+OWN_PLACE = 2.0  # times as often as others, all else alike: a query that crosses places costs
+MOST_HOMES = 4096  # sets of tables whose homes are remembered
+
+
+def home_rank(tables):
+    """The key that ranks engines for a set of tables, alike at every gateway."""
+    return lambda seen: crc32(f"{tables}:{seen.engine.id}".encode())
 
 
 def own_load(seen):
@@ -17,13 +26,24 @@
 class Picker:
     """Draws among engines, weighted against their reports; the unheard count average."""
 
-    def __init__(self, seed, guards, fleet, bucket):
-        self.seed, self.drawn, self.guards, self.fleet, self.bucket = seed, 0, guards, fleet, bucket
-        self.threads, self.usual, self.homes = 1.0, None, {}  # a query's threads; the peers' usual pace
+    def __init__(self, gateway, guards, fleet, bucket, groups, make):
+        self.seed, self.drawn, self.guards, self.fleet, self.bucket = gateway.seed, 0, guards, fleet, bucket
+        self.own_place, self.bound = gateway.place, [g for g in groups if g.places or g.kinds]
+        self.work, self.bound_work, self.spare = 0.0, 0.0, 1.0  # mean work of a query; of bound groups' alone
+        self.threads, self.usual, self.homes, self.swaps = 1.0, None, {}, make.when_short == "swap"
         self.used = self.average = self.faults = self.fresh_ms = 0.0  # the peers' use, load, errors; since
         self.heard_for = 8 * bucket  # a report counts so long
         self.taken, self.since = Ring(8 * bucket, 4), None  # our traffic
-        self.order, self.near = [], []  # the fleet, by chance but always alike; those drawn from first
+        self.sums, self.near = EngineSums(), []  # of the fleet, by chance but always alike; drawn from first
+        self.cold, self.touched = {}, {}  # engines: not warm or not listed; that we used or heard of
+        self.usable_cores = self.usable_mb = 1.0  # sums over the fleet of what new work can count on
+
+    def take(self, q, now):
+        self.taken.add(now, 1)
+        self.since = self.since or now
+        self.threads += (q.group.threads - self.threads) / 100
+        self.work += (work_of(q) - self.work) / 100
+        self.bound_work += (work_of(q) * (q.group in self.bound) - self.bound_work) / 100
 
     def chance(self):
         self.drawn += 1
@@ -33,10 +53,29 @@
         """Departure: every gateway ranks the engines for a set of tables alike, by hash: its readers meet on
         the first two, which keep it warm, and its loads on the last two."""
         if tables not in self.homes:
-            order = sorted(self.fleet.values(), key=lambda s: crc32(f"{tables}:{s.engine.id}".encode()))
+            if len(self.homes) >= MOST_HOMES:
+                self.homes.clear()
+            order = sorted(self.fleet.values(), key=home_rank(tables))
             self.homes[tables] = order[:2], order[-2:]
         return self.homes[tables]
 
+    def joins(self, seen):
+        """A new engine: what is ranked or summed takes it in without a pass over the fleet."""
+        self.fleet[seen.engine] = seen
+        seen.rank = crc32(f"{self.seed}:{seen.engine.id}".encode())
+        seen.bound = any(placed(g, seen.engine) for g in self.bound)
+        self.sums.add(seen)
+        for tables, (first, last) in self.homes.items():
+            rank = home_rank(tables)
+            self.homes[tables] = sorted([*first, seen], key=rank)[:2], sorted([*last, seen], key=rank)[-2:]
+
+    def leaves(self, seen):
+        self.sums.remove(seen)
+        self.cold.pop(seen, None)
+        self.touched.pop(seen, None)
+        for tables in [t for t, homes in self.homes.items() if any(seen in h for h in homes)]:
+            del self.homes[tables]
+
     def use(self, seen):
         """Reported utilisation, else held queries, disks, waiting ones; None: unheard, or long ago."""
         r = seen.report if seen.report_ms >= self.fresh_ms else None
@@ -59,26 +98,26 @@
     def weigh(self, seen, now):
         warmth = self.guards.warmth(seen.engine, now)
         weight = warmth / (0.3 + (self.load(seen) + own_load(seen)) / warmth) ** 3
-        if self.usual and seen.pace:  # an engine slower than its peers; a slowdown of all blames none
-            weight *= min(1.0, max(0.02, self.usual / seen.pace))
+        weight *= OWN_PLACE if seen.engine.place == self.own_place else 1.0
+        if self.usual and seen.pace:  # slower than its peers. Risk: one that swaps reports idle cores
+            weight *= min(1.0, max(0.02, (self.usual / seen.pace) ** (1 + self.swaps)))
         seen.weight, seen.due_ms = weight, now + self.bucket
         return weight
 
     def gather(self, now):
-        """Departure: where our traffic is too thin to hear of every engine for as long as a report counts, as
-        many are drawn from first as it suffices for, by chance from the seed; the others where these have no
+        """Departure: where our traffic is too thin to hear of every engine while a report counts, as many are
+        drawn from first as it suffices for (`often`), by chance from the seed; the others where these have no
         room. Risk: each of many gateways chooses blindly, and opens a connection for every query."""
-        if not self.order:
-            self.order = sorted(
-                self.fleet.values(), key=lambda s: crc32(f"{self.seed}:{s.engine.id}".encode())
-            )
         count, span = self.taken.count(now), min(4 * self.heard_for, now - (self.since or now))
-        # As many as are heard of while a report counts.
         often = max(4, round(count * self.heard_for / max(span, self.heard_for / 4)))
-        fit = [s for s in self.order if s.engine.state == io.LISTED and not s.silent]
-        warm = {s: self.guards.warmth(s.engine, now) for s in fit}
-        self.near = list(islice((s for s in fit if warm[s] >= 1), often))
-        self.near += [s for s in fit if warm[s] < 1 and self.guards.cold_budget(s.engine, warm[s])]
+        part = {s: self.guards.part(s.engine, now) for s in self.cold}
+        self.cold = {s: True for s in self.cold if part[s] < 1}
+        self.usable_cores = max(1.0, self.sums.cores - sum((1 - part[s]) * s.cores for s in self.cold))
+        self.usable_mb = max(1.0, self.sums.memory_mb - sum(s.memory_mb for s in self.cold if not part[s]))
+        fit = (s for s in self.sums.by_rank if s.engine.state == io.LISTED and not s.silent)
+        self.near = list(islice((s for s in fit if s not in self.cold), often))
+        fit = (s for s in sorted(self.cold, key=RANK) if part[s] and not s.silent)
+        self.near += [s for s in fit if self.guards.cold_budget(s.engine, part[s])]
 
     def draw(self, q, now):
         """The engines one after the other, each drawn by weight among those left."""
@@ -87,12 +126,14 @@
         return chain(self.drawn_from(list(self.near), q, now), self.others(q, now))
 
     def others(self, q, now):  # made only when it is come to
-        yield from self.drawn_from([s for s in self.fleet.values() if s not in self.near], q, now)
+        near = set(self.near)
+        yield from self.drawn_from([s for s in self.fleet.values() if s not in near], q, now)
 
     def drawn_from(self, left, q, now):
-        """Weights are kept until an engine is heard of or used: ranking a large fleet anew costs
-        more than it tells."""
+        """Weights are kept until an engine is heard of or used: ranking all anew costs more than it tells."""
         weights = [s.weight if s.due_ms > now else self.weigh(s, now) for s in left]
+        if self.spare < 1 and q.group not in self.bound:
+            weights = [w * self.spare if s.bound else w for w, s in zip(weights, left, strict=True)]
         for s in self.homes_of(q.tables)[q.group.is_load] if q.tables else ():
             if s in left:
                 weights[left.index(s)] *= max(1.0, len(left) / 5)  # about a third goes home, in any fleet
@@ -106,13 +147,21 @@
             yield left.pop(i)
             total -= weights.pop(i)
 
-    def look(self, now):  # once in a while: engines' paces; the usual pace, errors and load among peers
-        for s in self.fleet.values():
+    def look(self, now):
+        """Once in a while: paces of engines; the usual pace, errors and load among peers. Gives those engines
+        that we used or heard of, in the order of the list."""
+        touched = sorted(self.touched, key=NUMBER)
+        for s in touched:
             s.pace = s.stretch.mean(now, s.pace) if s.stretch.at is not None else None
-        paces = sorted(s.pace for s in self.fleet.values() if s.pace) or [None]
-        faults = [0.0, *sorted(s.faults.mean(now, 0.0) for s in self.fleet.values())]
-        self.usual, self.faults = paces[len(paces) // 2], faults[len(faults) // 2]
+        paces = sorted(s.pace for s in touched if s.pace) or [None]
+        faults = sorted(s.faults.mean(now, 0.0) for s in touched)
+        middle = len(touched) - 1 - len(self.fleet) + (len(self.fleet) + 1) // 2  # all others: no errors
+        self.usual, self.faults = paces[len(paces) // 2], faults[middle] if middle >= 0 else 0.0
         self.fresh_ms = now - self.heard_for
         self.gather(now)
-        heard = [(self.use(s), self.load(s)) for s in self.fleet.values() if self.use(s) is not None]
+        # Departure: room is left where bound groups have to go. Risk: those engines are full, others idle.
+        room = self.work * self.sums.bound_cores / (self.sums.cores or 1.0)
+        self.spare = max(0.02, 1 - self.bound_work / room) if room else 1.0
+        heard = [(use, self.load(s)) for s in touched if (use := self.use(s)) is not None]
         self.used, self.average = (sum(x) / len(x) for x in zip(*heard or [(self.used, self.average)]))
+        return touched
--- a/lichenquay/admission/slots.py
+++ b/lichenquay/admission/slots.py
@@ -7,7 +7,7 @@
 from lichenquay.admission.guards import ideal_of, work_of
 from lichenquay.admission.picker import THREADS_A_CORE, own_load
 from lichenquay.admission.rings import Ring
-from lichenquay.admission.state import Run, Slot
+from lichenquay.admission.state import Held, Run, Slot
 
 MAX, MIN = "maximum", "minimum"
 
@@ -20,8 +20,10 @@
         self.share, self.give_up = 1.0 / max(1, fronts), give_up
         self.waiting = {g: [] for g in groups}  # best value for work first
         self.margin, self.needed = dict.fromkeys(groups, 1.0), dict.fromkeys(groups, 0.0)  # of memory
-        self.best, self.busy, self.pool = None, {}, {}  # best pace of an engine; those with runs of ours
+        self.held, self.busy, self.pool = Held(), {}, {}  # busy: engines with runs of ours
+        self.latest = 0.0, 0.0, 0, 0.0  # of pooled groups: its time, how long it may take, threads, MB
         self.rest_ms = min((g.target_ms for g in groups), default=0.0) / 4  # after a full refusal
+        self.paces, self.best_pace = Ring(max(100.0, 4 * self.rest_ms), 8), None  # of all our submissions
         self.told = Ring(max(100.0, 4 * self.rest_ms), 16)  # share of submissions told to wait for memory
         # Dashboards (no limit, default grant): one thread, no load, a shorter target than some other group.
         far = {g: g.target_ms + g.stretch * g.timeout_ms for g in groups}
@@ -30,16 +32,16 @@
     def pooled(self, g):
         """Departure: where our share of an engine is below one query, the shares of all are pooled.
         Risk: each of many gateways sends every engine a query of every group."""
-        cores = sum(s.cores for s in self.fleet.values()) / max(1, len(self.fleet))
+        cores = self.picker.sums.cores / max(1, len(self.fleet))
         return g not in self.quick and THREADS_A_CORE * cores * self.share < g.threads
 
     def slot(self, seen, g, now):
         pooled = self.pooled(g)
         slots = self.pool if pooled else seen.slots
         if g not in slots:
-            cores = sum(s.cores for s in (self.fleet.values() if pooled else [seen]))
+            cores = self.picker.sums.cores if pooled else seen.cores
             limit = cores * THREADS_A_CORE * self.share / g.threads
-            slots[g] = Slot(limit, max(1, round(limit)), (MAX, MIN), slots, now)
+            slots[g] = Slot(max(1, round(limit)), (MAX, MIN), slots, now)
         return slots[g]
 
     def full_use(self, seen):
@@ -48,32 +50,33 @@
 
     def pressed(self, seen, g, now):
         """Slots bind only under engine pressure: latency well above best, a busy report or a full refusal."""
-        return (
-            self.full_use(seen)
-            or now - seen.full_ms < g.target_ms
-            or own_load(seen) > THREADS_A_CORE
-            or bool(seen.pace and self.best and seen.pace > 2 * self.best)
-        )
+        busy = self.full_use(seen) or own_load(seen) > THREADS_A_CORE or now - seen.full_ms < g.target_ms
+        return busy or bool(seen.pace and self.best_pace and seen.pace > 2 * self.best_pace)
 
     def short(self, now):
-        """Pressure of the fleet: a full mean report, or a third of our submissions to wait for memory."""
-        return self.told.mean(now, 0.0) > 1 / 3 or self.picker.used >= 0.95
+        """Pressure of the fleet: a full mean report, a third of our submissions to wait for memory, or the
+        pace of all well above its best. Risk: without notes, a full engine reports much as the others do."""
+        slow = bool(self.best_pace) and self.paces.mean(now, 0.0) > 2 * self.best_pace
+        return slow or self.told.mean(now, 0.0) > 1 / 3 or self.picker.used >= 0.95
 
     def pool_kind(self, q, now):
         """Under pressure of the fleet, pooled groups together keep to our share of its threads and
-        memory, and to their slots."""
-        threads, granted = sum(s.threads[0] for s in self.busy), sum(s.granted for s in self.busy)
-        fleet = self.fleet.values()
-        cores, memory = sum(s.cores for s in fleet), sum(s.memory_mb for s in fleet)
-        fits = granted < 0.9 * memory * self.share
-        if not self.short(now):
-            return MAX if fits or self.make.when_short != "swap" else None
-        open_ = fits and threads < THREADS_A_CORE * cores * self.share
-        return self.kind(q, next(iter(fleet)), now) if open_ else None
-
-    def overdrawn(self, q, seen):  # with it our runs would pass our share of its memory, less a tenth
-        want = seen.granted + (self.grant(q, seen) or q.memory_mb)
-        return bool(seen.runs) and want > 0.9 * seen.memory_mb * self.share
+        memory, and to their slots. Risk: one query over a share that holds few is a jam, of all fronts."""
+        first, held, memory_mb = next(iter(self.fleet.values())), self.held, self.picker.usable_mb
+        fits = not held.threads[0] or self.fits(q, first, held.granted, memory_mb)
+        short = self.short(now)
+        ours, swap = THREADS_A_CORE * self.picker.usable_cores * self.share, self.make.when_short == "swap"
+        since, held_ms, latest_threads, latest_mb = self.latest
+        taken = max(short * latest_threads / ours, swap * latest_mb / (0.9 * memory_mb * self.share))
+        if taken > 1 and now - since < taken * held_ms or swap and not fits:
+            return None  # below one query, admissions are spaced to match
+        return MAX if not short else self.kind(q, first, now) if fits and held.threads[0] < ours else None
+
+    def fits(self, q, seen, granted, memory_mb):  # within our share of that memory, less a tenth
+        return granted + (self.grant(q, seen) or q.memory_mb) <= 0.9 * memory_mb * self.share
+
+    def overdrawn(self, q, seen):
+        return bool(seen.runs) and not self.fits(q, seen, seen.granted, seen.memory_mb)
 
     def room(self, q, seen, pressed, pooled):
         """Departure: all groups together keep to our share, under pressure of the threads, and always of the
@@ -86,12 +89,6 @@
             limit = max(0.75 * limit, sum(slots))
         return not pressed or not seen.threads[quick] or seen.threads[quick] + q.group.threads <= limit
 
-    def spacing(self, slot, seen, g):
-        """Below one query, admissions are spaced to match; and the admission delay, never with free cores."""
-        gap = slot.latency / slot.limit - slot.latency if slot.limit < 1 and slot.maximum == 1 else 0.0
-        acts = self.waiting[g] or (seen.report or {}).get("x0", 0.0) > 0.5
-        return max(gap, slot.delay) if acts and self.full_use(seen) else gap
-
     def grant(self, q, seen):
         if not self.make.grants or q.group in self.quick:
             return 0.0
@@ -107,8 +104,9 @@
         return self.kind(q, seen, now) if pressed and g not in self.quick else kind or MAX
 
     def kind(self, q, seen, now):
-        slot = self.slot(seen, q.group, now)
-        if self.spacing(slot, seen, q.group) > now - slot.admitted_ms:
+        slot, scarce = self.slot(seen, q.group, now), (seen.report or {}).get("x0", 0.0) > 0.5
+        delayed = (self.waiting[q.group] or scarce) and self.full_use(seen)  # never with free cores
+        if delayed and slot.delay > now - slot.admitted_ms:
             return None
         fits = not slot.used[MAX] or slot.pool is None or slot.pool_used + self.grant(q, seen) <= slot.pool
         if fits and slot.used[MAX] < slot.maximum:
@@ -156,13 +154,14 @@
             q.rank = self.rank(q, 0.0, seen.pace)
             self.door.allot(q, grant, q.rank)
         sub = self.door.submit(q, seen.engine, q.ends_ms - now)
-        run = seen.runs[sub] = Run(sub, seen, slot, kind, grant or q.memory_mb)
-        slot.used[kind] += 1
-        seen.due_ms, self.busy[seen] = 0.0, True
-        seen.threads[q.group in self.quick] += q.group.threads
-        seen.granted, slot.admitted_ms = seen.granted + run.grant, now
-        slot.pool = slot.pool or grant * slot.maximum or None
-        slot.pool_used += run.grant if kind == MAX else 0.0
+        slot.pool, granted = slot.pool or grant * slot.maximum or None, grant or q.memory_mb
+        run = Run(sub, seen, slot, kind, granted, granted if kind == MAX else 0.0, q.group in self.quick)
+        seen.runs[sub] = run
+        run.begin(self.held, now)
+        if slot.peers is self.pool:
+            held_ms = ideal_of(q) * self.paces.mean(now, 1.0) if q.work_ms else slot.latency
+            self.latest = now, held_ms, q.group.threads, run.grant
+        seen.due_ms, self.busy[seen], self.picker.touched[seen] = 0.0, True, True
         if q.group.is_load:
             seen.held[q.tables] = q.ends_ms
         self.guards.further.add(now, 1) if len(q.submissions) > 1 else None
@@ -189,12 +188,10 @@
                     queue.remove(q)
 
     def release(self, run):
-        seen, slot = run.seen, run.slot
+        seen = run.seen
         if seen.runs.pop(run.sub, None):
-            slot.used[run.kind] -= 1
-            slot.pool_used -= run.grant if run.kind == MAX else 0.0
-            seen.threads[run.group in self.quick] -= run.group.threads
-            seen.granted, seen.due_ms = seen.granted - run.grant, 0.0
+            run.end(self.held)
+            seen.due_ms = 0.0
             seen.held.pop(run.q.tables if run.group.is_load else None, None)
             if not seen.runs:
                 self.busy.pop(seen, None)
@@ -209,11 +206,12 @@
         late, pace = now - q.arrived_ms - q.target_ms, took / (ideal_of(q) or 1.0)
         if q.work_ms and ending in (io.FINISHED, io.TIMED_OUT):
             seen.stretch.add(now, pace)
+            self.paces.add(now, pace)
+            if self.paces.count(now) >= 5:
+                self.best_pace = min(self.best_pace or 1e9, self.paces.mean(now))
         if ending != io.FINISHED:
             late = max(late, q.target_ms)
         elif q.work_ms:
-            if seen.stretch.count(now) >= 5:
-                self.best = min(self.best or 1e9, seen.stretch.mean(now))
             slot.latency += (took - slot.latency) / 10 if slot.latency else took
             if cost and q.memory_mb:
                 self.learn(g, cost[1] > run.grant, cost[1])
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -4,8 +4,8 @@
 from io import StringIO
 
 import pytest
-
 from standins import FakeDoor, engine, group, quick
+
 from lichenquay.admission import interface as io
 from lichenquay.simwire.adapter import Adapter
 from lichenquay.simwire.codec import Malformed
