--- a/lichenquay/front/certainty.py
+++ b/lichenquay/front/certainty.py
@@ -57,8 +57,8 @@
         self.before_ms, self.asked_ms = self.asked_ms, max(self.asked_ms, now)
 
     def cut(self, now):
-        """The engine's side ended, or spoilt, the connection of its POST before an answer came, or the one on which it was
-        last answered for."""
+        """The engine's side ended the connection of its POST before an answer came, or the one on which it was last answered
+        for. Not what this side ends over an answer that makes no sense: the POST may lie there unread."""
         if self.state in (SENT, KNOWN):
             self.state, self.since_ms, self.unknown_ms = CUT, now, None
 
--- a/lichenquay/front/discovery.py
+++ b/lichenquay/front/discovery.py
@@ -5,6 +5,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from lichenquay.admission import interface as io
+from lichenquay.engine_row import EngineRow
 from lichenquay.front.http import BadReply, ReplyReader, request
 
 PATIENCE_MS = 1000  # of one call; PROTOCOL allows 5,000: shorter, a half-open connection shows sooner
@@ -19,7 +20,7 @@
 
 
 def read_rows(item):
-    """(whole list or not, rows) of one event; a row: uid, address, place, kind, cell, state, units, started."""
+    """(whole list or not, [EngineRow]) of one event."""
     try:
         roster, rows = item["roster"], []
         for t in roster["targets"]:
@@ -27,7 +28,7 @@
             if t["state"] not in STATES or not host or not 0 < int(port) < 65536:
                 raise BadList(f"an engine in no known state or place: {t['uid']!r}")
             rows.append(
-                (
+                EngineRow(
                     str(t["uid"]),
                     f"{host}:{int(port)}",
                     str(t.get("az", "")),
@@ -66,6 +67,10 @@
     def heard(self, told):
         """An answer of the bulletin itself: what it has told by now is all known."""
         self.follow(told)
+        self.confirm()
+
+    def confirm(self):
+        """What is in force was told since this front started."""
         if not self.answered:
             self.answered = True
             self.confirmed()
--- a/lichenquay/front/http.py
+++ b/lichenquay/front/http.py
@@ -8,7 +8,7 @@
 from lichenquay.admission import interface as io
 
 MOST_HEAD = 16_384  # also of all interim answers before a real one
-MOST_BODY = 4 << 20  # of a list: 20 events of 1,024 engines; pages are held to their own limit
+MOST_BODY = 8 << 20  # of a list: 48,000 engines at once; pages are held to their own limit
 MOST_PAGE = 6_000  # PROTOCOL: bytes of a page
 FIRST = re.compile(r"HTTP/1\.([01]) ([1-9]\d\d)(?: [^\x00-\x1f\x7f]*)?\Z")
 HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\Z")
--- a/lichenquay/front/send.py
+++ b/lichenquay/front/send.py
@@ -4,7 +4,7 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front import http
-from lichenquay.front.engines import NeverSent, NotConnected, Silent
+from lichenquay.front.call import Broken, NeverSent, NotConnected, Silent
 
 
 class Send:
@@ -66,7 +66,7 @@
 
     def broke(self, flight, first, failure):
         flight.connection, flight.call = flight.connection or flight.call.went_on, None
-        if not failure.check(Silent):  # ended from this side: what has come whole is still read
+        if failure.check(Broken):  # not what this side ended: what has come whole there is still read
             flight.life.cut(self.now_ms())
         if not first.called:
             return first.callback(failure.value)
--- a/lichenquay/front/service.py
+++ b/lichenquay/front/service.py
@@ -11,15 +11,16 @@
 
 from lichenquay.admission import interface as io
 from lichenquay.front.admit import Admit
-from lichenquay.front.metrics import Metrics, Log
 from lichenquay.front.discovery import BadList, Discovery, DiscoveryFactory, read_events
 from lichenquay.front.engines import Engines, FrontEngine
+from lichenquay.front.metrics import Log, Metrics
 from lichenquay.front.relay import Relay
 from lichenquay.front.route import Route
 from lichenquay.front.send import Send
 from lichenquay.front.take_in import TakeIn
 from lichenquay.gate.decide import Rules
 from lichenquay.opening import Opening, Sheet, Unreadable, flat
+from lichenquay.process import hear_signals
 
 STARTED_S = time.time() - time.monotonic()  # risk: the wall clock steps, and no timer fires, or all at once
 STARTING, SERVING, LEAVING, DRAINING, ENDED = "starting", "serving", "leaving", "draining", "ended"
@@ -102,21 +103,36 @@
         raise CannotStart(str(bad)) from None
 
 
-def fleet_of(more, reactor, seed, pressed):
-    """This front among others, where its settings say so."""
-    if more is None or not more.HasField("fleet"):
+def fleet_of(more, reactor, seed, pressed, apply_to):
+    """This front among others, or following distributed configuration, where its settings say so."""
+    if more is None:
         return None
-    from lichenquay.fleet.host import Fleet
+    distribution = more.distribution if more.HasField("distribution") else None
+    if more.HasField("fleet"):
+        from lichenquay.fleet.host import Fleet
+
+        return Fleet(reactor, more.fleet, seed, pressed, distribution=distribution, apply_to=apply_to)
+    if distribution is not None:
+        from lichenquay.fleet.follower import Follower
+
+        return Follower(reactor, distribution, seed, apply_to)
+    return None
+
 
-    return Fleet(reactor, more.fleet, seed, pressed)
+def shared_of(more):
+    """What of the settings counts from the next start only."""
+    if more is None:
+        return None, None
+    return tuple(getattr(more, part) if more.HasField(part) else None for part in ("fleet", "distribution"))
 
 
-def rules_for(more, most):
+def rules_for(more, most, distributed=None):
+    """`distributed`: a gate that takes the place of the file's."""
     if more is None:
         return Rules(most, 0, lag_ms=0.0)
     from lichenquay.conf.read import rules_of
 
-    return rules_of(more.gate, most)
+    return rules_of(more.gate if distributed is None else distributed, most)
 
 
 class Service:
@@ -139,9 +155,11 @@
         self.send = Send(self.engines, self.relay, self.metrics, self.admit.wake, self.admit.may_go, now_ms)
         self.route = self.admit.route = Route(self.send, self.relay)
         self.clients = TakeIn(opening, reactor, self.admit, self.metrics, self.log, now_ms, self.is_ready)
-        self.more = read_more(environment)
+        self.more, self.distributed_gate = read_more(environment), None
         self.bound(sockets, room)
-        self.fleet = fleet_of(self.more, reactor, seed, self.admit.controller.pressed)
+        self.list_distributed = self.more is not None and self.more.distribution.engines
+        self.following = None
+        self.fleet = fleet_of(self.more, reactor, seed, self.admit.controller.pressed, self)
         try:
             self.discovery = Discovery(known, self.news, self.log, self.admit.list_confirmed)
         except BadList as bad:
@@ -151,7 +169,18 @@
         """Shares of the configured limits: of descriptors for engines and clients, of memory for what clients send."""
         self.engines.budget = sockets - sockets // CLIENTS_SHARE - RESERVE
         self.sockets = sockets
-        self.clients.bound(room, rules_for(self.more, sockets // CLIENTS_SHARE + RESERVE // 4))
+        most = sockets // CLIENTS_SHARE + RESERVE // 4
+        self.clients.bound(room, rules_for(self.more, most, self.distributed_gate))
+
+    def put_gate(self, gate):
+        """A distributed gate takes the place of the file's; None: the file's again. What is open stays open."""
+        self.distributed_gate = gate
+        self.bound(self.sockets, self.clients.room)
+
+    def put_engines(self, whole, rows):
+        """Distributed engines take the place of discovery's: all there are, or those that changed."""
+        self.news(whole, rows)
+        self.discovery.confirm()
 
     def news(self, whole, rows):
         named, gone = [], set(self.by_uid.values()) if whole else set()
@@ -191,6 +220,9 @@
         self.reactor.callWhenRunning(self.run)
 
     def follow_discovery(self):
+        """Where the list does not come as distributed configuration."""
+        if self.list_distributed:
+            return
         self.following = DiscoveryFactory(
             self.reactor, self.discovery, *self.discovery_at, self.engines.connect_ms
         )
@@ -202,9 +234,7 @@
             signal.SIGUSR1: self.tell,
             signal.SIGHUP: self.read_again,
         }
-        for number, call in calls.items():
-            signal.signal(number, lambda *_, call=call: self.reactor.callFromThread(call))
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, calls)  # what came since the first line is heard now
+        hear_signals(self.reactor, calls)
         self.admit.turn()
         gc.collect()
         gc.freeze()
@@ -252,21 +282,21 @@
             listen, discovery_at, sockets, room, seed, known, settings = read_config(self.environment)
             open_from(settings, seed)
             more = read_more(self.environment)
-            if read_events(known)[0] > self.discovery.no:
+            distributed = self.list_distributed and self.discovery.answered
+            if read_events(known)[0] > self.discovery.no and not distributed:
                 self.discovery.follow(known)
         except (CannotStart, BadList) as bad:
             self.metrics.count("configurations not taken")
             return self.log("service", f"{bad}; the old configuration stays in force")
         self.metrics.count("configurations read again")
-        fleets = [m.fleet if m is not None and m.HasField("fleet") else None for m in (more, self.more)]
-        if (listen, settings) != (self.listen, self.settings) or fleets[0] != fleets[1]:
+        if (listen, settings) != (self.listen, self.settings) or shared_of(more) != shared_of(self.more):
             self.log(
                 "service",
                 "new settings, another address to listen on or another fleet: these count from the next start",
             )
         self.more = more
         self.bound(sockets, room)
-        if discovery_at != self.discovery_at:
+        if discovery_at != self.discovery_at and self.following is not None:
             self.following.stop()
             self.discovery_at = discovery_at
             self.follow_discovery()
@@ -299,7 +329,8 @@
             self.clients.close_all()
             if late or not self.clients.connections and (self.fleet is None or self.fleet.is_over()):
                 self.state = ENDED
-                self.following.stopped = True
+                if self.following is not None:
+                    self.following.stopped = True
                 if self.fleet is not None:
                     self.fleet.close()
                 return self.reactor.stop()
@@ -311,6 +342,7 @@
             f"clients at most: {self.clients.most_connections}",
             f"engine connections now: {self.engines.open}",
             f"engine connections at most: {self.engines.most}",
+            f"engines listed: {len(self.by_uid)}",
             f"submissions out: {self.metrics.out}",
             f"queries open: {len(self.admit.open)}",
             f"descriptors: {len(os.listdir('/proc/self/fd'))}",
--- a/tests/crossings/test_engine_connections.py
+++ b/tests/crossings/test_engine_connections.py
@@ -1,16 +1,19 @@
 """Bytes, an end or a reset on an engine's connection in the instant in which it is taken, in an answer, or behind one."""
 
 import socket
+from types import SimpleNamespace
 
 import pytest
+from front_world import RESULT, answered
+from hooks import HeldConnects, over, told
+from loopback import PAGES, until, wait
 from twisted.internet.error import ConnectionAborted
 from twisted.python.failure import Failure
 
 from lichenquay.front import frames, http
-from lichenquay.front.engines import REST_S
-from front_world import RESULT, answered
-from hooks import HeldConnects, over, told
-from loopback import PAGES, until, wait
+from lichenquay.front.call import Call
+from lichenquay.front.engine_connection import EngineConnection
+from lichenquay.front.engines import REST_S, Engines, FrontEngine
 
 
 def settled(w):
@@ -170,3 +173,62 @@
     connection.drop() if here else next(iter(e.lines)).transport.abortConnection()
     until(lambda: connection.ended)
     assert connection.ended_here is here
+
+
+def test_a_late_copy_of_a_cancellation_is_no_answer_to_anothers(world):
+    """Risk: an engine is taken to have given up what it has not been told to yet, and the next query in its key's order
+    goes out beside it."""
+    w = world(engines=1)
+    c, e = w.client(), w.engines[0]
+    cancelled_on, heard = [], e.heard
+
+    def remembers(line, verb, *call):
+        if verb == "DELETE":
+            cancelled_on.append(line)
+        heard(line, verb, *call)
+
+    e.heard = remembers
+    e.ways = ["hold", "hold"]
+    first = c.ask("report", allow=4000)
+    until(lambda: e.news > 1)
+    c.transport.write(frames.frame(frames.LEFT, first))
+    until(lambda: told(w, "submissions cancelled") == 1)
+    wait(0.06 + 2 * REST_S)  # both its connections rest, the one that cancelled it for longer
+    second = c.ask("report", allow=4000)
+    until(lambda: e.news > 3)
+    e.still = True
+    c.transport.write(frames.frame(frames.LEFT, second))
+    until(lambda: any(verb == "DELETE" for _, verb, *_ in e.held))
+    cancelled_on[0].answer(204)
+    wait(0.1)
+    assert told(w, "submissions cancelled") == 1, "nothing has read that the second one is given up"
+    e.go_on()
+    until(lambda: told(w, "submissions cancelled") == 2)
+    over(w)
+
+
+def test_a_connection_serves_no_other_query_after_an_answer_that_names_none():
+    """Another's 202 or 204 may come once more; what is a word on this call rests there for its own query alone."""
+    hub = Engines(SimpleNamespace(seconds=lambda: 100.0, callLater=None), 0, 1.0, 1.0, 1000.0)
+    engine = FrontEngine("e", address="127.0.0.1:1")
+
+    def after(answer, fits):
+        """A connection on which the query 'before' was answered with this, and has rested."""
+        line = EngineConnection(hub, Call(engine, b"", fits, owner="before"))
+        line.transport, line.owner = SimpleNamespace(abortConnection=lambda: None), "before"
+        hub.connections.add(line)
+        line.call.answer.addCallback(lambda reply: None)
+        line.dataReceived(answer)
+        line.idle_since -= 0.1
+        return line
+
+    def serves(line, fits, owner):
+        return hub.idle(Call(engine, b"", fits, connection=line, owner=owner)) is line
+
+    accepted = after(b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n", http.is_news)
+    assert serves(accepted, http.is_news, "before") and serves(accepted, http.is_done, "another")
+    assert not serves(accepted, http.is_news, "another")
+    accepted.drop()
+    done = after(b"HTTP/1.1 204 X\r\n\r\n", http.is_done)
+    assert serves(done, http.is_done, "before") and serves(done, http.is_news, "another")
+    assert not serves(done, http.is_done, "another")
--- a/tests/crossings/test_settings.py
+++ b/tests/crossings/test_settings.py
@@ -3,13 +3,13 @@
 import json
 
 import pytest
-
-from lichenquay.front import frames
-from lichenquay.front.service import CannotStart, Service
 from front_world import RESULT, SETTINGS, answered, reactor_for
 from hooks import over, told
 from loopback import until
 
+from lichenquay.front import frames
+from lichenquay.front.service import CannotStart, Service
+
 
 def changed(**parts):
     settings = json.loads(json.dumps(SETTINGS))
--- a/tests/crossings/test_written_later.py
+++ b/tests/crossings/test_written_later.py
@@ -4,12 +4,12 @@
 import time
 
 import pytest
-
-from lichenquay.front import frames
 from front_world import RESULT, SETTINGS, answered
 from hooks import HeldConnects, over, stays, told
 from loopback import until, wait
 
+from lichenquay.front import frames
+
 
 def asked(w, group="report", **more):
     """A query whose submission waits for its connection."""
@@ -85,6 +85,20 @@
     over(w)
 
 
+def test_a_submission_that_may_not_go_out_on_the_idle_connection_at_hand(world):
+    """Its call ends within the turn that makes it. Risk: its outcome is gone before anybody has asked for it."""
+    w = world(engines=1)
+    c = w.client()
+    assert answered(c, c.ask("report")) == (frames.FINISHED, RESULT)
+    wait(0.1)  # its connection has rested for long enough to be used again
+    refusals, may_go = [], w.service.send.may_go
+    w.service.send.may_go = lambda flight: bool(refusals) and may_go(flight) or bool(refusals.append(flight))
+    assert answered(c, c.ask("report")) == (frames.FINISHED, RESULT)
+    assert len(refusals) == 1 and w.posts() == 2
+    assert told(w, "submissions never sent") == 1 and told(w, "faults") == 0
+    over(w)
+
+
 def test_an_engine_moves_while_the_connection_comes_up(world):
     """Risk: its old address is another's by now, and is sent what was meant for it."""
     w = world(engines=2)
--- a/tests/front_world.py
+++ b/tests/front_world.py
@@ -4,12 +4,12 @@
 import time
 from types import SimpleNamespace
 
+from loopback import PAGES, StandInBulletin, StandInEngine, until, wait
 from twisted.internet import reactor
 from twisted.internet.protocol import ClientCreator, Protocol
 
 from lichenquay.front import frames
 from lichenquay.front.service import Service
-from loopback import PAGES, StandInBulletin, StandInEngine, until, wait
 
 SETTINGS = {
     "seed": 1,
--- a/tests/test_front_clients.py
+++ b/tests/test_front_clients.py
@@ -1,17 +1,17 @@
 """Clients before the whole front: what makes no sense, who is taken and told, what they make the front hold."""
 
 import errno
-import time
 import socket
+import time
 from types import SimpleNamespace
 
 import pytest
+from front_world import RESULT, STATEMENT, answered
+from loopback import until
 
 from lichenquay.front import frames
 from lichenquay.front.client_connection import BadQuery, ClientConnection
 from lichenquay.gate import decide
-from front_world import RESULT, STATEMENT, answered
-from loopback import until
 
 
 def test_bad_frames_end_their_connection_alone(world):
--- a/tests/test_front_parsers.py
+++ b/tests/test_front_parsers.py
@@ -5,15 +5,15 @@
 from types import SimpleNamespace
 
 import pytest
+from front_world import SETTINGS
 
 from lichenquay.admission import interface as io
 from lichenquay.front import frames, http
-from lichenquay.front.metrics import Log
 from lichenquay.front.discovery import BadList, read_rows
+from lichenquay.front.metrics import Log
 from lichenquay.front.statement import tables_of
 from lichenquay.opening import Opening, Sheet, flat
 from lichenquay.simwire.codec import Fields
-from front_world import SETTINGS
 
 
 def fed(reader, data, cuts):
--- a/tests/test_front_program.py
+++ b/tests/test_front_program.py
@@ -8,12 +8,12 @@
 import time
 from types import SimpleNamespace
 
+from front_world import SETTINGS, answered, reactor_for
+from loopback import until, wait
 from twisted.internet import reactor
 
 from lichenquay.front import frames
 from lichenquay.front.service import Service
-from front_world import SETTINGS, answered, reactor_for
-from loopback import until, wait
 
 
 def test_settings_of_the_gate_are_read_and_read_again(world, tmp_path):
--- a/tests/test_front_tokens.py
+++ b/tests/test_front_tokens.py
@@ -3,11 +3,11 @@
 import json
 
 import pytest
-
-from lichenquay.front import frames
 from front_world import RESULT, SETTINGS, answered
 from loopback import until, wait
 
+from lichenquay.front import frames
+
 TOKEN = "3e0a76d25c62fbf2eed3ea015e6f0776"
 
 
