--- a/lichenquay/folder/incarnation.py
+++ b/lichenquay/storage/incarnation.py
@@ -2,8 +2,8 @@
 
 from struct import Struct, error
 
-from lichenquay.folder.folder import NotStored, TooMuch
-from lichenquay.folder.reading import BadFolder
+from lichenquay.storage.recovery import UnusableStoreError
+from lichenquay.storage.store import NotStored, TooMuch
 
 KEY = "incarnation"
 _NUMBER = Struct(">Q")
@@ -26,7 +26,7 @@
         before = 0
     number = max(before + 1, folder.incarnation + 1, int(unix_ms))
     if number > MOST:
-        raise BadFolder(f"folder {folder.path}: its incarnation {before} leaves no higher one")
+        raise UnusableStoreError(f"folder {folder.path}: its incarnation {before} leaves no higher one")
     folder.incarnation = number
     try:
         folder.append(section(number))
--- a/lichenquay/folder/form.py
+++ b/lichenquay/storage/record_format.py
@@ -183,6 +183,16 @@
     return FRAME_SIZE + _KEY.size + len(key.encode()) + _SIZE.size + len(value)
 
 
+def state_size(state):
+    """Bytes that all sections take in a snapshot."""
+    return sum(section_size(key, value) for key, value in state.items())
+
+
+def change_frames(seed, changes):
+    """The frames of [(number, ..., payload)] in a journal with that seed."""
+    return [frame(seed, number, CHANGE, payload) for number, *_, payload in changes]
+
+
 def snapshot_parts(header, state):
     """A whole snapshot, piece by piece: a record for each section and one that says how many there were."""
     first, seed = header_bytes(header)
--- a/lichenquay/folder/reading.py
+++ b/lichenquay/storage/recovery.py
@@ -6,23 +6,23 @@
 from dataclasses import dataclass, field
 from os.path import join
 
-from lichenquay.folder import form
-from lichenquay.folder.disk import READ
+from lichenquay.storage import record_format
+from lichenquay.storage.disk import READ
 
-MOST_FILE = 64 << 20  # bytes read of one file; Folder makes none as large
+MOST_FILE = 64 << 20  # bytes read of one file; a store makes none as large
 MOST_LOOKED_AT = 4096  # generations, newest first
 MOST_SAID = 8  # lines on what was left out
 OURS = re.compile(r"(bad\.)?(\d{12})\.(snapshot|journal)(\.new)?")
 LAST_GENERATION = 10**12 - 1
-KINDS = {"snapshot": form.SNAPSHOT, "journal": form.JOURNAL}
+KINDS = {"snapshot": record_format.SNAPSHOT, "journal": record_format.JOURNAL}
 
 
-class BadFolder(Exception):
+class UnusableStoreError(Exception):
     """A folder that this front must not use. One line."""
 
 
 @dataclass
-class Reading:
+class Recovery:
     """`number`: of the last record in `state`. `generations`: the ones that `state` came from, ascending. `highest`:
     of any good file. `bad`: files left out in part or whole; `left_out`: a line on each, the first few; `left_bytes`
     in all."""
@@ -54,33 +54,33 @@
     return [(name, bool(m[1]), int(m[2]), m[3], bool(m[4])) for name, m in found if m]
 
 
-def read_folder(os, path, fleet, name, bears_errors=False):
-    """A Reading. BadFolder: some file is another fleet's or front's, or of a newer version. OSError: the folder cannot
+def recover(os, path, fleet, name, bears_errors=False):
+    """A Recovery. UnusableStoreError: some file is another fleet's or front's, or of a newer version. OSError: the folder cannot
     be read now.
 
     bears_errors: a file that the disk cannot read (EIO) is a damaged one. Risk: a disk that fails as a whole for a
     while would cost the newest generation; so the first tries bear none."""
-    reading = Reading(bears_errors=bears_errors)
-    headers = _headers(os, path, fleet, name, reading)
+    recovered = Recovery(bears_errors=bears_errors)
+    headers = _headers(os, path, fleet, name, recovered)
     for generation in sorted((g for g, kind in headers if kind == "snapshot"), reverse=True):
         its = file_name(generation, "snapshot")
-        data = _content(os, path, its, MOST_FILE, reading)
+        data = _content(os, path, its, MOST_FILE, recovered)
         try:
-            header, reading.state = form.read_snapshot(data)
-        except form.Unreadable as why:
-            reading.leave_out(its, str(why), len(data))
+            header, recovered.state = record_format.read_snapshot(data)
+        except record_format.Unreadable as why:
+            recovered.leave_out(its, str(why), len(data))
             continue
-        reading.number, reading.generations = header.base, [generation]
+        recovered.number, recovered.generations = header.base, [generation]
         break
-    first = reading.generations[0] if reading.generations else 0
+    first = recovered.generations[0] if recovered.generations else 0
     for generation in sorted(g for g, kind in headers if kind == "journal" and g >= first):
-        _follow(os, path, generation, headers[generation, "journal"], reading)
-    if reading.unreadable and not reading.generations:
+        _follow(os, path, generation, headers[generation, "journal"], recovered)
+    if recovered.unreadable and not recovered.generations:
         raise OSError(errno.EIO, "nothing of it can be read")
-    return reading
+    return recovered
 
 
-def _headers(os, path, fleet, name, reading):
+def _headers(os, path, fleet, name, recovered):
     """{(generation, kind): header} of the files with a whole header. All are looked at before anything is changed."""
     headers = {}
     files = [f for f in ours(os.listdir(path)) if not f[1] and not f[4]]
@@ -88,51 +88,51 @@
     for its, _, generation, kind, _ in files:
         if generation not in newest:
             continue
-        data = _content(os, path, its, form.MOST_HEADER, reading)
+        data = _content(os, path, its, record_format.MOST_HEADER, recovered)
         try:
-            header, _, _ = form.read_header(data)
+            header, _, _ = record_format.read_header(data)
             if (header.kind, header.generation) != (KINDS[kind], generation):
-                raise form.Unreadable("it has another file's header")
-        except form.Newer as why:
-            raise BadFolder(f"folder {path}: {its} is of {why}") from None
-        except form.Unreadable as why:
-            reading.leave_out(its, str(why), len(data))
+                raise record_format.Unreadable("it has another file's header")
+        except record_format.Newer as why:
+            raise UnusableStoreError(f"folder {path}: {its} is of {why}") from None
+        except record_format.Unreadable as why:
+            recovered.leave_out(its, str(why), len(data))
             continue
         if header.fleet != fleet:
-            raise BadFolder(f"folder {path} is of fleet {header.fleet!r}, not {fleet!r}")
+            raise UnusableStoreError(f"folder {path} is of fleet {header.fleet!r}, not {fleet!r}")
         if header.name != name:
-            raise BadFolder(f"folder {path} is of front {header.name!r}, not {name!r}")
+            raise UnusableStoreError(f"folder {path} is of front {header.name!r}, not {name!r}")
         headers[generation, kind] = header
-        reading.highest = max(reading.highest, generation)
+        recovered.highest = max(recovered.highest, generation)
     return headers
 
 
-def _follow(os, path, generation, header, reading):
+def _follow(os, path, generation, header, recovered):
     """Risk: a journal that does not begin where the state ends belongs to another past; taking it would mix the
     two."""
     its = file_name(generation, "journal")
-    data = _content(os, path, its, MOST_FILE, reading)
-    if header.base != reading.number:
-        reading.leave_out(
-            its, f"it follows record {header.base}, the state ends at {reading.number}", len(data)
+    data = _content(os, path, its, MOST_FILE, recovered)
+    if header.base != recovered.number:
+        recovered.leave_out(
+            its, f"it follows record {header.base}, the state ends at {recovered.number}", len(data)
         )
         return
     try:
-        journal = form.read_journal(data)
-    except form.Unreadable as why:
-        reading.leave_out(its, str(why), len(data))
+        journal = record_format.read_journal(data)
+    except record_format.Unreadable as why:
+        recovered.leave_out(its, str(why), len(data))
         return
     for changes in journal.changes:
-        form.apply(reading.state, changes)
-    reading.number += len(journal.changes)
-    if generation not in reading.generations:
-        reading.generations.append(generation)
+        record_format.apply(recovered.state, changes)
+    recovered.number += len(journal.changes)
+    if generation not in recovered.generations:
+        recovered.generations.append(generation)
     if journal.why:
-        why = f"{journal.left_bytes} bytes after record {reading.number}: {journal.why}"
-        reading.leave_out(its, why, journal.left_bytes)
+        why = f"{journal.left_bytes} bytes after record {recovered.number}: {journal.why}"
+        recovered.leave_out(its, why, journal.left_bytes)
 
 
-def _content(os, path, name, most, reading):
+def _content(os, path, name, most, recovered):
     """Up to `most` bytes of a file. Where errors are to be borne, what the disk cannot read counts as cut off."""
     parts, fd = [], None
     try:
@@ -141,9 +141,9 @@
             parts.append(part)
             most -= len(part)
     except OSError as why:
-        if why.errno != errno.EISDIR and not (why.errno == errno.EIO and reading.bears_errors):
+        if why.errno != errno.EISDIR and not (why.errno == errno.EIO and recovered.bears_errors):
             raise
-        reading.unreadable = reading.unreadable or why.errno == errno.EIO
+        recovered.unreadable = recovered.unreadable or why.errno == errno.EIO
     finally:
         if fd is not None:
             _close(os, fd)
--- a/lichenquay/folder/folder.py
+++ b/lichenquay/storage/store.py
@@ -1,19 +1,26 @@
-"""One process's folder: named sections of bytes that survive it. Forms: form.py; design: docs/design/folder.md.
+"""One process's folder: named sections of bytes that survive it. Forms: record_format.py; design: docs/design/storage.md.
 
 Blocking: its host calls it from a thread of its own (writer.py). Times are milliseconds of the host's monotonic
 clock."""
 
 import errno
+from dataclasses import replace
 from os.path import abspath, dirname, join
 from types import MappingProxyType
 
-from lichenquay.folder import form
-from lichenquay.folder.disk import LOCK, NEW, READ, RealOs
-from lichenquay.folder.reading import LAST_GENERATION, MOST_FILE, BadFolder, file_name, ours, read_folder
-
-SHARES = (
-    8  # of the bound: three snapshots and two journals may be there at once, and three bad files kept aside
+from lichenquay.storage import record_format
+from lichenquay.storage.disk import LOCK, NEW, READ, RealOs
+from lichenquay.storage.recovery import (
+    LAST_GENERATION,
+    MOST_FILE,
+    UnusableStoreError,
+    file_name,
+    ours,
+    recover,
 )
+
+# Of the bound: three snapshots and two journals may be there at once, and three bad files kept aside.
+SHARES = 8
 MOST_ASIDE = 3
 PATIENT_TRIES = 6  # of reading, 16 s, before bytes that cannot be read are given up
 FIRST_WAIT_MS, LONGEST_WAIT_MS = 250.0, 30_000.0
@@ -29,12 +36,12 @@
     it."""
 
 
-class Folder:
+class DurableStore:
     """`append` takes changes of sections, atomic each; `flush` makes all of them durable or raises NotStored.
 
     state: what is stored. opened: it was read. sure: all of it is on disk by this process's own fsync. trouble: one
     line, or None. due_ms: when the next try may be made. left_out, left_bytes: what of the files was not taken at
-    opening. Raises BadFolder at opening; disks that fail do not raise there, they are `trouble`."""
+    opening. Raises UnusableStoreError at opening; disks that fail do not raise there, they are `trouble`."""
 
     def __init__(self, path, fleet, name, most_bytes, os=None, now_ms=0.0):
         share = most_bytes // SHARES
@@ -43,7 +50,7 @@
         self.path, self.fleet, self.name = abspath(path), fleet, name
         self._os = os or RealOs()
         self._most = share
-        self._frame_room = share - form.MOST_HEADER
+        self._frame_room = share - record_format.MOST_HEADER
         self._state, self._size = {}, 0
         self.state = MappingProxyType(self._state)
         self.number = 0  # of the last record given out
@@ -76,12 +83,12 @@
         Errors: TooMuch, NotStored; ValueError for a key that is empty or too long."""
         if not self.opened or self.closed:
             raise NotStored(self.trouble or f"folder {self.path} is closed")
-        payload = form.changes_bytes(changes)
-        length = form.FRAME_SIZE + len(payload)
+        payload = record_format.changes_bytes(changes)
+        length = record_format.FRAME_SIZE + len(payload)
         if self._pending_bytes + length > self._frame_room:
             room = self._frame_room - self._pending_bytes
             raise TooMuch(f"folder {self.path}: {length} bytes at once, there is room for {room}")
-        sizes = {k: 0 if v is None else form.section_size(k, v) for k, v in changes.items()}
+        sizes = {k: 0 if v is None else record_format.section_size(k, v) for k, v in changes.items()}
         before = sum(self._section_size(k) for k in sizes)
         size = self._size - before + sum(sizes.values())
         if size > max(self._size, self._frame_room):  # a bound that was lowered still lets the state shrink
@@ -124,7 +131,7 @@
     def _section_size(self, key):
         if key in self._pending_sizes:
             return self._pending_sizes[key]
-        return form.section_size(key, self._state[key]) if key in self._state else 0
+        return record_format.section_size(key, self._state[key]) if key in self._state else 0
 
     def _commit(self, now_ms, whole):
         if self.closed or (self.trouble and now_ms < self.due_ms):
@@ -138,7 +145,7 @@
                 self._begin()
             else:
                 self._continue()
-        except (OSError, BadFolder) as why:
+        except (OSError, UnusableStoreError) as why:
             self._failed(now_ms, why)
             raise NotStored(self.trouble) from why
         except BaseException as why:
@@ -148,7 +155,7 @@
 
     def _stored(self):
         for _, changes, _ in self._pending:
-            form.apply(self._state, changes)
+            record_format.apply(self._state, changes)
         self._pending, self._pending_bytes, self._pending_sizes = [], 0, {}
         self.trouble, self.sure, self._wait_ms, self._tries = None, True, FIRST_WAIT_MS, 0
 
@@ -159,7 +166,7 @@
         self.failures += 1
         self._tries += 1
         self.trouble = (
-            str(why) if isinstance(why, BadFolder) else f"folder {self.path}: {why.strerror or why}"
+            str(why) if isinstance(why, UnusableStoreError) else f"folder {self.path}: {why.strerror or why}"
         )
         self._close(self._journal)
         self._journal = None
@@ -170,13 +177,13 @@
     def _drop(self):
         if self._pending:
             self._pending, self._pending_bytes, self._pending_sizes = [], 0, {}
-            self._size = sum(form.section_size(k, v) for k, v in self._state.items())
+            self._size = record_format.state_size(self._state)
 
     def _open(self):
         self._enter()
         reading = self._read()
         self._state.update(reading.state)
-        self._size = sum(form.section_size(k, v) for k, v in reading.state.items())
+        self._size = record_format.state_size(reading.state)
         self.number = max(self.number, reading.number)
         self._highest, self._kept, self._bad = reading.highest, reading.generations[-2:], reading.bad
         self.left_out, self.left_bytes = reading.left_out, reading.left_bytes
@@ -195,9 +202,7 @@
         self._stored()
 
     def _read(self):
-        return read_folder(
-            self._os, self.path, self.fleet, self.name, bears_errors=self._tries >= PATIENT_TRIES
-        )
+        return recover(self._os, self.path, self.fleet, self.name, bears_errors=self._tries >= PATIENT_TRIES)
 
     def _enter(self):
         """The folder is there, and it is ours alone."""
@@ -210,11 +215,11 @@
                 self._made = True
                 place = os.stat(self.path)
         except NotADirectoryError:
-            raise BadFolder(f"folder {self.path}: a part of its path is no folder") from None
+            raise UnusableStoreError(f"folder {self.path}: a part of its path is no folder") from None
         except PermissionError as why:
-            raise BadFolder(f"folder {self.path}: {why.strerror}") from None
+            raise UnusableStoreError(f"folder {self.path}: {why.strerror}") from None
         if not place.folder:
-            raise BadFolder(f"folder {self.path} is no folder")
+            raise UnusableStoreError(f"folder {self.path} is no folder")
         lock = join(self.path, "lock")
         if self._lock is not None and self._is_at(lock, os.fstat(self._lock)):
             return
@@ -223,7 +228,7 @@
         try:
             fd = os.open(lock, LOCK)
         except PermissionError as why:
-            raise BadFolder(f"folder {self.path}: {why.strerror}") from None
+            raise UnusableStoreError(f"folder {self.path}: {why.strerror}") from None
         except OSError as why:
             if why.errno != errno.EROFS:
                 raise
@@ -236,7 +241,7 @@
                 self._same_past()
         except BlockingIOError:
             self._close(fd)
-            raise BadFolder(f"folder {self.path} is in use by another process") from None
+            raise UnusableStoreError(f"folder {self.path} is in use by another process") from None
         except BaseException:
             self._close(fd)
             raise
@@ -246,28 +251,27 @@
         """Risk: the folder was replaced while this process ran, and another one of our name has written there."""
         found = self._read()
         if found.highest > self._highest:
-            raise BadFolder(f"folder {self.path}: another process has written it meanwhile")
+            raise UnusableStoreError(f"folder {self.path}: another process has written it meanwhile")
         self._bad = found.bad
 
     def _begin(self):
         """A new generation: a whole snapshot of what is stored, and a journal with what is pending. Nothing names it
         before all of it is on disk."""
         if self._highest >= LAST_GENERATION:
-            raise BadFolder(f"folder {self.path}: no generation is left")
+            raise UnusableStoreError(f"folder {self.path}: no generation is left")
         self._close(self._journal)
         self._journal = None
         self._sync_parent()
         generation = self._highest = self._highest + 1
         base = self.number - len(self._pending)
-        header = form.Header(form.SNAPSHOT, generation, base, self.fleet, self.name)
-        first, seed = form.header_bytes(form.Header(form.JOURNAL, generation, base, self.fleet, self.name))
-        records = [form.frame(seed, number, form.CHANGE, payload) for number, _, payload in self._pending]
+        header = record_format.Header(record_format.SNAPSHOT, generation, base, self.fleet, self.name)
+        first, seed = record_format.header_bytes(replace(header, kind=record_format.JOURNAL))
+        records = record_format.change_frames(seed, self._pending)
         made, journal = [], None
         try:
-            journal, journal_size = self._write_new(
-                file_name(generation, "journal", True), [first, *records], made
-            )
-            parts = form.snapshot_parts(header, self._state)
+            new_name = file_name(generation, "journal", True)
+            journal, journal_size = self._write_new(new_name, [first, *records], made)
+            parts = record_format.snapshot_parts(header, self._state)
             snapshot, _ = self._write_new(file_name(generation, "snapshot", True), parts, made)
             try:
                 places = [self._os.fstat(snapshot), self._os.fstat(journal)]
@@ -295,9 +299,7 @@
         self._tidy()
 
     def _continue(self):
-        records = b"".join(
-            form.frame(self._seed, number, form.CHANGE, payload) for number, _, payload in self._pending
-        )
+        records = b"".join(record_format.change_frames(self._seed, self._pending))
         self._write(self._journal, records)
         self._os.fsync(self._journal)
         self._check_places()
--- a/lichenquay/folder/writer.py
+++ b/lichenquay/storage/writer.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from lichenquay.folder.folder import NotStored
+from lichenquay.storage.store import NotStored
 
 MOST_QUEUED = 1024  # stores
 SAY_EACH_MS = 60_000.0  # at most one line of a kind
--- a/tests/moves_broken.py
+++ b/tests/migration_broken.py
@@ -1,89 +1,90 @@
-"""Rules broken on purpose: each must be found by the audit of `moves_world`."""
+"""Rules broken on purpose: each must be found by the audit of `migration_world`."""
 
-from lichenquay.moves import moves_pb2 as pb
-from lichenquay.moves.book import GONE, HELD, Book
-from lichenquay.moves.desk import Answer, Desk
-from lichenquay.moves.mover import Mover
+from lichenquay.migration import migration_pb2 as pb
+from lichenquay.migration.coordinator import Answer, Coordinator
+from lichenquay.migration.mover import Mover
+from lichenquay.migration.session import GONE, HELD
+from lichenquay.migration.state_machine import StateMachine
 
 
 def nobody(now_ms, answer):
     pass
 
 
-class NoFence(Desk):
-    """Who once held the home goes on acting."""
+class NoFence(Coordinator):
+    """Who once held the replica group goes on acting."""
 
-    def in_office(self, now_ms):
-        return super().in_office(now_ms) if self.made is None or self.out else True
+    def is_leader(self, now_ms):
+        return super().is_leader(now_ms) if self.made is None or self.out else True
 
 
-class ActsBeforeRecord(Desk):
+class ActsBeforeRecord(Coordinator):
     """The taker acts once it decided to take it, before Accepted is on record."""
 
     def _of(self, tenant, id):
-        s = self.ahead.sittings.get(id)
+        s = self.ahead.sessions.get(id)
         return (
             (s, None) if s is not None and s.tenant == tenant and s.state == HELD else super()._of(tenant, id)
         )
 
     def _take(self, now_ms, id, ref, mutating, engine, left_ms, done):
-        if mutating or id in self.made.sittings and self.made.sittings[id].state == HELD:
-            if id in self.made.sittings:
+        if mutating or id in self.made.sessions and self.made.sessions[id].state == HELD:
+            if id in self.made.sessions:
                 super()._take(now_ms, id, ref, mutating, engine, left_ms, done)
-        elif self.ahead.sittings[id].state == HELD:
+        elif self.ahead.sessions[id].state == HELD:
             done(now_ms, Answer("go", id, engine=engine, mutating=mutating))
 
 
-class KeptBeforeRecord(Desk):
+class KeptBeforeRecord(Coordinator):
     """The taker says that it is on record before it is."""
 
     class make_mover(Mover):
         def handed(self, now_ms, message, m):
             super().handed(now_ms, message, m)
-            self._say_kept(message.home, m.no, m.sitting.id, m.sitting.generation)
+            self._say_kept(message.replica_group, m.no, m.session.id, m.session.generation)
 
 
-class CommitBeforeRecord(Desk):
+class CommitBeforeRecord(Coordinator):
     """The giver hands over what it decided to, before Gone is on record."""
 
     class make_mover(Mover):
         def room(self, now_ms, message, m):
             super().room(now_ms, message, m)
-            s = self.desk.ahead.sittings.get(m.id)
+            s = self.coordinator.ahead.sessions.get(m.id)
             if s is not None and s.state == GONE and not s.told:
                 wire = s.wire()
                 wire.generation, wire.state, wire.to, wire.no = s.generation + 1, HELD, "", 0
-                self.desk.send(
-                    s.to, handed=pb.Handed(no=s.no, floor=self.desk.ahead.floor(s.to), sitting=wire)
+                self.coordinator.send(
+                    s.to, handed=pb.Handed(no=s.no, floor=self.coordinator.ahead.floor(s.to), session=wire)
                 )
 
 
-class TakesOlder(Desk):
+class TakesOlder(Coordinator):
     """A hand-over that was taken, and left again since, is taken anew."""
 
-    class make_book(Book):
+    class make_machine(StateMachine):
         def has_taken(self, giver, no):
             return False
 
         def decide_accept(self, giver, no, floor, wire):
-            known = self.sittings.get(wire.id)
+            known = self.sessions.get(wire.id)
             if known and known.state != GONE:
                 return None
-            return pb.Change(accepted=pb.Accepted(giver=giver, no=no, floor=floor, sitting=wire))
+            return pb.Change(accepted=pb.Accepted(giver=giver, no=no, floor=floor, session=wire))
 
 
-class TookLater(Desk):
+class TookLater(Coordinator):
     """A mutating query goes at once, its record follows."""
 
     def _take(self, now_ms, id, ref, mutating, engine, left_ms, done):
-        if mutating and ref not in self.ahead.sittings[id].refs and self.ahead.sittings[id].state == HELD:
+        if mutating and ref not in self.ahead.sessions[id].refs and self.ahead.sessions[id].state == HELD:
             done(now_ms, Answer("go", id, engine=engine, mutating=True))
             super()._take(now_ms, id, ref, mutating, engine, left_ms, nobody)
         else:
             super()._take(now_ms, id, ref, mutating, engine, left_ms, done)
 
 
-class ComesBack(Desk):
+class ComesBack(Coordinator):
     """What is gone and not answered for a second is held again."""
 
     class make_mover(Mover):
@@ -91,11 +92,11 @@
             super()._tell(now_ms)
             for id, (_, wait) in self.telling.items():
                 if wait >= self.settings.most_wait_ms:
-                    for book in (self.desk.made, self.desk.ahead):
-                        book.sittings[id].state = HELD
+                    for machine in (self.coordinator.made, self.coordinator.ahead):
+                        machine.sessions[id].state = HELD
 
 
-class RunsAgain(Desk):
+class RunsAgain(Coordinator):
     """A mutating query that its engine does not know is taken for one that did not run."""
 
     def again(self, now_ms, tenant, id, ref, engine, left_ms, done):
@@ -105,17 +106,17 @@
         done(now_ms, answer)
 
 
-class ForgetsRefs(Desk):
-    """A sitting is handed over without what it took."""
+class ForgetsRefs(Coordinator):
+    """A session is handed over without what it took."""
 
     class make_mover(Mover):
         def _handed(self, now_ms, s):
             handed = super()._handed(now_ms, s)
-            del handed.sitting.refs[:]
+            del handed.session.refs[:]
             return handed
 
 
-class TellsOnce(Desk):
+class TellsOnce(Coordinator):
     """A hand-over is sent once."""
 
     class make_mover(Mover):
@@ -125,19 +126,19 @@
             self.telling = {id: (1e18, 0) for id in set(self.telling) | before}
 
 
-class ThawsNever(Desk):
-    """What an earlier office froze stays so."""
+class ThawsNever(Coordinator):
+    """What an earlier term froze stays so."""
 
     class make_mover(Mover):
         def _untried(self, now_ms):
             pass
 
 
-class ActsWhileFrozen(Desk):
-    """A query goes while its sitting is offered: what is handed over does not have it."""
+class ActsWhileFrozen(Coordinator):
+    """A query goes while its session is offered: what is handed over does not have it."""
 
     def _take(self, now_ms, id, ref, mutating, engine, left_ms, done):
-        if self.ahead.sittings[id].state == HELD:
+        if self.ahead.sessions[id].state == HELD:
             super()._take(now_ms, id, ref, mutating, engine, left_ms, done)
         else:
             done(now_ms, Answer("go", id, engine=engine, mutating=mutating))
--- a/tests/moves_client.py
+++ b/tests/migration_client.py
@@ -1,13 +1,13 @@
-"""A terminal of `moves_world`: it knows its sitting's id, where it was last told to ask, and its query."""
+"""A terminal of `migration_world`: it knows its session's id, where it was told to ask, and its query."""
 
-from moves_world import must
+from migration_group import must
 
 
 class Client:
-    """One terminal: a query at a time, asked for until it has ended, wherever its sitting is told to be."""
+    """One terminal: a query at a time, asked for until it has ended, wherever its session is told to be."""
 
-    def __init__(self, world, name, home, pause=120):
-        self.world, self.name, self.home, self.pause = world, name, home, pause
+    def __init__(self, world, name, replica_group, pause=120):
+        self.world, self.name, self.replica_group, self.pause = world, name, replica_group, pause
         self.tenant, self.id, self.ref, self.count, self.quiet, self.last = (
             name[0],
             None,
@@ -30,18 +30,22 @@
     def act(self):
         w = self.world
         w.at(w.random.uniform(self.pause / 2, self.pause), self.act)
-        holder = w.groups[self.home].holder
+        holder = w.groups[self.replica_group].holder
         process = w.processes[holder[0]] if holder else None
-        if process is None or not process.up or self.home not in process.desks:
+        if process is None or not process.up or self.replica_group not in process.coordinators:
             return
-        process.call(lambda now_ms: self.ask(now_ms, process, process.desks.get(self.home), self.home))
+        process.call(
+            lambda now_ms: self.ask(
+                now_ms, process, process.coordinators.get(self.replica_group), self.replica_group
+            )
+        )
 
-    def ask(self, now_ms, process, desk, home):
+    def ask(self, now_ms, process, coordinator, replica_group):
         w = self.world
-        if desk is None:
+        if coordinator is None:
             return
         if self.id is None:
-            desk.open(now_ms, self.tenant, self.name, self.opened)
+            coordinator.open(now_ms, self.tenant, self.name, self.opened)
             return
         if self.ref is None:
             if self.quiet:
@@ -52,35 +56,35 @@
         ref = self.ref
 
         def done(at_ms, answer):
-            self.answered(at_ms, process, desk, home, ref, answer)
+            self.answered(at_ms, process, coordinator, replica_group, ref, answer)
 
         # Again by the same ref, as one who got no answer: attached to where it was taken.
-        desk.take(now_ms, self.tenant, self.id, ref, self.mutating, engine, 5000, done)
+        coordinator.take(now_ms, self.tenant, self.id, ref, self.mutating, engine, 5000, done)
 
     def opened(self, now_ms, answer):
         if answer.word == "go":
             self.id = answer.id
 
-    def answered(self, now_ms, process, desk, home, ref, answer):
+    def answered(self, now_ms, process, coordinator, replica_group, ref, answer):
         w, self.last = self.world, answer
         if answer.word == "go":
-            w.go(process, home, self.tenant, self.id, ref, self.mutating)
+            w.go(process, replica_group, self.tenant, self.id, ref, self.mutating)
         elif ref != self.ref:
             return
         elif answer.word in ("moved", "unknown"):
-            self.home = answer.home or self.home
+            self.replica_group = answer.replica_group or self.replica_group
         elif answer.word == "ended":
             self.failed += answer.outcome == "failed"
             self.ended += 1
             self.ref = None
             if answer.outcome == "done" and self.mutating:
                 self.order += 1
-                desk.pin(now_ms, self.tenant, self.id, answer.engine or "e1", self.order)
+                coordinator.pin(now_ms, self.tenant, self.id, answer.engine or "e1", self.order)
         elif answer.word == "attach":
             self.attached += 1
             must(answer.mutating == self.mutating, "another query's run")
             if ref not in w.runs:
-                desk.again(
+                coordinator.again(
                     now_ms,
                     self.tenant,
                     self.id,
@@ -88,10 +92,12 @@
                     "e1",
                     5000,
                     lambda at, a: (
-                        self.answered(at, process, desk, home, ref, a) if a.word != "attach" else None
+                        self.answered(at, process, coordinator, replica_group, ref, a)
+                        if a.word != "attach"
+                        else None
                     ),
                 )
             elif w.now >= w.runs[ref]:
-                desk.ended(now_ms, self.tenant, self.id, ref, "done")
+                coordinator.ended(now_ms, self.tenant, self.id, ref, "done")
         else:
             must(answer.word in ("wait", "lost", "full"), f"{self.name}: {answer}")
--- a/tests/moves_explore.py
+++ b/tests/migration_explore.py
@@ -1,21 +1,28 @@
-"""Every interleaving of a small world, on the real desks: three homes, one sitting whose home leaves, and in any order
-deliveries, records made, time, crashes and false takeovers, losses, doubles, and a client that asks the same mutating
-query anywhere. States are compared, so that none is gone on from twice; the search is whole where `whole` is True."""
+"""Every interleaving of a small world, on the real coordinators: three replica groups, one session whose
+replica group leaves, and in any order deliveries, records made, time, crashes and false takeovers, losses,
+doubles, and a client that asks the same mutating query anywhere. States are compared, so that none is gone on
+from twice; the search is whole where `whole` is True."""
 
 import copyreg
 import pickle
 from functools import partial
 from random import Random
 
-from lichenquay.moves import moves_pb2 as pb
-from lichenquay.moves.book import GONE, HELD, Book
-from lichenquay.moves.choose import Member
-from lichenquay.moves.desk import Desk
-from lichenquay.moves.settings import Settings
-from moves_world import Violation, must
+from migration_group import AuditError, must
+
+from lichenquay.migration import migration_pb2 as pb
+from lichenquay.migration.choose import Member
+from lichenquay.migration.coordinator import Coordinator
+from lichenquay.migration.session import GONE, HELD
+from lichenquay.migration.settings import Settings
+from lichenquay.migration.state_machine import StateMachine
 
 NAMES = "abc"
-MUTATING = {"q": True, "r": True, "s": False}  # queries that clients ask; q was taken before the home leaves
+MUTATING = {
+    "q": True,
+    "r": True,
+    "s": False,
+}  # queries that clients ask; q was taken before the replica group leaves
 SETTINGS = Settings(
     settle_ms=0.0,
     answer_ms=100.0,
@@ -39,28 +46,33 @@
 
 
 class Group:
-    def __init__(self, home):
-        self.home, self.generation, self.holder, self.out = home, 1, (home, 1), None
+    def __init__(self, replica_group):
+        self.replica_group, self.generation, self.holder, self.out = (
+            replica_group,
+            1,
+            (replica_group, 1),
+            None,
+        )
         self.late = []  # ends in doubt that their writer has not been told
-        self.audit, self.log = Book(home), []
+        self.audit, self.log = StateMachine(replica_group), []
 
 
 class Seat:
-    def __init__(self, world, home, process):
-        self.world, self.home, self.me = world, home, process
+    def __init__(self, world, replica_group, process):
+        self.world, self.replica_group, self.me = world, replica_group, process
 
     @property
     def generation(self):
-        return self.world.groups[self.home].generation if self.holds(0) else 0
+        return self.world.groups[self.replica_group].generation if self.holds(0) else 0
 
     def holds(self, now_ms):
-        return self.world.groups[self.home].holder == self.me
+        return self.world.groups[self.replica_group].holder == self.me
 
     def snapshot(self):
-        return b"", list(self.world.groups[self.home].log)
+        return b"", list(self.world.groups[self.replica_group].log)
 
     def write(self, now_ms, record, done):
-        group = self.world.groups[self.home]
+        group = self.world.groups[self.replica_group]
         if group.holder != self.me:
             return done(now_ms, False)
         assert group.out is None
@@ -70,40 +82,42 @@
 class Small:
     """`budget`: how often what may happen on the whole of a run."""
 
-    def __init__(self, make=Desk, crashing=NAMES, **budget):
+    def __init__(self, make=Coordinator, crashing=NAMES, **budget):
         self.crashing = crashing
         self.budget = {"crash": 2, "depose": 2, "lose": 1, "double": 1, "ask": 2, "tick": 5} | budget
         self.make, self.now, self.net, self.goes, self.lives = make, 0.0, [], [], dict.fromkeys(NAMES, 1)
         self.groups = {n: Group(n) for n in NAMES}
-        self.desks = {}  # (process, home)
+        self.coordinators = {}  # (process, replica group)
         for n in NAMES:
             self.seat(n, n)
-        desk = self.desks["a", "a"]
-        desk.open(0, "t", "s", self.nothing)
+        coordinator = self.coordinators["a", "a"]
+        coordinator.open(0, "t", "s", self.nothing)
         self.made("a")
-        self.id = next(iter(self.groups["a"].audit.sittings))
+        self.id = next(iter(self.groups["a"].audit.sessions))
         self.ask("a", "a", "q")
         self.made("a")
-        desk.mover.leave(0, rush=True)
-        desk.tick(0)
+        coordinator.mover.leave(0, rush=True)
+        coordinator.tick(0)
         self.pump()
 
     def nothing(self, now_ms, answer):
         pass
 
-    def seat(self, process, home):
-        desk = self.make(home, Seat(self, home, (process, self.lives[process])), SETTINGS)
-        desk.mover.known([Member(n, 30_000) for n in NAMES])
-        desk.checked, self.desks[process, home] = -1, desk
-        return desk
+    def seat(self, process, replica_group):
+        coordinator = self.make(
+            replica_group, Seat(self, replica_group, (process, self.lives[process])), SETTINGS
+        )
+        coordinator.mover.known([Member(n, 30_000) for n in NAMES])
+        coordinator.checked, self.coordinators[process, replica_group] = -1, coordinator
+        return coordinator
 
     def pump(self):
-        for desk in self.desks.values():
-            for to, message in desk.outbox:
+        for coordinator in self.coordinators.values():
+            for to, message in coordinator.outbox:
                 raw = message.SerializeToString(deterministic=True)
                 if (to, raw) not in self.net:
                     self.net.append((to, raw))
-            desk.outbox[:] = []
+            coordinator.outbox[:] = []
         self.check()
 
     # What may happen next.
@@ -117,7 +131,7 @@
         yield from (("elect", n) for n, g in self.groups.items() if g.holder is None)
         if self.budget["crash"]:
             for n in self.crashing:
-                if any(p == n for p, _ in self.desks):
+                if any(p == n for p, _ in self.coordinators):
                     yield from (("crash", n, kept) for kept in self.ends([n]))
         if self.budget["depose"]:
             for n in self.crashing:
@@ -125,7 +139,7 @@
                 if g.holder:
                     yield from (("depose", n, kept) for kept in ((True, False) if g.out else (False,)))
         if self.budget["ask"]:
-            yield from (("ask", *key, ref) for key in self.desks for ref in MUTATING)
+            yield from (("ask", *key, ref) for key in self.coordinators for ref in MUTATING)
         if self.budget["tick"]:
             yield ("tick",)
 
@@ -144,9 +158,9 @@
         self._deliver(*self.net.pop(i))
 
     def _deliver(self, to, raw):
-        for (process, home), desk in list(self.desks.items()):
-            if home == to:
-                desk.heard(self.now, ("x", 1), pb.Message.FromString(raw))
+        for (process, replica_group), coordinator in list(self.coordinators.items()):
+            if replica_group == to:
+                coordinator.heard(self.now, ("x", 1), pb.Message.FromString(raw))
 
     def lose(self, i):
         self.net.pop(i)
@@ -154,8 +168,8 @@
     def double(self, i):
         self._deliver(*self.net[i])
 
-    def made(self, home):
-        g = self.groups[home]
+    def made(self, replica_group):
+        g = self.groups[replica_group]
         (record, done), g.out = g.out, None
         self.record(g, record)
         done(self.now, True)
@@ -167,17 +181,17 @@
         g.log.append(record)
 
     def crash(self, name, kept):
-        for key in [k for k in self.desks if k[0] == name]:
-            del self.desks[key]
+        for key in [k for k in self.coordinators if k[0] == name]:
+            del self.coordinators[key]
         self.lives[name] += 1
         for g in self.groups.values():
             if g.holder and g.holder[0] == name:
                 self.vacate(g, kept)
         self.seat(name, name)  # started anew at once; it holds nothing
 
-    def depose(self, home, kept):
+    def depose(self, replica_group, kept):
         """The holder is alive, but slow: it loses the group and does not know it yet."""
-        self.vacate(self.groups[home], kept)
+        self.vacate(self.groups[replica_group], kept)
 
     def vacate(self, g, kept):
         out, g.out, g.holder = g.out, None, None
@@ -186,59 +200,72 @@
             if kept:
                 self.record(g, out[0])
 
-    def elect(self, home):
+    def elect(self, replica_group):
         """Whoever comes after the last holder, in a ring."""
-        g = self.groups[home]
+        g = self.groups[replica_group]
         late, g.late = g.late, []
         for done in late:  # if its process has ended, to nobody
             done(self.now, None)
         g.generation += 1
-        process = NAMES[(NAMES.index(home) + g.generation - 1) % 3]
+        process = NAMES[(NAMES.index(replica_group) + g.generation - 1) % 3]
         g.holder = process, self.lives[process]
-        desk = self.desks.get((process, home)) or self.seat(process, home)
-        if process != home or home == "a":
-            desk.mover.leave(self.now, rush=True)
-        desk.tick(self.now)
-
-    def ask(self, process, home, ref):
-        self.desks[process, home].take(
-            self.now, "t", self.id, ref, MUTATING[ref], "e", 1000, partial(self.answered, process, home, ref)
+        coordinator = self.coordinators.get((process, replica_group)) or self.seat(process, replica_group)
+        if process != replica_group or replica_group == "a":
+            coordinator.mover.leave(self.now, rush=True)
+        coordinator.tick(self.now)
+
+    def ask(self, process, replica_group, ref):
+        self.coordinators[process, replica_group].take(
+            self.now,
+            "t",
+            self.id,
+            ref,
+            MUTATING[ref],
+            "e",
+            1000,
+            partial(self.answered, process, replica_group, ref),
         )
 
-    def answered(self, process, home, ref, now_ms, answer):
+    def answered(self, process, replica_group, ref, now_ms, answer):
         if answer.word == "go":
-            g = self.groups[home]
+            g = self.groups[replica_group]
             must(
                 g.holder == (process, self.lives[process]),
-                f"{process} acts for {home}, which it does not hold",
+                f"{process} acts for {replica_group}, which it does not hold",
             )
-            s = g.audit.sittings.get(self.id)
-            must(s is not None and s.acted_for, f"{home} acts for what is not its own")
+            s = g.audit.sessions.get(self.id)
+            must(s is not None and s.acted_for, f"{replica_group} acts for what is not its own")
             if not MUTATING[ref]:
                 return
             must(ref in s.refs, "a mutating query goes before it is on record")
             must(ref not in self.goes, "a mutating query goes twice")
             self.goes.append(ref)
         elif answer.word == "attach":
-            self.desks[process, home].again(
-                now_ms, "t", self.id, ref, "e", 1000, partial(self.answered_again, process, home, ref)
+            self.coordinators[process, replica_group].again(
+                now_ms,
+                "t",
+                self.id,
+                ref,
+                "e",
+                1000,
+                partial(self.answered_again, process, replica_group, ref),
             )
 
-    def answered_again(self, process, home, ref, now_ms, answer):
+    def answered_again(self, process, replica_group, ref, now_ms, answer):
         if answer.word == "go":
-            self.answered(process, home, ref, now_ms, answer)
+            self.answered(process, replica_group, ref, now_ms, answer)
 
     def tick(self):
         self.now += 100
-        for key in list(self.desks):
-            if self.desks[key].due_ms <= self.now:
-                self.desks[key].tick(self.now)
+        for key in list(self.coordinators):
+            if self.coordinators[key].due_ms <= self.now:
+                self.coordinators[key].tick(self.now)
 
     # What must hold.
 
     def check(self):
         known = [
-            s for g in self.groups.values() for s in [g.audit.sittings.get(getattr(self, "id", ""))] if s
+            s for g in self.groups.values() for s in [g.audit.sessions.get(getattr(self, "id", ""))] if s
         ]
         acting = [s.generation for s in known if s.acted_for]
         must(len(acting) <= 1, "two owners")
@@ -247,11 +274,19 @@
             "an older generation acts",
         )
         must(not known or acting or any(s.state == GONE and not s.told for s in known), "lost: nobody has it")
-        for (process, home), desk in self.desks.items():
-            g = self.groups[home]
-            if desk.made and desk.group.holds(0) and desk.out is None and desk.made.no != desk.checked:
-                desk.checked = desk.made.no
-                must(desk.made.state() == g.audit.state(), f"{process} has another book of {home}")
+        for (process, replica_group), coordinator in self.coordinators.items():
+            g = self.groups[replica_group]
+            if (
+                coordinator.made
+                and coordinator.group.holds(0)
+                and coordinator.out is None
+                and coordinator.made.no != coordinator.checked
+            ):
+                coordinator.checked = coordinator.made.no
+                must(
+                    coordinator.made.state() == g.audit.state(),
+                    f"{process} has another state of {replica_group}",
+                )
 
     def rests(self):
         """With no more faults, nobody leaving, all comes to one owner."""
@@ -260,23 +295,24 @@
             for n, g in self.groups.items():
                 if g.holder is None:
                     self.elect(n)
-                self.desks[g.holder[0], n].mover.stay(self.now)
+                self.coordinators[g.holder[0], n].mover.stay(self.now)
             for _ in range(40):
                 ready = [a for a in self.actions() if a[0] in ("deliver", "made")]
                 if not ready:
                     break
                 self.act(ready[0])
             self.act(("tick",))
-            known = [s for g in self.groups.values() for s in [g.audit.sittings.get(self.id)] if s]
+            known = [s for g in self.groups.values() for s in [g.audit.sessions.get(self.id)] if s]
             if [s.state for s in known if s.acted_for] == [HELD] and all(
                 s.told for s in known if s.state == GONE
             ):
                 return
-        raise Violation("no owner")
+        raise AuditError("no owner")
 
     def print(self):
-        """Two states with one print go on alike. A desk's books follow from the log, and what is out and pending."""
-        desks = tuple(
+        """Two states with one print go on alike. A coordinator's state machines follow from the log, and what
+        is out and pending."""
+        coordinators = tuple(
             (
                 key,
                 d.generation,
@@ -291,13 +327,15 @@
                 d.mover.later,
                 d.mover.due_ms,
             )
-            for key, d in sorted(self.desks.items())
+            for key, d in sorted(self.coordinators.items())
         )
         groups = tuple(
             (g.generation, g.holder, g.out and g.out[0], len(g.late), g.log) for g in self.groups.values()
         )
         return hash(
-            repr((desks, groups, sorted(self.net), sorted(self.goes), self.now, self.budget, self.lives))
+            repr(
+                (coordinators, groups, sorted(self.net), sorted(self.goes), self.now, self.budget, self.lives)
+            )
         )
 
 
@@ -305,7 +343,7 @@
     return f"{type(e).__name__}: {e}", path
 
 
-def explore(make=Desk, most=10**9, rest_every=20, **budget):
+def explore(make=Coordinator, most=10**9, rest_every=20, **budget):
     """All that can be reached: {'states', 'whole', 'rests', 'found': (what, actions) or None}."""
     first = Small(make, **budget)
     stack, seen, rests = [(pickle.dumps(first), ())], {first.print()}, 0
@@ -334,8 +372,9 @@
     return {"states": len(seen), "whole": not stack, "rests": rests, "found": None}
 
 
-def walks(make=Desk, seeds=range(100), steps=40, **budget):
-    """Ways by chance through more than can be explored whole, each to its rest: (actions done, first found or None)."""
+def walks(make=Coordinator, seeds=range(100), steps=40, **budget):
+    """Ways by chance through more than can be explored whole, each to its rest: (actions done, first found or
+    None)."""
     done = 0
     for seed in seeds:
         random, path = Random(seed), ()
--- a/tests/moves_mutation.py
+++ b/tests/migration_mutation.py
@@ -1,18 +1,19 @@
-"""Mutation of one message at a time: a scenario is recorded, then run again with one message lost, doubled, late,
-swapped with the next, sent elsewhere or changed; every audit of `moves_world` holds, and it comes to rest."""
+"""Mutation of one message at a time: a scenario is recorded, then run again with one message lost, doubled,
+late, swapped with the next, sent elsewhere or changed; every audit of `migration_world` holds, and it comes
+to rest."""
 
 from google.protobuf.message import DecodeError
+from migration_client import Client
+from migration_world import World
 
-from lichenquay.moves import moves_pb2 as pb
-from lichenquay.moves.desk import Desk
-from moves_client import Client
-from moves_world import World
+from lichenquay.migration import migration_pb2 as pb
+from lichenquay.migration.coordinator import Coordinator
 
 KINDS = ("lost", "doubled", "late", "late past a life", "swapped")
 EDGES = (0, 1, 2**31 - 1, 2**32 - 1, 2**63 - 1, 2**64 - 1)
 
 
-def scenario(mutate=None, make=Desk):
+def scenario(mutate=None, make=Coordinator):
     """f0 leaves and a taker crashes; f2 leaves and, as giver, crashes; f1 leaves and is called off."""
     world = World(7, 3, make=make)
     world.mutate = mutate
@@ -126,15 +127,15 @@
         yield "flipped", bytes(flipped)
 
 
-def rejected(raw, changed_raw, desk):
-    """Whether a changed message counts for nothing at the desk that it came to (then it is one that was lost), or says
-    the same as before."""
+def rejected(raw, changed_raw, coordinator):
+    """Whether a changed message counts for nothing at the coordinator that it came to (then it is one that
+    was lost), or says the same as before."""
     try:
         message = pb.Message.FromString(changed_raw)
     except DecodeError:
         return True  # the host drops it
     if message == pb.Message.FromString(raw):
         return True
-    before = desk.senseless
-    desk.heard(0.0, ("x", 1), message)
-    return desk.senseless == before + 1
+    before = coordinator.senseless
+    coordinator.heard(0.0, ("x", 1), message)
+    return coordinator.senseless == before + 1
--- a/tests/folder_measure.py
+++ b/tests/storage_measure.py
@@ -1,4 +1,4 @@
-"""Times of a folder on this machine's disk, not a test: python tests/folder_measure.py FOLDER."""
+"""Times of a folder on this machine's disk, not a test: python tests/storage_measure.py FOLDER."""
 
 import queue
 import sys
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
-from lichenquay.folder.folder import Folder  # noqa: E402
-from lichenquay.folder.writer import Writer  # noqa: E402
+from lichenquay.storage.store import DurableStore  # noqa: E402
+from lichenquay.storage.writer import Writer  # noqa: E402
 
 MOST = 64 << 20
 
@@ -24,7 +24,7 @@
 
 
 def one_by_one(path, number=2000):
-    folder, times_ms = Folder(path / "one", "fleet", "front", MOST), []
+    folder, times_ms = DurableStore(path / "one", "fleet", "front", MOST), []
     for i in range(number):
         began_ms = now_ms()
         folder.append({f"k{i % 100}": b"%d" % i + bytes(200)})
@@ -35,7 +35,7 @@
 
 
 def snapshots(path, sections, number=30):
-    folder, times_ms = Folder(path / f"many{sections}", "fleet", "front", MOST), []
+    folder, times_ms = DurableStore(path / f"many{sections}", "fleet", "front", MOST), []
     for i in range(sections):
         folder.append({f"k{i}": bytes(200)})
     folder.flush(0.0)
@@ -46,7 +46,7 @@
     said(f"new generation of {sections} sections", times_ms)
     folder.close()
     began_ms = now_ms()
-    Folder(path / f"many{sections}", "fleet", "front", MOST).close()
+    DurableStore(path / f"many{sections}", "fleet", "front", MOST).close()
     print(f"opening with {sections} sections, a new generation included: {now_ms() - began_ms:.1f} ms")
 
 
@@ -54,7 +54,7 @@
     """`at_once` stores are open at any time: the next goes out as one is told."""
     calls, times_ms, in_store_ms = queue.SimpleQueue(), [], []
     writer = Writer(
-        Folder(path / f"by{at_once}", "fleet", "front", MOST), lambda f, *a: calls.put((f, a)), now_ms
+        DurableStore(path / f"by{at_once}", "fleet", "front", MOST), lambda f, *a: calls.put((f, a)), now_ms
     )
     left = number
 
--- a/tests/folder_real.py
+++ b/tests/storage_real.py
@@ -2,13 +2,13 @@
 
 import os
 
-from lichenquay.folder.folder import Folder
+from lichenquay.storage.store import DurableStore
 
 MOST = 1 << 20
 
 
 def make(path, name="front", fleet="fleet", most=MOST, **more):
-    return Folder(path, fleet, name, most, **more)
+    return DurableStore(path, fleet, name, most, **more)
 
 
 def filled(path, number=5):
--- a/tests/folder_sim.py
+++ b/tests/storage_sim.py
@@ -1,10 +1,10 @@
-"""A disk in memory that fails, tears and loses power as told, behind the calls of lichenquay.folder.disk."""
+"""A disk in memory that fails, tears and loses power as told, behind the calls of lichenquay.storage.disk."""
 
 import errno
 import os as real
 from os.path import basename, dirname
 
-from lichenquay.folder.disk import Place
+from lichenquay.storage.disk import Place
 
 
 class PowerOff(BaseException):
--- a/tests/test_moves.py
+++ b/tests/test_migration.py
@@ -1,21 +1,20 @@
-"""Hand-overs in virtual time: what a home does, by itself and with every fault."""
+"""Hand-overs in virtual time: what a replica group does, by itself and with every fault."""
 
 from random import Random
 
 import pytest
+from migration_client import Client
+from migration_world import World
 
-from moves_client import Client
-from moves_world import World
 
-
-def world_of(seed, clients=6, homes=3, **more):
-    world = World(seed, homes, **more)
+def world_of(seed, clients=6, replica_groups=3, **more):
+    world = World(seed, replica_groups, **more)
     for i in range(clients):
-        Client(world, f"{'abc'[i % 3]}{i}", f"f{i % homes}")
+        Client(world, f"{'abc'[i % 3]}{i}", f"f{i % replica_groups}")
     return world
 
 
-def test_a_leaving_home_hands_all_over_and_ends():
+def test_a_leaving_replica_group_hands_all_over_and_ends():
     world = world_of(1)
     world.run(2000)
     world.leave("f0")
@@ -23,7 +22,7 @@
     assert not world.processes["f0"].up
     assert world.moved >= 2
     assert not world.groups["f0"].audit.live
-    assert {c.home for c in world.clients} == {"f1", "f2"}
+    assert {c.replica_group for c in world.clients} == {"f1", "f2"}
     world.rest()
 
 
@@ -79,6 +78,7 @@
         assert sum(c.ended for c in world.clients) > 10
 
 
-def test_a_new_office_tells_what_is_gone_without_being_asked():
-    """The schedule in which a front that came back, does not leave and has no clients, held such a sitting."""
+def test_a_new_term_tells_what_is_gone_without_being_asked():
+    """The schedule in which a front that came back, does not leave and has no clients, held such a
+    session."""
     faults(124)
--- a/tests/test_moves_explore.py
+++ b/tests/test_migration_explore.py
@@ -1,9 +1,9 @@
-"""The hand-over in every order: explored whole where that is small enough, by ways drawn by chance beyond that."""
+"""The hand-over in every order: explored whole where that is small enough, by ways drawn by chance beyond
+that."""
 
 import pytest
-
-from moves_broken import BROKEN, NoFence
-from moves_explore import explore, walks
+from migration_broken import BROKEN, NoFence
+from migration_explore import explore, walks
 
 LONG = dict(crash=2, depose=1, lose=2, double=2, ask=6, tick=8)
 MORE = {NoFence: dict(crash=1, depose=2, lose=0, double=0, ask=16)}
@@ -19,7 +19,8 @@
 
 @pytest.mark.parametrize("name", SMALL)
 def test_all_interleavings(name, request):
-    """Crashes and takeovers of giver a and taker b; c comes after b. With --runs 2 of all three, and the longest."""
+    """Crashes and takeovers of giver a and taker b; c comes after b. With --runs 2 of all three, and the
+    longest."""
     whole = request.config.getoption("--runs") > 1
     if name == "crash-takeover" and not whole:
         pytest.skip("20 s; with --runs 2")
--- a/tests/test_moves_mutation.py
+++ b/tests/test_migration_mutation.py
@@ -4,12 +4,12 @@
 
 import pytest
 from google.protobuf.message import DecodeError
+from migration_broken import BROKEN
+from migration_mutation import KINDS, change, changed, rejected, scenario
 
-from lichenquay.moves import moves_pb2 as pb
-from lichenquay.moves.book import BookError
-from lichenquay.moves.desk import Desk
-from moves_broken import BROKEN
-from moves_mutation import KINDS, change, changed, rejected, scenario
+from lichenquay.migration import migration_pb2 as pb
+from lichenquay.migration.coordinator import Coordinator
+from lichenquay.migration.state_machine import StateMachineError
 
 ELSEWHERE = tuple(f"to f{i}" for i in range(3))
 
@@ -50,12 +50,13 @@
 
 
 def test_changed_messages_count_as_lost(request):
-    """Each field's neighbours and edges, cuts and flipped bits: none passes the mark. Some are replayed whole."""
+    """Each field's neighbours and edges, cuts and flipped bits: none passes the mark. Some are replayed
+    whole."""
     _, raws = recorded()
     mutants = [(i, to, raw, new) for i, (to, raw) in enumerate(raws, 1) for _, new in changed(raw)]
     assert len(mutants) > 2000
     for i, to, raw, new in mutants:
-        assert rejected(raw, new, Desk(to, None)), (i, new)
+        assert rejected(raw, new, Coordinator(to, None)), (i, new)
     readable = [m for m in mutants if parses(m[3])]
     for i, to, raw, new in Random(request.config.getoption("--seed")).sample(readable, 10):
         scenario(change(i, ("changed", new)))
@@ -86,7 +87,7 @@
         mutate = change(number, "lost")
         try:
             scenario(mutate, broken)
-        except (AssertionError, BookError) as e:
+        except (AssertionError, StateMachineError) as e:
             found[number] = mutate.hit, str(e)
             break
     print(name, found)
--- a/tests/test_folder.py
+++ b/tests/test_storage.py
@@ -10,13 +10,13 @@
 from pathlib import Path
 
 import pytest
+from storage_real import filled, make, names
 
-from folder_real import filled, make, names
-from lichenquay.folder import form, reading
-from lichenquay.folder.disk import RealOs
-from lichenquay.folder.folder import NotStored, TooMuch
-from lichenquay.folder.incarnation import next_incarnation
-from lichenquay.folder.reading import BadFolder, file_name
+from lichenquay.storage import record_format, recovery
+from lichenquay.storage.disk import RealOs
+from lichenquay.storage.incarnation import next_incarnation
+from lichenquay.storage.recovery import UnusableStoreError, file_name
+from lichenquay.storage.store import NotStored, TooMuch
 
 ROOT = Path(__file__).parent.parent
 
@@ -99,10 +99,12 @@
     folder = filled(path)
     its = path / file_name(folder.generation + 1, "snapshot")
     data = bytearray(
-        form.header_bytes(form.Header(form.SNAPSHOT, folder.generation + 1, 9, "fleet", "front"))[0]
+        record_format.header_bytes(
+            record_format.Header(record_format.SNAPSHOT, folder.generation + 1, 9, "fleet", "front")
+        )[0]
     )
-    data[8:10] = struct.pack(">H", form.VERSION + 1)
-    data[12:16] = struct.pack(">I", form._header_sum(bytes(data[:16]), bytes(data[16:])))
+    data[8:10] = struct.pack(">H", record_format.VERSION + 1)
+    data[12:16] = struct.pack(">I", record_format._header_sum(bytes(data[:16]), bytes(data[16:])))
     its.write_bytes(data)
 
 
@@ -130,7 +132,7 @@
     path.parent.mkdir()
     prepare(path)
     before = {n: (path / n).read_bytes() for n in names(path)} if path.is_dir() else None
-    with pytest.raises(BadFolder, match=line) as told:
+    with pytest.raises(UnusableStoreError, match=line) as told:
         make(path)
     assert "\n" not in str(told.value) and str(path) in str(told.value)
     if before is not None:
@@ -142,21 +144,21 @@
         def open(self, path, flags):
             raise PermissionError(errno.EACCES, "Permission denied")
 
-    with pytest.raises(BadFolder, match="Permission denied"):
+    with pytest.raises(UnusableStoreError, match="Permission denied"):
         make(tmp_path / "f", os=Denied())
 
 
 def test_two_processes_on_one_folder(tmp_path):
     code = (
-        "import sys\nfrom lichenquay.folder.folder import Folder\n"
-        "f = Folder(sys.argv[1], 'fleet', 'front', 1 << 20)\nprint('open', flush=True)\nsys.stdin.read()"
+        "import sys\nfrom lichenquay.storage.store import DurableStore\n"
+        "f = DurableStore(sys.argv[1], 'fleet', 'front', 1 << 20)\nprint('open', flush=True)\nsys.stdin.read()"
     )
     first = subprocess.Popen(
         [sys.executable, "-c", code, tmp_path / "f"], cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE
     )
     try:
         assert first.stdout.readline() == b"open\n"
-        with pytest.raises(BadFolder, match="in use by another process"):
+        with pytest.raises(UnusableStoreError, match="in use by another process"):
             make(tmp_path / "f")
         os.kill(first.pid, signal.SIGKILL)
         first.wait()
@@ -247,7 +249,7 @@
         (path / file_name(10**11 + i, "snapshot")).write_bytes(b"")
     (path / "notes.txt").write_text("not ours")
     found = make(path)
-    assert found.state == state and found.sure and len(found.left_out) == reading.MOST_SAID
+    assert found.state == state and found.sure and len(found.left_out) == recovery.MOST_SAID
     assert "notes.txt" in names(path) and len(names(path)) < 12
 
 
@@ -274,5 +276,5 @@
     assert next_incarnation(folder, 9) == (9, True)
     folder.append({"incarnation": b"\xff" * 8})
     folder.flush(0.0)
-    with pytest.raises(BadFolder, match="leaves no higher one"):
+    with pytest.raises(UnusableStoreError, match="leaves no higher one"):
         next_incarnation(folder, 9)
--- a/tests/test_folder_crash.py
+++ b/tests/test_storage_crash.py
@@ -6,10 +6,10 @@
 import random
 
 import pytest
+from storage_sim import Disk, Model, PowerOff, SimOs
 
-from folder_sim import Disk, Model, PowerOff, SimOs
-from lichenquay.folder.folder import Folder, NotStored
-from lichenquay.folder.reading import BadFolder, file_name
+from lichenquay.storage.recovery import UnusableStoreError, file_name
+from lichenquay.storage.store import DurableStore, NotStored
 
 RUNS = int(os.environ.get("LICHENQUAY_FOLDER_RUNS", "1"))  # a longer search by a larger number
 SMALL = 4096 * 8  # the least bound: a journal of 4 KiB, so that compactions come by size too
@@ -17,7 +17,7 @@
 
 
 def opened(os_, now_ms=0.0):
-    return Folder(PATH, "fleet", "front", SMALL, os=os_, now_ms=now_ms)
+    return DurableStore(PATH, "fleet", "front", SMALL, os=os_, now_ms=now_ms)
 
 
 def batch_of(step, rng):
@@ -320,7 +320,7 @@
 def test_lock_of_one_process():
     disk = Disk()
     first = opened(SimOs(disk))
-    with pytest.raises(BadFolder, match="in use by another process"):
+    with pytest.raises(UnusableStoreError, match="in use by another process"):
         opened(SimOs(disk))
     first.close()
     assert opened(SimOs(disk)).sure
--- a/tests/test_folder_faults.py
+++ b/tests/test_storage_faults.py
@@ -9,19 +9,19 @@
 from pathlib import Path
 
 import pytest
+from storage_real import make, names
 
-from folder_real import make, names
-from lichenquay.folder.disk import RealOs
-from lichenquay.folder.folder import NotStored
-from lichenquay.folder.incarnation import next_incarnation
+from lichenquay.storage.disk import RealOs
+from lichenquay.storage.incarnation import next_incarnation
+from lichenquay.storage.store import NotStored
 
 ROOT = Path(__file__).parent.parent
 KILLS = 20 * int(os.environ.get("LICHENQUAY_FOLDER_RUNS", "1"))
 
 WRITER = """
 import sys
-from lichenquay.folder.folder import Folder
-f = Folder(sys.argv[1], "fleet", "front", 64 << 10)
+from lichenquay.storage.store import DurableStore
+f = DurableStore(sys.argv[1], "fleet", "front", 64 << 10)
 n = int(f.state.get("n", b"0"))
 print(n, flush=True)
 while True:
@@ -69,9 +69,9 @@
 
 FULL = """
 import resource, signal, sys
-from lichenquay.folder.folder import Folder, NotStored
+from lichenquay.storage.store import DurableStore, NotStored
 signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
-f = Folder(sys.argv[1], "fleet", "front", 4 << 20)
+f = DurableStore(sys.argv[1], "fleet", "front", 4 << 20)
 resource.setrlimit(resource.RLIMIT_FSIZE, (20_000, resource.RLIM_INFINITY))
 stored = refused = 0
 while refused < 5:
--- a/tests/test_folder_form.py
+++ b/tests/test_storage_record_format.py
@@ -6,25 +6,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lichenquay.folder import form
+from lichenquay.storage import record_format
 
-HEADER = form.Header(form.JOURNAL, 7, 40, "fleet", "front")
+HEADER = record_format.Header(record_format.JOURNAL, 7, 40, "fleet", "front")
 CHANGES = [{"a": b"1"}, {"b": bytes(300), "a": None}, {"c": b"x" * 20, "d": b""}]
 
 
 def journal_bytes(number=len(CHANGES)):
-    first, seed = form.header_bytes(HEADER)
+    first, seed = record_format.header_bytes(HEADER)
     return first + b"".join(
-        form.frame(seed, 41 + i, form.CHANGE, form.changes_bytes(c)) for i, c in enumerate(CHANGES[:number])
+        record_format.frame(seed, 41 + i, record_format.CHANGE, record_format.changes_bytes(c))
+        for i, c in enumerate(CHANGES[:number])
     )
 
 
 def read_either(data):
     """Every reader; what a journal gives must be a beginning of what was written, whatever became of the bytes."""
-    for read in (form.read_snapshot, form.read_journal):
+    for read in (record_format.read_snapshot, record_format.read_journal):
         try:
             found = read(data)
-        except (form.Unreadable, form.Newer):
+        except (record_format.Unreadable, record_format.Newer):
             continue
         yield found
 
@@ -33,12 +34,12 @@
 @given(st.binary(max_size=400))
 def test_noise_is_nothing(data):
     assert not list(read_either(data))
-    first, seed = form.header_bytes(HEADER)
-    journal = form.read_journal(first + data)
+    first, seed = record_format.header_bytes(HEADER)
+    journal = record_format.read_journal(first + data)
     assert journal.changes == [] and (journal.why or not data) and journal.left_bytes == len(data)
     try:
-        form.read_changes(data)
-    except form.Unreadable:
+        record_format.read_changes(data)
+    except record_format.Unreadable:
         pass
 
 
@@ -60,49 +61,58 @@
 @given(st.binary(max_size=60), st.integers(0, 255), st.integers(0, 2**64 - 1))
 def test_whole_records_with_hostile_content(payload, kind, number):
     """Checksums are no defence against who can make them: no exception, and nothing that does not parse."""
-    first, seed = form.header_bytes(HEADER)
-    journal = form.read_journal(
-        first + form.frame(seed, 41, kind, payload) + form.frame(seed, number, kind, payload)
+    first, seed = record_format.header_bytes(HEADER)
+    journal = record_format.read_journal(
+        first
+        + record_format.frame(seed, 41, kind, payload)
+        + record_format.frame(seed, number, kind, payload)
     )
-    assert len(journal.changes) <= 2 and (kind == form.CHANGE or not journal.changes)
+    assert len(journal.changes) <= 2 and (kind == record_format.CHANGE or not journal.changes)
 
 
 def test_a_hostile_length_takes_no_memory():
-    first, seed = form.header_bytes(HEADER)
+    first, seed = record_format.header_bytes(HEADER)
     tracemalloc.start()
-    journal = form.read_journal(first + struct.pack(">IQBI", 2**32 - 1, 41, 1, 0) + bytes(1000))
+    journal = record_format.read_journal(first + struct.pack(">IQBI", 2**32 - 1, 41, 1, 0) + bytes(1000))
     peak = tracemalloc.get_traced_memory()[1]
     tracemalloc.stop()
     assert journal.why == "cut off" and peak < 100_000
 
 
 def test_a_record_of_another_file_is_none_here():
-    first, _ = form.header_bytes(HEADER)
-    _, other = form.header_bytes(form.Header(form.JOURNAL, 8, 40, "fleet", "front"))
-    journal = form.read_journal(first + form.frame(other, 41, form.CHANGE, form.changes_bytes({"a": b"1"})))
+    first, _ = record_format.header_bytes(HEADER)
+    _, other = record_format.header_bytes(
+        record_format.Header(record_format.JOURNAL, 8, 40, "fleet", "front")
+    )
+    journal = record_format.read_journal(
+        first + record_format.frame(other, 41, record_format.CHANGE, record_format.changes_bytes({"a": b"1"}))
+    )
     assert not journal.changes and journal.why == "its checksum is wrong"
 
 
 def test_a_record_out_of_its_order_ends_the_journal():
     """A block that the disk put elsewhere is whole, and still no next record."""
-    first, seed = form.header_bytes(HEADER)
-    frames = [form.frame(seed, 41 + i, form.CHANGE, form.changes_bytes(c)) for i, c in enumerate(CHANGES)]
+    first, seed = record_format.header_bytes(HEADER)
+    frames = [
+        record_format.frame(seed, 41 + i, record_format.CHANGE, record_format.changes_bytes(c))
+        for i, c in enumerate(CHANGES)
+    ]
     for order in ((0, 2), (0, 0, 1), (0, 2, 1), (1, 2)):
-        journal = form.read_journal(first + b"".join(frames[i] for i in order))
+        journal = record_format.read_journal(first + b"".join(frames[i] for i in order))
         assert journal.changes == (CHANGES[:1] if order[0] == 0 else []) and "where" in journal.why
 
 
 def test_a_snapshot_is_whole_or_nothing():
     state = {f"k{i}": b"%d" % i for i in range(5)}
-    header = form.Header(form.SNAPSHOT, 7, 40, "fleet", "front")
-    parts = list(form.snapshot_parts(header, state))
+    header = record_format.Header(record_format.SNAPSHOT, 7, 40, "fleet", "front")
+    parts = list(record_format.snapshot_parts(header, state))
     whole = b"".join(parts)
-    assert form.read_snapshot(whole) == (header, state)
+    assert record_format.read_snapshot(whole) == (header, state)
     wrong = [whole[:i] for i in range(len(whole))] + [whole + b"\0", whole + parts[-1]]
     wrong += [b"".join(parts[:i] + parts[i + 1 :]) for i in range(len(parts))]
     for data in wrong:
         try:
-            form.read_snapshot(data)
-        except form.Unreadable:
+            record_format.read_snapshot(data)
+        except record_format.Unreadable:
             continue
         raise AssertionError(f"{len(data)} bytes of {len(whole)} were taken for a snapshot")
--- a/tests/test_folder_writer.py
+++ b/tests/test_storage_writer.py
@@ -12,9 +12,9 @@
 import pytest
 from structlog.testing import CapturingLogger
 
-from lichenquay.folder.disk import RealOs
-from lichenquay.folder.folder import Folder
-from lichenquay.folder.writer import Writer
+from lichenquay.storage.disk import RealOs
+from lichenquay.storage.store import DurableStore
+from lichenquay.storage.writer import Writer
 
 MOST = 1 << 20
 
@@ -44,7 +44,7 @@
     def __init__(self, path, os_=None, most=MOST, **more):
         self.calls, self.told, self.log, self.late = queue.SimpleQueue(), [], CapturingLogger(), []
         self.os = os_ or HeldOs()
-        self.folder = Folder(path, "fleet", "front", most, os=self.os, now_ms=self.now_ms())
+        self.folder = DurableStore(path, "fleet", "front", most, os=self.os, now_ms=self.now_ms())
         self.writer = Writer(
             self.folder,
             lambda f, *args: self.calls.put((f, args)),
@@ -89,7 +89,7 @@
 
 
 def reread(path):
-    folder = Folder(path, "fleet", "front", MOST)
+    folder = DurableStore(path, "fleet", "front", MOST)
     folder.close()
     return dict(folder.state)
 
@@ -228,7 +228,7 @@
 
 
 def test_a_folder_that_opens_late_tells_its_state_once(tmp_path):
-    filled = Folder(tmp_path / "f", "fleet", "front", MOST)
+    filled = DurableStore(tmp_path / "f", "fleet", "front", MOST)
     filled.append({"old": b"1"})
     filled.flush(0.0)
     filled.close()
@@ -314,5 +314,5 @@
 
 
 def test_it_needs_no_reactor():
-    code = "import sys, lichenquay.folder.writer, lichenquay.folder.incarnation\nassert 'twisted.internet.reactor' not in sys.modules"
+    code = "import sys, lichenquay.storage.writer, lichenquay.storage.incarnation\nassert 'twisted.internet.reactor' not in sys.modules"
     subprocess.run([sys.executable, "-c", code], cwd=Path(__file__).parent.parent, check=True)
