--- /dev/null
+++ b/lichenquay/cli/config.py
@@ -0,0 +1,132 @@
+"""`config`: changes and status of the distributed configuration."""
+
+from pathlib import Path
+
+import click
+
+from lichenquay.cli import say
+from lichenquay.conf.fleet import NAME, address_of
+from lichenquay.control.client import Client, NoAnswerError
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.distribution.check import fault_of_entry
+
+REFUSED, IN_DOUBT = 1, 3  # exit codes; 2 is of a wrong command line
+STATUS_FIELDS = ("generation", "newest", "in_force", "subscribers", "refused", "stale", "keys", "bytes")
+
+
+class AddressesType(click.ParamType):
+    """`address:port`, several with commas between them."""
+
+    name = "address:port,..."
+
+    def convert(self, value, param, ctx):
+        """[(address, port)]."""
+        if not isinstance(value, str):
+            return value
+        try:
+            return [address_of(text) for text in value.split(",")]
+        except ValueError as bad:
+            return self.fail(str(bad), param, ctx)
+
+
+class FleetNameType(click.ParamType):
+    """A fleet's name, as in the settings."""
+
+    name = "name"
+
+    def convert(self, value, param, ctx):
+        """The name itself."""
+        return value if NAME.match(value) else self.fail(f"{value!r} is no name of a fleet", param, ctx)
+
+
+def voters_options(call):
+    """Whom to ask, of which fleet, for how long, and where the answer is kept."""
+    for option in (
+        say.json_option,
+        click.option(
+            "--seconds",
+            type=click.FloatRange(0.1, 600),
+            default=10.0,
+            show_default=True,
+            help="For an answer.",
+        ),
+        click.option(
+            "--fleet", type=FleetNameType(), required=True, help="The fleet's name, as in its settings."
+        ),
+        click.option(
+            "--voters", type=AddressesType(), required=True, help="Some voters or all of them, UDP."
+        ),
+    ):
+        call = option(call)
+    return call
+
+
+@click.group()
+def config():
+    """The configuration that is distributed to all fronts. Exit codes: 1 refused, 3 in doubt."""
+
+
+@config.command()
+@click.argument("key")
+@click.argument("value", required=False)
+@click.option("--file", "path", type=click.Path(dir_okay=False), help="The value is this file's content.")
+@voters_options
+def put(key, value, path, voters, fleet, seconds, json_to):
+    """Give KEY a value, everywhere."""
+    if (value is None) == (path is None):
+        raise click.UsageError("either VALUE or --file is wanted")
+    change(pb.Entry(key=key, value=_content(value, path)), voters, fleet, seconds, json_to)
+
+
+@config.command()
+@click.argument("key")
+@voters_options
+def delete(key, voters, fleet, seconds, json_to):
+    """Take KEY away, everywhere."""
+    change(pb.Entry(key=key, deleted=True), voters, fleet, seconds, json_to)
+
+
+@config.command()
+@voters_options
+def status(voters, fleet, seconds, json_to):
+    """Show what is accepted, and what is in force everywhere."""
+    try:
+        with Client(fleet, voters, seconds) as client:
+            found = client.status()
+    except NoAnswerError as why:
+        raise click.ClickException(str(why)) from None
+    figures = {field: getattr(found, field) for field in STATUS_FIELDS}
+    figures["digest"] = f"{found.digest:016x}"
+    say.write_json(json_to, figures)
+    say.table(f"fleet {fleet}", [(name.replace("_", " "), value) for name, value in figures.items()])
+
+
+def change(entry, voters, fleet, seconds, json_to):
+    """Proposes one entry until its outcome is known or the time is up."""
+    if fault := fault_of_entry(entry):
+        end("refused", 0, fault, REFUSED, json_to)
+    try:
+        with Client(fleet, voters, seconds) as client:
+            proposed = client.propose([entry])
+    except NoAnswerError as why:
+        end("in doubt", 0, f"it may have been made or not; {why}", IN_DOUBT, json_to)
+    if proposed.outcome == pb.Proposed.REFUSED:
+        end("refused", 0, proposed.reason, REFUSED, json_to)
+    say.write_json(json_to, {"outcome": "accepted", "version": proposed.version, "reason": ""})
+    click.echo(f"accepted: version {proposed.version}")
+
+
+def end(outcome, version, reason, code, json_to):
+    """One line on standard error, and the exit code."""
+    say.write_json(json_to, {"outcome": outcome, "version": version, "reason": reason})
+    click.echo(f"{outcome}: {reason}", err=True)
+    raise SystemExit(code)
+
+
+def _content(value, path):
+    if path is None:
+        return value.encode()
+    try:
+        return Path(path).read_bytes()
+    except OSError as why:
+        raise click.ClickException(f"{path}: {why.strerror}") from None
--- a/lichenquay/cli/lab.py
+++ b/lichenquay/cli/lab.py
@@ -6,6 +6,8 @@
 import click
 
 from lichenquay.cli import say
+from lichenquay.cli.capacity import capacity
+from lichenquay.cli.scale import scale
 from lichenquay.conf.read import BadSettings, read_file, read_lab
 from lichenquay.lab.trial import trial
 from lichenquay.lab.world import CannotStart
@@ -84,6 +86,10 @@
     """Worlds of emulated engines, fronts and clients on loopback."""
 
 
+lab.add_command(capacity)
+lab.add_command(scale)
+
+
 @lab.command()
 @click.argument("world", type=click.Path())
 @click.option("--out", type=click.Path(file_okay=False), help="Keep the run's files here.")
--- a/lichenquay/cli/main.py
+++ b/lichenquay/cli/main.py
@@ -6,8 +6,10 @@
 import click
 
 from lichenquay.cli import say
+from lichenquay.cli.config import config
 from lichenquay.cli.lab import demo, lab
 from lichenquay.cli.load import load
+from lichenquay.conf.control import warnings_of
 from lichenquay.conf.read import BadSettings, read_file, read_lab, read_settings
 from lichenquay.load.child import environment
 
@@ -34,11 +36,13 @@
 @cli.command()
 @click.argument("file", type=click.Path())
 @click.option(
-    "--settings", is_flag=True, help="It is a front's own settings (LICHENQUAY_SETTINGS), not a world."
+    "--settings",
+    is_flag=True,
+    help="It is a front's own settings (LICHENQUAY_SETTINGS) or a control process's, not a world.",
 )
 @say.fails_plainly(BadSettings)
 def check(file, settings):
-    """Check a settings file: a world in protobuf text format, a front's own settings, or a front's JSON."""
+    """Check a settings file: a world, own settings of a front or a control process, or a front's JSON."""
     if str(file).endswith(".json"):
         from lichenquay.front.service import CannotStart, open_from, read_config
 
@@ -46,11 +50,26 @@
             open_from(read_config({"BALANCER_CONFIG": file})[-1], 1)
         except CannotStart as why:
             raise click.ClickException(str(why)) from None
+    elif settings:
+        for line in warnings_of(read_file(file, read_settings)):
+            click.echo(f"{file}: {line}", err=True)
     else:
-        read_file(file, read_settings if settings else read_lab)
+        read_file(file, read_lab)
     click.echo(f"{file}: well")
 
 
+@cli.command()
+@click.argument("file", type=click.Path())
+def control(file):
+    """Run a control process (a voter or a relay of distributed configuration) on a settings file."""
+    os.execve(
+        sys.executable,
+        [sys.executable, "-m", "lichenquay.control", os.path.abspath(file)],
+        environment(),
+    )
+
+
+cli.add_command(config)
 cli.add_command(demo)
 cli.add_command(lab)
 cli.add_command(load)
--- a/lichenquay/conf/read.py
+++ b/lichenquay/conf/read.py
@@ -8,7 +8,10 @@
 from google.protobuf import text_format
 
 from lichenquay.conf import lichenquay_pb2 as pb
-from lichenquay.conf.fleet import RANGES as FLEET_RANGES, fault_of_fleet
+from lichenquay.conf.control import RANGES as CONTROL_RANGES
+from lichenquay.conf.control import fault_of_control, fault_of_distribution
+from lichenquay.conf.fleet import RANGES as FLEET_RANGES
+from lichenquay.conf.fleet import fault_of_fleet
 from lichenquay.gate.decide import Caps, Rules, networks
 
 # a small world that runs on any machine: what `demo` plays, and what files leave out
@@ -98,7 +101,10 @@
     "front.memory_mb": (40, 1e6),
     "front.sockets": (64, 1_000_000),
     **FLEET_RANGES,
+    **CONTROL_RANGES,
 }
+OPTIONAL = {"gate", "fleet", "address", "prefix", "control", "distribution", "figures"}  # messages
+SPARSE = ("gate", "front.gate", "fleet", "control", "distribution")  # figures count only where they are said
 
 
 class BadSettings(ValueError):
@@ -110,16 +116,16 @@
     for field, _ in message.DESCRIPTOR.fields_by_name.items():
         value, name = getattr(message, field), f"{path}.{field}" if path else field
         if hasattr(value, "DESCRIPTOR"):
-            if field in ("gate", "fleet", "address", "prefix") and not message.HasField(field):
+            if field in OPTIONAL and not message.HasField(field):
                 continue
             yield from fields(value, name)
-        elif field in ("zones", "known", "voters"):
+        elif hasattr(value, "append") and not hasattr(value, "add"):  # a list of plain values
             continue
         elif hasattr(value, "add"):
             for i, one in enumerate(value):
                 for inner, shown, got in fields(one, name):
                     yield inner, f"{name}[{i}]" + shown[len(name) :], got
-        elif not path.startswith(("gate", "front.gate", "fleet")) or message.HasField(field):
+        elif not path.startswith(SPARSE) or message.HasField(field):
             yield name, name, value
 
 
@@ -249,13 +255,31 @@
         out_of_range(said)
         or fault_of_gate(said.gate, "gate")
         or said.HasField("fleet")
-        and fault_of_fleet(said.fleet),
+        and fault_of_fleet(said.fleet)
+        or said.HasField("control")
+        and fault_of_control(said)
+        or said.HasField("distribution")
+        and fault_of_distribution(said),
         text,
         name,
     )
     return said
 
 
+def read_control(text, name="settings"):
+    """What a control process is told: settings with `control`."""
+    said = read_settings(text, name)
+    refuse(None if said.HasField("control") else "control: missing", text, name)
+    return said
+
+
+def read_gate(text, name="gate"):
+    """A gate by itself, by the same checks as in a file."""
+    gate = parse(pb.Gate(), text, name)
+    refuse(out_of_range(pb.Settings(gate=gate)) or fault_of_gate(gate, "gate"), text, name)
+    return gate
+
+
 def read_file(path, read=read_lab):
     try:
         with open(path, encoding="utf-8") as file:
--- a/lichenquay/fleet/accounts.py
+++ b/lichenquay/fleet/accounts.py
@@ -6,7 +6,8 @@
 from lichenquay.conf.fleet import USUAL_LEASE_MS, USUAL_TERM_MS, figures, names_of, voters_of
 from lichenquay.owner.group import Group
 from lichenquay.owner.settings import Settings as OwnerSettings
-from lichenquay.quota import kept as ledger_kept, quota_pb2 as pb
+from lichenquay.quota import kept as ledger_kept
+from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.keeper import Keeper
 from lichenquay.quota.ledger import LedgerError
 from lichenquay.quota.rights import Rights
--- a/lichenquay/fleet/post.py
+++ b/lichenquay/fleet/post.py
@@ -10,12 +10,13 @@
 
 class Post(DatagramProtocol):
     """`addresses`: where each peer is, seen from here. `kinds`: each layer's message class. `heard(layer, sender, message)` gets
-    what was opened, the sender being (name, incarnation)."""
+    what was opened, the sender being (name, incarnation). `learn(name, incarnation, address)`, where given, is told where the sender in an open layer is."""
 
     noisy = False
 
-    def __init__(self, envelope, addresses, kinds, heard):
+    def __init__(self, envelope, addresses, kinds, heard, learn=None):
         self.envelope, self.addresses, self.kinds, self.heard = envelope, addresses, kinds, heard
+        self.learn = learn
         self.counters, self.bytes_out = Counter(), 0
 
     def send(self, incarnation, name, layer, message):
@@ -44,6 +45,8 @@
             self.counters["datagrams dropped: unreadable"] += 1
         else:
             self.counters["datagrams heard"] += 1
+            if self.learn is not None and layer in self.envelope.open_layers:
+                self.learn(name, incarnation, address)
             self.heard(layer, (name, incarnation), message)
 
     def lines(self):
--- /dev/null
+++ b/lichenquay/lab/scale/capacity.py
@@ -0,0 +1,180 @@
+"""Runs the probes, fits slopes, foretells the largest size before it is run, ranks needs by their budgets."""
+
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+from lichenquay.lab.scale.catalogue import Probe
+from lichenquay.lab.scale.fit import Fit, FitError, Model, Prediction, fit
+from lichenquay.lab.scale.rows import MEASURED, MISSING, NONE_TODAY, Row
+from lichenquay.lab.scale.sample import Progress, Sample
+
+
+@dataclass(frozen=True)
+class HeldOut:
+    """The largest size: what the smaller ones foretold, and what was then measured."""
+
+    size: int
+    predicted: Prediction | None
+    measured: tuple[float, ...]
+
+    @property
+    def within(self) -> bool | None:
+        """Whether the mean of what was measured lies in the interval; None where either is missing."""
+        if self.predicted is None or not self.measured:
+            return None
+        return self.predicted.holds(sum(self.measured) / len(self.measured))
+
+
+@dataclass(frozen=True)
+class Slope:
+    """One quantity: its samples at all sizes, the fit of all of them, and how the largest was foretold."""
+
+    what: str
+    unit: str
+    size_of: str
+    samples: tuple[Sample, ...]
+    fit: Fit | None
+    held_out: HeldOut
+
+
+@dataclass(frozen=True)
+class Ranked:
+    """A row with its need at the planned size (and its 95% bounds), and need / budget."""
+
+    row: Row
+    need: float | None
+    low: float | None
+    high: float | None
+
+    @property
+    def ratio(self) -> float | None:
+        """Need over budget; None where either is missing."""
+        return self.need / self.row.budget if self.need is not None and self.row.budget else None
+
+
+@dataclass(frozen=True)
+class Capacity:
+    """All of one run."""
+
+    full: bool
+    seed: int
+    processor_s: float
+    slopes: dict[str, Slope]
+    ranked: tuple[Ranked, ...]
+
+
+def run(full: bool, seed: int, progress: Progress, probes: Sequence[Probe]) -> Capacity:
+    """Runs the probes, the largest size of each last, and ranks the rows."""
+    began, slopes = time.process_time(), {}
+    probes = [probe for probe in probes if probe.sizes(full)]
+    for done, probe in enumerate(probes):
+        slopes |= run_probe(probe, full, seed, lambda part, d=done: progress((d + part) / len(probes)))
+    ranked = tuple(sorted((rank(row, slopes) for row in (*MISSING, *MEASURED)), key=order))
+    return Capacity(full, seed, time.process_time() - began, slopes, ranked)
+
+
+def run_probe(probe: Probe, full: bool, seed: int, progress: Progress) -> dict[str, Slope]:
+    """Smaller sizes, their fits, and only then the largest size."""
+    *smaller, largest = probe.sizes(full)
+    first = probe.measure(smaller, seed, lambda part: progress(part / 2))
+    predicted = {what: foretell(first, what, model, largest) for what, model in probe.models.items()}
+    last = probe.measure([largest], seed, lambda part: progress((1 + part) / 2))
+    slopes = {}
+    for what, model in probe.models.items():
+        samples = tuple(s for s in (*first, *last) if s.what == what)
+        measured = tuple(v for s in last if s.what == what for v in s.values)
+        held_out = HeldOut(largest, predicted[what], measured)
+        slopes[what] = Slope(what, samples[0].unit, probe.size_of, samples, fitted(samples, model), held_out)
+    return slopes
+
+
+def fitted(samples: Sequence[Sample], model: Model) -> Fit | None:
+    """The fit of all values of these samples; None where they are too few for it."""
+    points = [(sample.size, value) for sample in samples for value in sample.values]
+    try:
+        return fit([size for size, _ in points], [value for _, value in points], model)
+    except FitError:
+        return None
+
+
+def foretell(samples: Sequence[Sample], what: str, model: Model, size: int) -> Prediction | None:
+    """What the samples of a quantity say of a larger size."""
+    found = fitted([s for s in samples if s.what == what], model)
+    return found and found.predict(size)
+
+
+def rank(row: Row, slopes: dict[str, Slope]) -> Ranked:
+    """The row's need by the fits, and by the low and high ends of their prediction intervals."""
+    if row.need is None:
+        return Ranked(row, None, None, None)
+
+    def by(end: str) -> float | None:
+        def at(what: str, size: float) -> float:
+            found = slopes[what].fit
+            if found is None:
+                raise FitError(what)
+            return max(0.0, getattr(found.predict(size), end))
+
+        try:
+            return row.need(at)
+        except (KeyError, FitError):
+            return None
+
+    return Ranked(row, by("value"), by("low"), by("high"))
+
+
+def order(ranked: Ranked) -> tuple[bool, bool, float]:
+    """None today first, then by need over budget; rows without a budget last."""
+    return ranked.row.mechanism != NONE_TODAY, ranked.ratio is None, -(ranked.ratio or 0.0)
+
+
+def as_json(capacity: Capacity) -> dict:
+    """The whole run as plain values."""
+    return {
+        "form": "full" if capacity.full else "short",
+        "seed": capacity.seed,
+        "processor_s": capacity.processor_s,
+        "rows": [row_json(ranked, capacity.slopes) for ranked in capacity.ranked],
+        "slopes": [slope_json(slope) for slope in capacity.slopes.values()],
+    }
+
+
+def row_json(ranked: Ranked, slopes: dict[str, Slope]) -> dict:
+    """One row of the table."""
+    row, slope = ranked.row, slopes.get(ranked.row.what or "")
+    extrapolated = bool(slope and slope.fit and row.size and slope.fit.extrapolates(row.size))
+    return {
+        "role": row.role,
+        "title": row.title,
+        "quantity": row.what,
+        "at_size": row.size,
+        "extrapolated": extrapolated,
+        "largest_run": slope.fit.largest if slope and slope.fit else None,
+        "need": ranked.need,
+        "need_low": ranked.low,
+        "need_high": ranked.high,
+        "unit": row.unit,
+        "budget": row.budget,
+        "ratio": ranked.ratio,
+        "mechanism": row.mechanism,
+    }
+
+
+def slope_json(slope: Slope) -> dict:
+    """One quantity with its samples and fit."""
+    held = slope.held_out
+    return {
+        "what": slope.what,
+        "unit": slope.unit,
+        "size_of": slope.size_of,
+        "sizes": sorted({s.size for s in slope.samples}),
+        "fit": asdict(slope.fit) if slope.fit else None,
+        "held_out": {
+            "size": held.size,
+            "predicted": asdict(held.predicted) if held.predicted else None,
+            "measured": held.measured,
+            "within": held.within,
+        },
+        "samples": [{"size": s.size, "values": s.values} for s in slope.samples],
+    }
--- /dev/null
+++ b/lichenquay/lab/scale/control.py
@@ -0,0 +1,87 @@
+"""A control process of a scale run: production's voter or relay (`lichenquay.control`), which can be told
+of faults.
+
+    python -m lichenquay.lab.scale.control WORLD NAME
+
+WORLD is the file of a `WorldSpec`, NAME one of its control processes. Orders come on standard input. Added to
+production's host are the network's faults, a disk that can be full or slow, and counts.
+"""
+
+import gc
+import signal
+import sys
+from dataclasses import replace
+from functools import partial
+
+from google.protobuf import text_format
+
+from lichenquay.conf.read import read_control
+from lichenquay.control.host import Control, VoterHost, control_of
+from lichenquay.fleet.hosting import boot_ms
+from lichenquay.lab.scale import orders
+from lichenquay.lab.scale.faulty_disk import FaultyOs
+from lichenquay.lab.scale.impairment import Impairment
+from lichenquay.lab.scale.lab_post import LabPost, Network
+from lichenquay.lab.scale.order_reader import answer, read_orders, stop
+from lichenquay.lab.scale.settings_files import control_settings
+from lichenquay.lab.scale.world_spec import WorldSpec, read
+from lichenquay.storage.store import DurableStore
+
+
+class ControlProcess:
+    """A production host, and orders."""
+
+    def __init__(self, reactor, spec: WorldSpec, name: str):
+        """The settings go through production's own reading and checks."""
+        self.reactor = reactor
+        said = read_control(text_format.MessageToString(control_settings(spec, name)), name)
+        self.host: Control = control_of(reactor, said)
+        self.network = Network(reactor, Impairment(f"{spec.shape.seed}/{name}"))
+        self.host.post = LabPost(self.host.post, self.network)
+        self.disk = FaultyOs()
+        self.host.new_folder = partial(DurableStore, os=self.disk)
+
+    def start(self):
+        """Opens folder and socket, and takes part; a fault ends the process with one line."""
+        fault = self.host.open()
+        if fault is not None:
+            print(fault, file=sys.stderr, flush=True)
+            stop(self.reactor)
+            return
+        self.host.begin()
+        answer("READY")
+
+    def take(self, order):
+        """Does one order."""
+        match order:
+            case orders.Impair(rules):
+                self.network.impairment.rules = list(rules)
+            case orders.FailDisk(full, delay_ms):
+                self.disk.full, self.disk.delay_ms = full, delay_ms
+            case orders.Count():
+                answer(orders.line_of_counts(self.counts()))
+            case orders.End():
+                stop(self.reactor)
+
+    def counts(self):
+        """Of this process."""
+        counts = self.host.post.add_to(orders.Counts())
+        if isinstance(self.host, VoterHost):
+            return replace(counts, leads=self.host.group.holds(boot_ms()))
+        return replace(counts, oldest=self.host.relay.subscriber.in_force)
+
+
+def main(arguments):
+    """Runs the process until it is told to end, or its input ends."""
+    from twisted.internet import reactor
+
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # Ctrl-C goes to the run, which ends its processes in order.
+    process = ControlProcess(reactor, read(arguments[0]), arguments[1])
+    gc.freeze()
+    reactor.callWhenRunning(process.start)
+    read_orders(reactor, process.take, lambda: stop(reactor))
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/lichenquay/lab/scale/hollow_controller.py
@@ -0,0 +1,141 @@
+"""A controller in a hollow front: production's `Admit` and controller over the distributed engines, with a
+trickle of queries whose engines answer by themselves.
+
+No query leaves the process: what the controller submits is answered after its work's time, as by an idle
+engine.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from lichenquay.admission import interface as io
+from lichenquay.conf.read import read_lab
+from lichenquay.engine_row import EngineRow
+from lichenquay.fleet.hosting import boot_ms
+from lichenquay.front import frames
+from lichenquay.front.admit import Admit, FrontQuery
+from lichenquay.lab.world import settings_of
+from lichenquay.opening import Opening, Sheet, flat
+
+WORK_MS = 20.0  # Of every query.
+ASKED, OPEN, FAULTS = "queries asked", "queries open", "faults"
+ANSWERS = {
+    frames.FINISHED: "queries finished",
+    frames.DEFERRED: "queries deferred",
+    frames.KILLED: "queries killed",
+}
+
+
+class Metrics:
+    """What the front's metrics are to `Admit`."""
+
+    def __init__(self):
+        """Nothing counted."""
+        self.counts = Counter()
+
+    def count(self, what):
+        """One more of it."""
+        self.counts[what] += 1
+
+
+@dataclass(eq=False)
+class Flight:
+    """A submission on its way, as `Admit` takes it back."""
+
+    sub: io.Submission
+    query: FrontQuery
+    timer: object = None
+
+
+class InstantRoute:
+    """Engines that are never busy: each submission is finished after its query's work."""
+
+    def __init__(self, reactor):
+        """`admit` is set by its owner."""
+        self.reactor, self.admit = reactor, None
+
+    def down(self, sub, patience_ms):
+        """Takes a submission."""
+        flight = Flight(sub, sub.query)
+        flight.timer = self.reactor.callLater(WORK_MS / 1000, self._finish, flight)
+        return flight
+
+    def give_up(self, flight):
+        """It is cancelled, if it is still out."""
+        if flight.timer.active():
+            flight.timer.cancel()
+            self.admit.back(flight, io.CANCELLED, None, None, [])
+
+    def rerank(self, flight, priority):
+        """Engines that are never busy have no use for a priority."""
+
+    def _finish(self, flight):
+        self.admit.back(flight, io.FINISHED, None, None, [])
+
+
+class Queries(Admit):
+    """`Admit` without clients: an answer is counted."""
+
+    def __init__(self, opening, reactor, log):
+        """Nobody asks yet."""
+        super().__init__(opening, reactor, None, boot_ms, Metrics(), log)
+        self.route = InstantRoute(reactor)
+        self.route.admit = self
+
+    def answer(self, q, code, body):
+        """By its code; once for each query."""
+        if not q.over:
+            q.over = True
+            self.open.discard(q)
+            self.metrics.count(ANSWERS[code])
+
+
+def opening_of(seed: int) -> Opening:
+    """The laboratory's usual groups, tenants and rules; shared by all fronts of a process."""
+    return Opening(Sheet(flat(settings_of(read_lab("")))), seed)
+
+
+class HollowController:
+    """Lists engines as they are distributed, and asks `per_s` queries a second."""
+
+    def __init__(self, reactor, opening: Opening, rng, per_s: float):
+        """Begins at once, with no engine."""
+        self.reactor, self.opening, self.rng, self.per_s = reactor, opening, rng, per_s
+        self.queries = Queries(opening, reactor, lambda *words: None)
+        self.groups = list(opening.groups.values())
+        self.engines: dict[str, io.Engine] = {}
+        self.asked = 0
+        self.timer = reactor.callLater(rng.uniform(0, 1 / per_s), self._ask)
+
+    def take(self, whole: bool, rows: list[EngineRow]) -> None:
+        """Engines of the list: all there are, or those that changed."""
+        if whole:
+            self.engines = {}
+        self.queries.listed([self._engine(row) for row in rows], whole)
+
+    def counts(self) -> dict[str, int]:
+        """Queries by what became of them, and faults of the controller that `Admit` caught."""
+        counts = {what: self.queries.metrics.counts[what] for what in (*ANSWERS.values(), FAULTS)}
+        return {ASKED: self.asked, OPEN: len(self.queries.open), **counts}
+
+    def close(self) -> None:
+        """Asks nothing more."""
+        if self.timer.active():
+            self.timer.cancel()
+        if self.queries.next is not None and self.queries.next.active():
+            self.queries.next.cancel()
+
+    def _engine(self, row):
+        engine = self.engines.setdefault(row.uid, io.Engine(row.uid))
+        self.opening.describe(engine, row.place, row.kind, row.cell, row.state, row.units, None)
+        if row.state == io.WITHDRAWN:
+            del self.engines[row.uid]
+        return engine
+
+    def _ask(self):
+        group = self.rng.choice(self.groups)
+        now_ms = boot_ms()
+        query = FrontQuery(0, group, now_ms, now_ms + group.timeout_ms, work_ms=WORK_MS)
+        self.asked += 1
+        self.queries.take(query)
+        self.timer = self.reactor.callLater(1 / self.per_s, self._ask)
--- /dev/null
+++ b/lichenquay/lab/scale/latency.py
@@ -0,0 +1,132 @@
+"""How long changes took until they were in force at the fronts, by the one clock of the machine."""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from lichenquay.lab.scale.client import Proposal
+from lichenquay.lab.scale.record import NEVER, Life
+
+P50, P99 = 50, 99
+
+
+@dataclass(frozen=True)
+class OutOfReach:
+    """Fronts that could not be reached for a while; a pair that touches the time is left out of the
+    percentiles.
+    """
+
+    names: frozenset[str]
+    from_ms: float
+    until_ms: float
+
+
+@dataclass(frozen=True)
+class ConfigFigures:
+    """Of the changes proposed in some time. A pair is one change at one front that had a version in force
+    when the change was proposed; times run from its first proposal, in ms.
+    """
+
+    changes: int
+    pairs: int
+    pairs_left_out: int
+    in_force_p50_ms: float | None
+    in_force_p99_ms: float | None
+    in_force_max_ms: float | None
+    accepted_p99_ms: float | None  # From the proposal to the publisher's word that it is accepted.
+    never_in_force: int
+
+
+def config_figures(
+    changes: list[Proposal], lives: list[Life], out_of_reach: list[OutOfReach] = ()
+) -> ConfigFigures:
+    """The figures of accepted changes."""
+    if not changes:
+        return ConfigFigures(0, 0, 0, None, None, None, None, 0)
+    ordered = sorted(changes, key=lambda change: change.version)
+    versions = np.array([change.version for change in ordered], dtype=np.int64)
+    proposed_ms = np.array([change.proposed_ms for change in ordered])
+    accepted = [change.accepted_ms - change.proposed_ms for change in ordered]
+    parts, left_out, never = [], 0, 0
+    for life in lives:
+        in_force_ms = times_in_force(life, versions)
+        counted = was_up(life, proposed_ms)
+        if life.ended_ms == NEVER:
+            never += int((counted & np.isinf(in_force_ms)).sum())
+        counted &= np.isfinite(in_force_ms)
+        excluded = counted & touches(life.name, proposed_ms, in_force_ms, out_of_reach)
+        left_out += int(excluded.sum())
+        parts.append((in_force_ms - proposed_ms)[counted & ~excluded])
+    took_ms = np.concatenate(parts) if parts else np.empty(0)
+    return ConfigFigures(
+        changes=len(ordered),
+        pairs=len(took_ms),
+        pairs_left_out=left_out,
+        in_force_p50_ms=percentile(took_ms, P50),
+        in_force_p99_ms=percentile(took_ms, P99),
+        in_force_max_ms=percentile(took_ms, 100),
+        accepted_p99_ms=percentile(np.array(accepted), P99),
+        never_in_force=never,
+    )
+
+
+def times_in_force(life: Life, versions: np.ndarray) -> np.ndarray:
+    """When each version was in force at a front first, by itself or by a later one; inf: never."""
+    highest = np.maximum.accumulate(np.array(life.versions, dtype=np.int64))
+    at_ms = np.append(np.array(life.at_ms), np.inf)
+    return at_ms[np.searchsorted(highest, versions, side="left")]
+
+
+def was_up(life: Life, proposed_ms: np.ndarray) -> np.ndarray:
+    """Whether the front had some version in force at these times."""
+    joined_ms = joined_at(life)
+    return (proposed_ms >= joined_ms) & (proposed_ms < life.ended_ms)
+
+
+def joined_at(life: Life) -> float:
+    """When the front had a version in force first; inf: never."""
+    for version, at_ms in zip(life.versions, life.at_ms, strict=True):
+        if version > 0:
+            return at_ms
+    return NEVER
+
+
+def touches(
+    name: str, proposed_ms: np.ndarray, in_force_ms: np.ndarray, out_of_reach: list[OutOfReach]
+) -> np.ndarray:
+    """Which pairs overlap a time at which the front could not be reached."""
+    found = np.zeros(len(proposed_ms), dtype=bool)
+    for one in out_of_reach:
+        if name in one.names:
+            found |= (proposed_ms <= one.until_ms) & (in_force_ms >= one.from_ms)
+    return found
+
+
+def heal_s(lives: list[Life], names: frozenset[str], healed_ms: float, version: int) -> float | None:
+    """Seconds from a heal until all of these fronts had a version in force; None: some never had."""
+    versions = np.array([version], dtype=np.int64)
+    latest_ms = healed_ms
+    for life in lives:
+        if life.name in names and life.started_ms <= healed_ms < life.ended_ms:
+            latest_ms = max(latest_ms, float(times_in_force(life, versions)[0]))
+    return round((latest_ms - healed_ms) / 1000, 3) if np.isfinite(latest_ms) else None
+
+
+def start_s(lives: list[Life], names: frozenset[str], started_ms: float, version: int) -> float | None:
+    """Seconds from a start until all of these fronts had a version in force; None: some never had, or did
+    not start.
+    """
+    versions = np.array([version], dtype=np.int64)
+    started = {}
+    for life in sorted(lives, key=lambda life: life.started_ms):
+        if life.name in names and life.started_ms >= started_ms:
+            started.setdefault(life.name, life)  # A later life is of another start.
+    if not names or set(started) != set(names):
+        return None
+    latest_ms = max(float(times_in_force(life, versions)[0]) for life in started.values())
+    return round((latest_ms - started_ms) / 1000, 3) if np.isfinite(latest_ms) else None
+
+
+def percentile(values: np.ndarray, share: float) -> float | None:
+    """Rounded to microseconds; None of nothing."""
+    return round(float(np.percentile(values, share)), 3) if len(values) else None
--- /dev/null
+++ b/lichenquay/lab/scale/plan.py
@@ -0,0 +1,29 @@
+"""The size that the installation is planned for, and what a front may spend on control (issue 37)."""
+
+FRONTS = 4_400
+ENGINES = 25_000
+STATEMENTS_PER_S = 18_000_000
+CONNECTIONS = 22_000_000
+ZONES, FRONTS_A_ZONE = 12, 367
+RESTARTS_A_DAY = 7_000
+CONFIGURATION_CHANGES_A_DAY = 50_000
+PRIMARY_CHANGES_A_DAY = 22
+PRIMARY_CHANGE_MS, CONFIGURATION_MS = 10_000.0, 7_000.0
+DAY_S = 86_400
+
+# A front's budget for control, of all its parts together; bytes are counted both ways.
+FRONT_PROCESSOR_MS_PER_S = 38.0
+FRONT_MEMORY_BYTES = 128_000_000
+FRONT_BYTES_PER_S = 5_000.0
+
+# A process has one thread: what it can spend a second.
+PROCESS_MS_PER_S = 1_000.0
+
+# Assumed; the plan does not say.
+EVENTS_A_RESTART = 3  # draining, withdrawn, listed again
+TENANTS_ASSUMED = 100
+TABLE_SETS_ASSUMED = 20
+REGIONS_ROUND_TRIP_MS = 60.0
+
+LIST_EVENTS_PER_S = RESTARTS_A_DAY * EVENTS_A_RESTART / DAY_S
+STATEMENTS_PER_S_A_FRONT = STATEMENTS_PER_S / FRONTS
--- /dev/null
+++ b/lichenquay/lab/scale/plans.py
@@ -0,0 +1,90 @@
+"""The two forms of a scale run: a short one of under a minute, and the full one."""
+
+from dataclasses import dataclass, field
+
+from lichenquay.lab.scale import scenario as s
+
+REAL_FRONTS = 2
+LARGE_SIZES = (50, 200, 800, 2000)
+MIDDLE_SIZES = (50, 200, 400, 800)  # Where 2,000 or less is held out.
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a run measures and plays. Times are seconds, rates changes a second."""
+
+    shape: s.Shape
+    sizes: tuple[int, ...]  # Of the fit.
+    held_out: int  # Predicted before it is run; the scenarios are played at it.
+    window_s: float
+    windows: int = 2  # At each size.
+    settle_s: float = 1.0  # After fronts were started and hold everything, before a window.
+    changes_per_s: float = 1.0
+    scenarios: list[s.Scenario] = field(default_factory=list)
+    rest_s: float = 20.0  # In which all fronts must come to hold one version.
+    real_fronts: int = 0  # Beside the hollow ones, under load while scenarios are played.
+
+    @property
+    def seconds(self) -> float:
+        """About how long it takes, for the progress bar."""
+        measured = (len(self.sizes) + 1) * (self.settle_s + self.windows * self.window_s + 1.0)
+        return 6.0 + measured + sum(one.seconds + 1.0 for one in self.scenarios) + 2.0
+
+
+def short(seed: int, engines: int = 100) -> Plan:
+    """Under a minute: 120 fronts, the calm and the faults that aims are stated for."""
+    shape = s.Shape(fronts=120, engines=engines, hosts=2, seed=seed)
+    scenarios = [
+        s.failover(shape, 14.0, 2.0),
+        s.zone_start(shape, 3.5, 1.0),
+        s.region_cut(shape, 6.0, 1.0),
+    ]
+    return Plan(
+        shape, (15, 30, 60, 90), 120, window_s=1.0, settle_s=0.5, changes_per_s=2.0, scenarios=scenarios
+    )
+
+
+def full(seed: int, held_out: int = 4400, engines: int = 100) -> Plan:
+    """Four sizes fitted, a larger one held out, and every scenario."""
+    shape = s.Shape(fronts=held_out, engines=engines, hosts=8, seed=seed)
+    sizes = LARGE_SIZES if held_out > LARGE_SIZES[-1] else MIDDLE_SIZES
+    scenarios = [
+        s.calm(15.0, 1.0),
+        s.failover(shape, 24.0, 1.0),
+        s.publisher_paused(16.0, 1.0),
+        s.disk_faults(24.0, 1.0),
+        s.zone_start(shape, 25.0, 1.0),
+        s.region_cut(shape, 24.0, 1.0),
+        s.bad_network(20.0, 1.0),
+        s.slow_reader(shape, 20.0, 1.0),
+        s.rack_lost(shape, 20.0, 1.0),
+        s.rolling_deploy(shape, 40.0, 1.0),
+        s.ordinary_day(shape, 30.0, 1.0),
+    ]
+    return Plan(
+        shape,
+        sizes,
+        held_out,
+        window_s=6.0,
+        settle_s=3.0,
+        scenarios=scenarios,
+        rest_s=60.0,
+        real_fronts=REAL_FRONTS,
+    )
+
+
+def small(seed: int, fronts: int, scenarios: list[s.Scenario]) -> Plan:
+    """For tests: one host, two zones, short windows."""
+    shape = s.Shape(fronts=fronts, engines=20, hosts=1, voters=3, relays_of_zone=2, seed=seed)
+    sizes = tuple(max(1, fronts * part // 5) for part in range(1, 5))
+    return Plan(
+        shape,
+        sizes,
+        fronts,
+        window_s=0.5,
+        windows=1,
+        settle_s=0.2,
+        changes_per_s=4.0,
+        scenarios=scenarios,
+        rest_s=15.0,
+    )
--- /dev/null
+++ b/lichenquay/lab/scale/probes/__init__.py
@@ -0,0 +1,1 @@
+"""The probes: one file each, with `measure(sizes, seed, progress) -> list[Sample]`."""
--- /dev/null
+++ b/lichenquay/lab/scale/probes/datagram.py
@@ -0,0 +1,53 @@
+"""What one datagram between fronts costs by the size of its message: sealed, sent, received, opened."""
+
+import random
+import socket
+from collections.abc import Callable, Sequence
+
+from lichenquay.fleet.envelope import MEMBERS, Envelope
+from lichenquay.lab.scale.sample import Progress, Sample, processor_ms
+
+FLEET, FINGERPRINT, INCARNATION = "scale", 1, 1_700_000_000_000
+TIMES, RUNS, LEAST_OF = 300, 5, 3  # datagrams a run; a value is the least of three: other load only adds
+
+
+def measure(sizes: Sequence[int], seed: int, progress: Progress) -> list[Sample]:
+    """`sizes`: bytes of the message, up to `envelope.MOST_BODY`. Sockets on 127.0.0.1 alone."""
+    rng, samples = random.Random(f"datagram/{seed}"), []
+    names = ["front-0001", "front-0002"]
+    out, into = (Envelope(FLEET, FINGERPRINT, name, names) for name in names)
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver,
+    ):
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(1.0)
+        address = receiver.getsockname()
+        for done, size in enumerate(sizes):
+            body = rng.randbytes(size)
+            sealed = out.seal(INCARNATION, names[1], MEMBERS, body)
+
+            def carry(data: bytes = sealed) -> None:
+                sender.sendto(data, address)
+                receiver.recv(2_048)
+
+            samples += [
+                Sample(size, "datagram.length", "bytes", (float(len(sealed)),)),
+                each(size, "datagram.seal", lambda b=body: out.seal(INCARNATION, names[1], MEMBERS, b)),
+                each(size, "datagram.open", lambda data=sealed: into.open(data)),
+                each(size, "datagram.socket", carry),
+            ]
+            progress((done + 1) / len(sizes))
+    return samples
+
+
+def each(size: int, what: str, call: Callable[[], object]) -> Sample:
+    """Processor time of one call, by runs of many calls; the first run only warms up."""
+
+    def many() -> None:
+        for _ in range(TIMES):
+            call()
+
+    many()
+    spent = [min(processor_ms(many) for _ in range(LEAST_OF)) / TIMES for _ in range(RUNS)]
+    return Sample(size, what, "ms", tuple(spent))
--- /dev/null
+++ b/lichenquay/lab/scale/probes/members.py
@@ -0,0 +1,104 @@
+"""What membership costs a front by the number of fronts, in virtual time; how long a kill goes unseen."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from lichenquay.lab.detectors import watch
+from lichenquay.lab.fleetnet import FleetNet, Host, Weather
+from lichenquay.lab.scale.sample import Progress, Sample, Stopwatch, TimedPart, state_bytes
+from lichenquay.members.table import ALIVE, MAX_MEMBERS, Table
+
+LOSSES = (0.0, 0.2)
+WARM_MS, CALM_MS = 1_500.0, 3_000.0
+MOST_LOSSY, SHORT_MS = (
+    200,
+    1_000.0,
+)  # with losses, a larger fleet is measured for less, and not to a detection
+BOUND_MS = 30_000.0  # of virtual time in which a killed front has to be seen by all
+FEW, RUNS = 20, 2  # up to so many fronts, so many runs; else one
+
+
+class Fleet:
+    """So many watches that know each other, one network."""
+
+    def __init__(self, fronts: int, seed: int, loss: float):
+        """All are up and know all others, as after a calm start."""
+        self.net = FleetNet(f"scale/{fronts}/{seed}/{loss}", Weather(loss=loss))
+        self.stopwatch, self.names = Stopwatch(), [f"front-{i:04d}" for i in range(fronts)]
+        self.victim, self.seen_by = "", set()
+        self.net.after = self._after
+        for name in self.names:
+            self.net.host(name, self._parts, offset_ms=self.net.rng.uniform(0, 1e6))
+
+    def _parts(self, host: Host) -> dict[str, TimedPart]:
+        part = watch(host.name, host.incarnation, self.names, host.rng, host.now_ms())
+        return {"members": TimedPart(part, self.stopwatch)}
+
+    def _after(self, host: Host, _: str, part: Any) -> None:
+        for change in part.changes:
+            if change.name == self.victim and change.new in ("cut", "gone"):
+                self.seen_by.add(host.name)
+        part.changes.clear()
+
+    def sent(self) -> tuple[int, int]:
+        """Messages and bytes of body so far, of all fronts."""
+        hosts = self.net.hosts.values()
+        return sum(h.sent for h in hosts), sum(h.sent_bytes for h in hosts)
+
+    def detect_ms(self) -> float | None:
+        """From the kill of one front until all others hold it for cut; None where that passes the bound."""
+        self.victim = self.names[self.net.rng.randrange(len(self.names))]
+        began, others = self.net.now_ms, len(self.names) - 1
+        self.net.kill(self.victim)
+        seen = self.net.run(began + BOUND_MS, lambda: len(self.seen_by) == others)
+        return self.net.now_ms - began if seen else None
+
+
+def measure(sizes: Sequence[int], seed: int, progress: Progress) -> list[Sample]:
+    """`sizes`: fronts, two at least."""
+    samples = []
+    for done, size in enumerate(sizes):
+        for loss in LOSSES:
+            samples += talk(size, seed, loss)
+        samples.append(table_state(size))
+        progress((done + 1) / len(sizes))
+    return samples
+
+
+def talk(size: int, seed: int, loss: float) -> list[Sample]:
+    """Messages, bytes and processor time a front and second in calm; then the time to detect."""
+    messages, sizes, spent, detected = [], [], [], []
+    short = loss > 0 and size > MOST_LOSSY
+    calm_ms = SHORT_MS if short else CALM_MS
+    for run in range(RUNS if size <= FEW else 1):
+        fleet = Fleet(size, seed + run, loss)
+        fleet.net.run(WARM_MS)
+        fleet.stopwatch.reset()
+        sent, sent_bytes = fleet.sent()
+        fleet.net.run(WARM_MS + calm_ms)
+        front_seconds = size * calm_ms / 1_000
+        messages.append((fleet.sent()[0] - sent) / front_seconds)
+        sizes.append((fleet.sent()[1] - sent_bytes) / front_seconds)
+        spent.append(fleet.stopwatch.spent_ms / front_seconds)
+        took_ms = None if short else fleet.detect_ms()
+        detected += [] if took_ms is None else [took_ms / 1_000]
+    name = f"members.lost_{round(100 * loss)}"
+    return [
+        Sample(size, f"{name}.messages", "1/s", tuple(messages)),
+        Sample(size, f"{name}.bytes", "B/s", tuple(sizes)),
+        Sample(size, f"{name}.processor", "ms/s", tuple(spent)),
+        Sample(size, f"{name}.detect", "s", tuple(detected)),
+    ]
+
+
+def table_state(size: int) -> Sample:
+    """Bytes of a table of so many members, as far as it takes them (`MAX_MEMBERS`)."""
+
+    def fill() -> Table:
+        table = Table()
+        for i in range(min(size, MAX_MEMBERS)):
+            table.take(0.0, f"front-{i:04d}", 1, 0, ALIVE)
+        table.changes.clear()
+        return table
+
+    return Sample(size, "members.state", "bytes", (float(state_bytes(fill)[1]),))
--- /dev/null
+++ b/lichenquay/lab/scale/probes/starved.py
@@ -0,0 +1,94 @@
+"""Whether a front's host still runs its timer under many messages: turns and messages sent."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from twisted.internet.task import Clock
+
+from lichenquay.conf.read import read_settings
+from lichenquay.fleet.envelope import MEMBERS
+from lichenquay.fleet.host import Fleet
+from lichenquay.lab.scale.sample import Progress, Sample
+from lichenquay.members import members_pb2 as pb
+
+FRONTS, INCARNATION = 8, 2_000_000
+WARM_MS, STEP_MS, MEASURED_S = 2_000.0, 10.0, 1.0
+
+
+class Reactor(Clock):
+    """A clock by hand that opens no socket."""
+
+    def listenUDP(self, *_: Any, **__: Any) -> None:
+        """Nothing listens."""
+
+
+class Silent:
+    """A log, and a transport, that keep nothing."""
+
+    def bind(self, **_: Any) -> "Silent":
+        """The same."""
+        return self
+
+    def info(self, *_: Any, **__: Any) -> None:
+        """Nothing is logged, and nothing sent."""
+
+    warning = write = info
+
+
+class Heard:
+    """One front's host that knows the others, and hears pings of theirs at a steady rate."""
+
+    def __init__(self, seed: int):
+        """The host has had a calm start."""
+        names = [f"front-{i}" for i in range(FRONTS)]
+        self.peers = names[1:]
+        peers = "".join(
+            f'peers {{ name: "{n}" address: "127.0.0.1:{9_001 + i}" }} ' for i, n in enumerate(self.peers)
+        )
+        text = f'fleet {{ fleet: "scale" name: "{names[0]}" listen: "127.0.0.1:9000" {peers} }}'
+        self.clock, self.turns = Reactor(), 0
+        self.fleet = Fleet(
+            self.clock,
+            read_settings(text).fleet,
+            seed,
+            lambda: False,
+            now_ms=lambda: self.clock.seconds() * 1_000 + 1,
+            unix_ms=lambda: INCARNATION / 2,
+            log=Silent(),
+        )
+        self.fleet.open()
+        self.fleet.post.transport = Silent()
+        self.fleet.begin()
+        for name in self.peers:
+            self.hear(name, pb.Message(gossip=pb.Gossip()))
+        for _ in range(round(WARM_MS / STEP_MS)):
+            self.clock.advance(STEP_MS / 1_000)
+        self.tick, self.fleet.watch.tick = self.fleet.watch.tick, self.turn
+
+    def turn(self, now_ms: float) -> None:
+        """The watch's own tick, counted."""
+        self.turns += 1
+        self.tick(now_ms)
+
+    def hear(self, name: str, message: pb.Message) -> None:
+        """One message of another front."""
+        self.fleet.heard(MEMBERS, (name, INCARNATION), message)
+
+
+def measure(sizes: Sequence[int], seed: int, progress: Progress) -> list[Sample]:
+    """`sizes`: messages heard a second."""
+    samples = []
+    for done, size in enumerate(sizes):
+        heard = Heard(seed)
+        before = heard.fleet.post.counters["datagrams sent"]
+        for number in range(round(size * MEASURED_S)):
+            ping = pb.Ping(no=number + 1, name=heard.fleet.settings.name)
+            heard.hear(heard.peers[number % len(heard.peers)], pb.Message(ping=ping))
+            heard.clock.advance(1 / size)
+        sent = heard.fleet.post.counters["datagrams sent"] - before
+        samples += [
+            Sample(size, "starved.turns", "1/s", (heard.turns / MEASURED_S,)),
+            Sample(size, "starved.sent", "1/s", (sent / MEASURED_S,)),
+        ]
+        progress((done + 1) / len(sizes))
+    return samples
--- /dev/null
+++ b/lichenquay/lab/scale/proposer.py
@@ -0,0 +1,101 @@
+"""Runs the client of a scale run: a thread of the run's own process, on one UDP socket."""
+
+import random
+import socket
+import threading
+
+from google.protobuf.message import DecodeError
+
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.fleet.envelope import DISTRIBUTION, MOST, Dropped, Envelope
+from lichenquay.fleet.hosting import boot_ms
+from lichenquay.lab.scale.client import Client, Proposal
+from lichenquay.lab.scale.world_spec import CLIENT, FLEET, OPEN_LAYERS, WorldSpec
+
+STEP_S = 0.01  # Between two looks at what is due.
+INCARNATION = 1
+
+
+class Proposer:
+    """`make_entries` as in Client. Every method may be called from any thread."""
+
+    def __init__(self, spec: WorldSpec, make_entries):
+        """Opens the socket; `start` begins the thread."""
+        self.spec = spec
+        rng = random.Random(f"{spec.shape.seed}/proposer")
+        self.client = Client(spec.shape.publisher_names(), rng, make_entries)
+        self.envelope = Envelope(FLEET, 0, CLIENT, (), OPEN_LAYERS)
+        self.lock = threading.Lock()
+        self.ending = threading.Event()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("127.0.0.1", 0))
+        self.socket.settimeout(STEP_S)
+        self.thread = threading.Thread(target=self._run, name="proposer", daemon=True)
+
+    def start(self):
+        """Begins to send and hear."""
+        self.thread.start()
+
+    def close(self):
+        """Ends the thread and the socket."""
+        self.ending.set()
+        if self.thread.is_alive():
+            self.thread.join(2.0)
+        self.socket.close()
+
+    def propose(self, entries) -> Proposal:
+        """As Client's."""
+        with self.lock:
+            return self.client.propose(entries)
+
+    def set_rate(self, per_s: float):
+        """As Client's, from now on."""
+        with self.lock:
+            self.client.set_rate(boot_ms(), per_s)
+
+    def is_idle(self) -> bool:
+        """As Client's."""
+        with self.lock:
+            return self.client.is_idle
+
+    def newest(self) -> int:
+        """As Client's."""
+        with self.lock:
+            return self.client.newest()
+
+    @property
+    def leader(self) -> str:
+        """The publisher that is asked now."""
+        return self.client.leader
+
+    @property
+    def proposals(self) -> list[Proposal]:
+        """All of them; to be read once no more are made."""
+        return self.client.proposals
+
+    def _run(self):
+        while not self.ending.is_set():
+            with self.lock:
+                if self.client.due_ms <= boot_ms():
+                    self.client.tick(boot_ms())
+                sent, self.client.outbox = self.client.outbox, []
+            for name, message in sent:
+                self._send(name, message)
+            self._hear()
+
+    def _send(self, name, message):
+        datagram = self.envelope.seal(INCARNATION, name, DISTRIBUTION, message.SerializeToString())
+        try:
+            self.socket.sendto(datagram, self.spec.addresses[name])
+        except OSError:  # As good as lost.
+            return
+
+    def _hear(self):
+        try:
+            datagram, _ = self.socket.recvfrom(MOST + 1)
+            name, incarnation, _, body = self.envelope.open(datagram)
+            message = pb.Message.FromString(body)
+        except (OSError, Dropped, DecodeError):  # Nothing came, or nothing that makes sense.
+            return
+        with self.lock:
+            self.client.heard(boot_ms(), (name, incarnation), message)
--- /dev/null
+++ b/lichenquay/lab/scale/record.py
@@ -0,0 +1,72 @@
+"""What hollow fronts keep of the versions in force at them: compact, bounded, written as one NumPy file a
+process.
+"""
+
+import json
+from array import array
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+import numpy as np
+
+MOST_STEPS = 20_000  # Of one life: a front that steps more often keeps the first ones, and says so.
+NEVER = float("inf")
+
+
+@dataclass
+class Life:
+    """One front from its start to its end: when which version came in force. Times: milliseconds of
+    CLOCK_BOOTTIME.
+    """
+
+    name: str
+    started_ms: float
+    ended_ms: float = NEVER
+    versions: array = field(default_factory=lambda: array("q"))
+    at_ms: array = field(default_factory=lambda: array("d"))
+    values_digest: str = ""  # Of all keys and values held at the end, by the lab's own hash.
+    prefixes_wrong: int = 0  # Keys held at the end that it did not subscribe to.
+    counts: dict = field(default_factory=dict)
+    truncated: bool = False
+
+    def step(self, version: int, now_ms: float) -> None:
+        """Another version is in force."""
+        if self.versions and self.versions[-1] == version:
+            return
+        if len(self.versions) >= MOST_STEPS:
+            self.truncated = True
+            return
+        self.versions.append(version)
+        self.at_ms.append(now_ms)
+
+    @property
+    def last(self) -> int:
+        """The version in force last."""
+        return self.versions[-1] if self.versions else 0
+
+
+def write(path: Path, lives: list[Life]) -> None:
+    """Writes all lives of a process."""
+    heads = []
+    for life in lives:
+        head = asdict(life)
+        del head["versions"], head["at_ms"]
+        heads.append({**head, "steps": len(life.versions)})
+    versions = np.concatenate([np.array(life.versions, dtype=np.int64) for life in lives] or [np.empty(0)])
+    at_ms = np.concatenate([np.array(life.at_ms, dtype=float) for life in lives] or [np.empty(0)])
+    np.savez(path, heads=json.dumps(heads), versions=versions, at_ms=at_ms)
+
+
+def read(path: Path) -> list[Life]:
+    """The lives that `write` wrote."""
+    lives, begin = [], 0
+    with np.load(path, allow_pickle=False) as kept:
+        versions, at_ms = kept["versions"], kept["at_ms"]
+        for head in json.loads(str(kept["heads"])):
+            end = begin + head.pop("steps")
+            life = Life(**head)
+            life.versions = array("q", versions[begin:end].astype(np.int64).tolist())
+            life.at_ms = array("d", at_ms[begin:end].tolist())
+            lives.append(life)
+            begin = end
+    return lives
--- /dev/null
+++ b/lichenquay/lab/scale/roles.py
@@ -0,0 +1,96 @@
+"""What each role costs: processor time, memory, bytes and messages, between two readings of the counters."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from lichenquay.lab.scale.scenario import Shape
+from lichenquay.lab.scale.world import RoleUsage
+
+COST_DIGITS = {"cpu_share": 6, "kb": 1, "bytes_per_s": 1, "messages_per_s": 3}  # Each cost, and digits kept.
+
+
+class Role(StrEnum):
+    """The kinds of process. A publisher leads; a voter is a publisher that does not."""
+
+    FRONT = "front"
+    RELAY = "relay"
+    PUBLISHER = "publisher"
+    VOTER = "voter"
+
+
+@dataclass(frozen=True)
+class RoleCost:
+    """Of all members of a role together. `cpu_share`: of one core; bytes and messages: sent and received, a
+    second.
+    """
+
+    members: int
+    cpu_share: float
+    kb: float
+    bytes_per_s: float
+    messages_per_s: float
+
+    def of_one(self) -> "RoleCost":
+        """The mean of one member."""
+        members = max(1, self.members)
+        each = {name: round(getattr(self, name) / members, digits) for name, digits in COST_DIGITS.items()}
+        return RoleCost(members=self.members, **each)
+
+
+@dataclass(frozen=True)
+class Reading:
+    """The counters of every process at one time, in seconds of a monotonic clock."""
+
+    at_s: float
+    usage: list[RoleUsage]
+
+    def by_name(self) -> dict[str, RoleUsage]:
+        """Readings by the process's name."""
+        return {one.name: one for one in self.usage}
+
+
+def role_of(one: RoleUsage, shape: Shape) -> Role:
+    """The role that a process plays now."""
+    if one.name.startswith("hollow"):
+        return Role.FRONT
+    if one.name in shape.publisher_names():
+        return Role.PUBLISHER if one.counts.leads else Role.VOTER
+    return Role.RELAY
+
+
+def costs_between(before: Reading, after: Reading, base: Reading, shape: Shape) -> dict[Role, RoleCost]:
+    """The cost of each role between two readings. `base`: before any front ran; what a host took then is the
+    interpreter's own memory, and is not counted to its fronts."""
+    earlier, at_base = before.by_name(), base.by_name()
+    seconds = after.at_s - before.at_s
+    costs = {}
+    for role in Role:
+        pairs = [
+            (earlier[one.name], one)
+            for one in after.usage
+            if one.name in earlier and role_of(one, shape) is role
+        ]
+        if not pairs:
+            continue
+        members = sum(late.counts.fronts for _, late in pairs) if role is Role.FRONT else len(pairs)
+        kb = sum(late.usage.kb for _, late in pairs)
+        if role is Role.FRONT:
+            kb -= sum(at_base[late.name].usage.kb for _, late in pairs if late.name in at_base)
+        costs[role] = RoleCost(
+            members=members,
+            cpu_share=sum(late.usage.cpu_s - early.usage.cpu_s for early, late in pairs) / seconds,
+            kb=kb,
+            bytes_per_s=sum(bytes_of(late) - bytes_of(early) for early, late in pairs) / seconds,
+            messages_per_s=sum(messages_of(late) - messages_of(early) for early, late in pairs) / seconds,
+        )
+    return costs
+
+
+def bytes_of(one: RoleUsage) -> int:
+    """Bytes of datagrams, both ways."""
+    return one.counts.sent_bytes + one.counts.heard_bytes
+
+
+def messages_of(one: RoleUsage) -> int:
+    """Datagrams, both ways."""
+    return one.counts.sent + one.counts.heard
--- /dev/null
+++ b/lichenquay/lab/scale/settings_files.py
@@ -0,0 +1,65 @@
+"""Production's settings of the control processes and fronts of a scale run."""
+
+from lichenquay.conf import lichenquay_pb2 as pb
+from lichenquay.lab.scale.scenario import CONTROL_ZONE, Shape, zone_of_name
+from lichenquay.lab.scale.world_spec import FLEET, PREFIXES, WorldSpec
+
+LOOPBACK_PORT = 10_000  # The first of a host's fronts; under the range from which ports are given by chance.
+
+
+def address_text(address) -> str:
+    """As settings say it."""
+    host, port = address
+    return f"{host}:{port}"
+
+
+def voters_of(spec: WorldSpec) -> list[pb.Voter]:
+    """All voters, in a region of their own."""
+    return [
+        pb.Voter(name=name, address=address_text(spec.addresses[name]), region=CONTROL_ZONE)
+        for name in spec.shape.publisher_names()
+    ]
+
+
+def relays_of(spec: WorldSpec) -> list[pb.ZoneRelay]:
+    """All relays."""
+    shape = spec.shape
+    return [
+        pb.ZoneRelay(
+            name=name,
+            address=address_text(spec.addresses[name]),
+            region=shape.region_of(zone),
+            zone=zone,
+        )
+        for zone in shape.zones
+        for name in shape.relay_names(zone)
+    ]
+
+
+def control_settings(spec: WorldSpec, name: str) -> pb.Settings:
+    """Of one control process."""
+    is_voter = name in spec.shape.publisher_names()
+    control = pb.Control(
+        fleet=FLEET,
+        name=name,
+        listen=address_text(spec.addresses[name]),
+        role=pb.Control.VOTER if is_voter else pb.Control.RELAY,
+        voters=voters_of(spec),
+        relays=relays_of(spec),
+    )
+    if is_voter:
+        control.folder = f"{spec.folder}/{name}"
+    else:
+        control.zone = zone_of_name(name)
+    return pb.Settings(control=control)
+
+
+def front_settings(spec: WorldSpec) -> pb.Distribution:
+    """What all fronts of one host share: all but name, zone and listen."""
+    return pb.Distribution(fleet=FLEET, relays=relays_of(spec), prefixes=PREFIXES, engines=True)
+
+
+def front_listen(shape: Shape, loopback: str, name: str) -> str:
+    """Where a front listens: on its host's own loopback address, the port by its number."""
+    number = int(name.rpartition("f")[2])
+    return f"{loopback}:{LOOPBACK_PORT + number // shape.hosts}"
--- /dev/null
+++ b/lichenquay/lab/scale/slopes.py
@@ -0,0 +1,79 @@
+"""Fits of each role's cost over the number of fronts, and the prediction for the size that was held out."""
+
+from dataclasses import dataclass
+
+from lichenquay.lab.scale.fit import Fit, FitError, Model, fit
+from lichenquay.lab.scale.roles import COST_DIGITS, Role, RoleCost
+
+FITTED_ROLES = (Role.FRONT, Role.RELAY, Role.PUBLISHER)
+
+
+@dataclass(frozen=True)
+class SizeSample:
+    """One window of measurement at one number of fronts."""
+
+    fronts: int
+    costs: dict[Role, RoleCost]
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """A prediction beside what was measured then, of one metric at the held-out size."""
+
+    value: float
+    low: float
+    high: float
+    measured: float | None = None
+
+    @property
+    def holds(self) -> bool | None:
+        """Whether the measurement lies within the interval."""
+        return None if self.measured is None else self.low <= self.measured <= self.high
+
+
+def metric_of(role: Role, cost: str) -> str:
+    """The name of a metric: all members of the role together."""
+    return f"{role.value}_{cost}_total"
+
+
+def values_of(sample: SizeSample) -> dict[str, float]:
+    """Every metric of a sample."""
+    values = {}
+    for role in FITTED_ROLES:
+        if role in sample.costs:
+            for cost in COST_DIGITS:
+                values[metric_of(role, cost)] = getattr(sample.costs[role], cost)
+    return values
+
+
+def fits_of(samples: list[SizeSample]) -> dict[str, Fit]:
+    """A line over the sizes for each metric that every sample has."""
+    measured = [values_of(sample) for sample in samples]
+    shared = [name for name in measured[0] if all(name in values for values in measured)] if measured else []
+    fits = {}
+    for name in shared:
+        try:
+            fits[name] = fit([s.fronts for s in samples], [values[name] for values in measured], Model.LINEAR)
+        except FitError:  # Too few sizes: nothing is said of this metric.
+            continue
+    return fits
+
+
+def predictions_of(fits: dict[str, Fit], fronts: int) -> dict[str, Outcome]:
+    """What each metric will be at a size."""
+    found = {}
+    for name, one in fits.items():
+        prediction = one.predict(fronts)
+        found[name] = Outcome(prediction.value, prediction.low, prediction.high)
+    return found
+
+
+def outcomes_of(predictions: dict[str, Outcome], samples: list[SizeSample]) -> dict[str, Outcome]:
+    """Predictions with the mean of what was measured."""
+    measured = [values_of(sample) for sample in samples]
+    found = {}
+    for name, one in predictions.items():
+        values = [each[name] for each in measured if name in each]
+        mean = sum(values) / len(values) if values else None
+        found[name] = Outcome(one.value, one.low, one.high, mean)
+    return found
--- /dev/null
+++ b/lichenquay/lab/scale/world_spec.py
@@ -0,0 +1,45 @@
+"""What each process of a scale run is told at its start: a JSON file that all of them share."""
+
+import json
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from lichenquay.conf.control import distribution_fingerprint
+from lichenquay.conf.engine_list import ENGINE_PREFIX
+from lichenquay.fleet.envelope import DISTRIBUTION
+from lichenquay.lab.scale.scenario import CONTROL_ZONE, Shape
+
+FLEET = "scale"
+CLIENT = f"{CONTROL_ZONE}-client"  # Who proposes changes.
+CONFIG_PREFIX = "config/"
+PREFIXES = (CONFIG_PREFIX, ENGINE_PREFIX)  # What a front subscribes to.
+OPEN_LAYERS = {DISTRIBUTION: distribution_fingerprint(FLEET)}
+
+
+@dataclass(frozen=True)
+class WorldSpec:
+    """The world's shape, where its processes listen, and where reports go.
+
+    `addresses`: of control processes. `loopbacks`: the address of each host's fronts.
+    """
+
+    shape: Shape
+    addresses: dict[str, tuple[str, int]]
+    loopbacks: list[str]
+    folder: str
+
+    @property
+    def path(self) -> Path:
+        """Where the processes read it."""
+        return Path(self.folder) / "world.json"
+
+    def write(self) -> None:
+        """Writes the file that `read` takes."""
+        self.path.write_text(json.dumps(asdict(self)))
+
+
+def read(path: str) -> WorldSpec:
+    """The spec that `write` wrote."""
+    said = json.loads(Path(path).read_text())
+    addresses = {name: (host, port) for name, (host, port) in said["addresses"].items()}
+    return WorldSpec(Shape(**said["shape"]), addresses, said["loopbacks"], said["folder"])
--- a/lichenquay/lab/world.py
+++ b/lichenquay/lab/world.py
@@ -140,9 +140,10 @@
         path = self.out / f"front-{i}.json"
         path.write_text(json.dumps(config))
         more = {"BALANCER_CONFIG": str(path)}
-        if self.lab.front.HasField("gate"):
-            settings = self.out / "settings.textproto"
-            settings.write_text(text_format.MessageToString(pb.Settings(gate=self.lab.front.gate)))
+        own = self.settings_of_front(i)
+        if own is not None:
+            settings = self.out / f"settings-{i}.textproto"
+            settings.write_text(text_format.MessageToString(own))
             more["LICHENQUAY_SETTINGS"] = str(settings)
         with open(self.out / f"front-{i}.log", "w", encoding="utf-8") as out:
             front = subprocess.Popen(
@@ -167,6 +168,10 @@
         text = (self.out / f"front-{i}.log").read_text().strip().splitlines()
         raise CannotStart(f"front {i} did not start: {text[-1] if text else 'no word of it'}")
 
+    def settings_of_front(self, i):
+        """A front's settings of our own features, or None."""
+        return pb.Settings(gate=self.lab.front.gate) if self.lab.front.HasField("gate") else None
+
     def start_script(self):
         """The faults' times count from here."""
         self.emulator.stdin.write("START\n")
--- a/lichenquay/load/worker.py
+++ b/lichenquay/load/worker.py
@@ -21,119 +21,17 @@
 from hdrh.histogram import HdrHistogram
 from pyarrow import parquet
 from twisted.internet import reactor, stdio
-from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.protocols.basic import LineReceiver
 
 from lichenquay.front import frames
-from lichenquay.load.task import Task, statement_of
+from lichenquay.load.client_connection import RECORDED, STREAMS, Ask, LineFactory
+from lichenquay.load.task import Task
 
-STREAMS = 32  # PROTOCOL: open queries on a connection
 GRACE_MS = 400.0  # after its allowance a query without an answer counts as silent
 TICK_S = 0.001
-AGAIN_S = 0.05  # before a lost connection is tried again
 MOST_US = 120_000_000  # of the histograms
 
 
-class Ask:
-    """A query as its client keeps it."""
-
-    __slots__ = (
-        "ref",
-        "group",
-        "tenant",
-        "address",
-        "at_ms",
-        "reached_ms",
-        "sent_ms",
-        "answered_ms",
-        "code",
-        "answers",
-        "odd",
-        "left",
-        "cut",
-        "waited",
-        "tries",
-        "task",
-        "effort",
-        "claim",
-        "allowed",
-        "leave_ms",
-        "line",
-        "stream",
-    )
-
-    def __init__(self, **facts):
-        self.reached_ms = self.sent_ms = self.answered_ms = float("nan")
-        self.code, self.answers, self.tries, self.line, self.stream = -1, 0, 0, None, 0
-        self.odd = self.left = self.cut = self.waited = False
-        for name, value in facts.items():
-            setattr(self, name, value)
-
-
-class Line(Protocol):
-    """A client's connection."""
-
-    def __init__(self, worker, address):
-        self.worker, self.address, self.reader = worker, address, frames.FrameReader()
-        self.open, self.streams, self.old, self.told = {}, 0, {}, False
-
-    def connectionMade(self):
-        self.transport.setTcpNoDelay(True)
-        self.worker.connected(self)
-
-    def dataReceived(self, data):
-        now = self.worker.now_ms()
-        for kind, stream, payload in self.reader.feed(data):
-            if kind == frames.ANSWER:
-                ask = self.open.pop(stream, None)
-                if ask is not None:
-                    self.old[stream] = ask
-                    self.worker.answered(ask, payload, now)
-                elif stream in self.old:
-                    self.old[stream].answers += 1
-                elif stream:
-                    self.worker.strange += 1
-                else:
-                    self.worker.told += 1
-            elif kind == frames.NO_MORE:
-                self.told = True
-                self.worker.replace(self)
-        self.worker.more(self)
-
-    def connectionLost(self, reason):
-        self.worker.lost(self)
-
-    def ask(self, ask):
-        self.streams += 1
-        ask.line, ask.stream = self, self.streams
-        self.open[self.streams] = ask
-        fields = frames.write_fields(
-            [
-                ("service", ask.group),
-                ("ref", ask.ref),
-                ("allow", str(ask.allowed)),
-                ("project", ask.tenant),
-                ("effort", f"{ask.effort:.1f}"),
-                ("memory", f"{ask.claim:.0f}"),
-            ]
-        )
-        self.transport.write(frames.frame(frames.QUERY, self.streams, fields, statement_of(ask.task)))
-
-
-class LineFactory(ClientFactory):
-    noisy = False
-
-    def __init__(self, worker, address):
-        self.worker, self.address = worker, address
-
-    def buildProtocol(self, peer):
-        return Line(self.worker, self.address)
-
-    def clientConnectionFailed(self, connector, reason):
-        self.worker.refused += 1
-        reactor.callLater(AGAIN_S, self.worker.connect, self.address)
-
-
 class Worker:
     def __init__(self, job):
         self.job, self.lines, self.next = job, {}, 0
@@ -348,25 +246,7 @@
     def end(self):
         self.stopped = True
         cpu = time.process_time() - self.cpu
-        names = (
-            "ref",
-            "group",
-            "tenant",
-            "address",
-            "at_ms",
-            "reached_ms",
-            "sent_ms",
-            "answered_ms",
-            "code",
-            "answers",
-            "odd",
-            "left",
-            "cut",
-            "waited",
-            "tries",
-            "allowed",
-        )
-        table = pa.table({n: pa.array([getattr(a, n) for a in self.asks], self.kind(n)) for n in names})
+        table = pa.table({n: pa.array([getattr(a, n) for a in self.asks], self.kind(n)) for n in RECORDED})
         out = self.job["out"]
         parquet.write_table(table, out + ".parquet.part")
         os.replace(out + ".parquet.part", out + ".parquet")
--- a/lichenquay/members/spread.py
+++ b/lichenquay/members/spread.py
@@ -11,7 +11,7 @@
 
 from lichenquay.members import members_pb2 as pb
 from lichenquay.members.table import rank
-from lichenquay.members.wire import MAX_BODY, PARTS, checked, fill, row_of
+from lichenquay.members.wire import MAX_BODY, PARTS, checked, fill
 
 FANOUT = 3
 MAX_PIECES = 16
--- a/lichenquay/members/table.py
+++ b/lichenquay/members/table.py
@@ -7,7 +7,7 @@
 """
 
 from hashlib import blake2b
-from typing import NamedTuple, Optional
+from typing import NamedTuple
 
 from lichenquay.members.wire import PARTS
 
@@ -22,7 +22,7 @@
 
     name: str
     incarnation: int
-    old: Optional[str]
+    old: str | None
     new: str
     view: int
 
--- a/lichenquay/members/wire.py
+++ b/lichenquay/members/wire.py
@@ -19,7 +19,7 @@
 
 
 def good_name(name):
-    return isinstance(name, str) and 0 < len(name) and len(name.encode("utf-8", "replace")) <= MAX_NAME
+    return isinstance(name, str) and len(name) > 0 and len(name.encode("utf-8", "replace")) <= MAX_NAME
 
 
 def good_row(row, known=0):
--- a/lichenquay/owner/holder.py
+++ b/lichenquay/owner/holder.py
@@ -9,38 +9,18 @@
 folders counts on both).
 """
 
-from collections import OrderedDict
-
 from lichenquay.owner.kept import Frozen, Position, Pull
+from lichenquay.owner.peer import INF, Peer
 from lichenquay.owner.settings import MOST_JUMP
 
 IDLE, CLAIMING, TAKING, SPREADING, HOLDING = "idle", "claiming", "taking", "spreading", "holding"
 MOST_SENT = 64  # rounds to one voter whose answers are told apart
-INF = float("inf")
 
 
 def _nobody(now_ms, ok):
     pass
 
 
-class Peer:
-    """A voter as the holder knows it."""
-
-    def __init__(self):
-        self.position = None  # on its disk, by its last word; None: it granted nothing
-        self.whole = None  # its state, where it granted
-        self.number = 0  # of the last round that it answered
-        self.kept = -1  # its last record under this generation
-        self.waits_ms = (
-            -INF
-        )  # sending of the latest round that it answered: it waits for a lease from there on
-        self.sent = OrderedDict()  # number -> (sent, token)
-        self.pending_ms = None  # sending of records or an offer that it has not answered
-        self.asked_ms = -INF  # sending of the last claim
-        self.birth = 0  # of a blank one
-        self.refused = None  # how long it said to wait
-
-
 class Holder:
     """`send(name, kind, **fields)`, `own_log()` and `told(now_ms, what)` are its group's."""
 
--- a/lichenquay/owner/kept.py
+++ b/lichenquay/owner/kept.py
@@ -7,7 +7,8 @@
 
 from google.protobuf.message import DecodeError
 
-from lichenquay.owner.owner_pb2 import Position as Wire, Promise, State, Whole
+from lichenquay.owner.owner_pb2 import Position as Wire
+from lichenquay.owner.owner_pb2 import Promise, State, Whole
 
 
 def digest(*parts):
--- a/lichenquay/owner/voter.py
+++ b/lichenquay/owner/voter.py
@@ -199,9 +199,11 @@
             promise = Promise(
                 generation=pull.generation, name=self.pull_from[0], incarnation=self.pull_from[1]
             )
-        elif (pull.generation, self.pull_from) != (promise.generation, self._promised_to):
-            return
-        elif log.label != pull.generation or not self._newer(log.position):
+        elif (
+            (pull.generation, self.pull_from) != (promise.generation, self._promised_to)
+            or log.label != pull.generation
+            or not self._newer(log.position)
+        ):
             return
         self._write(promise, log)
 
--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -5,7 +5,8 @@
 `made` what the group has made; they differ while a write is out. Where the end of a write is in doubt, the keeper is
 none until the group's next generation."""
 
-from typing import Callable, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
 from google.protobuf.message import DecodeError
 
--- a/lichenquay/quota/ledger.py
+++ b/lichenquay/quota/ledger.py
@@ -11,11 +11,11 @@
 spilled: came back from such a book when the bucket was full again. Docs: docs/design/quota.md."""
 
 from lichenquay.quota import quota_pb2 as pb
+from lichenquay.quota.account import TOTALS, Account, Row
 
 VERSION = 1
 MOST_LAPSED = 64  # books of one front that are written off and remembered
 MOST_LOANS = 64  # of one tenant at a time, about
-TOTALS = ("issued", "spilled", "spent", "lent", "given_back", "borrowed", "repaid", "lost")
 
 
 class LedgerError(Exception):
@@ -26,50 +26,6 @@
     """Totals that no front can have: told of more than was granted."""
 
 
-class Account:
-    """One tenant's. Running sums (`held`, `written`) are checked against the rows."""
-
-    __slots__ = ("figures", "allowed", "brim", "pool", "part", "part_repay", "held", "written", *TOTALS)
-
-    def __init__(self, figures):
-        self.figures, self.allowed, self.brim = figures, figures.limit_us, figures.bucket_us
-        self.pool = self.part = self.part_repay = self.held = self.written = 0
-        for name in TOTALS:
-            setattr(self, name, 0)
-
-    @property
-    def owes(self):
-        return self.borrowed - self.repaid
-
-    @property
-    def claims(self):
-        return self.lent - self.given_back
-
-    @property
-    def room(self):
-        """Up to its bucket; under 0 while it has borrowed over that. What it lent still counts, so that a lender
-        accrues as if it had not lent."""
-        return self.figures.bucket_us - self.pool - self.held - self.claims
-
-    @property
-    def spare(self):
-        """What it may lend: unused, over the part of its bucket that it keeps."""
-        return max(0, self.pool - self.figures.bucket_us * self.figures.lend_permille // 1000)
-
-
-class Row:
-    """One tenant's in one book of a front."""
-
-    __slots__ = ("granted", "spent", "returned", "sealed")
-
-    def __init__(self, granted=0, spent=0, returned=0, sealed=False):
-        self.granted, self.spent, self.returned, self.sealed = granted, spent, returned, sealed
-
-    @property
-    def left(self):
-        return self.granted - self.spent - self.returned
-
-
 class Ledger:
     def __init__(self):
         self.no = self.loans_made = 0
--- /dev/null
+++ b/tests/distribution/changes.py
@@ -0,0 +1,187 @@
+"""Clients that propose changes all the time, and the audit of what became of each."""
+
+import threading
+import time
+from dataclasses import dataclass
+
+from installation import FLEET
+from running import until
+
+from lichenquay.control.client import Client, NoAnswerError
+from lichenquay.distribution import distribution_pb2 as pb
+
+HOT_KEY = "config/hot"  # all clients change it
+ASK_S = 2.0  # of one call; an answer in doubt is asked for again with the same request
+PAUSE_S = 0.02
+
+
+@dataclass
+class Change:
+    """One proposal: entries {key: value or None}. `begun_ms`, `known_ms`: asked first, outcome known."""
+
+    request: int
+    entries: dict
+    begun_ms: float
+    known_ms: float = float("inf")
+    outcome: int = pb.Proposed.UNKNOWN
+    version: int = 0
+    reason: str = ""
+
+
+def entries_of(values):
+    """As a proposal has them."""
+    return [
+        pb.Entry(key=key, deleted=True) if value is None else pb.Entry(key=key, value=value)
+        for key, value in values.items()
+    ]
+
+
+class Proposer(threading.Thread):
+    """Proposes one change after the other until it is told to stop; what is in doubt is asked again."""
+
+    def __init__(self, installation, name, voters, count=None, number_from=0):
+        """count: changes at most."""
+        super().__init__(daemon=True, name=name)
+        addresses = [installation.address(name, voter) for voter in voters]
+        self.client = Client(FLEET, addresses, ASK_S)
+        self.client.socket.bind(("127.0.0.1", 0))
+        installation.links.targets[name] = self.client.socket.getsockname()
+        self.count, self.number = count, number_from
+        self.changes, self.stopped, self.fault = [], threading.Event(), None
+
+    def run(self):
+        """Each third change is to a key of its own, the others to the hot one."""
+        try:
+            while not self.stopped.is_set() and (self.count is None or len(self.changes) < self.count):
+                self.number += 1
+                key = f"config/{self.name}-{self.number}" if self.number % 3 == 0 else HOT_KEY
+                self.propose({key: f"{self.name} {self.number}".encode()})
+                self.stopped.wait(PAUSE_S)
+        except Exception as fault:  # told to the test by `rest`
+            self.fault = fault
+
+    def propose(self, values, seconds=30.0):
+        """One change, asked for until its outcome is known or the time is up."""
+        request = self.client.rng.getrandbits(63) + 1
+        change = Change(request, values, time.monotonic() * 1000)
+        self.changes.append(change)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            try:
+                said = self.client.propose(entries_of(values), request)
+            except NoAnswerError:
+                if self.stopped.is_set() and seconds <= ASK_S:
+                    break
+                continue
+            change.outcome, change.version, change.reason = said.outcome, said.version, said.reason
+            change.known_ms = time.monotonic() * 1000
+            break
+        return change
+
+    def rest(self, seconds=30.0):
+        """Ends with the change that is under way; its fault, if it had one."""
+        self.stopped.set()
+        if self.is_alive():
+            self.join(seconds)
+            assert not self.is_alive(), "a change is in doubt for too long"
+        self.client.socket.close()
+        if self.fault is not None:
+            raise self.fault
+
+
+def accepted(changes):
+    """In order of version."""
+    return sorted((c for c in changes if c.outcome == pb.Proposed.ACCEPTED), key=lambda c: c.version)
+
+
+def expected(changes):
+    """{key: value} of all accepted changes together."""
+    state = {}
+    for change in accepted(changes):
+        for key, value in change.entries.items():
+            if value is None:
+                state.pop(key, None)
+            else:
+                state[key] = value
+    return state
+
+
+def settled(hollows, changes, seconds=20.0):
+    """Waits until all that was accepted is in force at all of them, and nothing else."""
+    wanted = expected(changes)
+    try:
+        until(lambda: all(h.values() == wanted for h in hollows), seconds)
+    except AssertionError:
+        raise AssertionError(_difference(hollows, wanted)) from None
+
+
+def audit(hollows, changes):
+    """No broken rule in what clients were told and subscribers put in force."""
+    made = accepted(changes)
+    versions = [change.version for change in made]
+    assert len(set(versions)) == len(versions), "two changes with one version"
+    _audit_order(made)
+    for hollow in hollows:
+        _audit_steps(hollow, made)
+    _audit_refused(hollows, [c for c in changes if c.outcome == pb.Proposed.REFUSED])
+    _audit_digests(hollows)
+
+
+def _audit_order(made):
+    """What began after another was known has a higher version."""
+    for change in made:
+        later = [c for c in made if c.begun_ms > change.known_ms and c.version < change.version]
+        assert not later, f"versions against the order of time: {change} and {later[0]}"
+
+
+def _audit_steps(hollow, made):
+    """Versions only rise; each value seen is that of its version, and no other than the accepted ones."""
+    numbers = [step.version for step in hollow.steps]
+    assert numbers == sorted(numbers), f"{hollow.name}: versions in turn"
+    for before, after in zip(hollow.steps, hollow.steps[1:], strict=False):
+        assert after.version > before.version or not after.changed, f"{hollow.name}: one version twice"
+    known = {(key, change.entries[key]): change.version for change in made for key in change.entries}
+    for step in hollow.steps:
+        for key, value in step.changed.items():
+            version = known.get((key, value))
+            assert version is not None, (
+                f"{hollow.name}: {key} is {value!r}, which nobody was told to be accepted"
+            )
+            assert version <= step.version, f"{hollow.name}: {key} is {value!r} before its version"
+    _audit_last(hollow, made)
+
+
+def _audit_last(hollow, made):
+    """At each step the value of a key is the last one up to that version."""
+    for step in hollow.steps:
+        for key, value in step.changed.items():
+            until_then = [c.entries[key] for c in made if key in c.entries and c.version <= step.version]
+            assert until_then and until_then[-1] == value, f"{hollow.name}: {key} at {step.version}"
+
+
+def _audit_refused(hollows, refused):
+    seen = {(k, v) for hollow in hollows for step in hollow.steps for k, v in step.changed.items()}
+    for change in refused:
+        assert not seen & set(change.entries.items()), f"refused, and in force: {change}"
+
+
+def _audit_digests(hollows):
+    digests = {}
+    for hollow in hollows:
+        for step in hollow.steps:
+            digest = digests.setdefault(step.version, step.digest)
+            assert digest == step.digest, f"{hollow.name}: another state at version {step.version}"
+
+
+def _difference(hollows, wanted):
+    for hollow in hollows:
+        values = hollow.values()
+        if values != wanted:
+            missing = sorted(set(wanted.items()) - set(values.items()))[:3]
+            more = sorted(set(values.items()) - set(wanted.items()))[:3]
+            held = hollow.subscriber
+            return (
+                f"{hollow.name} follows {held.source} at version {held.version}, in force {held.in_force}: "
+                f"missing {missing}, more {more}, counts {dict(held.counts)}"
+            )
+    return "they came just now"
--- /dev/null
+++ b/tests/distribution_audit.py
@@ -0,0 +1,146 @@
+"""What must be true of distribution at each step, whatever happens."""
+
+from contextlib import contextmanager
+
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.distribution.log import change_of
+
+DRIFT = 0.06  # Between a process's clock and true time, and a rest.
+
+
+class BrokenError(AssertionError):
+    """An invariant does not hold."""
+
+
+def demand(true, what):
+    """Raises BrokenError."""
+    if not true:
+        raise BrokenError(what)
+
+
+class Audit:
+    """Knows the log of all holders and all answers; compares what is in force with the log up to its version.
+
+    Checked at each message that a subscriber hears:
+
+    - what is in force is exactly the log up to its version, as far as it is subscribed: nothing half, lost
+      or reordered
+    - the version held and the one in force only rise; nothing comes of an older generation than was known
+    - the age is true: no change accepted longer ago than the age is missing
+
+    And of the publisher: the log never changes behind a version that was known of, an accepted change stays
+    at the version that was answered, no request is made twice, no key is deleted that is not there.
+    """
+
+    def __init__(self):
+        """Knows of nothing yet."""
+        self.log, self.states = {}, {0: {}}
+        self.accepted, self.accepted_ms = {}, {}  # version -> request, time of the answer
+        self.requests = {}  # request -> version in the log
+        self.known = {}  # (name, life) -> (version, in force, generation)
+        self.checked = 0
+
+    # The log.
+
+    @property
+    def newest(self):
+        """The newest version known to be in the log."""
+        return max(self.log, default=0)
+
+    def holds(self, group):
+        """A holder begins: with all that was accepted, and what it begins with stays."""
+        base, records = group.state
+        state = pb.State.FromString(base)
+        for version, record in enumerate(records, state.version + 1):
+            change = change_of(record, version)
+            self.made(
+                version, change.request, {e.key: None if e.deleted else e.value for e in change.entries}
+            )
+        last = state.version + len(records)
+        demand(last >= self.newest, f"{group.name} holds with {last} records, {self.newest} were known")
+        held = {e.key: (e.value, e.version) for e in state.entries}
+        known = self.states.get(state.version)
+        demand(known is None or known == held, f"{group.name}: another state at version {state.version}")
+
+    def made(self, version, request, changes):
+        """A record is in the log."""
+        known = self.log.setdefault(version, changes)
+        demand(known == changes, f"version {version} was {known}, is {changes}")
+        demand(
+            self.requests.setdefault(request, version) == version, f"request {request} made twice: {version}"
+        )
+        if version in self.states:
+            return
+        demand(version - 1 in self.states, f"version {version} before {version - 1}")
+        state = dict(self.states[version - 1])
+        for key, value in changes.items():
+            demand(value is not None or key in state, f"version {version} deletes {key}, which is not there")
+            state.pop(key, None)
+            if value is not None:
+                state[key] = value, version
+        self.states[version] = state
+
+    def answered(self, proposed, changes, now_ms):
+        """A client was answered."""
+        if proposed.outcome == pb.Proposed.ACCEPTED:
+            self.made(proposed.version, proposed.request, changes)
+            self.accepted_ms.setdefault(proposed.version, now_ms)
+        elif proposed.outcome == pb.Proposed.REFUSED:
+            demand(proposed.request not in self.requests, f"request {proposed.request} refused, yet made")
+            demand("\n" not in proposed.reason and proposed.reason, "a refusal without one clear line")
+
+    # Subscribers.
+
+    def level(self, subscriber, version):
+        """Whether a subscriber has in force all that concerns it up to a version."""
+        return subscriber.values == self.expected(subscriber, version)
+
+    def expected(self, subscriber, version):
+        """The values of a subscription at a version."""
+        state = self.states.get(version)
+        demand(state is not None, f"{subscriber.name}: version {version} was never made")
+        return {k: v for k, (v, _) in state.items() if k.startswith(subscriber.prefixes)}
+
+    @contextmanager
+    def hearing(self, name, subscriber, message):
+        """Around each message that a subscriber hears."""
+        generation, before = subscriber.generation, (subscriber.version, subscriber.in_force)
+        yield
+        kind = message.WhichOneof("kind")
+        said = getattr(getattr(message, kind), "generation", generation) if kind else generation
+        after = subscriber.version, subscriber.in_force
+        demand(said >= generation or after == before, f"{name} took {kind} of {said}, it knew {generation}")
+        demand(subscriber.generation >= generation, f"{name} goes back to generation {subscriber.generation}")
+        demand(after >= before, f"{name} goes back from {before} to {after}")
+        demand(subscriber.in_force <= subscriber.version, f"{name}: {after}: in force before it is held")
+
+    def front(self, host, subscriber, now_ms):
+        """After each message at a front."""
+        self.checked += 1
+        expected = self.expected(subscriber, subscriber.in_force)
+        demand(
+            subscriber.values == expected,
+            f"{host.name} at {subscriber.in_force}: has {subscriber.values}, not {expected}",
+        )
+        self.age(host, subscriber, now_ms)
+
+    def relay(self, host, relay, now_ms):
+        """After each message at a relay."""
+        self.checked += 1
+        held = relay.source.history.store
+        expected = self.states.get(held.version)
+        demand(held.entries == expected, f"{host.name} at {held.version}: has {held.entries}, not {expected}")
+        self.age(host, relay.subscriber, now_ms)
+
+    def age(self, host, subscriber, now_ms):
+        """No change that was accepted longer ago than the age is missing."""
+        age_ms = subscriber.age_ms(now_ms)
+        if age_ms == float("inf"):
+            return
+        true_ms = host.net.now_ms - age_ms * (1 + DRIFT) - 1
+        for version in range(subscriber.version + 1, self.newest + 1):
+            old_ms = true_ms - self.accepted_ms.get(version, float("inf"))
+            demand(
+                old_ms <= 0,
+                f"{host.name} at {subscriber.version} says {age_ms:.0f} ms, {version} is {old_ms:.0f} older",
+            )
--- /dev/null
+++ b/tests/distribution_world.py
@@ -0,0 +1,327 @@
+"""A publisher's voters, relays of zones and fronts in virtual time (lichenquay/lab/fleetnet.py), all that
+they say audited.
+"""
+
+from dataclasses import replace
+from random import Random
+
+from distribution_audit import Audit, demand
+
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.distribution.publisher import PUBLISHED, group_settings, make
+from lichenquay.distribution.relay import Relay
+from lichenquay.distribution.settings import Settings
+from lichenquay.distribution.subscriber import Subscriber
+from lichenquay.fleet.envelope import DISTRIBUTION, MOST_BODY
+from lichenquay.lab.fleetnet import FleetNet, Weather
+from lichenquay.owner.owner_pb2 import Message as OwnerMessage
+
+LEASE_MS = 1500.0
+VOTERS = ("v1", "v2", "v3")
+FIVE_VOTERS = (*VOTERS, "v4", "v5")
+DISK_MS = (0.5, 4.0)
+DRIFT = 0.02
+SETTINGS = Settings()
+
+
+class VoterPart:
+    """A voter's process: its group, its publisher, its disk."""
+
+    def __init__(self, world, host):
+        """Begins."""
+        self.world, self.host = world, host
+        owner = group_settings(world.settings, world.lease_ms)
+        owner = replace(owner, most_records=world.most_records)
+        disk = world.disks.setdefault(host.name, {})
+        fresh = not disk and host.name not in world.lost
+        self.group, self.publisher = make(
+            host.name,
+            host.incarnation,
+            world.voters,
+            host.rng,
+            owner,
+            world.settings,
+            host.now_ms(),
+            dict(disk),
+            fresh=fresh,
+        )
+        told = self.publisher.told
+        self.group.claimant.told = lambda now_ms, what: self._told(told, now_ms, what)
+        self.group.want(host.now_ms(), True)
+        self.outbox, self.done = [], []
+        self._settle()
+
+    def _told(self, told, now_ms, what):
+        told(now_ms, what)
+        if what == "holds":
+            self.world.audit.holds(self.group)
+
+    @property
+    def due_ms(self):
+        """When `tick` is wanted."""
+        return min(self.group.due_ms, self.publisher.due_ms)
+
+    def tick(self, now_ms):
+        """What is due."""
+        if now_ms >= self.group.due_ms:
+            self.group.tick(now_ms)
+        if now_ms >= self.publisher.due_ms:
+            self.publisher.tick(now_ms)
+        self._settle()
+
+    def heard(self, now_ms, sender, message):
+        """A message."""
+        part = self.group if isinstance(message, OwnerMessage) else self.publisher
+        part.heard(now_ms, sender, message)
+        self._settle()
+
+    def propose(self, now_ms, entries, request, done):
+        """A proposal of a client in this process."""
+        self.publisher.propose(now_ms, entries, request, done)
+        self._settle()
+
+    def stored(self, now_ms, number):
+        """The disk has a record."""
+        self.group.stored(now_ms, number, True)
+        self._settle()
+
+    def _settle(self):
+        for part in (self.group, self.publisher):
+            self.outbox += part.outbox
+            part.outbox.clear()
+        writes, self.group.to_store = list(self.group.to_store), []
+        for number, changes in writes:
+            delay_ms = self.world.net.rng.uniform(*DISK_MS)
+            net = self.world.net
+            net.at(net.now_ms + delay_ms, self._write, self.host.life, number, changes)
+
+    def _write(self, life, number, changes):
+        if self.host.life != life:
+            return
+        disk = self.world.disks[self.host.name]
+        for key, value in changes.items():
+            if value is None:
+                disk.pop(key, None)
+            else:
+                disk[key] = value
+        self._tell(life, number)
+
+    def _tell(self, life, number):
+        net = self.world.net
+        if self.host.life != life:
+            return
+        if self.host.paused:
+            net.at(net.now_ms + 5, self._tell, life, number)
+            return
+        net.call(self.host.name, DISTRIBUTION, "stored", number)
+
+
+class FrontPart:
+    """A front's process: a subscriber whose values the audit compares."""
+
+    def __init__(self, world, host, sources, prefixes):
+        """Begins."""
+        self.world, self.host, self.fault = world, host, None
+        self.lines, self.applied = [], []
+        self.subscriber = Subscriber(
+            host.name,
+            sources,
+            prefixes,
+            host.rng,
+            world.settings,
+            host.now_ms(),
+            self.apply,
+            lambda now_ms, line: self.lines.append(line),
+        )
+        self.outbox = self.subscriber.outbox
+
+    def apply(self, now_ms, changed, whole):
+        """Takes all, or nothing while `fault` is set."""
+        if self.fault is not None:
+            return self.fault
+        self.applied.append((self.subscriber.version, dict(changed), whole))
+        return None
+
+    @property
+    def due_ms(self):
+        """When `tick` is wanted."""
+        return self.subscriber.due_ms
+
+    def tick(self, now_ms):
+        """What is due."""
+        self.subscriber.tick(now_ms)
+
+    def heard(self, now_ms, sender, message):
+        """A message."""
+        with self.world.audit.hearing(self.host.name, self.subscriber, message):
+            self.subscriber.heard(now_ms, sender, message)
+        self.world.audit.front(self.host, self.subscriber, now_ms)
+
+
+class RelayPart:
+    """A relay's process."""
+
+    def __init__(self, world, host):
+        """Begins."""
+        self.world, self.host = world, host
+        self.relay = Relay(host.name, world.voters, host.rng, world.settings, host.now_ms())
+        self.outbox = self.relay.outbox
+
+    @property
+    def due_ms(self):
+        """When `tick` is wanted."""
+        return self.relay.due_ms
+
+    def tick(self, now_ms):
+        """What is due."""
+        self.relay.tick(now_ms)
+
+    def heard(self, now_ms, sender, message):
+        """A message."""
+        with self.world.audit.hearing(self.host.name, self.relay.subscriber, message):
+            self.relay.heard(now_ms, sender, message)
+        self.world.audit.relay(self.host, self.relay, now_ms)
+
+
+class World:
+    """`zones` of two relays each and `fronts` each; one voter for a region, zones spread over the regions."""
+
+    def __init__(
+        self,
+        seed=0,
+        zones=3,
+        fronts=2,
+        weather=None,
+        settings=SETTINGS,
+        most_records=1024,
+        lease_ms=LEASE_MS,
+        voters=VOTERS,
+    ):
+        """Begins."""
+        self.settings, self.most_records, self.disks = settings, most_records, {}
+        self.lease_ms, self.voters = lease_ms, voters
+        self.lost = set()  # Voters whose folder was lost.
+        self.net = FleetNet(seed, weather or Weather())
+        self.rng, self.audit = Random(f"world/{seed}"), Audit()
+        self.net.after = self._after
+        self.requests = self.longest = 0
+        self.relays, self.fronts, self.zones = [], [], zones
+        for name in voters:
+            self._host(name, lambda host: {DISTRIBUTION: VoterPart(self, host)})
+        for zone in range(zones):
+            self._zone(zone, fronts)
+
+    def _host(self, name, parts):
+        rate = self.rng.uniform(1 - DRIFT, 1 + DRIFT)
+        self.net.host(name, parts, rate, self.rng.uniform(0, 1e6))
+
+    def _zone(self, zone, fronts):
+        relays = [f"r{zone}{letter}" for letter in "ab"]
+        for name in relays:
+            self._host(name, lambda host: {DISTRIBUTION: RelayPart(self, host)})
+            self.relays.append(name)
+        for number in range(fronts):
+            order = relays if number % 2 == 0 else relays[::-1]
+            self.front(f"f{zone}-{number}", order, ["config/", f"engine/z{zone}/"])
+
+    def front(self, name, sources, prefixes):
+        """One more front."""
+        self._host(name, lambda host: {DISTRIBUTION: FrontPart(self, host, sources, prefixes)})
+        self.fronts.append(name)
+        return self
+
+    def region(self, number):
+        """All names of a region: its voter, its zones."""
+        zones = [str(z) for z in range(self.zones) if z % len(VOTERS) == number]
+        hosts = [n for n in (*self.relays, *self.fronts) if n[1] in zones]
+        return [VOTERS[number], *hosts]
+
+    def _after(self, host, layer, part):
+        for _, message in part.outbox:
+            if isinstance(message, pb.Message):
+                size = message.ByteSize()
+                self.longest = max(self.longest, size)
+                demand(size <= MOST_BODY, f"{host.name}: a message of {size} bytes: {message}")
+                published = host.name in self.voters and message.WhichOneof("kind") in PUBLISHED
+                holds = not published or part.group.holds(host.now_ms())
+                demand(holds, f"{host.name} publishes without the lease: {message}")
+
+    # What a test does.
+
+    def part(self, name):
+        """The part of a process."""
+        return self.net.hosts[name].parts[DISTRIBUTION]
+
+    def subscriber(self, name):
+        """A front's or a relay's."""
+        part = self.part(name)
+        return part.relay.subscriber if isinstance(part, RelayPart) else part.subscriber
+
+    def now(self, name):
+        """The clock of a process."""
+        return self.net.hosts[name].now_ms()
+
+    def holder(self):
+        """The name of the voter that holds the lease; None: none."""
+        for name in self.voters:
+            host = self.net.hosts[name]
+            if host.up and not host.paused and self.part(name).group.holds(host.now_ms()):
+                return name
+        return None
+
+    def run(self, ms, done=None):
+        """Goes on for some time, or until done()."""
+        return self.net.run(self.net.now_ms + ms, done)
+
+    def settle(self, ms=20_000):
+        """Until a voter holds, and all that run have all that is accepted in force."""
+        assert self.run(ms, self.settled), f"not settled after {ms} ms: {self.behind()}"
+
+    def settled(self):
+        """Whether all that run have in force all that is accepted."""
+        return self.holder() is not None and not self.behind()
+
+    def behind(self):
+        """The fronts whose version in force is not the newest, or not confirmed."""
+        newest = self.audit.newest
+        names = [n for n in self.fronts if self.net.hosts[n].up]
+        return [
+            n
+            for n in names
+            if not self.audit.level(self.subscriber(n), newest) or self.subscriber(n).stale(self.now(n))
+        ]
+
+    def propose(self, changes, request=None, via=None, done=None):
+        """Proposes {key: value or None} at the holder; gives a list that its answers come into."""
+        self.requests += 1
+        answers, request = [], request or self.requests
+        name = via or self.holder()
+
+        def answered(now_ms, proposed):
+            answers.append(proposed)
+            self.audit.answered(proposed, changes, self.net.now_ms)
+            if done is not None:
+                done(proposed)
+
+        if name is not None:
+            entries = [entry_of(key, value) for key, value in changes.items()]
+            self.net.call(name, DISTRIBUTION, "propose", entries, request, answered)
+        return answers
+
+    def accept(self, changes, ms=10_000):
+        """Proposes until it is accepted; gives its version."""
+        until, self.requests = self.net.now_ms + ms, self.requests + 1
+        request = self.requests
+        while self.net.now_ms < until:
+            answers = self.propose(changes, request)
+            self.run(500, lambda answers=answers: bool(answers))
+            if answers and answers[-1].outcome == pb.Proposed.ACCEPTED:
+                return answers[-1].version
+            assert not answers or answers[-1].outcome == pb.Proposed.UNKNOWN, answers[-1].reason
+            self.run(100)
+        raise AssertionError(f"not accepted in {ms} ms")
+
+
+def entry_of(key, value):
+    """A proposal's entry."""
+    return pb.Entry(key=key, value=value or b"", deleted=value is None)
--- a/tests/fleet/broken_rules.py
+++ b/tests/fleet/broken_rules.py
@@ -8,7 +8,7 @@
 from contextlib import ExitStack
 from unittest.mock import patch
 
-from lichenquay.fleet.envelope import Envelope, SUM
+from lichenquay.fleet.envelope import SUM, Envelope
 from lichenquay.members.hear import Hearing
 from lichenquay.members.table import Table, rank
 from lichenquay.owner.holder import Holder
--- a/tests/fleet/fleet_audit.py
+++ b/tests/fleet/fleet_audit.py
@@ -3,9 +3,10 @@
 
 from hashlib import blake2b
 
+from virtual_fleet import ACCOUNTS
+
 from lichenquay.members.table import LEFT
 from lichenquay.quota.ledger import Ledger, LedgerError
-from virtual_fleet import ACCOUNTS
 
 LIMITS = {a[0]: a[3] * 1000 for a in ACCOUNTS}
 FAST = 1.05  # no clock is faster
--- a/tests/fleet/fleet_mutants.py
+++ b/tests/fleet/fleet_mutants.py
@@ -18,7 +18,7 @@
 import fleet_scenario as scenario
 from fleet_audit import Audit
 from fleet_marks import mark
-from fleet_mutations import PAST, dropped, is_field, kind_of, lost, mutations
+from fleet_mutations import PAST, dropped, is_field, kind_of, mutations
 from outside import outside
 from virtual_fleet import World
 
--- a/tests/fleet/terminals.py
+++ b/tests/fleet/terminals.py
@@ -9,9 +9,9 @@
 import time
 from pathlib import Path
 
+from lichenquay.conf.read import read_lab
 from lichenquay.front import frames
 from lichenquay.lab.world import settings_of
-from lichenquay.conf.read import read_lab
 from lichenquay.load.child import environment, hear
 from lichenquay.load.task import Task, statement_of
 
--- a/tests/fleet/test_fleet_cost.py
+++ b/tests/fleet/test_fleet_cost.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 
 import pytest
-
 from cluster import Cluster, until
 from terminals import Engines, Terminal
 from test_fleet_quota import ACCOUNTS, WORLD
--- a/tests/owner_explore.py
+++ b/tests/owner_explore.py
@@ -12,10 +12,11 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
+from owner_audit import QUICK, Broken, demand, fold, position_of, promise_of, split
+
 from lichenquay.owner import owner_pb2
 from lichenquay.owner.group import Group
 from lichenquay.owner.owner_pb2 import Message
-from owner_audit import QUICK, Broken, demand, fold, position_of, promise_of, split
 
 RATES = {"a": 0.95, "b": 1.05, "c": 1.05}
 
--- /dev/null
+++ b/tests/scale_records.py
@@ -0,0 +1,19 @@
+"""Records of a scale run that tests plant."""
+
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.lab.scale.client import Proposal
+from lichenquay.lab.scale.record import Life
+
+
+def change(version, value, proposed_ms):
+    """An accepted change of one key."""
+    entries = [pb.Entry(key="config/a", value=value)]
+    return Proposal(version, entries, proposed_ms, proposed_ms, proposed_ms + 5.0, version)
+
+
+def life(name, steps, values_digest, started_ms=0.0):
+    """A front that had these (version, ms) in force."""
+    one = Life(name, started_ms, values_digest=values_digest)
+    for version, at_ms in steps:
+        one.step(version, at_ms)
+    return one
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,260 @@
+"""Distribution as a whole in virtual time: voters, relays and fronts, audited."""
+
+import os
+from dataclasses import replace
+
+import pytest
+from distribution_world import FIVE_VOTERS, LEASE_MS, SETTINGS, VOTERS, World, entry_of
+
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.fleet.envelope import DISTRIBUTION
+
+pytestmark = pytest.mark.together
+
+
+HOUR_BEAT = 1 if "DISTRIBUTION_HOUR" in os.environ else 10
+
+
+def slower(times):
+    """Settings whose times are longer."""
+    names = ("report_ms", "retry_ms", "silent_ms", "expire_ms", "stale_ms")
+    return replace(SETTINGS, **{name: times * getattr(SETTINGS, name) for name in names})
+
+
+def settled(seed, **more):
+    """A world at rest."""
+    world = World(seed, **more)
+    world.settle()
+    return world
+
+
+def status_of(world):
+    """What the publisher knows."""
+    name = world.holder()
+    return world.part(name).publisher.status(world.now(name))
+
+
+def test_a_change_is_in_force_at_all_fronts_within_a_second_when_calm():
+    """From its proposal on, its record on two disks included."""
+    world = settled(1)
+    begun = world.net.now_ms
+    version = world.accept({"config/limits": b"1", "engine/z1/e7": b"up"})
+    world.run(1000, lambda: not world.behind())
+    assert not world.behind() and world.net.now_ms - begun < 1000
+    held = [world.subscriber(n).in_force for n in world.fronts]
+    assert held == [version] * len(world.fronts)
+
+
+def test_the_publisher_knows_what_is_in_force_everywhere():
+    """By what relays tell upwards."""
+    world = settled(2)
+    version = world.accept({"config/limits": b"1"})
+    world.run(4000)
+    known = status_of(world)
+    assert (known.newest, known.in_force, known.subscribers) == (version, version, len(world.fronts))
+    assert (known.refused, known.stale, known.keys) == (0, 0, 1)
+
+
+def test_another_publisher_goes_on_with_deltas():
+    """Versions go on without a gap, and nobody needs a further snapshot."""
+    world = settled(3)
+    versions = [world.accept({f"config/k{n}": b"1"}) for n in range(5)]
+    world.run(1000)
+    first = world.holder()
+    world.net.kill(first)
+    versions.append(world.accept({"config/k0": b"2"}))
+    world.settle()
+    assert versions == list(range(1, 7)) and world.holder() != first
+    assert not any(world.subscriber(n).counts["snapshots"] for n in world.fronts + world.relays)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_in_force_within_seven_seconds_without_publisher_and_a_relay_of_each_zone(seed):
+    """From the kill of the publisher, one more of five voters and one relay of each zone on.
+
+    Of a change accepted right before, and of one proposed right after.
+    """
+    world = settled(seed, voters=FIVE_VOTERS)
+    version = world.accept({"config/limits": b"%d" % seed})
+    leader = world.holder()
+    other = next(n for n in FIVE_VOTERS if n != leader)
+    for name in (leader, other, *world.relays[seed % 2 :: 2]):
+        world.net.kill(name)
+    begun = world.net.now_ms
+    world.accept({"config/limits": b"next", "config/more": b"1"})
+    world.settle(7000)
+    assert world.net.now_ms - begun < 7000
+    assert all(world.subscriber(n).in_force > version for n in world.fronts)
+
+
+@pytest.mark.parametrize("pause_ms", (1.2 * LEASE_MS, 4 * LEASE_MS))
+def test_a_publisher_paused_past_its_lease_publishes_nothing(pause_ms):
+    """The world demands of each message that its sender holds the lease; here others go on meanwhile."""
+    world = settled(5)
+    first = world.holder()
+    world.net.pause(first, pause_ms)
+    world.run(pause_ms - 5)
+    version = world.accept({"config/limits": b"2"})
+    world.settle()
+    assert status_of(world).newest >= version
+
+
+def test_a_proposal_in_doubt_is_asked_again_and_made_once():
+    """The publisher is cut off with a record under way: UNKNOWN; then the same request gets one version."""
+    world = settled(6)
+    first = world.holder()
+    others = [n for n in world.net.hosts if n != first]
+    world.net.split([first], others)
+    answers = world.propose({"config/limits": b"1"}, request=77, via=first)
+    world.run(3 * LEASE_MS)
+    assert [a.outcome for a in answers] == [pb.Proposed.UNKNOWN]
+    world.net.split([first], others, cut=False)
+    world.settle()
+    again = world.propose({"config/limits": b"1"}, request=77)
+    world.run(1000)
+    twice = world.propose({"config/limits": b"1"}, request=77)
+    world.run(1000)
+    assert again[-1].outcome == twice[-1].outcome == pb.Proposed.ACCEPTED
+    assert again[-1].version == twice[-1].version
+
+
+def test_a_voter_that_is_not_the_leader_names_it():
+    """To clients and to relays."""
+    world = settled(7)
+    leader = world.holder()
+    other = next(n for n in VOTERS if n != leader)
+    part = world.part(other)
+    propose = pb.Propose(request=5, entries=[entry_of("config/a", b"1")])
+    part.publisher.heard(world.now(other), ("client", 1), pb.Message(propose=propose))
+    ((to, message),) = part.publisher.outbox
+    assert (to, message.not_leader.leader, message.not_leader.session) == ("client", leader, 5)
+
+
+def test_a_client_gets_its_answer_by_message():
+    """Accepted with its version, or refused with one clear line."""
+    world = settled(8)
+    leader = world.holder()
+    publisher = world.part(leader).publisher
+    heard = []
+    world.net.host("client", lambda host: {DISTRIBUTION: Client(heard)})
+    for request, key in ((1, "config/a"), (2, "nonsense")):
+        propose = pb.Propose(request=request, entries=[entry_of(key, b"1")])
+        world.audit.requests[request] = 1
+        publisher.heard(world.now(leader), ("client", 1), pb.Message(propose=propose))
+    status = pb.StatusRequest(request=3)
+    publisher.heard(world.now(leader), ("client", 1), pb.Message(status_request=status))
+    world.net.call(leader, DISTRIBUTION, "tick")
+    world.audit.made(1, 1, {"config/a": b"1"})
+    world.run(1000)
+    answers = {m.proposed.request: m.proposed for m in heard if m.HasField("proposed")}
+    assert (answers[1].outcome, answers[1].version) == (pb.Proposed.ACCEPTED, 1)
+    assert answers[2].outcome == pb.Proposed.REFUSED and "unknown kind" in answers[2].reason
+    assert [m.status.request for m in heard if m.HasField("status")] == [3]
+
+
+class Client:
+    """Hears."""
+
+    due_ms = float("inf")
+
+    def __init__(self, heard):
+        """`heard`: a list that messages come into."""
+        self.heard_messages, self.outbox = heard, []
+
+    def heard(self, now_ms, sender, message):
+        """A message."""
+        self.heard_messages.append(message)
+
+
+def test_a_front_that_cannot_apply_keeps_its_last_good_version_and_is_counted():
+    """One line, a count at the publisher, nobody else harmed; and it comes back by itself."""
+    world = settled(9)
+    good = world.accept({"config/limits": b"1"})
+    world.settle()
+    front = world.part("f0-0")
+    front.fault = "limits over what this machine has"
+    bad = world.accept({"config/limits": b"9", "config/more": b"1"})
+    world.run(3000)
+    assert (front.subscriber.in_force, front.subscriber.version) == (good, bad)
+    assert front.subscriber.values == {"config/limits": b"1"} and len(front.lines) == 1
+    assert status_of(world).refused == 1 and status_of(world).in_force == good
+    assert world.behind() == ["f0-0"]
+    front.fault = None
+    world.settle()
+    world.run(3000)
+    assert status_of(world).refused == 0 and status_of(world).in_force == bad
+
+
+def test_a_front_cut_off_knows_that_its_version_is_old_and_serves_on():
+    """By its own clock; and it is counted as stale where it was."""
+    world = settled(10)
+    world.accept({"config/limits": b"1"})
+    world.settle()
+    others = [n for n in world.net.hosts if n != "f1-0"]
+    world.net.split(["f1-0"], others)
+    version = world.accept({"config/limits": b"2"})
+    front = world.subscriber("f1-0")
+    world.run(world.settings.stale_ms)
+    assert front.stale(world.now("f1-0")) and front.values == {"config/limits": b"1"}
+    world.run(world.settings.expire_ms + 3000)
+    assert status_of(world).stale == 1
+    world.net.split(["f1-0"], others, cut=False)
+    world.settle(5000)
+    assert front.in_force == version and not front.counts["snapshots"]
+    # It may have come back to another relay: the former one counts it until then.
+    world.run(world.settings.forget_ms)
+    assert status_of(world).stale == 0
+
+
+def test_a_relay_that_starts_anew_takes_no_front_back():
+    """It tells them to wait until it has caught up; the audit demands that no version falls."""
+    world = settled(11)
+    for number in range(30):
+        world.accept({f"config/k{number % 3}": b"%d" % number})
+    world.settle()
+    for name in world.relays:
+        world.net.kill(name)
+        world.net.start(name)
+    world.accept({"config/k0": b"last"})
+    world.settle(7000)
+    assert not any(world.subscriber(n).counts["snapshots"] for n in world.fronts)
+
+
+def test_a_new_front_holds_only_what_it_subscribed_to():
+    """Another zone's engines are not there, and not sent."""
+    world = settled(12)
+    for number in range(9):
+        world.accept({f"engine/z{number % 3}/e{number}": b"up"})
+    world.front("late", ["r0a", "r0b"], ["engine/z0/", "config/"])
+    world.settle()
+    assert sorted(world.subscriber("late").values) == ["engine/z0/e0", "engine/z0/e3", "engine/z0/e6"]
+
+
+@pytest.mark.parametrize("with_leader", (False, True))
+@pytest.mark.parametrize("minutes, beat", ((60, HOUR_BEAT), (5, 1)))
+def test_an_hour_without_the_other_regions(minutes, beat, with_leader):
+    """The majority goes on; the other side serves on, accepts nothing, and heals by deltas within 5 s.
+
+    A whole hour is tried with all times but the clock's ten times as long, unless DISTRIBUTION_HOUR is set.
+    """
+    world = settled(13, fronts=1, settings=slower(beat), lease_ms=beat * LEASE_MS)
+    world.accept({"config/limits": b"0"})
+    world.settle()
+    leader = VOTERS.index(world.holder())
+    side = world.region(leader if with_leader else (leader + 1) % 3)
+    others = [n for n in world.net.hosts if n not in side]
+    voter, front = side[0], next(n for n in side if n in world.fronts)
+    before = world.subscriber(front).in_force
+    world.net.split(side, others)
+    for minute in range(minutes):
+        world.run(10_000 * beat, lambda: world.holder() in others)
+        world.accept({"config/limits": b"%d" % minute, f"config/k{minute % 7}": b"1"})
+        world.run(60_000 - 100)
+        assert not world.part(voter).group.holds(world.now(voter))
+    assert world.subscriber(front).in_force == before and world.subscriber(front).stale(world.now(front))
+    answers = world.propose({"config/limits": b"x"}, via=voter)
+    assert [a.outcome for a in answers] == [pb.Proposed.UNKNOWN]
+    world.net.split(side, others, cut=False)
+    world.settle(5000 * beat)
+    assert world.subscriber(front).in_force == world.audit.newest
+    assert not any(world.subscriber(n).counts["snapshots"] for n in side[1:])
--- /dev/null
+++ b/tests/test_distribution_state.py
@@ -0,0 +1,259 @@
+"""What distribution keeps: stores, the history and its views, coverage, the log's records, and the check."""
+
+from unittest.mock import patch
+
+import pytest
+from distribution_hands import Hands, entry, said
+from hypothesis import given
+from hypothesis import settings as budget
+from hypothesis import strategies as st
+
+from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.distribution import history as history_module
+from lichenquay.distribution import store as store_module
+from lichenquay.distribution.check import fault_of
+from lichenquay.distribution.coverage import Census, Share
+from lichenquay.distribution.history import History
+from lichenquay.distribution.log import MOST_REQUESTS, Requests, change_of, fold, record_of
+from lichenquay.distribution.messages import digest_of
+from lichenquay.distribution.pacing import Snapshot
+from lichenquay.distribution.settings import Settings
+from lichenquay.distribution.store import Store
+from lichenquay.fleet.envelope import MOST_BODY
+
+pytestmark = pytest.mark.together
+
+KEYS = [f"config/{n}" for n in range(4)] + [f"engine/z{n % 2}/{n}" for n in range(4)]
+CHANGES = st.lists(
+    st.tuples(st.integers(1, 3), st.dictionaries(st.sampled_from(KEYS), st.none() | st.binary(max_size=3))),
+    max_size=40,
+)
+PREFIXES = st.sampled_from([("",), ("config/",), ("engine/z0/",), ("config/", "engine/z1/"), ("config/1",)])
+
+
+def digest_by_hand(store, prefixes):
+    """By a pass over all keys."""
+    held = [(k, *v) for k, v in store.entries.items() if k.startswith(prefixes)]
+    return sum(digest_of(*what) for what in held) % 2**64
+
+
+@budget(max_examples=60, deadline=None)
+@given(CHANGES, PREFIXES, st.integers(2, 12), st.integers(30, 400))
+def test_a_delta_of_any_two_versions_leads_to_the_state_and_digest(changes, prefixes, most, most_bytes):
+    """Whatever was merged on the way to this source, trimmed, or made before its view was."""
+    history = History(Store(), Settings(most_changes=most))
+    states = {0: Store()}
+    early = history.view(prefixes)
+    for skip, change in changes:
+        version = history.store.version + skip
+        history.add(version, [entry(k, v, version) for k, v in change.items()])
+        states[version] = history.store.copy()
+    late = history._make_view(prefixes)
+    newest = history.store.version
+    for view in (early, late):
+        assert view.digest == digest_by_hand(history.store, prefixes)
+        for version, state in states.items():
+            if version < history.floor:
+                assert view.digest_at(version) is None or version >= view.floor
+                continue
+            assert view.digest_at(version) == digest_by_hand(state, prefixes)
+            _walk(view, state, prefixes, newest, most_bytes, history.store)
+
+
+def _walk(view, state, prefixes, newest, most_bytes, last):
+    mine = Store()
+    mine.apply(state.version, [e for e in state.snapshot(prefixes)])
+    for _ in range(100):
+        part = view.delta(mine.version, newest, most_bytes)
+        assert mine.digest_after(part.entries) == part.digest
+        assert part.version > mine.version or part.version == newest
+        mine.apply(part.version, part.entries)
+        if mine.version == newest:
+            break
+    assert mine.entries == {k: v for k, v in last.entries.items() if k.startswith(prefixes)}
+
+
+def test_a_version_inside_a_merged_change_goes_on_too():
+    """Held from another source; only what is newer is sent, and the digest in between is not known."""
+    history = History(Store(), Settings())
+    history.add(1, [entry("config/a", b"1", 1)])
+    history.add(5, [entry("config/a", b"3", 3), entry("config/b", b"5", 5)])
+    view = history.view(("",))
+    assert view.digest_at(3) is None and view.digest_at(1) is not None
+    assert [e.key for e in view.delta(4, 5, 900).entries] == ["config/b"]
+    assert [e.key for e in view.delta(2, 5, 900).entries] == ["config/a", "config/b"]
+
+
+def test_the_history_is_bounded_by_number_and_bytes():
+    """Views too."""
+    history = History(Store(), Settings(most_changes=50, most_history_bytes=2000))
+    view = history.view(("config/",))
+    for version in range(1, 500):
+        history.add(version, [entry(f"config/{version % 5}", bytes(version % 90), version)])
+        assert len(history._changes) <= 50 and history._bytes <= 2000
+        assert len(view._items) <= len(history._changes) and view.bytes == history._bytes
+
+
+def test_a_change_costs_neither_a_pass_over_keys_nor_over_sessions():
+    """Ten thousand keys, a hundred sessions elsewhere: a change of one key is two digests and its sends."""
+    hands = Hands()
+    for start in range(0, 10_000, 10):
+        hands.change({f"engine/z{n % 9}/e{n}": b"up" for n in range(start, start + 10)})
+    for number in range(100):
+        zone = number % 5
+        follow = pb.Follow(session=number + 1, number=1, prefixes=[f"engine/z{zone}/"], version=1000)
+        store = hands.source.history.store
+        follow.digest = digest_by_hand(store, (f"engine/z{zone}/",))
+        hands.source.heard(hands.now_ms, (f"f{number}", 1), pb.Message(follow=follow))
+    hands.source.outbox.clear()
+    hands.now_ms += 1000
+    calls = []
+    with (
+        patch.object(store_module, "digest_of", lambda *a: calls.append(a) or digest_of(*a)),
+        patch.object(history_module, "digest_of", lambda *a: calls.append(a) or digest_of(*a)),
+    ):
+        hands.change({"engine/z3/e3": b"down"})
+        assert len(said(hands.source, "delta")) == 20 and len(calls) == 2
+        hands.source.tick(hands.now_ms)
+        hands.source.coverage(hands.now_ms)
+    assert len(calls) == 2
+
+
+@budget(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 9), st.booleans()), max_size=40))
+def test_coverage_by_increments_is_the_one_by_counting(steps):
+    """Sessions come, change and go."""
+    census, shares = Census(Settings()), {}
+    for name, version, gone in steps:
+        if name in shares:
+            census.remove(shares.pop(name))
+        if not gone:
+            shares[name] = Share(1, version, version % 2)
+            census.add(shares[name])
+        said_ = census.coverage(7)
+        assert said_.subscribers == len(shares)
+        assert said_.refused == sum(s.refused for s in shares.values())
+        assert said_.oldest == min([7, *(s.oldest for s in shares.values())])
+
+
+def test_coverage_is_bounded_while_one_stays_behind():
+    """A front that refuses for days, versions passing by."""
+    census = Census(Settings())
+    census.add(Share(1, 1, 1))
+    for version in range(2, 5000):
+        census.add(Share(1, version, 0))
+        if version > 2:
+            census.remove(Share(1, version - 1, 0))
+        assert len(census._heap) < 100 and census.oldest(version) == 1
+
+
+@budget(max_examples=40, deadline=None)
+@given(CHANGES, st.integers(0, 40))
+def test_the_fold_is_the_same_in_one_go_and_in_two(changes, cut):
+    """Whatever part of the log each voter has folded."""
+    made = [record_of([entry(k, v, 0) for k, v in c.items()], n + 1) for n, (_, c) in enumerate(changes)]
+    assert fold(fold(b"", made[:cut]), made[cut:]) == fold(b"", made)
+
+
+def test_a_record_that_cannot_be_read_counts_as_a_change_without_entries():
+    """For the same in all voters."""
+    state = pb.State.FromString(fold(b"", [b"\xff\xff", record_of([entry("config/a", b"1", 0)], 9)]))
+    assert (state.version, list(state.requests)) == (2, [0, 9])
+    assert state.entries[0].version == 2 and not change_of(b"\xff", 1).entries
+
+
+def test_requests_are_bounded_and_keep_their_versions():
+    """Over folds too."""
+    requests = Requests(10, [8, 9, 10])
+    assert [requests.version_of(r) for r in (7, 8, 10)] == [None, 8, 10]
+    for number in range(MOST_REQUESTS + 5):
+        requests.add(1000 + number, 11 + number)
+    assert len(requests._versions) == MOST_REQUESTS and requests.version_of(8) is None
+
+
+LONG = "config/" + "k" * 57
+
+
+@pytest.mark.parametrize(
+    "entries, line",
+    [
+        ([], "without entries"),
+        ([entry("", b"1", 0)], "characters"),
+        ([entry(LONG + "k", b"1", 0)], "characters"),
+        ([entry("config/\n", b"1", 0)], "not made of"),
+        ([entry("config/a\u00e9", b"1", 0)], "not made of"),
+        ([entry("config/", b"1", 0)], "unknown kind"),
+        ([entry("other/a", b"1", 0)], "unknown kind"),
+        ([entry("config/a", bytes(641), 0)], "bytes"),
+        ([entry("config/a", bytes(500), 0), entry("config/b", bytes(300), 0)], "a change of"),
+        ([entry("config/a", b"1", 0), entry("config/a", b"2", 0)], "twice"),
+        ([entry("config/none", None, 0)], "not there"),
+        ([pb.Entry(key="config/old", value=b"1", deleted=True)], "yet with a value"),
+        ([entry("config/new", b"1", 0)], "no room"),
+    ],
+)
+def test_a_change_that_makes_no_sense_is_refused_with_one_clear_line(entries, line):
+    """Whatever its bytes are."""
+    store = Store()
+    store.apply(1, [entry("config/old", b"1", 1)])
+    fault = fault_of(entries, store, Settings(most_keys=1))
+    assert line in fault and "\n" not in fault and len(fault) < 160
+
+
+def test_the_longest_change_fits_and_the_check_of_a_kind_is_asked():
+    """A value may be replaced in a full store too."""
+    store = Store()
+    store.apply(1, [entry(LONG, b"1", 1)])
+    longest = [entry(LONG, bytes(640), 0)]
+    assert fault_of(longest, store, Settings(most_keys=1)) is None
+    kinds = {"config/": lambda key, value: None if value == b"1" else f"{key}: not 1"}
+    assert fault_of(longest, store, Settings(), kinds) == f"{LONG}: not 1"
+    full = Settings(most_state_bytes=100)
+    assert "no room" in fault_of(longest, store, full)
+    assert fault_of([entry(LONG, None, 0)], store, full) is None
+
+
+def test_the_longest_messages_fit_into_the_envelope():
+    """At versions and numbers far beyond what an installation reaches."""
+    hands, version = Hands(), 1 << 47
+    hands.source.generation = 1 << 62
+    small = {f"config/{n}": b"" for n in range(22)}
+    for step, change in enumerate(({LONG: bytes(640)}, small, {LONG: None})):
+        entries = [entry(k, v, version + step) for k, v in change.items()]
+        assert fault_of(entries, hands.source.history.store, Settings()) is None
+        hands.source.advance(hands.now_ms, 1 << 62, version + step, entries, 0.0)
+    follow = pb.Follow(session=1 << 63, number=1, prefixes=[""], whole=True)
+    for since, whole in ((version - 1, False), (version, False), (0, True)):
+        follow.version, follow.whole, follow.number = since, whole, follow.number + 1
+        hands.source.heard(hands.now_ms, ("f", 1), pb.Message(follow=follow))
+    fetch = pb.FetchPages(session=1 << 63, version=hands.source.version, first=0, count=1 << 31)
+    hands.source.heard(hands.now_ms, ("f", 1), pb.Message(fetch=fetch))
+    sizes = {m.WhichOneof("kind"): m.ByteSize() for _, m in hands.source.outbox}
+    assert max(sizes.values()) <= MOST_BODY and {"delta", "offer", "page"} <= set(sizes)
+
+
+def test_the_longest_subscription_fits_into_the_envelope():
+    """A relay's Follow, with all that it tells, at the most prefixes that are taken."""
+    hands = Hands()
+    front = hands.subscriber(prefixes=["config/" + f"{n:02}" * 24 for n in range(16)])
+    front.coverage = lambda: pb.Coverage(subscribers=1 << 20, oldest=1 << 47, refused=1 << 20, stale=1 << 20)
+    front.generation, front.in_force, front.link.number = 1 << 62, 1 << 47, 1 << 62
+    front.held.version, front._want_whole = 1 << 47, True
+    front.tick(hands.now_ms + 1000)
+    (follow,) = said(front, "follow")
+    assert 950 < pb.Message(follow=follow).ByteSize() <= MOST_BODY
+    with pytest.raises(ValueError):
+        hands.subscriber(prefixes=["config/" + f"{n:02}" * 25 for n in range(16)])
+
+
+def test_a_snapshot_of_many_keys_is_pages_that_fit():
+    """Twenty-five thousand engines, as many bytes as there are keys and values and little more."""
+    store = Store()
+    store.apply(7, [entry(f"engine/z{n % 12}/node-{n}", b"10.0.0.1:80 4 32", 7) for n in range(25_000)])
+    view = History(store, Settings()).view(("",))
+    snapshot = Snapshot(view, store, Settings())
+    assert max(map(len, snapshot.pages)) <= 960 and snapshot.bytes < 1.2 * store.bytes
+    back = Store()
+    for number in range(len(snapshot.pages)):
+        back.apply(7, snapshot.page(number).entries)
+    assert back.digest == store.digest == snapshot.digest
--- /dev/null
+++ b/tests/test_fleet_envelope.py
@@ -0,0 +1,109 @@
+"""Who may speak in which layer, and where senders that no settings name are found again."""
+
+import pytest
+
+from lichenquay.fleet.addresses import Addresses
+from lichenquay.fleet.envelope import DISTRIBUTION, MEMBERS, OWNER, Dropped, Envelope
+
+OPEN = {DISTRIBUTION: 7}
+
+
+def envelope(name="v1", fleet="yard", fingerprint=1, names=("v1", "v2"), layers=None):
+    """Of one process."""
+    return Envelope(fleet, fingerprint, name, names, OPEN if layers is None else layers)
+
+
+def opened(sender, receiver="v1", layer=DISTRIBUTION, by=None):
+    """What comes out at v1, or why it was dropped."""
+    try:
+        return (by or envelope()).open(sender.seal(5, receiver, layer, b"body"))
+    except Dropped as why:
+        return str(why)
+
+
+def test_an_open_layer_takes_any_well_formed_name_of_the_fleet():
+    """4,400 fronts are listed nowhere."""
+    front = envelope("front-4399", fingerprint=99, names=())
+    assert opened(front) == ("front-4399", 5, DISTRIBUTION, b"body")
+
+
+@pytest.mark.parametrize("layer", [MEMBERS, OWNER])
+def test_other_layers_take_named_processes_alone(layer):
+    """As before."""
+    assert opened(envelope("stranger"), layer=layer) == "a stranger"
+    assert opened(envelope("v2"), layer=layer)[0] == "v2"
+    assert opened(envelope("v2", fingerprint=2), layer=layer) == "other settings"
+    assert opened(envelope("v2"), receiver="", layer=layer) == "for another"
+
+
+@pytest.mark.parametrize(
+    "sender, why",
+    [
+        (envelope("a", fleet="moor"), "another fleet"),
+        (envelope("a", layers={DISTRIBUTION: 8}), "other settings"),
+        (envelope("no name"), "a stranger"),
+        (envelope("x" * 25), "a stranger"),
+        (envelope(""), "a stranger"),
+        (envelope("v1"), "a stranger"),
+    ],
+)
+def test_an_open_layer_still_asks_for_fleet_fingerprint_and_name(sender, why):
+    """Each reason is counted by itself."""
+    assert opened(sender) == why
+
+
+def test_a_client_that_knows_addresses_alone_leaves_the_receiver_out():
+    """What names another receiver is still for another."""
+    client = envelope("client")
+    assert opened(client, receiver="")[0] == "client"
+    assert opened(client, receiver="v2") == "for another"
+
+
+def test_a_process_without_open_layers_takes_none():
+    """A front that follows nothing: the layer is as any other."""
+    closed = envelope(layers={})
+    assert opened(envelope("front-1", layers={}), by=closed) == "a stranger"
+
+
+class Table:
+    """Addresses with a clock in hand."""
+
+    def __init__(self, most=3):
+        """One process is named by the settings."""
+        self.now = 0.0
+        self.addresses = Addresses({"v1": ("127.0.0.1", 1)}, lambda: self.now, most, expire_ms=1000.0)
+
+    def learn(self, name, port, incarnation=1):
+        """A datagram came."""
+        self.addresses.learn(name, incarnation, ("127.0.0.1", port))
+
+
+def test_a_named_process_stays_where_the_settings_say():
+    """Whatever a datagram's source is."""
+    table = Table()
+    table.learn("v1", 99)
+    assert table.addresses.get("v1") == ("127.0.0.1", 1) and not table.addresses.learned
+
+
+def test_a_sender_is_found_where_it_was_last_heard():
+    """A late datagram of an earlier start of it changes nothing."""
+    table = Table()
+    table.learn("a", 10, incarnation=1)
+    table.learn("a", 11, incarnation=2)
+    table.learn("a", 10, incarnation=1)
+    assert table.addresses.get("a") == ("127.0.0.1", 11) and table.addresses.get("b") is None
+    assert table.addresses.counts["addresses out of date"] == 1
+
+
+def test_the_table_is_bounded_and_the_silent_give_way():
+    """A fresh one is never thrown out by a newcomer."""
+    table = Table(most=2)
+    table.learn("a", 1)
+    table.now = 900.0
+    table.learn("b", 2)
+    table.learn("c", 3)
+    assert table.addresses.get("c") is None
+    table.now = 1000.0
+    table.learn("c", 3)
+    assert table.addresses.get("a") is None and table.addresses.get("c") and table.addresses.get("b")
+    assert table.addresses.counts == {"addresses without room": 1, "addresses expired": 1}
--- a/tests/test_fleet_tenants.py
+++ b/tests/test_fleet_tenants.py
@@ -3,10 +3,10 @@
 from types import SimpleNamespace
 
 import pytest
+from standins import group
 
 from lichenquay.admission import interface as io
 from lichenquay.fleet.tenants import Tenants
-from standins import group
 
 
 class Account:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,7 +1,8 @@
 """The gate's decisions alone: rules by example, and a stateful machine that checks what must hold after every step."""
 
 import pytest
-from hypothesis import Phase, settings, strategies as st
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from lichenquay.gate.accounts import BUSY, ENDING, GOING, IDLE, SILENT
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from lichenquay.lab.fleetnet import Weather
 from lichenquay.lab.watched import Watched
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -5,8 +5,8 @@
 import os
 
 import pytest
-from hypothesis import given, settings, strategies as st
-
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from owner_audit import Broken
 from owner_broken import BROKEN
 from owner_explore import Budget, Explorer
--- a/tests/test_quota_ledger.py
+++ b/tests/test_quota_ledger.py
@@ -1,5 +1,6 @@
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from quota_world import figures
 
 from lichenquay.quota import quota_pb2 as pb
--- /dev/null
+++ b/tests/test_scale_virtual.py
@@ -0,0 +1,66 @@
+"""A scale run in virtual time: every scenario ends with all fronts at one version, and the same seed gives
+the same.
+"""
+
+from functools import cache
+
+import pytest
+
+from lichenquay.lab.scale import scenario as s
+from lichenquay.lab.scale.figures import virtual_figures_of
+from lichenquay.lab.scale.virtual_run import VirtualPlan, VirtualRunner
+
+pytestmark = pytest.mark.together
+
+SHAPE = s.Shape(fronts=12, engines=20, seed=3)
+SCENARIOS = [
+    s.failover(SHAPE, 8.0, 2.0),
+    s.publisher_paused(9.0, 2.0),
+    s.disk_faults(9.0, 2.0),
+    s.zone_start(SHAPE, 5.0, 2.0),
+    s.region_cut(SHAPE, 8.0, 2.0),
+    s.bad_network(8.0, 2.0),
+    s.slow_reader(SHAPE, 6.0, 2.0),
+    s.rack_lost(SHAPE, 8.0, 2.0),
+    s.rolling_deploy(SHAPE, 10.0, 2.0),
+    s.ordinary_day(SHAPE, 8.0, 2.0),
+]
+
+
+@cache
+def played():
+    """The figures of all scenarios."""
+    return virtual_figures_of(VirtualRunner(VirtualPlan(SHAPE, SCENARIOS, 2.0)).run())
+
+
+def test_nothing_is_broken_in_any_scenario():
+    """Each fault was done, and all fronts settled after it."""
+    figures = played()
+    assert figures["broken_rules"] == []
+    assert figures["notes"] == []
+    assert set(figures["scenarios"]) == {"calm", *(one.name for one in SCENARIOS)}
+    for name, one in figures["scenarios"].items():
+        assert one["settled"], name
+        assert one["changes"] > 0, name
+        assert one["done"] or name == "calm"
+
+
+def test_a_region_and_a_zone_come_back():
+    """Virtual seconds; the aims are 20 s for a zone's start."""
+    figures = played()
+    assert 0 < figures["region_heal_s"] < 10
+    assert 0 < figures["zone_start_s"] < 20
+
+
+def test_a_seed_gives_one_run():
+    """But for the processor's time."""
+    first, again = (short_run(5) for _ in range(2))
+    assert first.pop("cpu_s") > 0 and again.pop("cpu_s") > 0
+    assert first == again
+
+
+def short_run(seed):
+    """Chance decides who leads, and what is lost."""
+    shape = s.Shape(fronts=4, engines=10, seed=seed)
+    scenarios = [s.failover(shape, 8.0, 2.0), s.bad_network(6.0, 2.0)]
+    return virtual_figures_of(VirtualRunner(VirtualPlan(shape, scenarios, 2.0)).run())
