Distribution: subscribers come back to their preferred relay, and say whom they left

Ruled out: the ranking of sources (its order is given by the test), the slow reader. Change: beside its session elsewhere a subscriber tries the first source, ever later while that is in vain (Failback); once it answers with a delta or an offer, that session is the present one. The first useful answer anywhere is followed by a Leave to those that were left, which counted such a subscriber as stale for a minute. The test in question waits for the subscriber's return in place of its never having left, and demands the same half second of lateness as before.

--- a/lichenquay/distribution/link.py
+++ b/lichenquay/distribution/link.py
@@ -16,7 +16,7 @@
         if not sources:
             raise ValueError("a subscriber needs a source")
         self.sources, self.rng, self.settings = tuple(sources), rng, settings
-        self.failovers = 0
+        self.failovers, self.former = 0, {}  # former: {source: session} that may count us still
         self.connect(now_ms, self.sources[0])
 
     def connect(self, now_ms, source):
@@ -32,9 +32,20 @@
     def next_source(self, now_ms):
         """Leaves for the next one."""
         self.failovers += 1
+        self.former[self.source] = self.session
         at = self.sources.index(self.source)
         self.connect(now_ms, self.sources[(at + 1) % len(self.sources)])
 
+    def follows_on(self, other):
+        """Takes the place of another link."""
+        self.failovers = other.failovers
+        self.former = {**other.former, other.source: other.session}
+
+    def take_former(self):
+        """(source, session) of those that were left, each given once."""
+        former, self.former = self.former, {}
+        return [(source, session) for source, session in former.items() if source != self.source]
+
     def redirect(self, now_ms, leader):
         """The source isn't the leader.
 
--- a/lichenquay/distribution/publisher.py
+++ b/lichenquay/distribution/publisher.py
@@ -152,7 +152,7 @@
     def heard(self, now_ms, sender, message):
         """From a relay or a client."""
         kind = message.WhichOneof("kind")
-        if kind not in ("propose", "status_request", "follow", "fetch"):
+        if kind not in ("propose", "status_request", "follow", "fetch", "leave"):
             self.source.counts["senseless"] += 1
         elif not self.group.holds(now_ms):
             self._redirect(sender[0], getattr(message, kind))
--- a/lichenquay/distribution/relay.py
+++ b/lichenquay/distribution/relay.py
@@ -3,7 +3,7 @@
 from lichenquay.distribution.source import Source
 from lichenquay.distribution.subscriber import Subscriber
 
-DOWNWARDS = {"follow", "fetch"}  # Messages to a relay's source; all others are for its subscriber.
+DOWNWARDS = {"follow", "fetch", "leave"}  # Messages to a relay's source; all others are for its subscriber.
 
 
 class Relay:
--- a/lichenquay/distribution/source.py
+++ b/lichenquay/distribution/source.py
@@ -135,12 +135,14 @@
         self._send_pages(now_ms)
 
     def heard(self, now_ms, sender, message):
-        """A Follow or a FetchPages."""
+        """A Follow, a FetchPages or a Leave."""
         kind = message.WhichOneof("kind")
         if kind == "follow":
             self._follow(now_ms, sender, message.follow)
         elif kind == "fetch":
             self._fetch(now_ms, sender, message.fetch)
+        elif kind == "leave":
+            self._leave(sender, message.leave)
         else:
             self.counts["senseless"] += 1
         self._send_pages(now_ms)
@@ -209,6 +211,14 @@
             del self.audiences[audience.view.prefixes]
             self._dirty.pop(audience.view.prefixes, None)
 
+    def _leave(self, sender, leave):
+        """It follows another source: here it counts no longer, not as stale either."""
+        session = self.sessions.get(sender[0])
+        if session is None:
+            self.census.find(sender[0])
+        elif (session.id, session.incarnation) == (leave.session, sender[1]):
+            self._drop(session)
+
     def _take(self, now_ms, session, follow):
         """What a Follow says, if it is a later one than the last heard and makes sense."""
         known = session.number
--- a/lichenquay/distribution/subscriber.py
+++ b/lichenquay/distribution/subscriber.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 from lichenquay.distribution import distribution_pb2 as pb
+from lichenquay.distribution.failback import Failback
 from lichenquay.distribution.fetch import Fetch, makes_sense
 from lichenquay.distribution.link import Link
 from lichenquay.distribution.messages import (
@@ -44,6 +45,7 @@
         self.coverage = self.took = None
         self.outbox, self.counts = [], Counter()
         self.link = Link(sources, rng, settings, now_ms)
+        self.failback = Failback(sources, rng, settings)
         self.generation, self.held, self.fetch = 0, Store(), None
         self.values, self.in_force = {}, 0
         self.newest, self.newest_ms, self.confirmed_ms = 0, -INF, -INF
@@ -91,7 +93,8 @@
         if self._stopped:
             return INF
         fetch = self.fetch.due_ms if self.fetch else INF
-        return min(self.link.follow_ms, self.link.leave_ms, self._apply_ms, fetch)
+        link = min(self.link.follow_ms, self.link.leave_ms)
+        return min(link, self.failback.due_ms, self._apply_ms, fetch)
 
     def tick(self, now_ms):
         """What is due: another source, a Follow, pages that are missing."""
@@ -101,6 +104,8 @@
             self._fail_over(now_ms)
         if now_ms >= self.link.follow_ms:
             self._follow(now_ms)
+        if now_ms >= self.failback.due_ms:
+            self._try_first(now_ms)
         if self.fetch and now_ms >= self.fetch.due_ms:
             self._send(fetch=self.fetch.ask(now_ms))
         if now_ms >= self._apply_ms:
@@ -122,6 +127,8 @@
             self.counts["senseless"] += 1
             return
         body = getattr(message, kind)
+        if self.failback.is_answer(sender[0], body.session):
+            self._first_answered(now_ms, kind, body)
         if sender[0] != self.source or body.session != self.link.session:
             self.counts["stray"] += 1
             return
@@ -148,7 +155,7 @@
         if not sane or not self._fits(delta.entries, since, delta.to):
             self.counts["senseless"] += 1
             return
-        self.link.alive(now_ms)
+        self._useful(now_ms)
         try:
             self._advance(now_ms, since, delta)
         except GapError:
@@ -159,6 +166,12 @@
         else:
             self._confirm(delta)
 
+    def _useful(self, now_ms):
+        """The source has something for us: those that were left for it need not count us any more."""
+        self.link.alive(now_ms)
+        for source, session in self.link.take_former():
+            self.outbox.append((source, pb.Message(leave=pb.Leave(session=session))))
+
     def _fits(self, entries, since, to):
         return all(since < e.version <= to and e.key.startswith(self.prefixes) for e in entries)
 
@@ -217,8 +230,7 @@
             whole, held = self._behind_whole, self.held.entries
             keys = held if whole else self._behind
             changed = {key: held[key][0] if key in held else None for key in keys}
-            fault = self.apply(now_ms, changed, whole)
-            if fault is not None:
+            if (fault := self.apply(now_ms, changed, whole)) is not None:
                 self._refused(now_ms, fault)
                 return
             self._put_in_force(changed, whole)
@@ -249,7 +261,7 @@
         if offer.version >= MOST_VERSION or not makes_sense(offer, self.settings):
             self.counts["senseless"] += 1
             return
-        self.link.alive(now_ms)
+        self._useful(now_ms)
         if self.fetch is not None and self.fetch.continues(offer):
             return
         if not self._welcome(offer):
@@ -327,20 +339,40 @@
         self.counts["redirects"] += 1
         self.fetch = None
         self.link.redirect(now_ms, answer.leader if answer.generation >= self.generation else "")
+        self.failback.cancel()  # Whom to follow is told: no order of preference counts.
 
     def _fail_over(self, now_ms):
         self.counts["failovers"] += 1
         self.fetch = None
         self.link.next_source(now_ms)
+        self.failback.moved(now_ms, self.source)
+
+    def _try_first(self, now_ms):
+        trial = self.failback.tick(now_ms)
+        if trial is not None:
+            self.outbox.append((trial.source, pb.Message(follow=self._follow_in(now_ms, trial))))
+
+    def _first_answered(self, now_ms, kind, body):
+        """What the preferred source answered: it is followed again if it has something for us."""
+        if kind == "not_leader":
+            self.failback.cancel()
+        elif kind not in ("delta", "offer"):
+            self.failback.in_vain(now_ms)
+        elif self._current(body):
+            self.counts["failbacks"] += 1
+            self.fetch, self.link = None, self.failback.done(now_ms, self.link)
 
     def _follow(self, now_ms):
         whole = self._asks_whole(now_ms)
-        follow = self.link.follow(now_ms, self.prefixes)
+        self._send(follow=self._follow_in(now_ms, self.link, whole))
+
+    def _follow_in(self, now_ms, link, whole=False):
+        follow = link.follow(now_ms, self.prefixes)
         follow.generation, follow.version, follow.digest = self.generation, self.version, self.digest
         follow.in_force, follow.whole = self.in_force, whole
         if self.coverage is not None:
             follow.below.CopyFrom(self.coverage())
-        self._send(follow=follow)
+        return follow
 
     def _asks_whole(self, now_ms):
         if not self._want_whole or self.fetch is not None:
--- a/tests/distribution/test_distribution_processes.py
+++ b/tests/distribution/test_distribution_processes.py
@@ -138,10 +138,12 @@
         slow_reader.read_each_ms = 150.0
         for link in installation.links.between(VOTERS, ["r1"], both=False):
             link.least_ms, link.most_ms = 300.0, 600.0
+        swift = installation.hollow["s4"]
+        until(lambda: swift.subscriber.source == "r2", 20)
         with under_change(installation) as proposers:
             more_accepted(proposers, 20)
-        swift = installation.hollow["s4"]
-        assert swift.subscriber.source == "r2"
+        # A busy machine may silence a relay for `silent_ms`: who left it for that comes back by itself.
+        until(lambda: swift.subscriber.source == "r2", 20)
         late = [
             swift.first_ms(key, value) - change.known_ms
             for change in accepted(changes_of(proposers))
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -201,9 +201,29 @@
     world.net.split(["f1-0"], others, cut=False)
     world.settle(5000)
     assert front.in_force == version and not front.counts["snapshots"]
-    # It may have come back to another relay: the former one counts it until then.
-    world.run(world.settings.forget_ms)
-    assert status_of(world).stale == 0
+    # It may have come back to another relay: the former one is told, and counts it no longer.
+    world.run(3 * world.settings.report_ms)
+    assert status_of(world).stale == 0 and status_of(world).subscribers == len(world.fronts)
+
+
+def test_fronts_come_back_to_their_relay_once_it_is_there_again():
+    """Each after a while of its own, not all at once, without a snapshot, and counted once at any time."""
+    world = settled(15)
+    preferred = {name: world.subscriber(name).source for name in world.fronts}
+    lost = preferred["f1-0"]
+    left = [name for name, relay in preferred.items() if relay == lost]
+    world.net.kill(lost)
+    world.run(world.settings.silent_ms + 3000)
+    assert all(world.subscriber(name).source != lost for name in left)
+    world.net.start(lost)
+    world.run(8 * world.settings.silent_ms)
+    version = world.accept({"config/limits": b"2"})
+    world.settle()
+    world.run(3 * world.settings.report_ms)
+    assert {name: world.subscriber(name).source for name in world.fronts} == preferred
+    status = status_of(world)
+    assert (status.in_force, status.subscribers, status.stale) == (version, len(world.fronts), 0)
+    assert not any(world.subscriber(name).counts["snapshots"] for name in left)
 
 
 def test_a_relay_that_starts_anew_takes_no_front_back():
--- a/tests/test_distribution_parts.py
+++ b/tests/test_distribution_parts.py
@@ -127,6 +127,41 @@
     assert front.source == "s" and front.in_force == 1 and front.counts["failovers"] == 1
 
 
+def test_a_source_that_fails_again_and_again_is_tried_ever_later():
+    """Risk: a relay that answers now and then costs each of its subscribers `silent_ms` every time."""
+    hands = Hands()
+    front = hands.subscriber(sources=("lost", "s"))
+    tried = []
+
+    def note(message):
+        if message.HasField("follow") and message.follow.number == 1:
+            tried.append(hands.now_ms)
+        return message
+
+    hands.run(400_000, note)
+    tried = tried[2:]  # without those of its start and of its failover
+    gaps = [later - sooner for sooner, later in zip(tried, tried[1:], strict=False)]
+    silent_ms = hands.settings.silent_ms
+    assert front.source == "s" and front.counts["failovers"] == 1 and not front.counts["failbacks"]
+    assert gaps[-1] > 10 * silent_ms and max(gaps) < 52 * silent_ms and len(gaps) < 16
+
+
+def test_a_leave_ends_only_the_session_that_it_names():
+    """Risk: a Leave that comes late would end the session that its sender has by now."""
+    hands = Hands()
+    front = hands.subscriber()
+    hands.change({"config/a": b"1"})
+    hands.run(2000)
+    for session, incarnation in ((front.link.session + 1, 1), (front.link.session, 2)):
+        hands.source.heard(
+            hands.now_ms, (front.name, incarnation), pb.Message(leave=pb.Leave(session=session))
+        )
+    assert hands.source.coverage(hands.now_ms).subscribers == 1
+    leave = pb.Message(leave=pb.Leave(session=front.link.session))
+    hands.source.heard(hands.now_ms, (front.name, 1), leave)
+    assert hands.source.coverage(hands.now_ms) == pb.Coverage(oldest=hands.source.version)
+
+
 def test_prefixes_are_bounded():
     """At the subscriber when it is made, and at the source."""
     hands = Hands()
