Bound engines are left to their groups by chance; work that outlives its time counts there alone

A probe that wrote each query's fate: two thirds of the reports were held and refused, never sent; the fronts with most traffic held 83 % of theirs. Engines of the other kind stood at 0.1 to 0.3 of their memory and half a thread a core, while a third of those open to reports jammed at 3 to 6 threads a core, half of it work of groups that could run anywhere (2,600 of 6,600 lookups, half of the loads). Cause: Picker.drawn_from weighed bound engines by `spare` (0.22 there), but an idle one weighs 13 times a used one, so the weight decided nothing; and it was 1 until a front had seen its first report, so that all fronts filled them in the first seconds. Ghosts: where a time-out stops nothing, work of 13 s and more was held against the front's share of all engines (Controller.answered, Run.end). Change: other groups draw bound engines last, but with the chance 1 - need, where need is the part of their engines that bound groups take, times that again or the share of the others that report full; until a bound query was seen all work counts as bound. That chance is a generator's: neighbours of the draw's checksums go together, and the coin decided the draw. Work that outlives its time counts at its engine. Deployments without bound groups decide as before but for the second part.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -137,8 +137,8 @@
         if run is not None:
             self.slots.back(run, took, sub.ending, cost, now)
             if sub.ending in (io.TIMED_OUT, io.CANCELLED) and not self.licence.cancel:
-                # Risk: where a time-out stops nothing, the work runs on uncounted; how long is not told.
                 left = max((seen.pace or 1.0) * ideal_of(q) - took, took)
+                run.outlives(self.slots.held)  # Risk: it goes on uncounted; for how long is not told
                 self.door.wake(now + left, lambda: self.slots.release(run))
             else:
                 self.slots.release(run)
--- a/lichenquay/admission/picker.py
+++ b/lichenquay/admission/picker.py
@@ -1,6 +1,7 @@
 """Which engines come first: a draw weighted by load, pace and warmth, among few where traffic is thin."""
 
-from itertools import chain, islice
+from itertools import islice
+from random import Random
 from zlib import crc32
 
 from lichenquay.admission import interface as io
@@ -28,8 +29,9 @@
 
     def __init__(self, gateway, guards, fleet, bucket, groups, make):
         self.seed, self.drawn, self.guards, self.fleet, self.bucket = gateway.seed, 0, guards, fleet, bucket
+        self.coin = Random(gateway.seed).random  # a chance that has nothing to do with the draw after it
         self.own_place, self.bound = gateway.place, [g for g in groups if g.places or g.kinds]
-        self.work, self.bound_work, self.spare = 0.0, 0.0, 1.0  # mean work of a query; of bound groups' alone
+        self.work, self.bound_work, self.spare = 0.0, 0.0, 0.0  # mean work of a query; of bound groups' alone
         self.threads, self.usual, self.homes, self.swaps = 1.0, None, {}, make.when_short == "swap"
         self.used = self.average = self.faults = self.fresh_ms = 0.0  # the peers' use, load, errors; since
         self.heard_for = 8 * bucket  # a report counts so long
@@ -39,11 +41,11 @@
         self.usable_cores = self.usable_mb = 1.0  # sums over the fleet of what new work can count on
 
     def take(self, q, now):
+        work, self.since = work_of(q), self.since or now
         self.taken.add(now, 1)
-        self.since = self.since or now
         self.threads += (q.group.threads - self.threads) / 100
-        self.work += (work_of(q) - self.work) / 100
-        self.bound_work += (work_of(q) * (q.group in self.bound) - self.bound_work) / 100
+        self.work = (99 * (self.work or work) + work) / 100
+        self.bound_work = (99 * (self.bound_work or work) + work * (q.group in self.bound)) / 100
 
     def chance(self):
         self.drawn += 1
@@ -120,20 +122,18 @@
         self.near += [s for s in fit if self.guards.cold_budget(s.engine, part[s])]
 
     def draw(self, q, now):
-        """The engines one after the other, each drawn by weight among those left."""
-        if len(self.near) >= len(self.fleet) / 2:
-            return self.drawn_from(list(self.fleet.values()), q, now)
-        return chain(self.drawn_from(list(self.near), q, now), self.others(q, now))
-
-    def others(self, q, now):  # made only when it is come to
-        near = set(self.near)
-        yield from self.drawn_from([s for s in self.fleet.values() if s not in near], q, now)
+        """The engines one after the other, each drawn by weight among those left. Departure: a bound group's
+        engines are left to it, as far as the others are not full. Risk: it waits there, and others idle."""
+        first = self.near if len(self.near) < len(self.fleet) / 2 else list(self.fleet.values())
+        last = self.bound and q.group not in self.bound and self.coin() >= self.spare
+        yield from self.drawn_from([s for s in first if not (last and s.bound)], q, now)
+        near, fleet = set(first), self.fleet.values()  # come to only where `first` has no room
+        yield from self.drawn_from([s for s in fleet if last and not s.bound and s not in near], q, now)
+        yield from self.drawn_from([s for s in fleet if (s.bound if last else s not in near)], q, now)
 
     def drawn_from(self, left, q, now):
         """Weights are kept until an engine is heard of or used: ranking all anew costs more than it tells."""
         weights = [s.weight if s.due_ms > now else self.weigh(s, now) for s in left]
-        if self.spare < 1 and q.group not in self.bound:
-            weights = [w * self.spare if s.bound else w for w, s in zip(weights, left, strict=True)]
         for s in self.homes_of(q.tables)[q.group.is_load] if q.tables else ():
             if s in left:
                 weights[left.index(s)] *= max(1.0, len(left) / 5)  # about a third goes home, in any fleet
@@ -148,8 +148,7 @@
             total -= weights.pop(i)
 
     def look(self, now):
-        """Once in a while: paces of engines; the usual pace, errors and load among peers. Gives those engines
-        that we used or heard of, in the order of the list."""
+        """Once in a while: paces, errors and load among peers. Gives engines used or heard of, in order."""
         touched = sorted(self.touched, key=NUMBER)
         for s in touched:
             s.pace = s.stretch.mean(now, s.pace) if s.stretch.at is not None else None
@@ -159,9 +158,9 @@
         self.usual, self.faults = paces[len(paces) // 2], faults[middle] if middle >= 0 else 0.0
         self.fresh_ms = now - self.heard_for
         self.gather(now)
-        # Departure: room is left where bound groups have to go. Risk: those engines are full, others idle.
-        room = self.work * self.sums.bound_cores / (self.sums.cores or 1.0)
-        self.spare = max(0.02, 1 - self.bound_work / room) if room else 1.0
         heard = [(use, self.load(s)) for s in touched if (use := self.use(s)) is not None]
         self.used, self.average = (sum(x) / len(x) for x in zip(*heard or [(self.used, self.average)]))
+        full = [use >= 0.95 for s in touched if not s.bound and (use := self.use(s)) is not None] or [0.0]
+        need = self.bound_work * self.sums.cores / (self.work * self.sums.bound_cores or 1.0)
+        self.spare = max(0.0, 1 - need) * max(1 - need, sum(full) / len(full))  # need: of their engines
         return touched
--- a/lichenquay/admission/state.py
+++ b/lichenquay/admission/state.py
@@ -48,12 +48,18 @@
         self.pool_mb, self.quick = pool_mb, quick  # of its slot's pool; whether a dashboard
         self.heard_ms, self.called_off, self.noted = sub.sent_ms, False, False
         self.waits_ms, self.waited_ms = None, 0.0  # waiting since; waited before
+        self.total_counts = True  # whether it is in the total of ours
 
     def begin(self, total, now):
         """It counts from now on: in its slot, on its engine, and in the total of ours."""
         self.slot.admitted_ms = now
         self._count(total, 1)
 
+    def outlives(self, total):
+        """Its time is up and its engine works on: it counts there, and not in the total of ours any more."""
+        self._hold(total, -1)
+        self.total_counts = False
+
     def end(self, total):
         """It counts no more."""
         self._count(total, -1)
@@ -61,9 +67,13 @@
     def _count(self, total, sign):
         self.slot.used[self.kind] += sign
         self.slot.pool_used += sign * self.pool_mb
-        for holder in (self.seen, total):
-            holder.threads[self.quick] += sign * self.group.threads
-            holder.granted += sign * self.grant
+        self._hold(self.seen, sign)
+        if self.total_counts:
+            self._hold(total, sign)
+
+    def _hold(self, holder, sign):
+        holder.threads[self.quick] += sign * self.group.threads
+        holder.granted += sign * self.grant
 
 
 class Slot:
