An engine whose own word ends a cancelled query is heard again

Cause: Controller.answered counted finished, failed and full submissions as a word of their engine, a cancelled one never, though the front tells its ending only on the engine's answer to DELETE, a death, or its time's end (relay.give_up). Once all was called off, nothing was ever heard from there, and where no probes are, nothing but a new start ends silence. Change: the ending brings the engine's answer with it, as an empty report where it reported nothing; a report of any kind is a word. Three tests fail before.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -130,7 +130,7 @@
         run = seen.runs.get(sub) if seen else None
         if seen is not None:
             self.reported(seen, report)
-            if sub.ending in (io.FINISHED, io.ERROR, io.FULL):
+            if sub.ending in (io.FINISHED, io.ERROR, io.FULL) or report is not None:
                 seen.heard(now)
             elif sub.ending in (io.NOT_CONNECTED, io.RESET):
                 self.unheard(seen, now)
--- a/lichenquay/front/metrics.py
+++ b/lichenquay/front/metrics.py
@@ -55,7 +55,8 @@
         self.out -= 1
         self.count(f"submissions {ending}")
         cost = http.cost_of(reply) if ending == io.FINISHED else None
-        report = reply and http.report_of(reply)
+        # None: nothing came from the engine. Empty: it spoke, and reported nothing.
+        report = None if reply is None else http.report_of(reply) or {}
         if report:
             self.count("load reports")
         self.back(flight, ending, cost, report, result)
--- a/lichenquay/front/relay.py
+++ b/lichenquay/front/relay.py
@@ -196,10 +196,13 @@
         flight.given_up = ending or (io.TIMED_OUT if self.now_ms() >= flight.until_ms - 1 else io.CANCELLED)
         flight.wake()
         call, fresh, tries, life = http.give_up(flight.host, flight.ref), False, 0, flight.life
+        last_word = None
         while not life.passed(self.now_ms()):
             try:
                 reply, written = yield self.put(flight, call, http.is_done, fresh, keeps=False)
-                if life.unknown(written, self.now_ms(), self.stranger(flight, reply.connection), keeps=False):
+                other = self.stranger(flight, reply.connection)
+                if life.unknown(written, self.now_ms(), other, keeps=False):
+                    last_word = None if other else reply
                     break
                 # Risk: a DELETE that came before its POST was read ends nothing.
                 self.metrics.count("given up without proof")
@@ -211,7 +214,7 @@
                 fresh = True
             yield self.pause(flight, tries)
             tries += 1
-        self.metrics.end(flight, flight.given_up)
+        self.metrics.end(flight, flight.given_up, last_word)
 
     @inlineCallbacks
     def tell_rank(self, flight):
--- a/tests/crossings/test_written_later.py
+++ b/tests/crossings/test_written_later.py
@@ -23,6 +23,20 @@
     return [s.engine.id for s in w.service.admit.controller.fleet.values() if s.silent]
 
 
+def test_an_engine_that_answers_a_cancel_is_heard_again(world):
+    """Risk: one that stood still for a moment answers all that is called off there, and is held silent for good."""
+    w = world(engines=1)
+    c, w.engines[0].ways = w.client(), ["hold"]
+    stream = c.ask("report", allow=4000)
+    until(lambda: w.posts() == 1)
+    (seen,) = w.service.admit.controller.fleet.values()
+    seen.silent = True
+    c.transport.write(frames.frame(frames.LEFT, stream))
+    over(w)
+    assert told(w, "submissions cancelled") == 1
+    until(lambda: not blamed(w))
+
+
 @pytest.mark.parametrize("leaves", ["cancel", "end", "reset"])
 def test_a_client_that_left_while_its_connection_came_up(world, leaves):
     """Risk: an attempt begins long after its client has gone; or the engine is blamed for a call that was given up."""
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -67,6 +67,19 @@
     assert all(door.take(g).submissions[0].engine is not first for _ in range(5))
 
 
+@pytest.mark.parametrize(("report", "silent"), [(None, True), ({}, False), ({"active": 2.0}, False)])
+def test_an_engine_whose_own_word_ends_a_cancelled_query_is_heard_again(report, silent):
+    """Risk: an engine that stood still for a moment is left alone for good, as nothing is sent there any more."""
+    g = group()
+    door = FakeDoor([quick(), g], [engine("e1"), engine("e2")])
+    q = door.take(g)
+    seen = door.c.fleet[q.submissions[0].engine]
+    door.until(door.now_ms + 900)
+    assert seen.silent and door.cancelled == [q.submissions[0]]
+    door.answer(q.submissions[0], io.CANCELLED, report)
+    assert seen.silent == silent
+
+
 def test_where_a_time_out_stops_nothing_the_slot_stays_counted():
     g = group()
     door = FakeDoor([quick(), g], [engine("e1")], cancel=False)
