Renamed: owner is lease, its kept.py durable_state.py

The field's word for what the package decides. Names of sections on disk stay, so that folders written before are read. No change of behaviour.

--- a/lichenquay/control/host.py
+++ b/lichenquay/control/host.py
@@ -26,7 +26,7 @@
 from lichenquay.fleet.post import Post
 from lichenquay.fleet.ranking import ranked
 from lichenquay.front.discovery import Discovery, DiscoveryFactory
-from lichenquay.owner import owner_pb2
+from lichenquay.lease import lease_pb2
 
 FOLDER_MOST = 256 << 20  # bytes: two states, and eight times that (folder.SHARES)
 # Answers of all subscribers to one delta, while this process is at something else; the system may allow less.
@@ -122,7 +122,7 @@
 
     role = "voter"
     prefix = f"owner/{publisher.GROUP}/"
-    kinds = {**Control.kinds, OWNER: owner_pb2.Message}
+    kinds = {**Control.kinds, OWNER: lease_pb2.Message}
     was_generation = 0
     importer = discovery = None
     said_fault_ms = float("-inf")
--- a/lichenquay/distribution/publisher.py
+++ b/lichenquay/distribution/publisher.py
@@ -11,8 +11,8 @@
 from lichenquay.distribution.log import MOST_RECORDS, Requests, change_of, fold, record_of
 from lichenquay.distribution.source import Source
 from lichenquay.distribution.store import Store
-from lichenquay.owner.group import Group
-from lichenquay.owner.settings import Settings as OwnerSettings
+from lichenquay.lease.group import Group
+from lichenquay.lease.settings import Settings as LeaseSettings
 
 GROUP = "distribution"
 PUBLISHED = {"delta", "offer", "page"}  # Messages that say what is accepted.
@@ -220,7 +220,7 @@
 
 def group_settings(settings, lease_ms=3000.0):
     """Settings of the group of voters that fit those of distribution."""
-    return OwnerSettings(
+    return LeaseSettings(
         lease_ms=lease_ms,
         renew_ms=lease_ms / 6,
         retry_ms=lease_ms / 20,
@@ -232,7 +232,7 @@
     )
 
 
-def make(name, incarnation, voters, rng, owner_settings, settings, now_ms, kept, fresh=False, check=fault_of):
+def make(name, incarnation, voters, rng, lease_settings, settings, now_ms, kept, fresh=False, check=fault_of):
     """(group, publisher) of one voter. The host calls `group.want` to have it claim the lease."""
     publisher = Publisher(name, None, rng, settings, now_ms, check)
     publisher.group = Group(
@@ -241,7 +241,7 @@
         incarnation,
         voters,
         rng,
-        owner_settings,
+        lease_settings,
         now_ms,
         kept,
         fresh=fresh,
--- a/lichenquay/fleet/accounts.py
+++ b/lichenquay/fleet/accounts.py
@@ -1,11 +1,11 @@
 """A front's part in the fleet's quota: its rights, the group that keeps the ledger where it is a voter, and the keeper while it holds it.
 
-Two parts of the host: `owner` (the group's messages) and itself (asks and answers). No I/O: the host brings time, messages and the disk.
+Two parts of the host: `lease` (the group's messages) and itself (asks and answers). No I/O: the host brings time, messages and the disk.
 """
 
 from lichenquay.conf.fleet import USUAL_LEASE_MS, USUAL_TERM_MS, figures, names_of, voters_of
-from lichenquay.owner.group import Group
-from lichenquay.owner.settings import Settings as OwnerSettings
+from lichenquay.lease.group import Group
+from lichenquay.lease.settings import Settings as LeaseSettings
 from lichenquay.quota import kept as ledger_kept
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.keeper import Keeper
@@ -34,7 +34,7 @@
         self.group = self.keeper = None
         if self.name in self.voters:
             lease_ms = settings.lease_ms or USUAL_LEASE_MS
-            owner = OwnerSettings(
+            owner = LeaseSettings(
                 lease_ms=lease_ms,
                 renew_ms=lease_ms / 6,
                 retry_ms=lease_ms / 15,
--- a/lichenquay/fleet/host.py
+++ b/lichenquay/fleet/host.py
@@ -11,17 +11,17 @@
 from lichenquay.fleet.hosting import Host, Identity, Outside, boot_ms, json_logger, unix_now_ms
 from lichenquay.fleet.post import Post
 from lichenquay.fleet.tenants import Tenants
+from lichenquay.lease import lease_pb2
 from lichenquay.members import members_pb2
 from lichenquay.members.watch import Settings as MembersSettings
 from lichenquay.members.watch import Watch
-from lichenquay.owner import owner_pb2
 from lichenquay.quota import quota_pb2
 from lichenquay.storage.incarnation import section
 from lichenquay.storage.store import DurableStore
 from lichenquay.storage.writer import Writer
 
 FOLDER_MOST = 16 << 20  # bytes that a front's folder may take
-KINDS = {MEMBERS: members_pb2.Message, OWNER: owner_pb2.Message, QUOTA: quota_pb2.Message}
+KINDS = {MEMBERS: members_pb2.Message, OWNER: lease_pb2.Message, QUOTA: quota_pb2.Message}
 
 
 class Fleet(Host):
--- a/lichenquay/lab/scale/probes/owner.py
+++ b/lichenquay/lab/scale/probes/lease.py
@@ -6,11 +6,11 @@
 
 from lichenquay.lab.fleetnet import FleetNet, Host, Weather
 from lichenquay.lab.scale.sample import Progress, Sample, Stopwatch, TimedPart
-from lichenquay.owner.group import Group, keep_all
-from lichenquay.owner.settings import Settings
+from lichenquay.lease.group import Group, keep_all
+from lichenquay.lease.settings import Settings
 from lichenquay.quota.kept import Seat
 
-GROUP, LAYER, VOTERS = "scale", "owner", ("voter-a", "voter-b", "voter-c")
+GROUP, LAYER, VOTERS = "scale", "lease", ("voter-a", "voter-b", "voter-c")
 DISK_MS = 2.0  # from a record's writing to its being on disk
 SETTLE_MS, EACH_MS = 12_000.0, 3_000.0  # until the group is held; most for one record
 SETTINGS = Settings(lease_ms=1_500.0, renew_ms=250.0, retry_ms=100.0, spread_ms=150.0, most_state=1 << 20)
@@ -101,10 +101,10 @@
             disk.append((voters.disk_bytes - disk_before) / len(VOTERS))
             sent.append(voters.sent_bytes() - sent_before)
         samples += [
-            Sample(size, "owner.record_made", "ms", tuple(times)),
-            Sample(size, "owner.takeover", "ms", takeovers(size, seed)),
-            Sample(size, "owner.record_disk", "bytes", tuple(float(x) for x in disk)),
-            Sample(size, "owner.record_sent", "bytes", tuple(float(x) for x in sent)),
+            Sample(size, "lease.record_made", "ms", tuple(times)),
+            Sample(size, "lease.takeover", "ms", takeovers(size, seed)),
+            Sample(size, "lease.record_disk", "bytes", tuple(float(x) for x in disk)),
+            Sample(size, "lease.record_sent", "bytes", tuple(float(x) for x in sent)),
         ]
         progress((done + 1) / len(sizes))
     return samples
@@ -130,7 +130,7 @@
         voters.net.mend(Weather(delay_ms=(FAR_ROUND_TRIP_MS / 2, FAR_ROUND_TRIP_MS / 2)))
         took_ms = voters.takeover(LAGGING_MS)
         values = () if took_ms is None else (took_ms,)
-        samples.append(Sample(size, "owner.lagging_takeover", "ms", values))
+        samples.append(Sample(size, "lease.lagging_takeover", "ms", values))
         progress((done + 1) / len(sizes))
     return samples
 
@@ -145,8 +145,8 @@
         made = tuple(t for t in times if t is not None)
         spent = voters.stopwatch.spent_ms / RECORDS
         samples += [
-            Sample(size, "owner.large_record_made", "ms", made),
-            Sample(size, "owner.large_record_processor", "ms", (spent,)),
+            Sample(size, "lease.large_record_made", "ms", made),
+            Sample(size, "lease.large_record_processor", "ms", (spent,)),
         ]
         progress((done + 1) / len(sizes))
     return samples
--- a/lichenquay/lab/scale/virtual.py
+++ b/lichenquay/lab/scale/virtual.py
@@ -22,7 +22,7 @@
 from lichenquay.lab.scale.impairment import Impairment
 from lichenquay.lab.scale.scenario import Shape, zone_of_name
 from lichenquay.lab.scale.world_spec import CLIENT, PREFIXES
-from lichenquay.owner import owner_pb2
+from lichenquay.lease import lease_pb2
 
 DISK_MS = 2.0  # A voter's store.
 LINK_MS = (0.2, 1.0)
@@ -67,7 +67,7 @@
 
     def heard(self, now_ms, sender, message):
         """By the kind of message."""
-        part = self.group if isinstance(message, owner_pb2.Message) else self.publisher
+        part = self.group if isinstance(message, lease_pb2.Message) else self.publisher
         part.heard(now_ms, sender, message)
         self._gather()
 
--- a/lichenquay/owner/kept.py
+++ b/lichenquay/lease/durable_state.py
@@ -7,8 +7,8 @@
 
 from google.protobuf.message import DecodeError
 
-from lichenquay.owner.owner_pb2 import Position as Wire
-from lichenquay.owner.owner_pb2 import Promise, State, Whole
+from lichenquay.lease.lease_pb2 import Position as Wire
+from lichenquay.lease.lease_pb2 import Promise, State, Whole
 
 
 def digest(*parts):
--- a/lichenquay/owner/group.py
+++ b/lichenquay/lease/group.py
@@ -24,9 +24,9 @@
 
 from collections import deque
 
-from lichenquay.owner.holder import HOLDING, Holder
-from lichenquay.owner.owner_pb2 import Message
-from lichenquay.owner.voter import Voter
+from lichenquay.lease.holder import HOLDING, Holder
+from lichenquay.lease.lease_pb2 import Message
+from lichenquay.lease.voter import Voter
 
 MOST_INNER = 10_000  # messages to itself in one call
 TO_HOLDER = {"grant", "refuse", "blank", "ack", "piece", "fetch"}
--- a/lichenquay/owner/holder.py
+++ b/lichenquay/lease/holder.py
@@ -9,9 +9,9 @@
 folders counts on both).
 """
 
-from lichenquay.owner.kept import Frozen, Position, Pull
-from lichenquay.owner.peer import INF, Peer
-from lichenquay.owner.settings import MOST_JUMP
+from lichenquay.lease.durable_state import Frozen, Position, Pull
+from lichenquay.lease.peer import INF, Peer
+from lichenquay.lease.settings import MOST_JUMP
 
 IDLE, CLAIMING, TAKING, SPREADING, HOLDING = "idle", "claiming", "taking", "spreading", "holding"
 MOST_SENT = 64  # rounds to one voter whose answers are told apart
--- a/lichenquay/owner/voter.py
+++ b/lichenquay/lease/voter.py
@@ -16,9 +16,9 @@
 stated, not mended.
 """
 
-from lichenquay.owner.kept import Frozen, Log, Position, Pull, load
-from lichenquay.owner.owner_pb2 import Promise
-from lichenquay.owner.settings import MOST_JUMP
+from lichenquay.lease.durable_state import Frozen, Log, Position, Pull, load
+from lichenquay.lease.lease_pb2 import Promise
+from lichenquay.lease.settings import MOST_JUMP
 
 
 class Voter:
--- a/lichenquay/migration/state_machine.py
+++ b/lichenquay/migration/state_machine.py
@@ -1,6 +1,6 @@
 """The state machine of one replica group: its sessions, without time or chance of its own.
 
-A replica group is a group of `owner` under the name of a front; whoever holds it acts for it. `decide_`
+A replica group is a group of `lease` under the name of a front; whoever holds it acts for it. `decide_`
 methods look and return a Change or None; a `Record` of changes is made durable by the group, and then `apply`
 brings it in, once. A session is
 
--- a/lichenquay/quota/keeper.py
+++ b/lichenquay/quota/keeper.py
@@ -10,7 +10,7 @@
 
 from google.protobuf.message import DecodeError
 
-from lichenquay.owner.settings import DRIFT
+from lichenquay.lease.settings import DRIFT
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.ledger import Ledger, LedgerError, Senseless
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,7 +24,7 @@
     "test_members",
     "test_storage",
     "test_engine_importer",
-    "test_owner",
+    "test_lease",
     "test_quota",
     "test_migration",
     "test_fleet",
--- a/tests/distribution_world.py
+++ b/tests/distribution_world.py
@@ -14,7 +14,7 @@
 from lichenquay.distribution.subscriber import Subscriber
 from lichenquay.fleet.envelope import DISTRIBUTION, MOST_BODY
 from lichenquay.lab.fleetnet import FleetNet, Weather
-from lichenquay.owner.owner_pb2 import Message as OwnerMessage
+from lichenquay.lease.lease_pb2 import Message as LeaseMessage
 
 LEASE_MS = 1500.0
 VOTERS = ("v1", "v2", "v3")
@@ -71,7 +71,7 @@
 
     def heard(self, now_ms, sender, message):
         """A message."""
-        part = self.group if isinstance(message, OwnerMessage) else self.publisher
+        part = self.group if isinstance(message, LeaseMessage) else self.publisher
         part.heard(now_ms, sender, message)
         self._settle()
 
--- a/tests/fleet/broken_rules.py
+++ b/tests/fleet/broken_rules.py
@@ -9,11 +9,11 @@
 from unittest.mock import patch
 
 from lichenquay.fleet.envelope import SUM, Envelope
+from lichenquay.lease.durable_state import Position
+from lichenquay.lease.holder import Holder
+from lichenquay.lease.voter import Voter
 from lichenquay.members.hear import Hearing
 from lichenquay.members.table import Table, rank
-from lichenquay.owner.holder import Holder
-from lichenquay.owner.kept import Position
-from lichenquay.owner.voter import Voter
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.keeper import Keeper
 from lichenquay.quota.ledger import Ledger
--- a/tests/fleet/fleet_mutations.py
+++ b/tests/fleet/fleet_mutations.py
@@ -12,13 +12,13 @@
 
 from lichenquay.fleet import fleet_pb2
 from lichenquay.fleet.envelope import MEMBERS, OWNER, QUOTA, SUM, Envelope
+from lichenquay.lease import lease_pb2
 from lichenquay.members import members_pb2
-from lichenquay.owner import owner_pb2
 from lichenquay.quota import quota_pb2
 
 KINDS = {
     MEMBERS: (members_pb2.Message, "kind"),
-    OWNER: (owner_pb2.Message, "body"),
+    OWNER: (lease_pb2.Message, "body"),
     QUOTA: (quota_pb2.Message, "what"),
 }
 LAYERS = {MEMBERS: "members", OWNER: "owner", QUOTA: "quota"}
--- a/tests/owner_audit.py
+++ b/tests/lease_audit.py
@@ -4,9 +4,9 @@
 
 from virtual import World
 
-from lichenquay.owner.group import Group
-from lichenquay.owner.owner_pb2 import Promise, State
-from lichenquay.owner.settings import Settings
+from lichenquay.lease.group import Group
+from lichenquay.lease.lease_pb2 import Promise, State
+from lichenquay.lease.settings import Settings
 
 QUICK = Settings(lease_ms=1000, renew_ms=200, retry_ms=50, spread_ms=100, most_records=8)
 SIZE = 8  # of a record: its number
--- a/tests/owner_broken.py
+++ b/tests/lease_broken.py
@@ -1,9 +1,9 @@
-"""Rules of `lichenquay/owner` broken on purpose, one at a time: what the methods of proof have to find."""
+"""Rules of `lichenquay/lease` broken on purpose, one at a time: what the methods of proof have to find."""
 
 from contextlib import ExitStack, contextmanager
 from unittest.mock import patch
 
-from lichenquay.owner import group, holder, voter
+from lichenquay.lease import group, holder, voter
 
 V, H = voter.Voter, holder.Holder
 BROKEN = {}
--- a/tests/owner_explore.py
+++ b/tests/lease_explore.py
@@ -12,17 +12,17 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
-from owner_audit import QUICK, Broken, demand, fold, position_of, promise_of, split
+from lease_audit import QUICK, Broken, demand, fold, position_of, promise_of, split
 
-from lichenquay.owner import owner_pb2
-from lichenquay.owner.group import Group
-from lichenquay.owner.owner_pb2 import Message
+from lichenquay.lease import lease_pb2
+from lichenquay.lease.group import Group
+from lichenquay.lease.lease_pb2 import Message
 
 RATES = {"a": 0.95, "b": 1.05, "c": 1.05}
 
 
 def wire(kind, data):
-    return getattr(owner_pb2, kind).FromString(data)
+    return getattr(lease_pb2, kind).FromString(data)
 
 
 def bare(message):
@@ -30,7 +30,7 @@
 
 
 for one in ("Promise", "Claim", "Whole", "Position"):
-    copyreg.pickle(getattr(owner_pb2, one), bare)
+    copyreg.pickle(getattr(lease_pb2, one), bare)
 
 
 class Counter:
--- a/tests/owner_faults.py
+++ b/tests/lease_faults.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from random import Random
 
-from owner_audit import QUICK, SIZE, demand, holder, world_of, write
+from lease_audit import QUICK, SIZE, demand, holder, world_of, write
 
 FAULTS = ("kill", "folder", "pause", "cut", "one_way", "disk", "leave", "loss", "slow")
 REST_MS = 15 * QUICK.lease_ms  # after the last fault: somebody holds, and a record is made
--- a/tests/owner_mutation.py
+++ b/tests/lease_mutation.py
@@ -18,9 +18,9 @@
 """
 
 from google.protobuf.message import DecodeError
-from owner_audit import QUICK, Broken, demand, holder, world_of, write
+from lease_audit import QUICK, Broken, demand, holder, world_of, write
 
-from lichenquay.owner.owner_pb2 import Message
+from lichenquay.lease.lease_pb2 import Message
 
 EDGES = {
     "uint64": (0, 1, 2**32, 2**64 - 1),
--- a/tests/migration_group.py
+++ b/tests/migration_group.py
@@ -1,4 +1,4 @@
-"""A replica group in memory, as `owner` promises it, for `migration_world`; and what an audit raises."""
+"""A replica group in memory, as `lease` promises it, for `migration_world`; and what an audit raises."""
 
 from lichenquay.migration import migration_pb2 as pb
 from lichenquay.migration.state_machine import StateMachine
@@ -91,5 +91,5 @@
         return self.group.states[at], self.group.log[max(0, at - 2) :]
 
     def write(self, now_ms, record, done):
-        """As `owner.Group.write`."""
+        """As `lease.Group.write`."""
         self.group.write(self, record, done)
--- a/tests/migration_world.py
+++ b/tests/migration_world.py
@@ -1,5 +1,5 @@
 """Virtual time for `lichenquay.migration`: replica groups, the groups that keep their logs (in memory, as
-`owner` promises it), processes that stop, pause and start, a network with every fault, engines and clients;
+`lease` promises it), processes that stop, pause and start, a network with every fault, engines and clients;
 and an audit after every step that knows more than any process."""
 
 from heapq import heappop, heappush
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -1,5 +1,5 @@
 """Virtual time for the quota's decision modules: fronts with clocks of their own, a group in memory that stands in for
-`owner`, a network with every fault, and an audit after every step that knows more than any front."""
+`lease`, a network with every fault, and an audit after every step that knows more than any front."""
 
 from heapq import heappop, heappush
 from random import Random
@@ -47,7 +47,7 @@
 
 
 class Group:
-    """The ledger's group, as `owner` promises it: one holder, records in order, endings that are sometimes in
+    """The ledger's group, as `lease` promises it: one holder, records in order, endings that are sometimes in
     doubt."""
 
     def __init__(self, world):
--- a/tests/test_capacity_probes.py
+++ b/tests/test_capacity_probes.py
@@ -13,7 +13,7 @@
 from lichenquay.lab.scale import capacity, plan
 from lichenquay.lab.scale.catalogue import PROBES, Probe
 from lichenquay.lab.scale.fit import Model
-from lichenquay.lab.scale.probes import controller, datagram, discovery, host, members, owner, quota, starved
+from lichenquay.lab.scale.probes import controller, datagram, discovery, host, lease, members, quota, starved
 from lichenquay.lab.scale.probes.door import VirtualDoor, make_engines
 from lichenquay.lab.scale.rows import MEASURED, MISSING, NONE_TODAY, Row
 from lichenquay.lab.scale.sample import Sample, Stopwatch, state_bytes
@@ -41,9 +41,9 @@
     "discovery": (10, 20, 40),
     "quota, a front": (1, 2, 4),
     "quota, the keeper": (2, 3, 5),
-    "owner, round trips": (1, 2, 5),
-    "owner, record sizes": (100, 200, 2_000),
-    "owner, a voter behind": (16, 32, 64),
+    "lease, round trips": (1, 2, 5),
+    "lease, record sizes": (100, 200, 2_000),
+    "lease, a voter behind": (16, 32, 64),
 }
 
 
@@ -68,9 +68,9 @@
         (members.measure, (3, 5)),
         (quota.measure_fronts_part, (2,)),
         (quota.measure_keeper, (3,)),
-        (owner.measure_round_trips, (5,)),
-        (owner.measure_record_sizes, (2_000,)),
-        (owner.measure_lagging, (64,)),
+        (lease.measure_round_trips, (5,)),
+        (lease.measure_record_sizes, (2_000,)),
+        (lease.measure_lagging, (64,)),
         (starved.measure, (100,)),
         (discovery.measure, (25,)),
     ],
@@ -146,7 +146,7 @@
 
 def test_a_record_takes_a_round_trip_and_the_disk():
     """Of three voters the holder and one other: a round trip and one write of 2 ms."""
-    made = values(owner.measure_round_trips((1, 20), 1, ignore), "owner.record_made")
+    made = values(lease.measure_round_trips((1, 20), 1, ignore), "lease.record_made")
     assert all(abs(t - 3.0) < 0.2 for t in made[1])
     assert all(abs(t - 22.0) < 0.2 for t in made[20])
 
--- a/tests/test_owner.py
+++ b/tests/test_lease.py
@@ -3,11 +3,11 @@
 from random import Random
 
 import pytest
-from owner_audit import QUICK, fold, holder, position_of, split, world_of, write
+from lease_audit import QUICK, fold, holder, position_of, split, world_of, write
 
-from lichenquay.owner.group import Group
-from lichenquay.owner.kept import Log, Position, load
-from lichenquay.owner.owner_pb2 import Message
+from lichenquay.lease.durable_state import Log, Position, load
+from lichenquay.lease.group import Group
+from lichenquay.lease.lease_pb2 import Message
 
 
 def begun(seed=1, voters="abc", **more):
--- a/tests/test_owner_faults.py
+++ b/tests/test_lease_faults.py
@@ -7,11 +7,11 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from owner_audit import Broken
-from owner_broken import BROKEN
-from owner_explore import Budget, Explorer
-from owner_faults import REST_MS, kinds, schedule
-from owner_mutation import run
+from lease_audit import Broken
+from lease_broken import BROKEN
+from lease_explore import Budget, Explorer
+from lease_faults import REST_MS, kinds, schedule
+from lease_mutation import run
 
 RUNS = int(os.environ.get("OWNER_RUNS", 12))
 STATES = int(os.environ.get("OWNER_STATES", 9_000))
--- a/tests/test_migration_state_machine.py
+++ b/tests/test_migration_state_machine.py
@@ -6,6 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lichenquay.lease.group import Group
+from lichenquay.lease.settings import Settings as GroupSettings
 from lichenquay.migration import migration_pb2 as pb
 from lichenquay.migration.choose import LEAVES, WANTS, Member, in_order, may_leave, taker
 from lichenquay.migration.coordinator import Coordinator, marked
@@ -19,13 +21,11 @@
     StateMachine,
     StateMachineError,
 )
-from lichenquay.owner.group import Group
-from lichenquay.owner.settings import Settings as GroupSettings
 from lichenquay.quota.kept import read, split
 
 
 class Alone:
-    """A group of one process, as `owner` gives it: makes what is written at once, in the pieces that a group
+    """A group of one process, as `lease` gives it: makes what is written at once, in the pieces that a group
     keeps."""
 
     def __init__(self, replica_group):
