Replies at an address that may be another engine's are no evidence in any state

Callers: a draining engine closes the connection of its POST and runs on, and another engine takes its address. The gateway took that engine's replies for the first one's.

Cause: 'unknown' counted in the state DISCONNECTED whoever sent it (AttemptLifecycle._counts_as_unknown); 503 and 504 to a poll were never asked whose they are (ResultRelay._record_poll_reply); and an engine that is listed elsewhere, or whose address another serving engine has, counted as itself (_may_be_other_engine, _process_may_live).

Change: ServingAddresses tells whether an address certainly is an engine's. Where it is not, neither 'unknown' nor 'shed' nor a refusal proves anything; the attempt ends by what only its engine can say, or 2.5 s after the last call that may have reached it, which the poll loop checks after each such reply.

One assertion of test_unknown_proves_the_end_of_an_acknowledged_attempt_at_once demanded the fault (two replies that may be another engine's ended an attempt). In its place: four such replies prove nothing and do not count as the first of two.

--- a/lichenquay/gateway/attempt_lifecycle.py
+++ b/lichenquay/gateway/attempt_lifecycle.py
@@ -7,6 +7,8 @@
 The engine's reply 'unknown' proves nothing while the connection of the POST is open and silent (`SENT`): the
 engine may read the POST later than calls on other connections. Nor does it prove anything after the gateway
 closed that connection, as the engine still reads a POST that has arrived complete.
+
+In no state does 'unknown' or a refused connection prove anything if the address may belong to another engine.
 """
 
 from enum import Enum, StrEnum
@@ -132,9 +134,9 @@
         """Records a reply to a call written at `written_ms`. Returns whether the attempt is over.
 
         The reply reports that the query is unknown or, to a cancellation (`is_poll` is false), cancelled.
-        may_be_other_engine: the engine is leaving or has left the endpoint list, and the reply came on a
-        connection on which it has not replied for this attempt before, so that the address may belong to
-        another engine by now.
+        may_be_other_engine: the address may belong to another engine by now, and the reply came on a
+        connection on which the engine has not replied for this attempt before. Such a reply is no evidence,
+        whatever it reports, but that the call has not made the engine keep the query.
         """
         self.on_engine_replied()
         if is_poll and written_ms == self.last_poll_ms:
@@ -154,8 +156,8 @@
         """Records that the address refused a connection. Returns whether the attempt is over.
 
         process_may_live: a connection to the engine is open, or was until the gateway closed it, that the end
-        of the process would have closed; or the engine is draining, and may run queries without accepting
-        connections.
+        of the process would have closed; or the address may no longer be the engine's, or the engine is
+        draining, and may run queries without accepting connections.
         """
         if process_may_live or self.state is AttemptState.UNSENT:
             self.first_refused_ms = None
@@ -174,9 +176,7 @@
 
     def _counts_as_unknown(self, written_ms, may_be_other_engine):
         """Returns whether 'unknown' is evidence: an early call may have been read before the POST."""
-        if not self.may_run:
-            return False
-        if may_be_other_engine and self.state is not AttemptState.DISCONNECTED:
+        if not self.may_run or may_be_other_engine:
             return False
         is_sent = self.state is AttemptState.SENT
         counts_from_ms = self.posted_ms + MAX_READ_DELAY_MS if is_sent else self.state_since_ms
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -11,6 +11,7 @@
 from lichenquay.admission import domain
 from lichenquay.gateway.engine_call import EngineCall, EngineCallError, NotConnectedError, ReplyTimeoutError
 from lichenquay.gateway.engine_connection import ConnectionFactory, EngineConnection
+from lichenquay.gateway.serving_addresses import ServingAddresses
 
 # A connection is not reused for another query sooner, as a duplicate of its last reply may still arrive.
 MIN_IDLE_S = 0.03
@@ -53,6 +54,7 @@
         self.stale_after_s = self.max_idle_s  # connections idle for longer may be closing and are not reused
         self.waiting_calls: deque[EngineCall] = deque()
         self.connections: set[EngineConnection] = set()
+        self.addresses = ServingAddresses()
         self.open_count = 0  # connections established or being established
         self.peak_open_count = 0
 
--- a/lichenquay/gateway/result_relay.py
+++ b/lichenquay/gateway/result_relay.py
@@ -147,6 +147,8 @@
                 if self._record_poll_reply(in_flight, timed_reply):
                     return timed_reply.reply
                 needs_new_connection = False
+                if self._end_if_lost(in_flight):
+                    return None
             except NotConnectedError as error:
                 if error.is_refused:
                     self._record_refusal(in_flight)
@@ -172,19 +174,23 @@
     def _record_poll_reply(self, in_flight, timed_reply):
         """Records a reply to a poll; returns whether it is about the attempt or proves that this is over.
 
-        False: the reply is 'unknown', which proves nothing yet.
+        False: the reply is 'unknown', which proves nothing yet, or an engine that may be another one does not
+        have the query, whether it reports 'unknown' or that it shed the attempt. Only an engine that has the
+        query reports its progress or its result.
         """
         reply = timed_reply.reply
-        if reply.status != Status.SERVER_ERROR:
+        may_be_other_engine = self._may_be_other_engine(in_flight, reply.connection)
+        has_query = reply.status in (Status.OK, Status.ACCEPTED)
+        if has_query or (engine_protocol.is_overloaded(reply) and not may_be_other_engine):
             in_flight.connection = reply.connection
             in_flight.late_reply = None
             self.record_reply(in_flight, reply)
             in_flight.abandon_first_call()
             return True
-        may_be_other_engine = self._may_be_other_engine(in_flight, reply.connection)
-        if in_flight.lifecycle.on_unknown_reported(
+        is_over = in_flight.lifecycle.on_unknown_reported(
             timed_reply.written_ms, self.now_ms(), may_be_other_engine
-        ):
+        )
+        if is_over and not may_be_other_engine:
             return True
         self.metrics.count("unknown without proof")
         return False
@@ -335,24 +341,25 @@
         """Returns whether the engine's process may be alive although its address refuses connections.
 
         That is so while the first call is open, another connection is open, the gateway itself closed the
-        connection of the last reply, or the engine is draining. An engine that accepts no new connections but
-        goes on working must not be taken for gone. A reset together with a refusal proves no more.
+        connection of the last reply, or the address is not certainly the engine's. An engine that accepts no
+        new connections but goes on working must not be taken for gone. A reset together with a refusal proves
+        no more.
         """
         last_connection = in_flight.connection
         closed_locally = last_connection is not None and last_connection.closed_locally
-        is_leaving = in_flight.engine.state != domain.EndpointState.SERVING
         return (
             in_flight.first_call is not None
             or closed_locally
-            or is_leaving
+            or not self._is_address_certain(in_flight)
             or self.engines.has_live_connection(in_flight.engine, in_flight.address)
         )
 
     def _may_be_other_engine(self, in_flight, connection):
         """Returns whether a reply on this connection may be that of another engine.
 
-        An engine that is draining or removed may go on working without accepting connections, or behind a
-        network partition, while its address already belongs to an engine that does not know its queries.
+        Only the connection of the attempt's last reply certainly leads to its engine.
         """
-        is_leaving = in_flight.engine.state != domain.EndpointState.SERVING
-        return is_leaving and connection is not in_flight.connection
+        return connection is not in_flight.connection and not self._is_address_certain(in_flight)
+
+    def _is_address_certain(self, in_flight):
+        return self.engines.addresses.is_certain(in_flight.engine, in_flight.address)
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -167,6 +167,7 @@
         self.adapter.endpoints_updated(listed, whole)
         for engine in removed:  # its address may belong to another engine by now
             engine.state = domain.EndpointState.REMOVED
+            self.engines.addresses.update(engine)
             self.engines.close_idle_connections(engine)
             self.engines_by_id.pop(engine.id, None)
 
@@ -183,6 +184,7 @@
         self.settings.update_engine(
             engine, record.zone, record.kind, record.cell, record.state, record.advertised_weight, started_ms
         )
+        self.engines.addresses.update(engine)
         return engine
 
     # Start
--- a/tests/test_attempt_lifecycle.py
+++ b/tests/test_attempt_lifecycle.py
@@ -64,9 +64,11 @@
     lifecycle.on_acknowledged(150.0)
     assert not lifecycle.on_unknown_reported(160.0, 161.0, may_be_other_engine=True)
     lifecycle.on_connection_closed_by_engine(170.0)  # the connection of the acknowledgement
-    assert not lifecycle.on_unknown_reported(
-        171.0, 172.0, may_be_other_engine=True
-    ) and lifecycle.on_unknown_reported(222.0, 223.0, may_be_other_engine=True)
+    for written_ms in (171.0, 222.0, 700.0, 760.0):
+        assert not lifecycle.on_unknown_reported(written_ms, written_ms + 1.0, may_be_other_engine=True)
+    # Two replies of this engine itself are needed: those that may be another's do not count as the first one.
+    assert not lifecycle.on_unknown_reported(800.0, 801.0) and lifecycle.on_unknown_reported(850.0, 851.0)
+    assert lifecycle.proof == Proof.UNKNOWN_AFTER_DISCONNECT
 
 
 def test_two_refusals_prove_that_the_process_is_gone():
--- a/tests/test_attempt_lifecycle_gateway.py
+++ b/tests/test_attempt_lifecycle_gateway.py
@@ -156,3 +156,58 @@
             connection in pool.connections
         ) is not is_late
     assert [reply.status for reply in replies] == [202, 202]
+
+
+def take_address(world, old):
+    """Has a new engine take the address of `old`, which accepts no more connections; returns the new one."""
+    port = old.port.getHost().port
+    old.port.stopListening()
+    wait(0.02)
+    new = StandInEngine(world, "s-new")
+    new.port.stopListening()
+    wait(0.02)
+    new.port = reactor.listenTCP(port, new, interface="127.0.0.1")
+    new.address = old.address
+    world.engines.append(new)
+    return new
+
+
+@pytest.mark.parametrize("status", [500, 503, 504])
+@pytest.mark.parametrize("announcement", ["drain", "same address", "moved"])
+@pytest.mark.parametrize("group", ["report", "manifest"])
+def test_replies_of_the_engine_that_took_the_address_are_no_evidence(make_world, group, announcement, status):
+    """Guards against a second attempt while an engine that closed the connection of its POST runs on."""
+    world = make_world(engines=2)
+    set_behaviour_of_first_attempt(world, "silent")
+    client = world.client()
+    stream = client.ask(group, allow=4000)
+    until(lambda: world.in_flight)
+    sent_s = time.monotonic()
+    ref = next(iter(world.in_flight))
+    reactor.callLater(2.0, world.in_flight.discard, ref)  # the old engine drops it, as it was not polled
+    old = next(engine for engine in world.engines if engine.posts)
+    new = take_address(world, old)
+    answer_known = new._on_poll
+
+    def answer_poll(connection, request_id, page):
+        if request_id in new.running:
+            answer_known(connection, request_id, page)
+        else:
+            connection.answer(status, [("X-No-Effect", "1")] if status != 500 else [])
+
+    new._on_poll = answer_poll
+    rows = {
+        "drain": [old.row("DRAINING"), new.row()],
+        "same address": [new.row()],
+        "moved": [{**old.row(), "endpoint": "127.0.0.1:1"}],
+    }
+    world.discovery.add_event(*rows[announcement])
+    until(lambda: world.service.discovery.last_number == 2)
+    for connection in list(old.connections):
+        connection.transport.abortConnection()
+    code, _ = answered(client, stream)
+    assert not BROKEN_RULES
+    if group == "manifest":
+        assert code == frames.AnswerCode.FAILED and world.posts() == 1
+    else:
+        assert code == frames.AnswerCode.COMPLETED and time.monotonic() - sent_s > 2.0
