No idle connection is closed over a request that has arrived

Callers: a request was read and dropped without an answer. It lay in the kernel when the gateway closed its connection as idle, drained or evicted; clients repeat only what crosses a close within 50 ms.

Cause: 'idle' was judged by what had been read (RequestIntake.close_expired and close_idle, ClientConnection.evict). After a pause of the process the reactor runs its timers before it reads, so that the close comes first.

Evidence: three tests in tests/crossings/test_closing.py, with reading paused for 0.1 s in place of the process; before, all three failed ('KeyError: 2', no answer on stream 2).

Change: close_if_idle peeks first and leaves a connection with unread input open; an eviction reads that input, so that it gets a final answer.

--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -1,17 +1,14 @@
 """A client's connection: handles its frames in order and writes the answers."""
 
-import fcntl
-import struct
-import termios
 import traceback
 from typing import NamedTuple
 
 from twisted.internet.protocol import Protocol
 
 from lichenquay.gateway import frames
-from lichenquay.gateway.engine_connection import send_now
 from lichenquay.gateway.errors import GatewayError
 from lichenquay.gateway.frames import AnswerCode, FrameError, FrameReader, FrameType
+from lichenquay.gateway.sockets import Input, send_now, unacknowledged_bytes, unread_input
 from lichenquay.gateway.stream_numbers import StreamNumbers
 
 CLOSE_TIMEOUT_S = 0.3  # time for the client to close as well; repeated while it still reads its last answers
@@ -40,15 +37,6 @@
     received_ms: float
 
 
-def unacknowledged_bytes(transport) -> int:
-    """Returns how many sent bytes the peer has not acknowledged yet; 0 if the kernel does not report it."""
-    try:
-        buffer = fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, b"\0" * 4)
-    except OSError:
-        return 0
-    return struct.unpack("i", buffer)[0]
-
-
 class ClientConnection(Protocol):
     """One client's connection.
 
@@ -298,9 +286,17 @@
         """Whether no accepted or deferred request waits for its answer."""
         return not self.open_queries and not self.deferred_requests
 
+    def close_if_idle(self) -> None:
+        """Closes the connection if no request waits for its answer, or to be read."""
+        if self.is_open and self.is_idle and unread_input(self.transport) is not Input.BYTES:
+            self.send_go_away()
+            self.close()
+
     def evict(self) -> None:
         """Closes the connection in favour of another one, after its queries have got their final answers."""
         self.intake.metrics.count("clients evicted")
+        if unread_input(self.transport) is Input.BYTES:
+            self.transport.doRead()  # what has arrived gets its answer, too
         if self.is_idle:
             self.send_go_away()
             self.close()
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -1,7 +1,6 @@
 """One connection to an engine, which carries one call at a time."""
 
 from math import inf
-from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import NamedTuple
 
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
@@ -16,18 +15,7 @@
 )
 from lichenquay.gateway.engine_protocol import MAX_PAGE_BYTES
 from lichenquay.gateway.http import ReplyError, ReplyReader, Status
-
-
-def send_now(transport, data: bytes) -> bytes | memoryview:
-    """Sends what the kernel accepts at once and returns the rest; the transport must have nothing unsent.
-
-    Compared to `transport.write`, this saves a turn of the reactor and two epoll changes per message.
-    """
-    try:
-        sent_bytes = transport.socket.send(data, MSG_DONTWAIT)
-    except OSError:  # the buffer is full, or the connection broken, which the transport detects
-        sent_bytes = 0
-    return memoryview(data)[sent_bytes:] if sent_bytes < len(data) else b""
+from lichenquay.gateway.sockets import Input, send_now, unread_input
 
 
 class _Result(NamedTuple):
@@ -83,13 +71,7 @@
 
     def is_clean(self) -> bool:
         """Returns whether the connection has neither unread bytes nor been closed by the engine."""
-        try:
-            self.transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        return unread_input(self.transport) is Input.NOTHING
 
     def send(self, call: EngineCall) -> None:
         """Sends a call on this connection, which must carry no other call."""
--- a/lichenquay/gateway/request_intake.py
+++ b/lichenquay/gateway/request_intake.py
@@ -139,14 +139,13 @@
             awaits_frame = not connection.has_received_frame or connection.reader.buffered_bytes()
             if awaits_frame and now_s - connection.frame_started_s > FRAME_TIMEOUT_S:
                 connection.reject_input("no whole frame in time")
-            elif connection.is_idle and now_s - connection.last_activity_s > IDLE_TIMEOUT_S:
-                connection.send_go_away()
-                connection.close()
+            elif now_s - connection.last_activity_s > IDLE_TIMEOUT_S:
+                connection.close_if_idle()
 
     def close_idle(self) -> None:
-        """Closes all connections on which no request waits for its answer."""
-        for connection in [connection for connection in self.connections if connection.is_idle]:
-            connection.close()
+        """Closes all connections on which no request waits for its answer, or to be read."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
 
     def has_memory_for(self, size_bytes: int, held_before: int = 0) -> bool:
         """Returns whether a frame or statement may take `size_bytes`.
--- /dev/null
+++ b/lichenquay/gateway/sockets.py
@@ -0,0 +1,47 @@
+"""What the kernel holds for a connection: bytes to send at once, unread input, and unacknowledged output."""
+
+import fcntl
+import struct
+import termios
+from enum import Enum
+from socket import MSG_DONTWAIT, MSG_PEEK
+
+
+class Input(Enum):
+    """What a read on a socket would return."""
+
+    NOTHING = "nothing"  # it would have to wait
+    BYTES = "bytes"
+    END = "end"  # the peer has closed or reset the connection
+
+
+def send_now(transport, data: bytes) -> bytes | memoryview:
+    """Sends what the kernel accepts at once and returns the rest; the transport must have nothing unsent.
+
+    Compared to `transport.write`, this saves a turn of the reactor and two epoll changes per message.
+    """
+    try:
+        sent_bytes = transport.socket.send(data, MSG_DONTWAIT)
+    except OSError:  # the buffer is full, or the connection broken, which the transport detects
+        sent_bytes = 0
+    return memoryview(data)[sent_bytes:] if sent_bytes < len(data) else b""
+
+
+def unread_input(transport) -> Input:
+    """Returns what has arrived and was not read yet; reads nothing."""
+    try:
+        data = transport.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
+    except BlockingIOError:
+        return Input.NOTHING
+    except OSError:
+        return Input.END
+    return Input.BYTES if data else Input.END
+
+
+def unacknowledged_bytes(transport) -> int:
+    """Returns how many sent bytes the peer has not acknowledged yet; 0 if the kernel does not report it."""
+    try:
+        buffer = fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+    except OSError:
+        return 0
+    return struct.unpack("i", buffer)[0]
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -251,3 +251,42 @@
         and not client.is_closed
     )
     wait_until_complete(world)
+
+
+@pytest.mark.parametrize("closing", ["idle for too long", "shutdown"])
+def test_a_request_that_has_arrived_but_is_unread_prevents_the_close(make_world, closing):
+    """Guards against a lost request: it was written long before the close, so that no client repeats it."""
+    world = make_world(engines=1)
+    client = SocketClient(world.port)
+    connection = wait_for_connection(world)
+    send_request(client, 1)
+    until(lambda: counter(world, "answers completed") == 1)
+    connection.transport.pauseProducing()  # stands for a process that was paused until now
+    send_request(client, 2)
+    wait(0.1)
+    if closing == "shutdown":
+        world.service.clients.close_idle()
+    else:
+        connection.last_activity_s -= request_intake.IDLE_TIMEOUT_S + 1
+        world.service.clients.close_expired()
+    connection.transport.resumeProducing()
+    until(lambda: 2 in read_answers(client) or client.ended)
+    assert read_answers(client)[2] == (frames.AnswerCode.COMPLETED, RESULT)
+    client.socket.close()
+
+
+def test_a_request_that_has_arrived_but_is_unread_is_answered_at_an_eviction(make_world):
+    """Guards against a lost request: the connection counts as idle, but a request on it waits to be read."""
+    world = make_world(engines=1)
+    client = SocketClient(world.port)
+    connection = wait_for_connection(world)
+    send_request(client, 1)
+    until(lambda: counter(world, "answers completed") == 1)
+    connection.transport.pauseProducing()  # stands for a process that was paused until now
+    send_request(client, 2)
+    wait(0.1)
+    connection.evict()
+    until(lambda: client.read() and client.ended)
+    assert 2 in read_answers(client)
+    client.socket.close()
+    wait_until_complete(world)
