Hypothesis draws the same examples whichever modules are loaded

Cause: a derandomized test draws one number in twenty from constants of the project's modules that are loaded by then (hypothesis.internal.conjecture.providers._get_local_constants). The fault of the attempt lifecycle was found, or not, by the tests that ran before.

Seeds stay as they were: derandomized tests derive them from the source of the test or state machine, so that examples change only with that source or with the package's constants.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,7 +5,7 @@
 import pytest
 from gateway_world import World
 
-pytest_plugins = ["known_red"]
+pytest_plugins = ["known_red", "hypothesis_constants"]
 
 
 def pytest_addoption(parser):
