Shutdown ends once what was taken is answered, also under clients that go on sending

Cause: Service._drain closed connections only at a moment without any open query, and new queries were accepted until 0.3 s before the kill.

Evidence: tests/crossings/test_leaving_clients.py, five clients and a real process, SIGTERM alone and in series with SIGHUP and SIGUSR1. Before, all six forms failed: five ended after 3.48 to 3.57 s, one left a request unanswered. In trials of this mend with the 50 ms pause that follows a rejection still in place, two of six took 1.4 and 1.7 s: counts of open connections a tick showed connections that never had an instant without unread input.

Attempts that hang are waited for until the final answers are due.

Measured: the six forms pass three times on an idle machine and four times beside eight busy processes; gateway and crossing tests 528 passed.

--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -100,6 +100,9 @@
             self._add_held_bytes(-buffered_before)
             self.reader.discard()
             self.reject_input(str(error))
+        if self.intake.is_stopping:
+            # A client that sends its next request at each answer would never be found idle otherwise.
+            self.close_if_idle()
 
     def _on_frame(self, frame):
         if not self.has_received_frame:
@@ -172,7 +175,8 @@
             self.invalid_requests += 1
         if self.invalid_requests > MAX_INVALID_REQUESTS or self._count_invalid_request(error):
             raise FrameError("too many requests that make no sense")
-        self._pause_reading()
+        if not self.intake.is_stopping:  # then the connection is closed as soon as all input is read
+            self._pause_reading()
 
     def _count_invalid_request(self, error):
         """Counts an invalid request with connection admission; returns whether its rate is exceeded."""
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -46,7 +46,7 @@
 URGENT_DESCRIPTORS = RESERVED_DESCRIPTORS // 2  # of these, for urgent calls to engines
 OTHER_DESCRIPTORS = RESERVED_DESCRIPTORS - URGENT_DESCRIPTORS  # of these, always counted as used
 EXTRA_CLIENT_DESCRIPTORS = RESERVED_DESCRIPTORS // 4  # for clients, in addition to their share
-ABANDON_IN_FLIGHT_BEFORE_MS = FINAL_ANSWERS_BEFORE_MS / 2  # before SIGKILL, attempts are no longer waited for
+END_BEFORE_MS = FINAL_ANSWERS_BEFORE_MS / 2  # before SIGKILL, clients and the fleet are no longer waited for
 CLIENT_DESCRIPTOR_DIVISOR = 3  # PROTOCOL: clients hold at most a third of the descriptors
 CALL_CHECK_INTERVAL_MS = 25.0  # for overdue calls and stale connections to engines
 CLIENT_CHECK_INTERVAL_MS = 250.0  # for idle client connections and overdue frames
@@ -337,29 +337,35 @@
         self.clients.stop_listening()
         if self.fleet is not None:
             self.fleet.leave()
-        self.engines.call_later(REQUESTS_AFTER_ACCEPTING_MS, self._drain)
+        self.engines.call_later(REQUESTS_AFTER_ACCEPTING_MS, self._begin_drain)
+
+    def _begin_drain(self):
+        """Drains from the next turn of the reactor on: what has arrived by now is read and accepted first."""
+        self.phase = ServicePhase.DRAINING
+        self.engines.call_later(DRAIN_CHECK_INTERVAL_MS, self._drain)
 
     def _drain(self):
         """Drains: ends the service once all queries are answered, all attempts over and all answers sent.
 
-        Shortly before SIGKILL is due, it gives open queries their final answers, and then ends in any case.
+        New queries are rejected, and each connection is closed once its queries are answered: clients that go
+        on sending would keep a query open for ever. Shortly before SIGKILL is due, open queries get their
+        final answers and attempts are no longer waited for; then the service ends in any case.
         """
-        self.phase = ServicePhase.DRAINING
         left_ms = self.sigkill_expected_ms - now_ms()
-        is_late = left_ms < ABANDON_IN_FLIGHT_BEFORE_MS
-        if left_ms < FINAL_ANSWERS_BEFORE_MS:
-            # Queries received after the first call of `evict_all` would otherwise end unanswered.
-            self.clients.is_stopping = True
+        are_final_answers_due = left_ms < FINAL_ANSWERS_BEFORE_MS
+        is_late = left_ms < END_BEFORE_MS
+        self.clients.is_stopping = True
+        if are_final_answers_due:
             self.adapter.evict_all()
+        self.clients.close_idle()
         all_answered = not self.adapter.open_queries and not self.adapter.events
-        nothing_in_flight = self.attempts.in_flight_count == 0
-        if (all_answered or left_ms < 0) and (nothing_in_flight or is_late):
-            self.clients.close_idle()
-            fleet_is_over = self.fleet is None or self.fleet.is_leave_complete()
-            if is_late or (not self.clients.connections and fleet_is_over):
-                self._end()
-                return
-        self.engines.call_later(DRAIN_CHECK_INTERVAL_MS, self._drain)
+        nothing_in_flight = self.attempts.in_flight_count == 0 or are_final_answers_due
+        fleet_is_over = self.fleet is None or self.fleet.is_leave_complete()
+        is_complete = nothing_in_flight and fleet_is_over and not self.clients.connections
+        if (all_answered or left_ms < 0) and (is_complete or is_late):
+            self._end()
+        else:
+            self.engines.call_later(DRAIN_CHECK_INTERVAL_MS, self._drain)
 
     def _end(self):
         self.phase = ServicePhase.ENDED
