A candidate does not spin on a voter that reports recovery

Callers: a control process that takes a whole core for up to a lease, while its other parts wait.

Cause: a voter's recovery notice left the append request that it had been sent as unanswered. Its retry was due, but nothing may be sent to a recovering voter before the lease is held: Leadership.due_ms stayed in the past and each tick did nothing.

Change: VoterProgress.record_recovery forgets what is unanswered. A holder sends the voter the whole log as before.

--- a/lichenquay/lease/leadership.py
+++ b/lichenquay/lease/leadership.py
@@ -278,8 +278,7 @@
             return
         voter = self.quorum.voters[name]
         known_nonce = voter.recovery_nonce
-        voter.recovery_nonce = notice.recovery_nonce
-        voter.position = None
+        voter.record_recovery(notice.recovery_nonce)
         if self.phase is Phase.ACQUIRING and self.acquisition.bootstrap_nonces:
             voter.recovery_nonce = 0
         elif self.phase is Phase.ACQUIRING and self.quorum.is_recovering:
--- a/lichenquay/lease/quorum.py
+++ b/lichenquay/lease/quorum.py
@@ -36,6 +36,12 @@
         """Whether the voter has neither granted nor reported that it is recovering."""
         return self.position is None and not self.recovery_nonce
 
+    def record_recovery(self, nonce: int) -> None:
+        """Records that the voter is recovering: it answers nothing that was sent before."""
+        self.recovery_nonce = nonce
+        self.position = None
+        self.unanswered_since_ms = None
+
     def record_sent(self, now_ms: float, number: int, echo_token: int) -> None:
         """Records an append request, and drops the oldest beyond MAX_SENT_APPENDS."""
         self.sent_appends[number] = SentAppend(now_ms, echo_token)
