A holder keeps records unfolded while a voter catches up

Callers: a voter that lacked much of the state never got back while records were appended; with it, the group had no spare voter, and the next takeover met the fault of the last commit.

Change: LogReplicator.fold_if_due waits while a voter that lacks records gets further (a chunk requested beyond the earlier ones, a position that advances), up to 64 times max_records and 0.9 of max_state_bytes.

--- a/lichenquay/lease/leadership.py
+++ b/lichenquay/lease/leadership.py
@@ -374,8 +374,7 @@
             return
         self.log.append(record)
         self.pending_results[self.log.index] = on_result
-        if len(self.log.records) > self.settings.max_records:
-            self.log.fold(self.fold, self.settings.max_records // 2)
+        self.replicator.fold_if_due(now_ms, self.fold)
         for name, voter in self.quorum.voters.items():
             if voter.position is not None and voter.unanswered_since_ms is None:
                 self._send_append(now_ms, name)
--- a/lichenquay/lease/replication.py
+++ b/lichenquay/lease/replication.py
@@ -3,13 +3,16 @@
 from collections.abc import Callable
 from random import Random
 
-from lichenquay.lease.log import LogPosition, ReplicatedLog
+from lichenquay.lease.log import FoldFunction, LogPosition, ReplicatedLog
 from lichenquay.lease.messages import AppendRequest, SnapshotRequest
 from lichenquay.lease.quorum import INF, Quorum
 from lichenquay.lease.settings import LeaseSettings
 from lichenquay.lease.snapshot_transfer import LogSnapshot
 
 _RECORD_OVERHEAD_BYTES = 4  # per record in a message
+# While a voter catches up, records are not folded, up to these fractions of the limits.
+_MAX_UNFOLDED_RECORDS = 64  # times `max_records`
+_MAX_UNFOLDED_STATE = 0.9  # of `max_state_bytes`
 
 
 class LogReplicator:
@@ -123,6 +126,20 @@
         if has_advanced and self.log.index - position.index > lag:
             self.quorum.catch_up_ms = now_ms
 
+    def fold_if_due(self, now_ms: float, fold: FoldFunction) -> None:
+        """Folds the older records, unless a voter that catches up would have to begin anew without them."""
+        log = self.log
+        settings = self.settings
+        if len(log.records) <= settings.max_records:
+            return
+        is_catching_up = now_ms - self.quorum.catch_up_ms <= settings.lease_ms
+        has_room = (
+            len(log.records) <= _MAX_UNFOLDED_RECORDS * settings.max_records
+            and log.size_bytes <= _MAX_UNFOLDED_STATE * settings.max_state_bytes
+        )
+        if not (is_catching_up and has_room):
+            log.fold(fold, settings.max_records // 2)
+
     def is_consistent(self, position: LogPosition) -> bool:
         """Returns whether a voter's log can end at this position, given this log."""
         if position.generation != self.generation:
--- a/tests/test_lease_lagging.py
+++ b/tests/test_lease_lagging.py
@@ -14,6 +14,8 @@
     wrap,
 )
 from lichenquay.lease.phases import Phase
+from lichenquay.lease.quorum import Quorum
+from lichenquay.lease.replication import LogReplicator
 from lichenquay.lease.settings import LeaseSettings
 from lichenquay.lease.snapshot_transfer import LogSnapshot, LogSnapshotFetch
 from lichenquay.testbed.scale.probes import lease as probe
@@ -166,3 +168,41 @@
     now_ms += settings.retry_ms
     group.tick(now_ms)
     assert leadership.phase is Phase.REPLICATING and group.due_ms > now_ms
+
+
+@pytest.mark.parametrize("interval_ms", [1_000.0, 100.0])
+def test_a_voter_catches_up_while_records_are_appended(interval_ms):
+    """Guards against a voter that never gets back: folded records make each snapshot useless on arrival."""
+    voters = lagging_voters(LEDGER_KB, 60.0, 0.0, seed=1)
+    holder, lagging = (voters.net.hosts[probe.VOTERS[index]] for index in (0, 2))
+    started_ms = voters.net.now_ms
+    lagging_log = lagging.parts[probe.LAYER].part.voter
+    results = []
+
+    def has_caught_up():
+        return voters.group.leadership.log.index - lagging_log.log.index < probe.SETTINGS.max_records // 2
+
+    while not has_caught_up() and voters.net.now_ms < started_ms + 2 * TARGET_MS:
+        voters.group.append(holder.now_ms(), b"r" * 200, lambda _, is_committed: results.append(is_committed))
+        voters.net.call(probe.VOTERS[0], probe.LAYER, "set_candidate", True)
+        voters.net.run(voters.net.now_ms + interval_ms)
+    assert has_caught_up() and all(results)
+
+
+def test_records_are_folded_although_a_voter_catches_up_if_there_is_no_room():
+    """A voter that never completes its fetch does not fill the holder's memory."""
+    settings = LeaseSettings(max_records=2, max_state_bytes=1_000)
+    quorum = Quorum(("a", "b", "c"))
+    replicator = LogReplicator(1, ReplicatedLog(), quorum, random.Random(1), settings, lambda *_: None)
+    quorum.catch_up_ms = 5.0
+    for _ in range(9):
+        replicator.log.append(b"x" * 100)
+        replicator.fold_if_due(6.0, lambda base, records: b"base")
+    assert len(replicator.log.records) == 9
+    replicator.log.append(b"x" * 100)
+    replicator.fold_if_due(6.0, lambda base, records: b"base")
+    assert len(replicator.log.records) == 1
+    for _ in range(2):
+        replicator.log.append(b"x")
+    replicator.fold_if_due(5.0 + settings.lease_ms + 1.0, lambda base, records: b"base")
+    assert len(replicator.log.records) == 1
