A control client without voters says so in one line

Callers: IndexError at the first call of control_plane.client.Client where the list of voters is empty (self.voters[0] in _call).

Change: the constructor raises NoVotersError, before it opens a socket. The command line cannot pass an empty list (parse_address refuses ''). The test failed before: no such error, and the constructor accepted the list.

--- a/lichenquay/control_plane/client.py
+++ b/lichenquay/control_plane/client.py
@@ -9,7 +9,7 @@
 from google.protobuf.message import DecodeError
 
 from lichenquay.config.distribution_settings import distribution_fingerprint
-from lichenquay.control_plane.errors import NoAnswerError
+from lichenquay.control_plane.errors import NoAnswerError, NoVotersError
 from lichenquay.distribution import distribution_pb2 as pb
 from lichenquay.fleet.errors import DroppedDatagramError
 from lichenquay.fleet.message_envelope import MAX_DATAGRAM_BYTES, Layer, MessageEnvelope
@@ -50,9 +50,11 @@
         """Opens a socket.
 
         fleet: the fleet's name. voters: the (host, port) of some voters or all. timeout_s: for each call, in
-        seconds. rng: source of the client's name and of request numbers.
+        seconds. rng: source of the client's name and of request numbers. Raises NoVotersError.
         """
         self.voters = list(voters)
+        if not self.voters:
+            raise NoVotersError("no voters: a client needs the address of at least one")
         self.timeout_s = timeout_s
         self.rng = rng or random.SystemRandom()
         name = f"client-{self.rng.getrandbits(CLIENT_NUMBER_BITS):012x}"
--- a/tests/test_config_control.py
+++ b/tests/test_config_control.py
@@ -17,6 +17,8 @@
 )
 from lichenquay.config.errors import ConfigurationError
 from lichenquay.config.reader import read_control, read_gate, read_settings
+from lichenquay.control_plane.client import Client
+from lichenquay.control_plane.errors import NoVotersError
 from lichenquay.distribution.settings import Settings as DistributionSettings
 
 pytestmark = pytest.mark.together
@@ -244,3 +246,9 @@
         with pytest.raises(ConfigurationError) as raised:
             read_gate(text)
         assert message in str(raised.value) and "\n" not in str(raised.value)
+
+
+def test_a_client_without_voters_is_refused():
+    """Guards against an IndexError at the first call."""
+    with pytest.raises(NoVotersError, match="^no voters: a client needs the address of at least one$"):
+        Client("fleet", [])
