A damaged ledger is refused in one line and fetched from the holder

The same elsewhere: repeated rows overwrote each other, rows without an account ended in a KeyError, and load_voter_state took a missing base, promise or header for an empty one; a voter without its promise forgets what it granted.

Change: restore and the invariants refuse these. A voter checks its stored state when it starts (find_state_error, given by the application) and counts a damaged one as a lost folder, but never joins a bootstrap with it: that would replace what the folder still holds. It answers a candidate only after a lease of asking under one generation, that is, a holder. A fetched log is checked, too.

test_stored_sections_are_loaded_completely_or_not_at_all now stores a promise, as a voter's first write does, and also requires that no section may be missing.

--- a/lichenquay/fleet/quota_participant.py
+++ b/lichenquay/fleet/quota_participant.py
@@ -74,6 +74,8 @@
         self.leader: LedgerLeader | None = None
         if self.name in self.voters:
             self.group = self._new_group(settings.lease_ms or DEFAULT_LEASE_MS, now_ms, stored_sections)
+            if self.group.damage:
+                self.log.warning("stored ledger refused, fetched from the holder", reason=self.group.damage)
             group = ledger_records.PiecewiseGroup(self.group)
             self.leader = LedgerLeader(group, self.account_terms, self.term_ms)
         self.escrow = self._new_escrow()
@@ -103,6 +105,7 @@
             stored_sections,
             fold=ledger_records.fold,
             on_lease_event=self._on_lease_event,
+            find_state_error=ledger_records.find_state_error,
         )
 
     def _new_escrow(self):
--- a/lichenquay/lease/acquisition.py
+++ b/lichenquay/lease/acquisition.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from lichenquay.lease.log import LogPosition, ReplicatedLog
+from lichenquay.lease.log import FindStateError, LogPosition, ReplicatedLog
 from lichenquay.lease.messages import AcquireRequest, SnapshotChunk, SnapshotOffer
 from lichenquay.lease.quorum import Quorum
 from lichenquay.lease.settings import LeaseSettings
@@ -21,16 +21,19 @@
         rng: Random,
         settings: LeaseSettings,
         send: Callable,
+        find_state_error: FindStateError,
     ):
         """Sends nothing yet.
 
-        `voters`: names of the voters. `rng` draws the token that replies must echo.
+        `voters`: names of the voters. `rng` draws the token that replies must echo. `find_state_error` checks
+        a fetched log.
         """
         self.started_ms = now_ms
         self.last_progress_ms = now_ms  # its start, or when the fetch has got further
         self.generation = generation
         self.settings = settings
         self.send = send
+        self.find_state_error = find_state_error
         self.echo_token = rng.getrandbits(63) + 1
         self.quorum = Quorum(voters)
         self.bootstrap_nonces = {}  # by voter; set if all voters are recovering
@@ -83,7 +86,9 @@
     def start_fetch(self, now_ms: float, name: str, earlier: LogSnapshotFetch | None) -> ReplicatedLog | None:
         """Starts to fetch the log of a voter; returns it if an `earlier` fetch had all of it."""
         offer = self.quorum.voters[name].snapshot_offer
-        self.fetch = LogSnapshotFetch(now_ms, name, self.generation, offer, self.settings)
+        self.fetch = LogSnapshotFetch(
+            now_ms, name, self.generation, offer, self.settings, self.find_state_error
+        )
         self.fetch.resume(earlier)
         return self._log_or_request(now_ms)
 
--- a/lichenquay/lease/durable_state.py
+++ b/lichenquay/lease/durable_state.py
@@ -64,7 +64,13 @@
 
 
 def load_voter_state(sections: dict[str, bytes]) -> VoterState | None:
-    """Returns the state stored in a voter's sections; None if they are inconsistent or cannot be parsed."""
+    """Returns the state stored in a voter's sections.
+
+    None if they are inconsistent or cannot be parsed, or if one is missing: each write of a voter leaves a
+    promise and a header there, and a base if records were folded.
+    """
+    if sections and not (PROMISE_SECTION in sections and STATE_SECTION in sections):
+        return None
     try:
         promise = Promise.FromString(sections.get(PROMISE_SECTION, b""))
         if STATE_SECTION in sections:
@@ -73,6 +79,8 @@
             header = WireState(position=LogPosition().to_wire())
     except DecodeError:
         return None
+    if header.base_index and BASE_SECTION not in sections:
+        return None
     last_index = header.position.index
     # The bound keeps a corrupt header from requesting an unbounded range of records.
     if not 0 <= last_index - header.base_index <= len(sections):
--- a/lichenquay/lease/group.py
+++ b/lichenquay/lease/group.py
@@ -37,7 +37,7 @@
 from lichenquay.lease.errors import InvalidGroupError
 from lichenquay.lease.leadership import Leadership
 from lichenquay.lease.lease_pb2 import Message
-from lichenquay.lease.log import FoldFunction
+from lichenquay.lease.log import FindStateError, FoldFunction
 from lichenquay.lease.messages import (
     LEADER_METHODS,
     VOTER_METHODS,
@@ -75,6 +75,11 @@
     return base + b"".join(records)
 
 
+def accept_any_state(base: bytes, records: list[bytes]) -> str | None:
+    """Finds no error: for groups whose application checks nothing."""
+    return None
+
+
 def ignore_event(now_ms: float, event: LeaseEvent) -> None:
     """Ignores an event: the default listener."""
 
@@ -95,11 +100,13 @@
         is_new_disk: bool = False,
         fold: FoldFunction = concatenate,
         on_lease_event: Callable[[float, LeaseEvent], None] | None = None,
+        find_state_error: FindStateError = accept_any_state,
     ):
         """Starts without a lease; a voter starts from the stored `sections`.
 
         `on_lease_event(now_ms, event)` is called with HOLDS when this process acquires the lease (see
-        `state`) and with LOST when the lease ends.
+        `state`) and with LOST when the lease ends. `find_state_error(base, records)` names what is wrong with
+        a stored or received state: a damaged one is refused, and fetched from the holder.
 
         Raises InvalidGroupError if there are no voters or two share a name.
         """
@@ -121,7 +128,15 @@
         self.voter = None
         if name in voters:
             self.voter = Voter(
-                rng, settings, now_ms, sections, is_new_disk, fold, self._send, self._request_store
+                rng,
+                settings,
+                now_ms,
+                sections,
+                is_new_disk,
+                fold,
+                self._send,
+                self._request_store,
+                find_state_error,
             )
         self.leadership = Leadership(
             voters,
@@ -132,6 +147,7 @@
             self._send,
             self._own_log,
             on_lease_event or ignore_event,
+            find_state_error,
         )
         self._process_local_messages(now_ms)
 
@@ -165,6 +181,11 @@
     def _is_holding(self):
         return self.leadership.phase is Phase.HOLDING
 
+    @property
+    def damage(self) -> str | None:
+        """Why the state that this voter stored was refused, in one line, until it is restored; or None."""
+        return self.voter.damage if self.voter else None
+
     @property
     def is_candidate(self) -> bool:
         """Whether this process tries to acquire the lease when it does not hold it."""
--- a/lichenquay/lease/leadership.py
+++ b/lichenquay/lease/leadership.py
@@ -16,7 +16,7 @@
 
 from lichenquay.lease.acquisition import Acquisition
 from lichenquay.lease.errors import RecordSizeError
-from lichenquay.lease.log import FoldFunction, ReplicatedLog
+from lichenquay.lease.log import FindStateError, FoldFunction, ReplicatedLog
 from lichenquay.lease.messages import (
     LEADER_METHODS,
     AcquireGrant,
@@ -56,6 +56,7 @@
         send: Callable,
         own_log: Callable,
         on_event: Callable,
+        find_state_error: FindStateError,
     ):
         """Starts idle. `voters`: their names. `own_log()`: the log of this process's voter, or None."""
         self.voters = tuple(voters)
@@ -65,6 +66,7 @@
         self.send = send
         self.own_log = own_log
         self.on_event = on_event
+        self.find_state_error = find_state_error
         self.highest_generation = 0  # known to this process
         self.is_candidate = False
         self.failed_acquisitions = 0  # in a row
@@ -188,7 +190,7 @@
         self.generation = self.highest_generation
         self.phase = Phase.ACQUIRING
         self.acquisition = Acquisition(
-            now_ms, self.generation, self.voters, self.rng, self.settings, self.send
+            now_ms, self.generation, self.voters, self.rng, self.settings, self.send, self.find_state_error
         )
         self.counts["acquisitions"] += 1
         self.acquisition.send_requests(now_ms)
--- a/lichenquay/lease/log.py
+++ b/lichenquay/lease/log.py
@@ -11,6 +11,8 @@
 from lichenquay.lease.lease_pb2 import State as WireState
 
 FoldFunction = Callable[[bytes, list[bytes]], bytes]
+# Returns why the application cannot use a base and the records after it, in one line, or None.
+FindStateError = Callable[[bytes, list[bytes]], str | None]
 
 
 class LogPosition(NamedTuple):
--- a/lichenquay/lease/snapshot_transfer.py
+++ b/lichenquay/lease/snapshot_transfer.py
@@ -3,7 +3,7 @@
 import zlib
 from collections.abc import Iterator
 
-from lichenquay.lease.log import ReplicatedLog
+from lichenquay.lease.log import FindStateError, ReplicatedLog
 from lichenquay.lease.messages import SnapshotChunk, SnapshotOffer, SnapshotRequest
 from lichenquay.lease.settings import LeaseSettings
 
@@ -55,13 +55,18 @@
         generation: int,
         offer: SnapshotOffer,
         settings: LeaseSettings,
+        find_state_error: FindStateError,
         recovery_nonce: int = 0,
     ):
-        """Starts without chunks. `offer`: a valid offer of the process named `source`."""
+        """Starts without chunks.
+
+        `offer`: a valid offer of the process named `source`. `find_state_error` checks the state of the log.
+        """
         self.source = source
         self.generation = generation
         self.recovery_nonce = recovery_nonce
         self.settings = settings
+        self.find_state_error = find_state_error
         self.position = offer.position
         self.size = offer.size
         self.crc = offer.crc
@@ -129,13 +134,13 @@
     def assembled_log(self) -> ReplicatedLog | None:
         """Returns the complete log, or None.
 
-        Chunks that do not match the offer are dropped, to be fetched again.
+        Chunks that do not match the offer, or hold a damaged state, are dropped, to be fetched again.
         """
         if self.missing_offset is not None:
             return None
         data = b"".join(self.chunks[offset] for offset in sorted(self.chunks))
         log = ReplicatedLog.from_bytes(data) if zlib.crc32(data) == self.crc else None
-        if log is None or log.position != self.position:
+        if log is None or log.position != self.position or self.find_state_error(log.base, log.records):
             self.chunks.clear()
             return None
         return log
--- a/lichenquay/lease/voter.py
+++ b/lichenquay/lease/voter.py
@@ -10,6 +10,9 @@
 - all voters of the group are recovering at once. An acquire request that found this carries the nonce of the
   voter. Then no voter has a record that could be lost, and the group is bootstrapped.
 
+A folder whose content is damaged is not lost: such a voter is recovering as well, but is restored by a holder
+only and never joins a bootstrap, which would replace what the folder still holds.
+
 `is_new_disk` means that the folder was not lost: the host knows that it is complete and never contained this
 group. Such a voter starts voting with the empty log. A folder whose latest writes may be lost counts as lost:
 its host passes no sections and is_new_disk False. If a majority is recovering and the others are not, the
@@ -17,13 +20,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
-from typing import NamedTuple
 
 from lichenquay.lease.durable_state import PROMISE_SECTION, VoterState, changes_between, load_voter_state
 from lichenquay.lease.lease_pb2 import Promise
-from lichenquay.lease.log import FoldFunction, ReplicatedLog
+from lichenquay.lease.log import FindStateError, FoldFunction, ReplicatedLog
 from lichenquay.lease.messages import (
     VOTER_METHODS,
     AcquireGrant,
@@ -40,32 +41,7 @@
 )
 from lichenquay.lease.settings import MAX_GENERATION_STEP, LeaseSettings
 from lichenquay.lease.snapshot_transfer import LogSnapshot, LogSnapshotFetch, is_valid_offer
-
-
-class AttemptedPromise(NamedTuple):
-    """The latest promise that was sent to the disk, whether or not it was stored."""
-
-    generation: int
-    process: ProcessId
-
-
-class AppendReference(NamedTuple):
-    """Identifies the append request that a reply answers."""
-
-    leader: str
-    generation: int
-    number: int
-    echo_token: int
-
-
-@dataclass(frozen=True)
-class PendingVoterWrite:
-    """A write in flight to the disk; `requester` and `request`: the acquire request to grant afterwards."""
-
-    promise: Promise
-    log: ReplicatedLog
-    requester: ProcessId | None = None
-    request: AcquireRequest | None = None
+from lichenquay.lease.voter_records import AppendReference, AttemptedPromise, PendingVoterWrite
 
 
 class Voter:
@@ -81,18 +57,22 @@
         fold: FoldFunction,
         send: Callable,
         store: Callable,
+        find_state_error: FindStateError,
     ):
         """Loads the stored state, or starts recovering.
 
-        `sections`: the stored sections of this group. `rng` draws the recovery nonce if the folder is lost.
+        `sections`: the stored sections of this group. `rng` draws the recovery nonce if the folder is lost or
+        damaged.
         """
         self.settings = settings
         self.fold = fold
         self.send = send
         self.store = store
+        self.find_state_error = find_state_error
         loaded = load_voter_state(sections)
+        self.damage = self._damage_of(loaded)  # of the stored state, in one line; None: it is sound
         self.recovery_nonce = None
-        if loaded is None or not (sections or is_new_disk):
+        if self.damage or not (sections or is_new_disk):
             self.recovery_nonce = rng.getrandbits(63) + 1
             loaded = VoterState(Promise(), ReplicatedLog())
         self.promise = loaded.promise
@@ -114,8 +94,15 @@
         self.stalled_fetch = None  # the latest one that was dropped without all of its chunks
         self.log_snapshot = None
         self.attempted_promise = AttemptedPromise(0, ProcessId("", 0))
+        self.asking = None  # while the stored state is damaged: generation and sender of acquire requests ...
+        self.asking_since_ms = 0.0  # ... and when the first one came
         self.counts = {"rejected": 0, "disk_failures": 0, "invalid": 0}
 
+    def _damage_of(self, loaded):
+        if loaded is None:
+            return "sections are missing or inconsistent"
+        return self.find_state_error(loaded.log.base, loaded.log.records)
+
     @property
     def is_recovering(self) -> bool:
         """Whether the folder may be lost and the log has not been restored yet."""
@@ -151,7 +138,9 @@
         if self.is_recovering:
             if now_ms < self.abstains_until_ms:
                 return
-            is_bootstrap = request.bootstrap_nonce == self.recovery_nonce
+            if self.damage and self._may_bootstrap(now_ms, sender, request):
+                return
+            is_bootstrap = request.bootstrap_nonce == self.recovery_nonce and not self.damage
             if not is_bootstrap:
                 self._send_recovery_notice(sender, request)
                 return
@@ -166,6 +155,16 @@
             promise = Promise(generation=request.generation, name=sender.name, incarnation=sender.incarnation)
             self._write(PendingVoterWrite(promise, self.log, sender, request))
 
+    def _may_bootstrap(self, now_ms, sender, request):
+        """Returns whether the candidate may still be gathering grants, and so may bootstrap the group.
+
+        It does so for a lease at most; a holder goes on asking.
+        """
+        if self.asking != (request.generation, sender):
+            self.asking = request.generation, sender
+            self.asking_since_ms = now_ms
+        return now_ms < self.asking_since_ms + self.settings.expiry_wait_ms
+
     def _is_acceptable(self, sender, generation):
         """Returns whether a generation is above all promises, and by at most MAX_GENERATION_STEP.
 
@@ -280,7 +279,13 @@
 
     def _fetch_snapshot(self, now_ms, sender, request):
         fetch = LogSnapshotFetch(
-            now_ms, sender.name, request.generation, request.offer, self.settings, request.recovery_nonce
+            now_ms,
+            sender.name,
+            request.generation,
+            request.offer,
+            self.settings,
+            self.find_state_error,
+            request.recovery_nonce,
         )
         if self.fetch and self.fetch.is_same_transfer(fetch):
             return
@@ -374,6 +379,7 @@
             return
         self.is_log_on_disk = True
         self.recovery_nonce = None
+        self.damage = None
         self.promise = write.promise
         self.log = write.log
         if write.request is not None:
--- a/lichenquay/quota/errors.py
+++ b/lichenquay/quota/errors.py
@@ -16,5 +16,9 @@
     """
 
 
+class UnknownVersionError(LedgerError):
+    """A snapshot was written by another version: it is not damaged, but cannot be read here."""
+
+
 class ImplausibleReportError(QuotaError):
     """A gateway reports totals that exceed its grants."""
--- a/lichenquay/quota/ledger_invariants.py
+++ b/lichenquay/quota/ledger_invariants.py
@@ -13,6 +13,7 @@
 
 def check_invariants(ledger: LedgerState) -> None:
     """Raises LedgerError, which names the invariant, if one does not hold."""
+    _check_latest(ledger)
     _check_entries(ledger)
     _check_loans(ledger)
     for tenant, account in ledger.accounts.items():
@@ -28,6 +29,15 @@
     )
 
 
+def _check_latest(ledger: LedgerState) -> None:
+    for key in ledger.epochs:
+        latest = ledger.latest.get(key.gateway)
+        _require(
+            latest is not None and (key.incarnation, key.epoch) <= (latest.incarnation, latest.epoch),
+            f"{tuple(key)} is newer than the latest epoch of its gateway",
+        )
+
+
 def _check_entries(ledger: LedgerState) -> None:
     held_us = dict.fromkeys(ledger.accounts, 0)
     written_off_us = dict.fromkeys(ledger.accounts, 0)
@@ -49,6 +59,8 @@
         open_us = loan.amount_us - loan.repaid_us
         valid = 0 <= loan.repaid_us < loan.amount_us and loan.lender != loan.borrower
         _require(valid, f"amounts of loan {loan.id}")
+        are_known = loan.lender in ledger.accounts and loan.borrower in ledger.accounts
+        _require(are_known, f"no account of {loan.lender} or {loan.borrower}, of loan {loan.id}")
         receivable_us[loan.lender] += open_us
         debt_us[loan.borrower] += open_us
     for tenant, account in ledger.accounts.items():
--- a/lichenquay/quota/ledger_records.py
+++ b/lichenquay/quota/ledger_records.py
@@ -9,7 +9,10 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from google.protobuf.message import DecodeError
+
 from lichenquay.quota import quota_pb2 as pb
+from lichenquay.quota.errors import LedgerError, UnknownVersionError
 from lichenquay.quota.ledger import Ledger
 
 PIECE_BYTES = 760  # of data; with its header a piece stays below the 800 bytes of a group's record
@@ -74,6 +77,20 @@
     return fold_with(base, pieces, lambda state, records: Ledger.load(state, records).state())
 
 
+def find_state_error(base: bytes, pieces: Iterable[bytes]) -> str | None:
+    """Returns why the ledger in a group's base and pieces is damaged, in one line, or None.
+
+    One of another version is not damaged: it is stored and passed on as it is.
+    """
+    try:
+        Ledger.load(*read(base, pieces))
+    except UnknownVersionError:
+        return None
+    except (LedgerError, DecodeError) as error:
+        return str(error)
+    return None
+
+
 class PiecewiseGroup:
     """A replicated group with records of any size: a record is committed once all its pieces are."""
 
--- a/lichenquay/quota/ledger_snapshot.py
+++ b/lichenquay/quota/ledger_snapshot.py
@@ -1,7 +1,9 @@
 """Snapshots of the ledger as `State` messages of quota.proto; maps wire names to the names in the code."""
 
+from collections.abc import Container, Hashable
+
 from lichenquay.quota import quota_pb2 as pb
-from lichenquay.quota.errors import LedgerError
+from lichenquay.quota.errors import LedgerError, UnknownVersionError
 from lichenquay.quota.ledger_state import LedgerState
 from lichenquay.quota.tenant_account import EpochKey, EscrowEntry, LatestEpoch, TenantAccount
 
@@ -54,29 +56,53 @@
 
 
 def restore(ledger: LedgerState, state: pb.State) -> None:
-    """Fills an empty ledger from a snapshot. Raises LedgerError for another version."""
+    """Fills an empty ledger from a snapshot.
+
+    Raises UnknownVersionError, and LedgerError for a damaged snapshot: with a part missing, or a part twice.
+    """
     if state.version != VERSION:
-        raise LedgerError(f"ledger snapshot of version {state.version}, expected {VERSION}")
+        raise UnknownVersionError(f"ledger snapshot of version {state.version}, expected {VERSION}")
     ledger.record_number = state.no
     ledger.last_loan_id = state.loans_made
     for stored in state.accounts:
+        _require_new(stored.figures.tenant, ledger.accounts, "account")
         account = TenantAccount.opened(stored.figures)
         for wire, name in ACCOUNT_FIELDS.items():
             setattr(account, name, getattr(stored, wire))
         ledger.accounts[stored.figures.tenant] = account
     for book in state.books:
         _restore_epoch(ledger, book)
-    ledger.latest = {
-        latest.front: LatestEpoch(latest.incarnation, latest.book, closed)
-        for latest, closed in zip(state.latest, state.latest_closed, strict=False)
-    }
-    ledger.loans = {loan.id: loan for loan in state.loans}
+    _restore_latest(ledger, state)
+    for loan in state.loans:
+        _require_new(loan.id, ledger.loans, "loan")
+        ledger.loans[loan.id] = loan
+
+
+def _restore_latest(ledger: LedgerState, state: pb.State) -> None:
+    """Restores each gateway's latest epoch: without it, an epoch that was written off gets tokens again."""
+    if len(state.latest) != len(state.latest_closed):
+        raise LedgerError(
+            f"damaged ledger snapshot: {len(state.latest)} latest epochs, "
+            f"but {len(state.latest_closed)} marks whether they are closed"
+        )
+    for latest, closed in zip(state.latest, state.latest_closed, strict=True):
+        _require_new(latest.front, ledger.latest, "latest epoch of")
+        ledger.latest[latest.front] = LatestEpoch(latest.incarnation, latest.book, closed)
+
+
+def _require_new(key: Hashable, restored: Container, what: str) -> None:
+    if key in restored:
+        raise LedgerError(f"damaged ledger snapshot: {what} {key} is there twice")
 
 
 def _restore_epoch(ledger: LedgerState, book: pb.Book) -> None:
     key = EpochKey(book.front, book.incarnation, book.book)
+    _require_new(key, ledger.epochs, "epoch")
     entries = {}
     for row in book.rows:
+        _require_new(row.tenant, entries, f"{tuple(key)}: tenant")
+        if row.tenant not in ledger.accounts:
+            raise LedgerError(f"damaged ledger snapshot: {tuple(key)}: no account of {row.tenant}")
         entries[row.tenant] = EscrowEntry(row.known_us, row.spent_us, row.returned_us, row.sealed)
     ledger.epochs[key] = entries
     if book.lapsed:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -17,7 +17,7 @@
 from lichenquay.lease.durable_state import changes_between, load_voter_state
 from lichenquay.lease.errors import InvalidGroupError, RecordSizeError
 from lichenquay.lease.group import LeaseGroup
-from lichenquay.lease.lease_pb2 import Message
+from lichenquay.lease.lease_pb2 import Message, Promise
 from lichenquay.lease.log import LogPosition, ReplicatedLog
 
 LEASE_MS = FAST_SETTINGS.lease_ms
@@ -234,9 +234,12 @@
 
 
 def test_stored_sections_are_loaded_completely_or_not_at_all():
-    """A corrupt section, except the base, makes all sections unusable."""
+    """A corrupt section, except the base, makes all sections unusable; so does any that is missing.
+
+    A voter's first write has its promise.
+    """
     log = ReplicatedLog()
-    sections = {}
+    sections = {"promise": Promise(generation=1, name="a", incarnation=1).SerializeToString()}
     for number in range(30):
         longer = log.copy()
         longer.append(bytes([number]))
@@ -245,8 +248,9 @@
         apply_changes(sections, changes_between(log, longer))
         log = longer
         assert load_voter_state(sections).log.position == log.position
-        assert len(sections) == 2 + len(log.records) or log.base == b""
+        assert len(sections) == 3 + len(log.records) or log.base == b""
     for key in sections:
+        assert load_voter_state({other: sections[other] for other in sections if other != key}) is None
         if key != "base":
             assert load_voter_state({**sections, key: b"\xff" + sections[key]}) is None
     assert LogPosition.from_wire(log.position.to_wire()) == log.position
--- a/tests/test_lease_lagging.py
+++ b/tests/test_lease_lagging.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lichenquay.lease.group import LeaseGroup, concatenate
+from lichenquay.lease.group import LeaseGroup, accept_any_state, concatenate
 from lichenquay.lease.log import ReplicatedLog
 from lichenquay.lease.messages import (
     AcquireGrant,
@@ -120,14 +120,14 @@
     settings = LeaseSettings(chunk_bytes=100, chunk_window=2)
     log = ReplicatedLog(generation=3, records=[b"x" * 500])
     snapshot = LogSnapshot(log)
-    earlier = LogSnapshotFetch(0.0, "b", 4, snapshot.offer(), settings)
+    earlier = LogSnapshotFetch(0.0, "b", 4, snapshot.offer(), settings, accept_any_state)
     for chunk in snapshot.chunks(earlier.request(0.0), settings):
         earlier.add_chunk(1.0, "b", chunk)
-    fetch = LogSnapshotFetch(5.0, "c", 6, snapshot.offer(), settings)
+    fetch = LogSnapshotFetch(5.0, "c", 6, snapshot.offer(), settings, accept_any_state)
     fetch.resume(earlier)
     assert fetch.missing_offset == 200
     other = LogSnapshot(ReplicatedLog(generation=3, records=[b"y" * 500]))
-    fetch = LogSnapshotFetch(5.0, "c", 6, other.offer(), settings)
+    fetch = LogSnapshotFetch(5.0, "c", 6, other.offer(), settings, accept_any_state)
     fetch.resume(earlier)
     assert fetch.missing_offset == 0
     fetch.resume(None)
@@ -139,7 +139,7 @@
     settings = LeaseSettings(chunk_bytes=100, chunk_window=20)
     snapshot = LogSnapshot(ReplicatedLog(generation=3, records=[b"x" * 500]))
     offer = snapshot.offer()._replace(crc=snapshot.crc ^ 1)
-    fetch = LogSnapshotFetch(0.0, "b", 4, offer, settings)
+    fetch = LogSnapshotFetch(0.0, "b", 4, offer, settings, accept_any_state)
     for now_ms in (10.0, 20.0):
         for chunk in snapshot.chunks(fetch.request(now_ms), settings):
             fetch.add_chunk(now_ms, "b", chunk._replace(crc=offer.crc))
--- a/tests/test_quota_ledger.py
+++ b/tests/test_quota_ledger.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from quota_world import tenant_terms
 
+from lichenquay.quota import ledger_records
 from lichenquay.quota import quota_pb2 as pb
 from lichenquay.quota.errors import ImplausibleReportError, LedgerError
 from lichenquay.quota.ledger import Ledger
@@ -215,3 +216,90 @@
             commit(ledger, ledger.decide_accrual(100))
     assert not lending.loans
     assert lending.accounts["b"].issued_us == without_loan.accounts["b"].issued_us
+
+
+def ledger_with_two_gateways():
+    """Returns a ledger in which the epoch of f0 was written off and that of f1 is open."""
+    ledger = ledger_of()
+    for gateway in ("f0", "f1"):
+        commit(ledger, ledger.decide_grant("a", gateway, 1, 1, 20 * MS))
+    commit(ledger, ledger.decide_expiry("f0", 1, 1))
+    commit(ledger, ledger.decide_loan("b", 5 * MS) or ledger.decide_accrual(10))
+    return ledger
+
+
+def cut_marks(state):
+    """Drops the last mark whether a latest epoch is closed."""
+    state.latest_closed.pop()
+
+
+def cut_latest(state):
+    """Drops the latest epoch of f1, and its mark."""
+    del state.latest[-1], state.latest_closed[-1]
+
+
+def repeat_latest(state):
+    """Repeats a gateway's latest epoch."""
+    state.latest.add(front="f0", incarnation=1, book=9)
+    state.latest_closed.append(False)
+
+
+def repeat_account(state):
+    """Repeats an account."""
+    state.accounts.add().CopyFrom(state.accounts[0])
+
+
+def repeat_epoch(state):
+    """Repeats an epoch."""
+    state.books.add().CopyFrom(state.books[0])
+
+
+def repeat_tenant(state):
+    """Repeats a tenant in an epoch."""
+    state.books[0].rows.add().CopyFrom(state.books[0].rows[0])
+
+
+def drop_account(state):
+    """Drops an account that has tokens in escrow."""
+    del state.accounts[0]
+
+
+def add_loan_of_nobody(state):
+    """Adds a loan of tenants that have no account."""
+    state.loans.add(id=99, lender="x", borrower="y", amount_us=5)
+
+
+DAMAGES = (
+    cut_marks,
+    cut_latest,
+    repeat_latest,
+    repeat_account,
+    repeat_epoch,
+    repeat_tenant,
+    drop_account,
+    add_loan_of_nobody,
+)
+
+
+@pytest.mark.parametrize("damage", DAMAGES)
+def test_a_damaged_snapshot_is_refused_in_one_line(damage):
+    """Guards against a ledger that grants tokens again to an epoch that was written off."""
+    state = pb.State.FromString(ledger_with_two_gateways().state())
+    damage(state)
+    with pytest.raises(LedgerError) as caught:
+        Ledger.load(state.SerializeToString())
+    assert "\n" not in str(caught.value)
+    base = pb.Kept(state=state.SerializeToString()).SerializeToString()
+    assert ledger_records.find_state_error(base, []) == str(caught.value)
+
+
+def test_a_sound_snapshot_and_one_of_another_version_are_not_damaged():
+    """A ledger of another version is stored and passed on as it is, but not led."""
+    state = pb.State.FromString(ledger_with_two_gateways().state())
+    sound = pb.Kept(state=state.SerializeToString()).SerializeToString()
+    state.version = 7
+    newer = pb.Kept(state=state.SerializeToString()).SerializeToString()
+    assert ledger_records.find_state_error(sound, []) is None
+    assert ledger_records.find_state_error(newer, []) is None
+    assert ledger_records.find_state_error(b"", []) is None
+    assert ledger_records.find_state_error(b"\xff", [])
