A late duplicate of an earlier page is no result of another query

Callers: a completed answer with rows of another query, and a second attempt beside the first.

Cause: engines may answer twice, the second time some milliseconds late. A result was compared with the last result on its connection only (EngineConnection._detect_duplicate_result): after a result of several pages that is the last page, and a duplicate of page 0 passed for the next query's result. last_reply_could_answer looked at the last reply only, too: a 202 before the result was forgotten, and its duplicate passed for the reply to the next POST.

Two of the new tests in tests/crossings/test_engine_connections.py failed before.

Change: a connection remembers its last 32 replies, results by a digest.

--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -1,5 +1,6 @@
 """One connection to an engine, which carries one call at a time."""
 
+from collections import deque
 from math import inf
 from typing import NamedTuple
 
@@ -14,16 +15,23 @@
     UnreadableReplyError,
 )
 from lichenquay.gateway.engine_protocol import MAX_PAGE_BYTES
-from lichenquay.gateway.http import ReplyError, ReplyReader, Status
+from lichenquay.gateway.http import Reply, ReplyError, ReplyReader, Status
 from lichenquay.gateway.sockets import Input, send_now, unread_input
 
+MAX_DUPLICATE_DELAY_S = 0.25  # of a reply that names no query: STANDING says some milliseconds
+MAX_PAST_REPLIES = 32  # on one connection, of which duplicates are recognized
 
-class _Result(NamedTuple):
-    """A result as it was received, and the attempt that it was for."""
 
+class _PastReply(NamedTuple):
+    """A reply on this connection, when it came, and the attempt that it was for.
+
+    reply: one that names no query, else None. digest: of a result or page, else None.
+    """
+
+    received_s: float
     attempt: object
-    headers: tuple
-    body: bytes
+    reply: Reply | None
+    digest: int | None = None
 
 
 class EngineConnection(Protocol):
@@ -52,8 +60,7 @@
         self.is_overdue = False
         self.is_closed = False
         self.closed_locally = False
-        self._last_result: _Result | None = None
-        self._last_anonymous_reply = None  # the last reply, if it is of a kind that names no query
+        self._past_replies: deque[_PastReply] = deque(maxlen=MAX_PAST_REPLIES)
 
     def connectionMade(self):
         """Sends the first call, if it may still be sent; else releases the connection to the pool."""
@@ -114,7 +121,8 @@
         self.call = None
         call.connection = None
         reply.connection = self
-        self._last_anonymous_reply = None if reply.status == Status.OK else reply
+        if reply.status != Status.OK:
+            self._past_replies.append(_PastReply(self.pool.reactor.seconds(), self.attempt, reply))
         # A connection on which a reply came late is not reused, as more may come late. Nor is one after an
         # overload or error reply, which names no query: a duplicate would be taken for the reply to the next
         # POST, and would say 'never ran' of an attempt that runs.
@@ -125,33 +133,38 @@
             self.abort()
         call.end(reply)
 
-    def last_reply_could_answer(self, call: EngineCall) -> bool:
-        """Returns whether a late duplicate of the last reply, to another attempt, would pass for this call's.
+    def past_reply_could_answer(self, call: EngineCall) -> bool:
+        """Returns whether a late duplicate of a reply to another attempt would pass for this call's reply.
 
         A duplicate 204 would say that the engine has cancelled an attempt that it has not read yet; a
         duplicate 202, that it has read a POST that is still unread, and the next query with the same
         ordering key would be sent too soon.
         """
-        last_reply = self._last_anonymous_reply
-        return call.attempt is not self.attempt and last_reply is not None and call.accepts(last_reply)
+        oldest_s = self.pool.reactor.seconds() - MAX_DUPLICATE_DELAY_S
+        return any(
+            past.attempt is not call.attempt and past.reply is not None and call.accepts(past.reply)
+            for past in self._past_replies
+            if past.received_s >= oldest_s or past is self._past_replies[-1]
+        )
 
     def _detect_duplicate_result(self, reply):
-        """Returns whether a result equals, byte for byte, the last one here, which was for another attempt.
+        """Returns whether a result or page equals, byte for byte, one that came here for another attempt.
 
-        The result is remembered for the next comparison. A duplicate may arrive late, between two calls, and
-        would give a client rows that were not computed for its query; the engine repeats the true reply on
-        another connection. Only results are compared: other replies are the same for many queries, and if a
-        500 were taken for a duplicate, its query would be polled, and the reply might be that to another
-        query with the same request id.
+        It is remembered for later comparisons. A duplicate may arrive late, between two calls or during the
+        next one, and would give a client rows that were not computed for its query; the engine repeats the
+        true reply on another connection. Only results are compared: other replies are the same for many
+        queries, and if a 500 were taken for a duplicate, its query would be polled, and the reply might be
+        that to another query with the same request id.
         """
         if reply.status != Status.OK:
             return False
-        result = _Result(self.call.attempt, tuple(reply.headers.items()), bytes(reply.body))
-        last_result = self._last_result
-        self._last_result = result
-        if last_result is None or last_result.attempt is result.attempt:
-            return False
-        return last_result.headers == result.headers and last_result.body == result.body
+        attempt = self.call.attempt
+        digest = hash((tuple(reply.headers.items()), bytes(reply.body)))
+        is_duplicate = any(
+            past.digest == digest and past.attempt is not attempt for past in self._past_replies
+        )
+        self._past_replies.append(_PastReply(self.pool.reactor.seconds(), attempt, None, digest))
+        return is_duplicate
 
     def abort(self, error: EngineCallError | None = None) -> None:
         """Closes the connection at once; its call ends with `error`."""
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -91,7 +91,7 @@
             if idle_s > self.stale_after_s:
                 return None
             is_same_address = connection.address == call.address
-            if idle_s >= MIN_IDLE_S and is_same_address and not connection.last_reply_could_answer(call):
+            if idle_s >= MIN_IDLE_S and is_same_address and not connection.past_reply_could_answer(call):
                 return connection
         return None
 
--- a/tests/crossings/test_engine_connections.py
+++ b/tests/crossings/test_engine_connections.py
@@ -11,8 +11,8 @@
 from twisted.python.failure import Failure
 
 from lichenquay.gateway import engine_protocol, frames, http
-from lichenquay.gateway.engine_call import EngineCall
-from lichenquay.gateway.engine_connection import EngineConnection
+from lichenquay.gateway.engine_call import EngineCall, UnreadableReplyError
+from lichenquay.gateway.engine_connection import MAX_DUPLICATE_DELAY_S, EngineConnection
 from lichenquay.gateway.engine_pool import MIN_IDLE_S, EnginePool, GatewayEngine
 
 
@@ -271,3 +271,76 @@
         connection_after_204, engine_protocol.is_poll_reply, "another"
     )
     assert not pick_returns(connection_after_204, engine_protocol.is_acknowledgement, "another")
+
+
+def result_reply(body, headers=b"X-Parts: 2"):
+    """Returns a reply with a result or one of its pages."""
+    return b"HTTP/1.1 200 X\r\n%s\r\nContent-Length: %d\r\n\r\n%s" % (headers, len(body), body)
+
+
+class ConnectionInMemory:
+    """A connection to an engine without a socket. replies: the outcomes of its calls, in order."""
+
+    def __init__(self):
+        """Starts with an idle connection, at time 100 s."""
+        self.now_s = 100.0
+        reactor = SimpleNamespace(seconds=lambda: self.now_s, callLater=None)
+        self.pool = EnginePool(reactor, 0, 1.0, 1.0, 1000.0)
+        self.engine = GatewayEngine("e", address="127.0.0.1:1")
+        self.connection = None
+        self.outcomes = []
+
+    def call(self, attempt, accepts, data):
+        """Makes a call for an attempt on the connection, and has it receive this data."""
+        call = EngineCall(self.engine, b"", accepts, attempt=attempt)
+        call.reply.addCallbacks(self.outcomes.append, lambda failure: self.outcomes.append(failure.value))
+        if self.connection is None:
+            self.connection = EngineConnection(self.pool, call)
+            self.connection.transport = SimpleNamespace(
+                abortConnection=lambda: None, socket=SimpleNamespace(send=lambda data, flags: len(data))
+            )
+            self.pool.connections.add(self.connection)
+            self.connection.call = None
+        self.connection.send(call)
+        self.connection.dataReceived(data)
+
+
+def test_a_late_duplicate_of_an_earlier_page_is_not_the_result_of_another_query():
+    """Guards against rows of another query: the duplicate of page 0 comes after that query's page 1."""
+    world = ConnectionInMemory()
+    first, second = result_reply(b"1\ta\tb\n"), result_reply(b"2\ta\tb\n", b"X-Part-No: 1")
+    world.call("a", engine_protocol.is_poll_reply, first)
+    world.call("a", engine_protocol.page_reply_check(1), second)
+    world.call("b", engine_protocol.is_poll_reply, first)
+    assert [getattr(outcome, "status", None) for outcome in world.outcomes] == [200, 200, None]
+    assert isinstance(world.outcomes[-1], UnreadableReplyError)
+
+
+def test_a_result_that_is_repeated_to_its_own_query_is_accepted():
+    """An engine repeats page 0 to a poll after a lost reply."""
+    world = ConnectionInMemory()
+    for _ in range(2):
+        world.call("a", engine_protocol.is_poll_reply, result_reply(b"1\ta\tb\n"))
+    assert [outcome.status for outcome in world.outcomes] == [200, 200]
+
+
+def test_a_connection_with_a_recent_interim_reply_is_not_used_for_another_query():
+    """Guards against a duplicate 202, after the result, that says that the next query's POST was read."""
+    world = ConnectionInMemory()
+    world.call("a", engine_protocol.is_poll_reply, b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n")
+    world.call("a", engine_protocol.is_poll_reply, result_reply(b"1\ta\tb\n", b"X-Parts: 1"))
+    next_post = EngineCall(world.engine, b"", engine_protocol.is_poll_reply, attempt="b")
+    own_poll = EngineCall(world.engine, b"", engine_protocol.is_poll_reply, attempt="a")
+    assert world.connection.past_reply_could_answer(next_post)
+    assert not world.connection.past_reply_could_answer(own_poll)
+    world.now_s += 2 * MAX_DUPLICATE_DELAY_S
+    assert not world.connection.past_reply_could_answer(next_post)
+
+
+def test_a_connection_whose_last_reply_names_no_query_is_not_used_for_another_one():
+    """Its duplicate may come at any time."""
+    world = ConnectionInMemory()
+    world.call("a", engine_protocol.is_poll_reply, b"HTTP/1.1 202 X\r\nContent-Length: 0\r\n\r\n")
+    world.now_s += 100 * MAX_DUPLICATE_DELAY_S
+    next_post = EngineCall(world.engine, b"", engine_protocol.is_poll_reply, attempt="b")
+    assert world.connection.past_reply_could_answer(next_post)
