Evidence by address counts only when the endpoint list is confirmed after it

Callers: while discovery is silent, an engine drains, closes its listening socket and the connection of a POST, and runs on; the gateway took it for gone after two refusals, or took the replies of the engine that has its address now, and sent the query again beside the first attempt. A mutating query ran twice where that engine shed the poll.

Cause: the list was asked whose the address is (ServingAddresses), but not how old it is. A long poll is quiet for 1 s when all is well, so that quiet and silent look alike.

Change: EndpointConfirmation sends a poll that is answered at once, one for all that ask, 50 ms apart; such evidence counts only if the answer has nothing newer. Replies that prove nothing anyway, and queries that are done without an ordering key, cost no poll.

--- a/lichenquay/gateway/attempt_lifecycle.py
+++ b/lichenquay/gateway/attempt_lifecycle.py
@@ -141,7 +141,7 @@
         self.on_engine_replied()
         if is_poll and written_ms == self.last_poll_ms:
             self.on_poll_not_written()
-        if not self._counts_as_unknown(written_ms, may_be_other_engine):
+        if may_be_other_engine or not self.may_unknown_count(written_ms):
             return self.is_over
         if self.state is AttemptState.ACKNOWLEDGED:
             self._end(Proof.NO_LONGER_KNOWN)
@@ -152,6 +152,15 @@
             self._end(Proof.UNKNOWN_AFTER_DISCONNECT if is_disconnected else Proof.UNKNOWN_LONG_AFTER_POST)
         return self.is_over
 
+    def may_unknown_count(self, written_ms: float) -> bool:
+        """Returns whether 'unknown' in reply to a call is evidence, if it is the engine's own reply.
+
+        An early call may have been read before the POST.
+        """
+        is_sent = self.state is AttemptState.SENT
+        counts_from_ms = self.posted_ms + MAX_READ_DELAY_MS if is_sent else self.state_since_ms
+        return self.may_run and written_ms >= counts_from_ms
+
     def on_connection_refused(self, now_ms: float, process_may_live: bool) -> bool:
         """Records that the address refused a connection. Returns whether the attempt is over.
 
@@ -174,14 +183,6 @@
             self._end(Proof.FORGOTTEN)
         return self.is_over
 
-    def _counts_as_unknown(self, written_ms, may_be_other_engine):
-        """Returns whether 'unknown' is evidence: an early call may have been read before the POST."""
-        if not self.may_run or may_be_other_engine:
-            return False
-        is_sent = self.state is AttemptState.SENT
-        counts_from_ms = self.posted_ms + MAX_READ_DELAY_MS if is_sent else self.state_since_ms
-        return written_ms >= counts_from_ms
-
     def _enter(self, state, now_ms):
         self.state = state
         self.state_since_ms = now_ms
--- a/lichenquay/gateway/result_relay.py
+++ b/lichenquay/gateway/result_relay.py
@@ -1,7 +1,6 @@
 """The result relay: polls attempts, fetches the pages of their results, and cancels attempts."""
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
@@ -14,6 +13,7 @@
     ReplyTimeoutError,
     UnreadableReplyError,
 )
+from lichenquay.gateway.engine_evidence import TimedReply
 from lichenquay.gateway.engine_protocol import POLL_PAGE
 from lichenquay.gateway.http import Reply, Status
 
@@ -26,19 +26,25 @@
 CONNECTION_ERRORS = (ConnectionBrokenError, ReplyTimeoutError, UnreadableReplyError)
 
 
-class _TimedReply(NamedTuple):
-    """A reply, and when the first byte of its call was written, in ms."""
-
-    reply: Reply
-    written_ms: float
-
-
 class ResultRelay:
     """Follows attempts from the reply to their first call to their end."""
 
-    def __init__(self, engines, tracker, metrics, on_progress: Callable, now_ms: Callable[[], float], log):
-        """Takes the callback `on_progress(attempt, kind, amount)`, called with what engines report."""
+    def __init__(
+        self,
+        engines,
+        evidence,
+        tracker,
+        metrics,
+        on_progress: Callable,
+        now_ms: Callable[[], float],
+        log,
+    ):
+        """Takes the callback `on_progress(attempt, kind, amount)`, called with what engines report.
+
+        evidence: tells whose replies are (`EngineEvidence`).
+        """
         self.engines = engines
+        self.evidence = evidence
         self.tracker = tracker
         self.metrics = metrics
         self.on_progress = on_progress
@@ -144,14 +150,19 @@
                 timed_reply = yield self._call(in_flight, data, accepts, needs_new_connection)
                 if in_flight.is_ending:
                     return None
-                if self._record_poll_reply(in_flight, timed_reply):
+                is_conclusive = yield self._record_poll_reply(in_flight, timed_reply)
+                if in_flight.is_ending:
+                    return None
+                if is_conclusive:
                     return timed_reply.reply
                 needs_new_connection = False
                 if self._end_if_lost(in_flight):
                     return None
             except NotConnectedError as error:
                 if error.is_refused:
-                    self._record_refusal(in_flight)
+                    yield self.evidence.record_refusal(in_flight)
+                    if in_flight.is_ending:
+                        return None
                     needs_new_connection = False
                 if self._end_if_lost(in_flight):
                     return None
@@ -171,6 +182,7 @@
             yield self._pause(in_flight, pause_count)
             pause_count += 1
 
+    @inlineCallbacks
     def _record_poll_reply(self, in_flight, timed_reply):
         """Records a reply to a poll; returns whether it is about the attempt or proves that this is over.
 
@@ -179,8 +191,13 @@
         query reports its progress or its result.
         """
         reply = timed_reply.reply
-        may_be_other_engine = self._may_be_other_engine(in_flight, reply.connection)
+        replied_ms = self.now_ms()
         has_query = reply.status in (Status.OK, Status.ACCEPTED)
+        may_be_other_engine = False
+        if not has_query:
+            may_be_other_engine = yield self.evidence.may_be_other_engine(in_flight, timed_reply)
+            if in_flight.is_ending:
+                return False
         if has_query or (engine_protocol.is_overloaded(reply) and not may_be_other_engine):
             in_flight.connection = reply.connection
             in_flight.late_reply = None
@@ -188,7 +205,7 @@
             in_flight.abandon_first_call()
             return True
         is_over = in_flight.lifecycle.on_unknown_reported(
-            timed_reply.written_ms, self.now_ms(), may_be_other_engine
+            timed_reply.written_ms, replied_ms, may_be_other_engine
         )
         if is_over and not may_be_other_engine:
             return True
@@ -229,17 +246,16 @@
             try:
                 timed_reply = yield self._call(in_flight, data, accepts, needs_new_connection, is_poll=False)
                 reply = timed_reply.reply
-                is_other = self._may_be_other_engine(in_flight, reply.connection)
-                if lifecycle.on_unknown_reported(
-                    timed_reply.written_ms, self.now_ms(), is_other, is_poll=False
-                ):
+                replied_ms = self.now_ms()
+                is_other = yield self.evidence.may_be_other_engine(in_flight, timed_reply)
+                if lifecycle.on_unknown_reported(timed_reply.written_ms, replied_ms, is_other, is_poll=False):
                     last_reply = None if is_other else reply
                     break
                 # The cancellation may have been read before the POST, and then has no effect.
                 self.metrics.count("cancellations without proof")
                 needs_new_connection = False
             except NotConnectedError as error:
-                if error.is_refused and self._record_refusal(in_flight):
+                if error.is_refused and (yield self.evidence.record_refusal(in_flight)):
                     break
             except CONNECTION_ERRORS:
                 needs_new_connection = True
@@ -313,7 +329,7 @@
             if call.last_connection is in_flight.connection:
                 in_flight.lifecycle.on_connection_closed_by_engine(self.now_ms())
             raise
-        return _TimedReply(reply, written_ms)
+        return TimedReply(reply, written_ms)
 
     def _pause(self, in_flight, pause_count):
         """Returns a Deferred that fires after a backoff, or as soon as the attempt's state changes.
@@ -330,36 +346,3 @@
                 timer.cancel()
 
         return pause.addCallback(stop_timer)
-
-    # Evidence about engines
-
-    def _record_refusal(self, in_flight):
-        """Records that the engine's address refused a connection; returns whether the attempt is over."""
-        return in_flight.lifecycle.on_connection_refused(self.now_ms(), self._process_may_live(in_flight))
-
-    def _process_may_live(self, in_flight):
-        """Returns whether the engine's process may be alive although its address refuses connections.
-
-        That is so while the first call is open, another connection is open, the gateway itself closed the
-        connection of the last reply, or the address is not certainly the engine's. An engine that accepts no
-        new connections but goes on working must not be taken for gone. A reset together with a refusal proves
-        no more.
-        """
-        last_connection = in_flight.connection
-        closed_locally = last_connection is not None and last_connection.closed_locally
-        return (
-            in_flight.first_call is not None
-            or closed_locally
-            or not self._is_address_certain(in_flight)
-            or self.engines.has_live_connection(in_flight.engine, in_flight.address)
-        )
-
-    def _may_be_other_engine(self, in_flight, connection):
-        """Returns whether a reply on this connection may be that of another engine.
-
-        Only the connection of the attempt's last reply certainly leads to its engine.
-        """
-        return connection is not in_flight.connection and not self._is_address_certain(in_flight)
-
-    def _is_address_certain(self, in_flight):
-        return self.engines.addresses.is_certain(in_flight.engine, in_flight.address)
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -18,7 +18,9 @@
 from lichenquay.gateway.controller_adapter import ControllerAdapter
 from lichenquay.gateway.discovery import Discovery, DiscoveryFactory
 from lichenquay.gateway.dispatch import Dispatcher
+from lichenquay.gateway.endpoint_confirmation import EndpointConfirmation
 from lichenquay.gateway.endpoint_events import EndpointListError, read_events
+from lichenquay.gateway.engine_evidence import EngineEvidence
 from lichenquay.gateway.engine_pool import EnginePool, GatewayEngine
 from lichenquay.gateway.log import Log
 from lichenquay.gateway.metrics import Metrics
@@ -111,8 +113,17 @@
             self.settings, self.reactor, self.engines, now_ms, self.metrics, self.log
         )
         self.attempts = AttemptTracker(self.metrics, self.adapter.attempt_ended)
+        self.endpoint_confirmation = EndpointConfirmation(
+            self.reactor, self.engines.connect_timeout_ms, self.metrics
+        )
         self.relay = ResultRelay(
-            self.engines, self.attempts, self.metrics, self.adapter.progress_reported, now_ms, self.log
+            self.engines,
+            EngineEvidence(self.engines, self.endpoint_confirmation.confirm, now_ms),
+            self.attempts,
+            self.metrics,
+            self.adapter.progress_reported,
+            now_ms,
+            self.log,
         )
         self.dispatcher = Dispatcher(
             self.engines,
@@ -211,6 +222,8 @@
         self.discovery_factory = DiscoveryFactory(
             self.reactor, self.discovery, *self.config.discovery_address, self.engines.connect_timeout_ms
         )
+        self.endpoint_confirmation.discovery = self.discovery
+        self.endpoint_confirmation.address = self.config.discovery_address
 
     def run(self) -> None:
         """Installs the signal handlers and starts to serve."""
--- a/tests/test_attempt_lifecycle_gateway.py
+++ b/tests/test_attempt_lifecycle_gateway.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from lichenquay.gateway import engine_protocol, frames
+from lichenquay.gateway.endpoint_confirmation import MIN_INTERVAL_MS
 from lichenquay.gateway.engine_call import EngineCall
 from lichenquay.gateway.engine_connection import EngineConnection
 from lichenquay.gateway.engine_pool import EnginePool, GatewayEngine
@@ -173,7 +174,7 @@
 
 
 @pytest.mark.parametrize("status", [500, 503, 504])
-@pytest.mark.parametrize("announcement", ["drain", "same address", "moved"])
+@pytest.mark.parametrize("announcement", ["drain", "same address", "moved", "drain not heard of"])
 @pytest.mark.parametrize("group", ["report", "manifest"])
 def test_replies_of_the_engine_that_took_the_address_are_no_evidence(make_world, group, announcement, status):
     """Guards against a second attempt while an engine that closed the connection of its POST runs on."""
@@ -201,8 +202,11 @@
         "same address": [new.row()],
         "moved": [{**old.row(), "endpoint": "127.0.0.1:1"}],
     }
-    world.discovery.add_event(*rows[announcement])
-    until(lambda: world.service.discovery.last_number == 2)
+    if announcement in rows:
+        world.discovery.add_event(*rows[announcement])
+        until(lambda: world.service.discovery.last_number == 2)
+    else:
+        world.discovery.is_silent, world.discovery.waiting_polls = True, []
     for connection in list(old.connections):
         connection.transport.abortConnection()
     code, _ = answered(client, stream)
@@ -211,3 +215,57 @@
         assert code == frames.AnswerCode.FAILED and world.posts() == 1
     else:
         assert code == frames.AnswerCode.COMPLETED and time.monotonic() - sent_s > 2.0
+
+
+@pytest.mark.parametrize("is_heard_of", [True, False])
+def test_an_engine_that_refuses_connections_may_run_on_unless_the_list_is_current(make_world, is_heard_of):
+    """Guards against a second attempt while an engine runs on whose drain the gateway has not heard of."""
+    world = make_world(engines=2)
+    set_behaviour_of_first_attempt(world, "silent")
+    client = world.client()
+    stream = client.ask("report", allow=4000)
+    until(lambda: world.in_flight)
+    sent_s = time.monotonic()
+    old = next(engine for engine in world.engines if engine.posts)
+    ref = next(iter(world.in_flight))
+    if is_heard_of:  # the engine has crashed
+        world.in_flight.discard(ref)
+    else:  # it drains, and drops the query later, as it is not polled
+        world.discovery.is_silent, world.discovery.waiting_polls = True, []
+        reactor.callLater(2.0, world.in_flight.discard, ref)
+    old.stop()
+    code, _ = answered(client, stream)
+    assert not BROKEN_RULES and code == frames.AnswerCode.COMPLETED
+    assert (time.monotonic() - sent_s > 2.0) is not is_heard_of
+
+
+def test_a_list_with_newer_events_is_not_current(make_world):
+    """The events may tell that the address is another engine's; they come on the connection of the watch."""
+    world = make_world(engines=1)
+    outcomes = []
+
+    def confirm():
+        world.service.endpoint_confirmation.confirm().addCallback(outcomes.append)
+        expected_count = len(outcomes) + 1
+        until(lambda: len(outcomes) == expected_count)
+        wait(2 * MIN_INTERVAL_MS / 1000)
+        return outcomes[-1]
+
+    assert confirm()
+    world.discovery.waiting_polls = []
+    world.discovery.add_event(world.engines[0].row("DRAINING"))
+    assert not confirm()
+    world.discovery.is_silent = True
+    assert not confirm()
+
+
+def test_confirmations_share_polls(make_world):
+    """Guards against a poll for each attempt at an engine that has crashed."""
+    world = make_world(engines=1)
+    outcomes = []
+    polls_before = world.service.metrics.counters["endpoint lists confirmed"]
+    for _ in range(50):
+        world.service.endpoint_confirmation.confirm().addCallback(outcomes.append)
+    until(lambda: len(outcomes) == 50)
+    assert all(outcomes)
+    assert world.service.metrics.counters["endpoint lists confirmed"] - polls_before == 2
