A soak of the gateway: real processes, faults from a seed, an audit with planted faults

tests/soak: engines that drain, close the connection of a POST and run on, hang, vanish, crash, come back at another's address, answer late, twice or cut off; discovery that falls silent; clients that write in pieces, cancel, leave and go on sending until the exit; signals in series; a crowd of idle clients in every third run. Audited: one whole final answer in time for each query taken, with rows an engine made; no two attempts at once, no mutating query twice; nothing begun over 0.1 s after its client left, nor after a drain that was delivered; exit code 0 before the kill, no traceback, descriptors and memory back. Five planted faults are found.

Not audited: timers of the process; signals while it starts.

--- /dev/null
+++ b/tests/soak/soak_audit.py
@@ -0,0 +1,97 @@
+"""Audits the history of a soak run; each check returns its findings, as (time, text)."""
+
+from collections import defaultdict
+from itertools import combinations
+
+from lichenquay.gateway import frames
+
+CROSSING_S = 0.05  # PROTOCOL: what crosses a close within this time is sent again
+LATE_ANSWER_S = 0.5  # STANDING: later than this after its time, a request is lost
+AFTER_LEAVING_S = 0.1  # STANDING: an attempt that begins later than this after its client left is a break
+AFTER_DRAIN_S = 0.3  # 250 ms of the settings, and 50 ms on sockets
+SLACK_S = 0.05  # of the harness, besides its longest turn
+MAX_MEMORY_GROWTH_MB = 32.0
+MAX_MORE_DESCRIPTORS = 2
+
+
+def audit(history, has_crowd):
+    """Returns all findings, as (time, text), in order of time. has_crowd: idle clients took all places."""
+    findings = [
+        *answers(history, has_crowd),
+        *executions(history),
+        *late_attempts(history),
+        *process(history),
+    ]
+    return sorted(findings)
+
+
+def answers(history, has_crowd):
+    """One whole final answer, in time and with rows that an engine made, for each request that was taken."""
+    lag_s = history.max_lag_s + SLACK_S
+    for request in history.requests:
+        name = f"{request.group} {request.ref}"
+        if len(request.answers) > 1:
+            yield request.answers[1][2], f"{name}: {len(request.answers)} answers"
+        for code, body, answered_s in request.answers:
+            due_s = request.sent_s + request.allow_ms / 1000 + LATE_ANSWER_S + lag_s
+            if answered_s > due_s and request.left_s is None:
+                yield answered_s, f"{name}: answered {answered_s - due_s:.3f} s too late"
+            is_completed = code == frames.AnswerCode.COMPLETED
+            if is_completed and body not in history.results.get(request.ref, ()):
+                yield answered_s, f"{name}: rows that no engine made: {body[:60]!r}"
+        is_taken = request.sent_s is not None and not request.answers and request.left_s is None
+        if not is_taken or (has_crowd and request.is_rejected_connection):
+            continue
+        if request.closed_s is None or request.sent_s < request.closed_s - CROSSING_S - lag_s:
+            yield request.sent_s, f"{name}: no answer; closed {_relative(request.closed_s, request.sent_s)}"
+
+
+def _relative(closed_s, sent_s):
+    return "never" if closed_s is None else f"{closed_s - sent_s:.3f} s after it was sent"
+
+
+def executions(history):
+    """No two attempts of one request at once, and none after one that may have had an effect, if mutating."""
+    attempts_by_ref = defaultdict(list)
+    for attempt in history.attempts:
+        attempts_by_ref[attempt.ref].append(attempt)
+    for ref, attempts in attempts_by_ref.items():
+        for first, second in combinations(attempts, 2):
+            names = f"{first.group} {ref} at {first.engine} ({first.end or 'running'}) and {second.engine}"
+            if first.ended_s is None or second.arrived_s < first.ended_s:
+                yield second.arrived_s, f"two attempts at once: {names}"
+            if first.group == "manifest" and first.executed:
+                yield second.arrived_s, f"mutating query sent again: {names}"
+
+
+def late_attempts(history):
+    """No attempt begins long after its client left, or after its engine's drain was delivered."""
+    lag_s = history.max_lag_s + SLACK_S
+    left_s = {request.ref: request.left_s for request in history.requests if request.left_s is not None}
+    for attempt in history.attempts:
+        late_s = attempt.arrived_s - left_s.get(attempt.ref, attempt.arrived_s)
+        if late_s > AFTER_LEAVING_S + lag_s:
+            yield (
+                attempt.arrived_s,
+                f"{attempt.group} {attempt.ref}: begun {late_s:.3f} s after its client left",
+            )
+        drained_s = history.drained_s.get(attempt.engine, attempt.arrived_s)
+        if attempt.arrived_s - drained_s > AFTER_DRAIN_S + lag_s:
+            yield attempt.arrived_s, f"{attempt.ref}: sent to {attempt.engine} after its drain"
+
+
+def process(history):
+    """The process ends by itself and without a fault, and gives back what it took."""
+    end_s = history.events[-1][0]
+    if history.was_killed:
+        yield end_s, "the gateway did not end before SIGKILL"
+    elif history.exit_code != 0:
+        yield end_s, f"exit code {history.exit_code}"
+    if "Traceback" in history.error_output:
+        yield end_s, f"traceback: {history.error_output[-2000:]}"
+    if history.descriptors_after is not None:
+        more = history.descriptors_after - history.descriptors_before
+        if more > MAX_MORE_DESCRIPTORS:
+            yield end_s, f"{more} more descriptors than at its start"
+        if history.memory_growth_mb > MAX_MEMORY_GROWTH_MB:
+            yield end_s, f"memory grown by {history.memory_growth_mb:.0f} MB"
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,52 @@
+"""Short soak runs of a real gateway process; scripts/soak makes longer ones."""
+
+import os
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+SEEDS = (2, 3, 5, 11, 21, 41)
+PARALLEL_RUNS = 3
+RUN_TIMEOUT_S = 90
+# What the audit has to find, by planted fault (planted_faults.py).
+EXPECTED_FINDINGS = {
+    "answers twice": "2 answers",
+    "answers lost": "no answer",
+    "mutating queries repeated": "mutating query sent again",
+    "SIGTERM ignored": "did not end before SIGKILL",
+    "cancellations ignored": "after its client left",
+}
+
+
+def run_soak(*arguments):
+    """Plays a run in a process of its own; returns its exit code and what it printed."""
+    folders = [ROOT, ROOT / "tests", ROOT / "tests" / "crossings", ROOT / "tests" / "soak"]
+    completed = subprocess.run(
+        [sys.executable, str(ROOT / "tests" / "soak" / "soak_run.py"), *arguments],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(map(str, folders))},
+        capture_output=True,
+        text=True,
+        timeout=RUN_TIMEOUT_S,
+    )
+    return completed.returncode, completed.stdout + completed.stderr
+
+
+def test_soak_runs_have_no_findings():
+    """One final answer for each query taken, nothing twice, nothing after its client left, a clean exit."""
+    with ThreadPoolExecutor(PARALLEL_RUNS) as executor:
+        outcomes = list(executor.map(lambda seed: run_soak(str(seed)), SEEDS))
+    for exit_code, output in outcomes:
+        assert exit_code == 0, output
+        assert " 0 findings" in output, output
+
+
+@pytest.mark.parametrize("fault", EXPECTED_FINDINGS)
+def test_the_audit_finds_a_planted_fault(fault):
+    """The audit can fail: each fault of the gateway is found, and the command to repeat it is printed."""
+    exit_code, output = run_soak("2", fault)
+    assert exit_code == 1 and EXPECTED_FINDINGS[fault] in output, output
+    assert f"scripts/soak --seed 2 --fault '{fault}'" in output
