What a confirmation brings is applied: no attempt goes to an engine whose drain it told

Callers: queries sent to a draining engine over 0.3 s after this gateway had been told.

Cause: the answer to a confirmation's poll could hold new events, and was only counted; the watch, silent itself, brought them 1.5 s later.

Change: EndpointConfirmation applies the answer before it reports.

--- a/lichenquay/gateway/discovery.py
+++ b/lichenquay/gateway/discovery.py
@@ -41,9 +41,12 @@
         self.is_confirmed = False
         self.apply(known)
 
-    def on_answer(self, answer) -> None:
-        """Applies an answer of the service and confirms the endpoint list. Errors: EndpointListError."""
-        self.apply(answer)
+    def on_answer(self, answer, asked_after: int | None = None) -> None:
+        """Applies an answer of the service and confirms the endpoint list. Errors: EndpointListError.
+
+        asked_after: the number in the poll; the answer to another poll may have been newer meanwhile.
+        """
+        self.apply(answer, asked_after)
         self.confirm()
 
     def confirm(self) -> None:
@@ -52,14 +55,16 @@
             self.is_confirmed = True
             self.on_confirmed()
 
-    def apply(self, answer) -> None:
+    def apply(self, answer, asked_after: int | None = None) -> None:
         """Applies all new events of an answer, or none of them. Errors: EndpointListError."""
         update = read_events(answer, self.last_number)
-        if update.last_number < self.last_number:
+        oldest_number = self.last_number if asked_after is None else min(asked_after, self.last_number)
+        if update.last_number < oldest_number:
             raise EndpointListError(f"event numbers go back: {update.last_number} after {self.last_number}")
         for event in update.events:
             self.on_endpoints(event.endpoints.is_whole, event.endpoints.records)
-        self.last_number = max([update.last_number, *(event.number for event in update.events)])
+        numbers = [self.last_number, update.last_number, *(event.number for event in update.events)]
+        self.last_number = max(numbers)
 
 
 class DiscoveryConnection(Protocol):
@@ -71,7 +76,8 @@
         self.reader = ReplyReader()
         self.timer = None
         self.polled_s = 0.0
-        self.poll_wait_ms = POLL_WAIT_MS  # of the current poll
+        self.poll_wait_ms = POLL_WAIT_MS  # of the current poll ...
+        self.asked_after = 0  # ... and its number
 
     def connectionMade(self):
         """Sends the first poll on the new connection."""
@@ -88,7 +94,8 @@
         self.stop_timer()
         discovery = self.factory.discovery
         self.poll_wait_ms = POLL_WAIT_MS if discovery.is_confirmed else FIRST_POLL_WAIT_MS
-        poll = encode_poll(self.factory.host, discovery.last_number, self.poll_wait_ms)
+        self.asked_after = discovery.last_number
+        poll = encode_poll(self.factory.host, self.asked_after, self.poll_wait_ms)
         self.polled_s = self.factory.reactor.seconds()
         self.timer = self.factory.reactor.callLater(REPLY_TIMEOUT_MS / 1000, self.transport.abortConnection)
         self.transport.write(poll)
@@ -105,7 +112,7 @@
             if reply.status != Status.OK:
                 raise ReplyError(f"status {reply.status}")
             last_number_before = discovery.last_number
-            discovery.on_answer(json.loads(bytes(reply.body)))
+            discovery.on_answer(json.loads(bytes(reply.body)), self.asked_after)
         except (ReplyError, ValueError, RecursionError) as error:
             discovery.log("discovery", f"discovery: {error}; the endpoint list stays as it was")
             self.transport.abortConnection()
--- a/lichenquay/gateway/endpoint_confirmation.py
+++ b/lichenquay/gateway/endpoint_confirmation.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 
 from lichenquay.gateway.discovery import Discovery
-from lichenquay.gateway.endpoint_events import EndpointListError, encode_poll, read_events
+from lichenquay.gateway.endpoint_events import encode_poll
 from lichenquay.gateway.http import ReplyError, ReplyReader, Status
 
 POLL_WAIT_MS = 1  # the service answers at once
@@ -37,7 +37,7 @@
     def confirm(self) -> Deferred:
         """Returns a Deferred of a bool: whether the list is one that the service gave after this call.
 
-        False if it has newer events, or does not answer within the time-out.
+        Newer events are applied before it fires. False if there is no valid answer within the time-out.
         """
         if self.address is None:
             return succeed(True)
@@ -67,14 +67,6 @@
         if self._waiting:
             self._poll()
 
-    def is_answer_current(self, answer) -> bool:
-        """Returns whether the list has all events of an answer."""
-        last_number = self.discovery.last_number
-        try:
-            return read_events(answer, last_number).last_number <= last_number
-        except EndpointListError:
-            return False
-
 
 class _ConfirmationFactory(ClientFactory):
     """Makes one connection for one poll, and reports its outcome once."""
@@ -121,20 +113,26 @@
         """Creates the protocol of one connection."""
         self.factory = factory
         self.reader = ReplyReader()
+        self.asked_after = 0
 
     def connectionMade(self):
         """Sends the poll."""
-        last_number = self.factory.confirmation.discovery.last_number
-        self.transport.write(encode_poll(self.factory.host, last_number, POLL_WAIT_MS))
+        self.asked_after = self.factory.confirmation.discovery.last_number
+        self.transport.write(encode_poll(self.factory.host, self.asked_after, POLL_WAIT_MS))
 
     def dataReceived(self, data):
-        """Reports whether a complete answer has nothing new."""
+        """Applies a complete answer; one that is invalid changes nothing."""
+        if self.factory.is_over:
+            return
+        is_current = False
         try:
             reply = self.reader.feed(data)
             if reply is None:
                 return
-            answer = json.loads(bytes(reply.body)) if reply.status == Status.OK else None
-        except (ReplyError, ValueError, RecursionError):
-            answer = None
-        is_current = answer is not None and self.factory.confirmation.is_answer_current(answer)
+            if reply.status == Status.OK:
+                discovery = self.factory.confirmation.discovery
+                discovery.on_answer(json.loads(bytes(reply.body)), self.asked_after)
+                is_current = True
+        except (ReplyError, ValueError, RecursionError) as error:
+            self.factory.confirmation.discovery.log("discovery", f"discovery: {error}; not confirmed")
         self.factory.finish(is_current)
