Past replies on a connection keep no attempts in memory

Cause: each of a connection's last 32 replies held its attempt, and with it the query.

Change: replies hold the number on the connection of their attempt. A query that comes back to a connection after another one has a new number there; its own repeated result is then asked for once more.

Measured: crossing, gateway and lifecycle tests, 464 passed.

--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -23,13 +23,13 @@
 
 
 class _PastReply(NamedTuple):
-    """A reply on this connection, when it came, and the attempt that it was for.
+    """A reply on this connection, when it came, and the number on it of the attempt that it was for.
 
     reply: one that names no query, else None. digest: of a result or page, else None.
     """
 
     received_s: float
-    attempt: object
+    attempt_number: int
     reply: Reply | None
     digest: int | None = None
 
@@ -60,6 +60,7 @@
         self.is_overdue = False
         self.is_closed = False
         self.closed_locally = False
+        self._attempt_number = 0  # of the attempts here: past replies must not keep attempts in memory
         self._past_replies: deque[_PastReply] = deque(maxlen=MAX_PAST_REPLIES)
 
     def connectionMade(self):
@@ -83,6 +84,8 @@
     def send(self, call: EngineCall) -> None:
         """Sends a call on this connection, which must carry no other call."""
         self.call = call
+        if call.attempt is not self.attempt:
+            self._attempt_number += 1
         self.attempt = call.attempt
         call.is_written = True
         call.connection = self
@@ -122,7 +125,7 @@
         call.connection = None
         reply.connection = self
         if reply.status != Status.OK:
-            self._past_replies.append(_PastReply(self.pool.reactor.seconds(), self.attempt, reply))
+            self._past_replies.append(_PastReply(self.pool.reactor.seconds(), self._attempt_number, reply))
         # A connection on which a reply came late is not reused, as more may come late. Nor is one after an
         # overload or error reply, which names no query: a duplicate would be taken for the reply to the next
         # POST, and would say 'never ran' of an attempt that runs.
@@ -140,9 +143,10 @@
         duplicate 202, that it has read a POST that is still unread, and the next query with the same
         ordering key would be sent too soon.
         """
+        own_number = self._attempt_number if call.attempt is self.attempt else None
         oldest_s = self.pool.reactor.seconds() - MAX_DUPLICATE_DELAY_S
         return any(
-            past.attempt is not call.attempt and past.reply is not None and call.accepts(past.reply)
+            past.attempt_number != own_number and past.reply is not None and call.accepts(past.reply)
             for past in self._past_replies
             if past.received_s >= oldest_s or past is self._past_replies[-1]
         )
@@ -158,12 +162,12 @@
         """
         if reply.status != Status.OK:
             return False
-        attempt = self.call.attempt
+        number = self._attempt_number
         digest = hash((tuple(reply.headers.items()), bytes(reply.body)))
         is_duplicate = any(
-            past.digest == digest and past.attempt is not attempt for past in self._past_replies
+            past.digest == digest and past.attempt_number != number for past in self._past_replies
         )
-        self._past_replies.append(_PastReply(self.pool.reactor.seconds(), attempt, None, digest))
+        self._past_replies.append(_PastReply(self.pool.reactor.seconds(), number, None, digest))
         return is_duplicate
 
     def abort(self, error: EngineCallError | None = None) -> None:
