The answer to a confirmation's poll is read after its time-out, too

Cause, suspected from the code: after 250 ms the connection was closed and an answer on its way dropped, although the service had written it and so announced the drain.

Change: the time-out only reports; the answer is read for 1.5 s, as that of the watch.

--- a/lichenquay/gateway/endpoint_confirmation.py
+++ b/lichenquay/gateway/endpoint_confirmation.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from lichenquay.gateway.discovery import Discovery
+from lichenquay.gateway.discovery import REPLY_TIMEOUT_MS, Discovery
 from lichenquay.gateway.endpoint_events import encode_poll
 from lichenquay.gateway.http import ReplyError, ReplyReader, Status
 
@@ -69,7 +69,10 @@
 
 
 class _ConfirmationFactory(ClientFactory):
-    """Makes one connection for one poll, and reports its outcome once."""
+    """Makes one connection for one poll, and reports its outcome once.
+
+    The answer is read also after the time-out: what the service has written counts as announced.
+    """
 
     noisy = False
 
@@ -80,7 +83,7 @@
         self.host = f"{host}:{port}"
         self.is_over = False
         timeout_s = confirmation.timeout_ms / 1000
-        self.timer = confirmation.reactor.callLater(timeout_s, self.finish, False)
+        self.timer = confirmation.reactor.callLater(timeout_s, self.report, False)
         self.connector = confirmation.reactor.connectTCP(host, port, self, timeout=timeout_s)
 
     def buildProtocol(self, address):
@@ -89,20 +92,19 @@
 
     def clientConnectionFailed(self, connector, reason):
         """Reports that the service cannot be reached."""
-        self.finish(False)
+        self.report(False)
 
     def clientConnectionLost(self, connector, reason):
         """Reports that there is no answer, unless there was one."""
-        self.finish(False)
+        self.report(False)
 
-    def finish(self, is_current):
-        """Ends the poll."""
+    def report(self, is_current):
+        """Reports the outcome of the poll, unless it has been reported."""
         if self.is_over:
             return
         self.is_over = True
         if self.timer.active():
             self.timer.cancel()
-        self.connector.disconnect()
         self.confirmation.finish(is_current)
 
 
@@ -114,16 +116,17 @@
         self.factory = factory
         self.reader = ReplyReader()
         self.asked_after = 0
+        self.timer = None
 
     def connectionMade(self):
         """Sends the poll."""
         self.asked_after = self.factory.confirmation.discovery.last_number
+        reactor = self.factory.confirmation.reactor
+        self.timer = reactor.callLater(REPLY_TIMEOUT_MS / 1000, self.transport.abortConnection)
         self.transport.write(encode_poll(self.factory.host, self.asked_after, POLL_WAIT_MS))
 
     def dataReceived(self, data):
         """Applies a complete answer; one that is invalid changes nothing."""
-        if self.factory.is_over:
-            return
         is_current = False
         try:
             reply = self.reader.feed(data)
@@ -135,4 +138,10 @@
                 is_current = True
         except (ReplyError, ValueError, RecursionError) as error:
             self.factory.confirmation.discovery.log("discovery", f"discovery: {error}; not confirmed")
-        self.factory.finish(is_current)
+        self.transport.loseConnection()
+        self.factory.report(is_current)
+
+    def connectionLost(self, reason):
+        """Cancels the timer that ends the connection."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
