--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -98,6 +98,20 @@
         return HttpConnection(self)
 
 
+def endpoint_row(engine, state):
+    """Returns the record of an engine, with its `uid` and `address`, in the endpoint list."""
+    return {
+        "uid": engine.uid,
+        "endpoint": engine.address,
+        "az": "a",
+        "model": "k",
+        "pod_group": 0,
+        "state": state,
+        "capacity_hint": 1,
+        "boot_ms": 0,
+    }
+
+
 class StandInEngine(StandIn):
     """An engine.
 
@@ -284,16 +298,7 @@
 
     def row(self, state="SERVING"):
         """Returns the engine's record in the endpoint list."""
-        return {
-            "uid": self.uid,
-            "endpoint": self.address,
-            "az": "a",
-            "model": "k",
-            "pod_group": 0,
-            "state": state,
-            "capacity_hint": 1,
-            "boot_ms": 0,
-        }
+        return endpoint_row(self, state)
 
     def stop(self):
         """Ends the engine's process: resets its connections and refuses new ones."""
--- a/tests/soak/soak_engines.py
+++ b/tests/soak/soak_engines.py
@@ -3,7 +3,7 @@
 import time
 from dataclasses import dataclass
 
-from loopback import StandIn
+from loopback import StandIn, endpoint_row
 from soak_history import Attempt
 from twisted.internet import reactor
 
@@ -200,13 +200,4 @@
 
     def row(self, state="SERVING"):
         """Returns the engine's record in the endpoint list."""
-        return {
-            "uid": self.uid,
-            "endpoint": self.address,
-            "az": "a",
-            "model": "k",
-            "pod_group": 0,
-            "state": state,
-            "capacity_hint": 1,
-            "boot_ms": 0,
-        }
+        return endpoint_row(self, state)
--- a/tests/test_attempt_lifecycle_gateway.py
+++ b/tests/test_attempt_lifecycle_gateway.py
@@ -105,14 +105,10 @@
     assert world.service.metrics.counters["attempts connection reset"] == 0
 
 
-def test_another_engine_at_the_address_proves_nothing_of_the_one_that_left(make_world):
-    """A query of a partitioned engine still runs, although the new engine at its address does not know it."""
-    world = make_world(engines=2)
-    client, stream, old = world.hold()
-    ref = next(iter(world.in_flight))
+def take_address(world, old):
+    """Has a new engine take the address of `old`, which accepts no more connections; returns the new one."""
     port = old.port.getHost().port
     old.port.stopListening()
-    old.is_silent = True
     wait(0.02)
     new = StandInEngine(world, "s-new")
     new.port.stopListening()
@@ -120,6 +116,16 @@
     new.port = reactor.listenTCP(port, new, interface="127.0.0.1")
     new.address = old.address
     world.engines.append(new)
+    return new
+
+
+def test_another_engine_at_the_address_proves_nothing_of_the_one_that_left(make_world):
+    """A query of a partitioned engine still runs, although the new engine at its address does not know it."""
+    world = make_world(engines=2)
+    client, stream, old = world.hold()
+    ref = next(iter(world.in_flight))
+    old.is_silent = True
+    new = take_address(world, old)
     world.discovery.add_event(old.row("DELETED"), new.row())
     removed_s = time.monotonic()
     reactor.callLater(2.0, world.in_flight.discard, ref)  # the old engine drops it, as it was not polled
@@ -162,20 +168,6 @@
     assert [reply.status for reply in replies] == [202, 202]
 
 
-def take_address(world, old):
-    """Has a new engine take the address of `old`, which accepts no more connections; returns the new one."""
-    port = old.port.getHost().port
-    old.port.stopListening()
-    wait(0.02)
-    new = StandInEngine(world, "s-new")
-    new.port.stopListening()
-    wait(0.02)
-    new.port = reactor.listenTCP(port, new, interface="127.0.0.1")
-    new.address = old.address
-    world.engines.append(new)
-    return new
-
-
 @pytest.mark.parametrize("status", [500, 503, 504])
 @pytest.mark.parametrize("announcement", ["drain", "same address", "moved", "drain not heard of"])
 @pytest.mark.parametrize("group", ["report", "manifest"])
