The soak's report shows every kind of finding, and counts what it leaves out

Cause: soak_run.report printed the first five findings by time. Where five or more queries are open at the kill, 'did not end before SIGKILL' comes after them and was cut.

Change: findings have a kind. The report shows the first of each kind, then further ones up to five, and the number of each kind that it leaves out. The test of the planted fault is unchanged; a test of the report itself holds the case of 20 open queries.

--- a/tests/soak/soak_audit.py
+++ b/tests/soak/soak_audit.py
@@ -1,7 +1,8 @@
-"""Audits the history of a soak run; each check returns its findings, as (time, text)."""
+"""Audits the history of a soak run; each check yields its findings."""
 
 from collections import defaultdict
 from itertools import combinations
+from typing import NamedTuple
 
 from lichenquay.gateway import frames
 
@@ -14,8 +15,16 @@
 MAX_MORE_DESCRIPTORS = 2
 
 
+class Finding(NamedTuple):
+    """A broken rule: when, which check found it, and the case."""
+
+    at_s: float
+    kind: str
+    text: str
+
+
 def audit(history, has_crowd):
-    """Returns all findings, as (time, text), in order of time. has_crowd: idle clients took all places."""
+    """Returns all findings in order of time. has_crowd: idle clients took all places."""
     findings = [
         *answers(history, has_crowd),
         *executions(history),
@@ -31,19 +40,23 @@
     for request in history.requests:
         name = f"{request.group} {request.ref}"
         if len(request.answers) > 1:
-            yield request.answers[1][2], f"{name}: {len(request.answers)} answers"
+            text = f"{name}: {len(request.answers)} answers"
+            yield Finding(request.answers[1][2], "second answer", text)
         for code, body, answered_s in request.answers:
             due_s = request.sent_s + request.allow_ms / 1000 + LATE_ANSWER_S + lag_s
             if answered_s > due_s and request.left_s is None:
-                yield answered_s, f"{name}: answered {answered_s - due_s:.3f} s too late"
+                text = f"{name}: answered {answered_s - due_s:.3f} s too late"
+                yield Finding(answered_s, "late answer", text)
             is_completed = code == frames.AnswerCode.COMPLETED
             if is_completed and body not in history.results.get(request.ref, ()):
-                yield answered_s, f"{name}: rows that no engine made: {body[:60]!r}"
+                text = f"{name}: rows that no engine made: {body[:60]!r}"
+                yield Finding(answered_s, "foreign rows", text)
         is_taken = request.sent_s is not None and not request.answers and request.left_s is None
         if not is_taken or (has_crowd and request.is_rejected_connection):
             continue
         if request.closed_s is None or request.sent_s < request.closed_s - CROSSING_S - lag_s:
-            yield request.sent_s, f"{name}: no answer; closed {_relative(request.closed_s, request.sent_s)}"
+            text = f"{name}: no answer; closed {_relative(request.closed_s, request.sent_s)}"
+            yield Finding(request.sent_s, "no answer", text)
 
 
 def _relative(closed_s, sent_s):
@@ -59,9 +72,9 @@
         for first, second in combinations(attempts, 2):
             names = f"{first.group} {ref} at {first.engine} ({first.end or 'running'}) and {second.engine}"
             if first.ended_s is None or second.arrived_s < first.ended_s:
-                yield second.arrived_s, f"two attempts at once: {names}"
+                yield Finding(second.arrived_s, "two attempts", f"two attempts at once: {names}")
             if first.group == "manifest" and first.executed:
-                yield second.arrived_s, f"mutating query sent again: {names}"
+                yield Finding(second.arrived_s, "mutating", f"mutating query sent again: {names}")
 
 
 def late_attempts(history):
@@ -71,27 +84,26 @@
     for attempt in history.attempts:
         late_s = attempt.arrived_s - left_s.get(attempt.ref, attempt.arrived_s)
         if late_s > AFTER_LEAVING_S + lag_s:
-            yield (
-                attempt.arrived_s,
-                f"{attempt.group} {attempt.ref}: begun {late_s:.3f} s after its client left",
-            )
+            text = f"{attempt.group} {attempt.ref}: begun {late_s:.3f} s after its client left"
+            yield Finding(attempt.arrived_s, "client left", text)
         drained_s = history.drained_s.get(attempt.engine, attempt.arrived_s)
         if attempt.arrived_s - drained_s > AFTER_DRAIN_S + lag_s:
-            yield attempt.arrived_s, f"{attempt.ref}: sent to {attempt.engine} after its drain"
+            text = f"{attempt.ref}: sent to {attempt.engine} after its drain"
+            yield Finding(attempt.arrived_s, "drain", text)
 
 
 def process(history):
     """The process ends by itself and without a fault, and gives back what it took."""
     end_s = history.events[-1][0]
     if history.was_killed:
-        yield end_s, "the gateway did not end before SIGKILL"
+        yield Finding(end_s, "not ended", "the gateway did not end before SIGKILL")
     elif history.exit_code != 0:
-        yield end_s, f"exit code {history.exit_code}"
+        yield Finding(end_s, "exit code", f"exit code {history.exit_code}")
     if "Traceback" in history.error_output:
-        yield end_s, f"traceback: {history.error_output[-2000:]}"
+        yield Finding(end_s, "traceback", f"traceback: {history.error_output[-2000:]}")
     if history.descriptors_after is not None:
         more = history.descriptors_after - history.descriptors_before
         if more > MAX_MORE_DESCRIPTORS:
-            yield end_s, f"{more} more descriptors than at its start"
+            yield Finding(end_s, "descriptors", f"{more} more descriptors than at its start")
         if history.memory_growth_mb > MAX_MEMORY_GROWTH_MB:
-            yield end_s, f"memory grown by {history.memory_growth_mb:.0f} MB"
+            yield Finding(end_s, "memory", f"memory grown by {history.memory_growth_mb:.0f} MB")
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -16,7 +16,6 @@
 import sys
 import tempfile
 import time
-from collections import Counter
 from pathlib import Path
 
 from gateway_world import SETTINGS
@@ -27,6 +26,7 @@
 from soak_clients import SoakClient
 from soak_engines import SoakEngine
 from soak_history import History
+from soak_report import report
 from twisted.internet import reactor
 
 PLANTED_FAULTS = Path(__file__).with_name("planted_faults.py")
@@ -298,21 +298,6 @@
         return history, audit(history, world.has_crowd)
 
 
-def report(seed, fault, history, findings):
-    """Returns the lines on one run."""
-    codes = Counter(answer[0] for request in history.requests for answer in request.answers)
-    summary = (
-        f"seed {seed}: {len(findings)} findings; {len(history.requests)} requests, "
-        f"{dict(sorted(codes.items()))} answers, {len(history.attempts)} attempts; "
-        f"ended {history.ending_s:.2f} s after SIGTERM, lag {history.max_lag_s:.3f} s"
-    )
-    command = f"scripts/soak --seed {seed}" + (f" --fault '{fault}'" if fault else "")
-    lines = [summary]
-    for at_s, text in findings[:5]:
-        lines += [f"  {command}: {at_s - history.started_s:.3f} s: {text}", *history.lines_around(at_s)]
-    return lines
-
-
 def main():
     """Plays one run and prints its report."""
     seed = int(sys.argv[1])
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,9 @@
 from pathlib import Path
 
 import pytest
+from soak_audit import Finding
+from soak_history import History
+from soak_report import report
 
 ROOT = Path(__file__).resolve().parents[2]
 SEEDS = (2, 3, 5, 11, 21, 41)
@@ -35,6 +38,16 @@
     return completed.returncode, completed.stdout + completed.stderr
 
 
+def test_a_report_shows_every_kind_of_finding():
+    """Guards against a kind that is cut from a report because others come before it."""
+    findings = [Finding(float(at_s), "no answer", f"query {at_s}") for at_s in range(20)]
+    findings.append(Finding(20.0, "not ended", "the gateway did not end before SIGKILL"))
+    lines = "\n".join(report(2, None, History(), findings))
+    assert "did not end before SIGKILL" in lines
+    assert "query 3" in lines and "query 4" not in lines
+    assert "not shown: 16 of the kind 'no answer'" in lines
+
+
 def test_soak_runs_have_no_findings():
     """One final answer for each query taken, nothing twice, nothing after its client left, a clean exit."""
     with ThreadPoolExecutor(PARALLEL_RUNS) as executor:
