A question to the discovery service becomes the watch: none is asked beside a silent one

Cause: EndpointConfirmation polled the discovery service on a connection of its own, was answered, and closed it. Asking again makes all that the service has count as told, from then on without the allowance of a watch that fell silent; but what followed was left to the old watch, which noticed its silence after up to 1.5 s.

Change: endpoint_watch has one client of the discovery service. A confirmation opens a connection that becomes the watch as soon as it is answered and replaces all earlier ones. endpoint_currency, without I/O, knows since when the list is unconfirmed: asked anew, watch lost or overdue, an answer that may have lain unread. EndpointStaleness lets attempts go on for 0.4 of the drain grace, then they wait, for 2 s of running time at most; a service that refuses connections or answers what cannot be read leaves the last list in force, as before. An answer that stays incomplete for 0.1 s is asked for on another connection; an overdue poll is still read for 7 s while another one is asked.

Logging that was missing, kept: watch connections with number, age and reason of their end; events with the age of their poll and how long they may have lain unread; an engine that leaves with the age of its last attempt; attempts withheld; pauses of the process; times for which the list was unconfirmed. Five lines of a kind a second; counters of all in the final summary.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -105,7 +105,7 @@
         self.subset = EngineSubset(self.registry, self.slow_start, scales.report_lifetime_ms)
         self.constrained_groups = ConstrainedGroups(groups, gateway.seed)
         self.table_affinity = TableAffinity(self.registry)
-        self.staleness = EndpointStaleness()
+        self.staleness = EndpointStaleness(limits.drain_grace_ms)
         self.endpoint_list = EndpointListUpdater(
             self.port,
             limits,
@@ -162,7 +162,7 @@
         )
         self.feedback = SlotFeedback(self.registry, self.engine_load, self.waiting, gateway_share)
         self.retry_policy = RetryPolicy(permissions.max_attempts, limits, gateway.min_loop_interval_ms)
-        self.checks = DispatchChecks(limits, self.retry_policy, self.slow_start)
+        self.checks = DispatchChecks(limits, self.staleness, self.retry_policy, self.slow_start)
         self.engine_choice = EngineChoice(
             self.checks,
             self.selection,
@@ -251,9 +251,21 @@
         self.staleness.mark_stale(self.port.now_ms + max_ms)
 
     def are_endpoints_stale(self, now_ms: float) -> bool:
-        """Returns whether dispatch is suspended because the endpoint list may be stale."""
+        """Returns whether the endpoint list is from before this gateway's start and not confirmed."""
         return self.staleness.is_stale(now_ms)
 
+    def set_endpoints_unconfirmed(self, since_ms: float | None) -> None:
+        """Records since when the endpoint list may lack announced events; None: it lacks none."""
+        self.staleness.unconfirmed_since_ms = since_ms
+
+    def is_dispatch_suspended(self, now_ms: float) -> bool:
+        """Returns whether no attempt may be sent, as the endpoint list may be outdated."""
+        return self.staleness.suspends_dispatch(now_ms)
+
+    def resume_dispatch(self) -> None:
+        """Dispatches waiting queries after the endpoint list was unconfirmed."""
+        self.dispatcher.dispatch_waiting(self.port.now_ms)
+
     def endpoints_confirmed(self) -> None:
         """Records that the endpoint list is up to date, and dispatches waiting queries."""
         self.staleness.confirm()
--- a/lichenquay/admission/dispatch_checks.py
+++ b/lichenquay/admission/dispatch_checks.py
@@ -1,6 +1,7 @@
 """Checks for every attempt, when it is decided and again immediately before its first byte."""
 
 from lichenquay.admission.domain import Attempt, EndpointState, Query, SafetyLimits
+from lichenquay.admission.endpoint_list import EndpointStaleness
 from lichenquay.admission.engine_state import EngineState
 from lichenquay.admission.idempotency import would_detect_duplicate
 from lichenquay.admission.placement import satisfies_placement
@@ -11,9 +12,16 @@
 class DispatchChecks:
     """Checks draining, placement, idempotency and slow start, in this order."""
 
-    def __init__(self, limits: SafetyLimits, retry_policy: RetryPolicy, slow_start: SlowStart):
+    def __init__(
+        self,
+        limits: SafetyLimits,
+        staleness: EndpointStaleness,
+        retry_policy: RetryPolicy,
+        slow_start: SlowStart,
+    ):
         """Takes the budgets (`retry_policy`, `slow_start`) that `authorize_dispatch` charges."""
         self.answer_slack_ms = limits.answer_slack_ms
+        self.staleness = staleness
         self.retry_policy = retry_policy
         self.slow_start = slow_start
 
@@ -38,10 +46,12 @@
 
         Called immediately before the first byte. The connection may have been established late, or the
         attempt may have waited for a file descriptor: meanwhile the idempotency window may have passed, the
-        engine may have started draining, or the query may have ended. Budgets are charged in the window in
-        which the attempt is sent.
+        engine may have started draining, the endpoint list may have become doubtful, or the query may have
+        ended. Budgets are charged in the window in which the attempt is sent.
         """
         query = attempt.query
+        if self.staleness.suspends_dispatch(now_ms):
+            return False
         if state is None or query.is_done or attempt.outcome or now_ms >= query.deadline_ms:
             return False
         if not self.satisfies_rules(query, state, now_ms, attempt):
--- a/lichenquay/admission/endpoint_list.py
+++ b/lichenquay/admission/endpoint_list.py
@@ -15,28 +15,41 @@
 SLOWDOWN_BUCKETS = 8
 ERROR_BUCKETS = 8
 ERROR_BUCKET_EVALUATIONS = 2  # width of an error bucket, in evaluation intervals
+MAX_UNCONFIRMED_GRACE_SHARE = 0.4  # of the drain grace; the rest is for what was decided and is not sent yet
+MIN_UNCONFIRMED_MS = 50.0  # PROTOCOL: the time by which limits are longer on sockets
 
 
 class EndpointStaleness:
-    """Whether the endpoint list may be stale, which suspends dispatch.
+    """Whether the endpoint list may be stale or lack an event, which suspends dispatch.
 
     Changes that were announced while this gateway started count as announced to it, although it never
     received them. Until the list is confirmed, an attempt could be sent to an engine that is draining. If the
     list cannot be confirmed in time, the last known list is used.
+
+    Later the same holds whenever the gateway reports that events may have been announced that it has not
+    read. Attempts go on for a part of the drain grace, as the list is usually confirmed within it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_grace_ms: float) -> None:
         """Starts with a list that is not stale."""
         self.stale_until_ms = 0.0
+        self.unconfirmed_since_ms: float | None = None
+        self.max_unconfirmed_ms = max(MIN_UNCONFIRMED_MS, MAX_UNCONFIRMED_GRACE_SHARE * drain_grace_ms)
 
     def mark_stale(self, until_ms: float) -> None:
         """Marks the list as stale until the given time, or until it is confirmed."""
         self.stale_until_ms = until_ms
 
     def is_stale(self, now_ms: float) -> bool:
-        """Returns whether dispatch is suspended."""
+        """Returns whether the list is from before this gateway's start and not confirmed."""
         return now_ms < self.stale_until_ms
 
+    def suspends_dispatch(self, now_ms: float) -> bool:
+        """Returns whether no attempt may be sent by this list now."""
+        since_ms = self.unconfirmed_since_ms
+        is_unconfirmed = since_ms is not None and now_ms - since_ms > self.max_unconfirmed_ms
+        return is_unconfirmed or self.is_stale(now_ms)
+
     def confirm(self) -> None:
         """Marks the list as up to date."""
         self.stale_until_ms = 0.0
--- a/lichenquay/admission/ports.py
+++ b/lichenquay/admission/ports.py
@@ -69,7 +69,16 @@
         """Treats the endpoint list as stale until it is confirmed, for `max_ms` at most."""
 
     def are_endpoints_stale(self, now_ms: float) -> bool:
-        """Returns whether dispatch is suspended because the endpoint list may be stale."""
+        """Returns whether the endpoint list is from before this gateway's start and not confirmed."""
+
+    def set_endpoints_unconfirmed(self, since_ms: float | None) -> None:
+        """Records since when the endpoint list may lack announced events; None: it lacks none."""
+
+    def is_dispatch_suspended(self, now_ms: float) -> bool:
+        """Returns whether no attempt may be sent, as the endpoint list may be outdated."""
+
+    def resume_dispatch(self) -> None:
+        """Dispatches waiting queries after the endpoint list was unconfirmed."""
 
     def endpoints_confirmed(self) -> None:
         """Records that the endpoint list is up to date."""
--- a/lichenquay/admission/query_dispatcher.py
+++ b/lichenquay/admission/query_dispatcher.py
@@ -64,7 +64,7 @@
 
     def _try_start(self, query: Query, now_ms: float, only: EngineState | None = None) -> bool:
         """Starts an attempt if an engine (or the engine `only`) has capacity; returns whether it did."""
-        if not self.registry.states or self.staleness.is_stale(now_ms):
+        if not self.registry.states or self.staleness.suspends_dispatch(now_ms):
             return False
         if not self.retry_policy.may_attempt(query, now_ms):
             return False
--- a/lichenquay/control_plane/voter_runtime.py
+++ b/lichenquay/control_plane/voter_runtime.py
@@ -16,13 +16,17 @@
 from lichenquay.distribution.validation import find_change_error
 from lichenquay.endpoint_record import EndpointRecord
 from lichenquay.fleet.message_envelope import Layer
-from lichenquay.gateway.discovery import Discovery, DiscoveryFactory
+from lichenquay.gateway.discovery import Discovery
+from lichenquay.gateway.endpoint_currency import EndpointCurrency
+from lichenquay.gateway.endpoint_watch import EndpointWatch
+from lichenquay.gateway.metrics import Metrics
 from lichenquay.lease import lease_pb2
 
 # Keys of the components that send no messages, in place of a layer.
 CANDIDATE = "candidate"
 IMPORTER = "importer"
 DISCOVERY_CONNECT_TIMEOUT_MS = 1000.0
+MAX_UNCONFIRMED_MS = 7000.0  # PROTOCOL: an event counts as announced after at most this time
 NO_EVENTS = {"no": 0, "items": []}  # In the format of discovery; used until discovery has answered.
 
 
@@ -38,7 +42,7 @@
     section_prefix = f"owner/{publisher.LEASE_GROUP_NAME}/"
     message_types = {**ControlRuntime.message_types, Layer.LEASE: lease_pb2.Message}
     importer: EndpointImporter | None = None
-    discovery: DiscoveryFactory | None = None
+    endpoint_watch: EndpointWatch | None = None
     logged_lease_generation = 0
     discovery_logged_ms = float("-inf")
 
@@ -70,9 +74,15 @@
     def _follow_discovery(self, now_ms):
         self.importer = EndpointImporter(self.publisher, self.rng, now_ms, self.log)
         self.components[IMPORTER] = self.importer
-        discovery = Discovery(NO_EVENTS, self.on_endpoints, self.log_discovery_error)
-        host, port = parse_address(self.settings.discovery)
-        self.discovery = DiscoveryFactory(self.reactor, discovery, host, port, DISCOVERY_CONNECT_TIMEOUT_MS)
+        self.endpoint_watch = EndpointWatch(
+            self.reactor,
+            EndpointCurrency(MAX_UNCONFIRMED_MS, MAX_UNCONFIRMED_MS),
+            DISCOVERY_CONNECT_TIMEOUT_MS,
+            Metrics(),
+            self.log_discovery_error,
+        )
+        self.endpoint_watch.discovery = Discovery(NO_EVENTS, self.on_endpoints, self.log_discovery_error)
+        self.endpoint_watch.start(parse_address(self.settings.discovery))
 
     def on_endpoints(self, is_whole: bool, records: Sequence[EndpointRecord]) -> None:
         """Passes an announcement of discovery to the importer: the whole list, or what changed."""
@@ -89,8 +99,8 @@
 
     def close(self) -> None:
         """Stops following discovery, and closes socket and folder."""
-        if self.discovery is not None:
-            self.discovery.stop()
+        if self.endpoint_watch is not None:
+            self.endpoint_watch.stop()
         super().close()
 
     def after_flush(self) -> None:
--- a/lichenquay/gateway/controller_adapter.py
+++ b/lichenquay/gateway/controller_adapter.py
@@ -125,6 +125,12 @@
         """Tells the controller that the endpoint list is up to date."""
         self._enqueue(self.controller.endpoints_confirmed)
 
+    def endpoints_unconfirmed(self, since_ms: float | None) -> None:
+        """Tells the controller, at once, since when the list may lack events; None: it lacks none."""
+        self.controller.set_endpoints_unconfirmed(since_ms)
+        if since_ms is None:
+            self._enqueue(self.controller.resume_dispatch)
+
     def evict(self, query: GatewayQuery) -> None:
         """Has the controller give a query its final answer in the next turn, in favour of another query."""
         self._enqueue(self.controller.give_final_answer, query)
@@ -136,7 +142,17 @@
 
     def authorize_dispatch(self, in_flight) -> bool:
         """Returns whether an attempt is still allowed at the current time."""
-        return self.controller.authorize_dispatch(in_flight.attempt, max(self.now_ms, self.clock_ms()))
+        now_ms = max(self.now_ms, self.clock_ms())
+        if self.controller.authorize_dispatch(in_flight.attempt, now_ms):
+            return True
+        if self.controller.is_dispatch_suspended(now_ms):
+            self.metrics.count("attempts withheld: endpoint list unconfirmed")
+            self.log_line(
+                "dispatch",
+                f"dispatch: withheld query={in_flight.request_id} engine={in_flight.engine.id} "
+                "reason='endpoint list unconfirmed'",
+            )
+        return False
 
     # Delivery of events
 
--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -65,7 +65,7 @@
             address=in_flight.address,
             attempt=in_flight,
             authorize_dispatch=lambda: self.authorize_dispatch(in_flight),
-            on_written=lambda: in_flight.lifecycle.on_post_written(self.now_ms()),
+            on_written=lambda: self._on_post_written(in_flight),
             on_timeout=lambda: first_outcome.callback(ReplyTimeoutError()),
         )
         in_flight.first_call.reply.addCallbacks(
@@ -89,6 +89,11 @@
             in_flight.has_lost_reply = True
         yield self.relay.follow(in_flight, reply)
 
+    def _on_post_written(self, in_flight):
+        now_ms = self.now_ms()
+        in_flight.lifecycle.on_post_written(now_ms)
+        in_flight.engine.last_attempt_ms = now_ms
+
     def _on_reply(self, in_flight, first_outcome, reply):
         """Records the reply to the first call; a late one is left for the relay, which uses it once."""
         in_flight.first_call = None
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -24,9 +24,13 @@
 
 @dataclass(eq=False)
 class GatewayEngine(domain.Engine):
-    """An engine, its address in the latest endpoint list, and its idle connections, longest idle first."""
+    """An engine, its address in the latest endpoint list, and its idle connections, longest idle first.
+
+    last_attempt_ms: when the first byte of the last attempt was written; 0 if there was none.
+    """
 
     address: str = ""
+    last_attempt_ms: float = 0.0
     idle_connections: deque = field(default_factory=deque)
 
 
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -9,19 +9,21 @@
 
 from twisted.internet.error import CannotListenError
 
-from lichenquay.admission import domain
 from lichenquay.endpoint_record import EndpointRecord
 from lichenquay.gateway import configuration, service_report
 from lichenquay.gateway.attempt_in_flight import AttemptTracker
-from lichenquay.gateway.clock import now_ms, wall_clock_step_ms
+from lichenquay.gateway.clock import now_ms
 from lichenquay.gateway.configuration import StartError
 from lichenquay.gateway.controller_adapter import ControllerAdapter
-from lichenquay.gateway.discovery import Discovery, DiscoveryFactory
+from lichenquay.gateway.discovery import Discovery
+from lichenquay.gateway.discovery_connection import MAX_ANNOUNCEMENT_DELAY_MS
 from lichenquay.gateway.dispatch import Dispatcher
-from lichenquay.gateway.endpoint_confirmation import EndpointConfirmation
+from lichenquay.gateway.endpoint_currency import EndpointCurrency
 from lichenquay.gateway.endpoint_events import EndpointListError, read_events
+from lichenquay.gateway.endpoint_watch import EndpointWatch
 from lichenquay.gateway.engine_evidence import EngineEvidence
 from lichenquay.gateway.engine_pool import EnginePool, GatewayEngine
+from lichenquay.gateway.listed_engines import ListedEngines
 from lichenquay.gateway.log import Log
 from lichenquay.gateway.metrics import Metrics
 from lichenquay.gateway.request_intake import RequestIntake
@@ -36,8 +38,8 @@
 DEFAULT_CONNECT_TIMEOUT_MS = MAX_POLL_REPLY_MS  # if the settings give none
 DEFAULT_KEEP_ALIVE_POLLS = 4
 DEFAULT_KEEP_ALIVE_MS = DEFAULT_KEEP_ALIVE_POLLS * MAX_POLL_REPLY_MS  # likewise
-# PROTOCOL: an event of the discovery service counts as announced after at most this time.
-MAX_ANNOUNCEMENT_DELAY_MS = 7000.0
+# Then a service that does not answer counts as one that refuses connections: the last list is in force.
+MAX_UNCONFIRMED_MS = 2000.0
 # PROTOCOL: clients open connections until 0.4 s after SIGTERM; the last of these must be accepted.
 ACCEPT_AFTER_SIGTERM_MS = 450.0
 REQUESTS_AFTER_ACCEPTING_MS = 200.0  # PROTOCOL: and send requests on open connections for this much longer
@@ -51,6 +53,7 @@
 END_BEFORE_MS = FINAL_ANSWERS_BEFORE_MS / 2  # before SIGKILL, clients and the fleet are no longer waited for
 CLIENT_DESCRIPTOR_DIVISOR = 3  # PROTOCOL: clients hold at most a third of the descriptors
 CALL_CHECK_INTERVAL_MS = 25.0  # for overdue calls and stale connections to engines
+LOGGED_PAUSE_MS = 4 * CALL_CHECK_INTERVAL_MS  # of this process
 CLIENT_CHECK_INTERVAL_MS = 250.0  # for idle client connections and overdue frames
 DRAIN_CHECK_INTERVAL_MS = 10.0
 
@@ -75,7 +78,6 @@
         self.environment = environment
         self.config = configuration.read_config(environment)
         self.settings = configuration.read_deployment_settings(self.config.settings, self.config.seed)
-        self.engines_by_id: dict[str, GatewayEngine] = {}
         self.next_check_ms = 0.0
         self.sigkill_expected_ms = 0.0
         self.log = Log(time.monotonic)
@@ -87,16 +89,19 @@
         self.endpoints_are_distributed = (
             self.feature_settings is not None and self.feature_settings.distribution.engines
         )
-        self.discovery_factory = None
         self.fleet = configuration.create_fleet_runtime(
             self.feature_settings, reactor, self.config.seed, self.adapter.controller.is_under_pressure, self
         )
         try:
             self.discovery = Discovery(
-                self.config.known_endpoints, self.on_endpoints, self.log, self.adapter.endpoints_confirmed
+                self.config.known_endpoints,
+                self.listed_engines.update,
+                self.log,
+                self.adapter.endpoints_confirmed,
             )
         except EndpointListError as error:
             raise StartError(f"known: {error}") from None
+        self.endpoint_watch.discovery = self.discovery
         # The list is applied by now, and may take much memory: it can have thousands of engines.
         self.config = replace(self.config, known_endpoints=None)
 
@@ -112,13 +117,19 @@
         self.adapter = ControllerAdapter(
             self.settings, self.reactor, self.engines, now_ms, self.metrics, self.log
         )
+        self.listed_engines = ListedEngines(self.settings, self.engines, self.adapter, now_ms, self.log)
         self.attempts = AttemptTracker(self.metrics, self.adapter.attempt_ended)
-        self.endpoint_confirmation = EndpointConfirmation(
-            self.reactor, self.engines.connect_timeout_ms, self.metrics
+        currency = EndpointCurrency(
+            self.adapter.controller.staleness.max_unconfirmed_ms,
+            min(MAX_UNCONFIRMED_MS, MAX_ANNOUNCEMENT_DELAY_MS),
+            self.adapter.endpoints_unconfirmed,
+        )
+        self.endpoint_watch = EndpointWatch(
+            self.reactor, currency, self.engines.connect_timeout_ms, self.metrics, self.log
         )
         self.relay = ResultRelay(
             self.engines,
-            EngineEvidence(self.engines, self.endpoint_confirmation.confirm, now_ms),
+            EngineEvidence(self.engines, self.endpoint_watch.confirm, now_ms),
             self.attempts,
             self.metrics,
             self.adapter.progress_reported,
@@ -159,44 +170,13 @@
 
     def apply_endpoints(self, whole: bool, records: list[EndpointRecord]) -> None:
         """Applies distributed endpoints in place of discovery's: the complete list (`whole`), or changes."""
-        self.on_endpoints(whole, records)
+        self.listed_engines.update(whole, records)
         self.discovery.confirm()
 
-    # Endpoint list
-
-    def on_endpoints(self, whole: bool, records: list[EndpointRecord]) -> None:
-        """Applies a change of the endpoint list: all engines (`whole`), or those that changed."""
-        listed = []
-        removed = set(self.engines_by_id.values()) if whole else set()
-        for record in records:
-            engine = self._update_engine(record)
-            listed.append(engine)
-            if record.state == domain.EndpointState.REMOVED:
-                removed.add(engine)
-            else:
-                removed.discard(engine)
-        self.adapter.endpoints_updated(listed, whole)
-        for engine in removed:  # its address may belong to another engine by now
-            engine.state = domain.EndpointState.REMOVED
-            self.engines.addresses.update(engine)
-            self.engines.close_idle_connections(engine)
-            self.engines_by_id.pop(engine.id, None)
-
-    def _update_engine(self, record):
-        engine = self.engines_by_id.get(record.uid)
-        if engine is None:
-            engine = GatewayEngine(record.uid)
-            self.engines_by_id[record.uid] = engine
-        if engine.address != record.address:
-            self.engines.close_idle_connections(engine)
-            engine.address = record.address
-        # The record has Unix time; the gateway's clock differs from it if the wall clock has stepped since.
-        started_ms = record.started_ms + wall_clock_step_ms() if record.started_ms else record.started_ms
-        self.settings.update_engine(
-            engine, record.zone, record.kind, record.cell, record.state, record.advertised_weight, started_ms
-        )
-        self.engines.addresses.update(engine)
-        return engine
+    @property
+    def engines_by_id(self) -> dict[str, GatewayEngine]:
+        """The engines on the endpoint list."""
+        return self.listed_engines.by_id
 
     # Start
 
@@ -212,19 +192,10 @@
             reason = error.socketError.strerror
             raise StartError(f"cannot listen on {self.config.listen_address}: {reason}") from None
         self.adapter.endpoints_stale(MAX_ANNOUNCEMENT_DELAY_MS)
-        self._follow_discovery()
+        if not self.endpoints_are_distributed:
+            self.endpoint_watch.start(self.config.discovery_address)
         self.reactor.callWhenRunning(self.run)
 
-    def _follow_discovery(self):
-        """Connects to the discovery service, unless the endpoint list is distributed configuration."""
-        if self.endpoints_are_distributed:
-            return
-        self.discovery_factory = DiscoveryFactory(
-            self.reactor, self.discovery, *self.config.discovery_address, self.engines.connect_timeout_ms
-        )
-        self.endpoint_confirmation.discovery = self.discovery
-        self.endpoint_confirmation.address = self.config.discovery_address
-
     def run(self) -> None:
         """Installs the signal handlers and starts to serve."""
         handlers = {
@@ -269,6 +240,9 @@
         check_ms = self.reactor.seconds() * 1000
         lag_ms = max(0.0, check_ms - self.next_check_ms) if self.next_check_ms else 0.0
         self.next_check_ms = check_ms + CALL_CHECK_INTERVAL_MS
+        if lag_ms > LOGGED_PAUSE_MS:
+            self.metrics.count("process pauses")
+            self.log("pause", f"process: stood still pause_ms={lag_ms:.0f} phase={self.phase}")
         self.clients.connection_admission.update_load(self._used_share(), lag_ms, check_ms)
         self.engines.call_later(CALL_CHECK_INTERVAL_MS, self._check_calls)
         self.engines.check_connections()
@@ -313,9 +287,8 @@
         self.feature_settings = new_feature_settings
         self._apply_limits()
         has_moved = self.config.discovery_address != old_config.discovery_address
-        if has_moved and self.discovery_factory is not None:
-            self.discovery_factory.stop()
-            self._follow_discovery()
+        if has_moved and self.endpoint_watch.address is not None:
+            self.endpoint_watch.start(self.config.discovery_address)
 
     def _apply_known_endpoints(self, known_endpoints):
         """Applies the configuration's endpoint list if it is newer. Errors: EndpointListError."""
@@ -382,8 +355,7 @@
 
     def _end(self):
         self.phase = ServicePhase.ENDED
-        if self.discovery_factory is not None:
-            self.discovery_factory.stop_reconnecting()
+        self.endpoint_watch.stop()
         if self.fleet is not None:
             self.fleet.close()
         self.reactor.stop()
--- a/lichenquay/testbed/scale/probes/discovery.py
+++ b/lichenquay/testbed/scale/probes/discovery.py
@@ -6,7 +6,8 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from lichenquay.gateway.discovery import Discovery, DiscoveryConnection
+from lichenquay.gateway.discovery import Discovery
+from lichenquay.gateway.discovery_connection import POLL_WAIT_MS, DiscoveryConnection
 from lichenquay.gateway.engine_pool import GatewayEngine
 from lichenquay.gateway.http import ReplyError, ReplyReader
 from lichenquay.testbed.scale.sample import Progress, Sample, measure_processor_ms, measure_state_bytes
@@ -85,22 +86,33 @@
     return reply is not None and len(reply.body) == len(body)
 
 
-class IdleFactory:
-    """The factory that a connection requires, on a clock that is advanced by hand."""
+class IdleOwner:
+    """The owner that a connection requires, with a current list, on a clock that is advanced by hand."""
 
     def __init__(self, clock: Clock):
         """Starts with a list that was received already."""
-        self.reactor, self.host, self.stopped = clock, "127.0.0.1:80", False
+        self.reactor, self.host = clock, "127.0.0.1:80"
         self.discovery = Discovery({"no": 1, "items": []}, lambda *_: None, lambda *_: None)
         self.discovery.on_answer({"no": 1, "items": []})
 
+    def now_ms(self) -> float:
+        """Returns the time of the clock, in ms."""
+        return self.reactor.seconds() * 1_000
+
+    def next_poll_wait_ms(self) -> int:
+        """Returns the wait of a poll while the list is current."""
+        return POLL_WAIT_MS
+
+    def on_answered(self, connection: DiscoveryConnection) -> None:
+        """Does nothing: the list stays current."""
+
 
 def measure_idle(size: int) -> list[Sample]:
     """Measures one idle gateway's calls and bytes a second; the service answers when the poll's wait time
     ends.
     """
     clock, transport = Clock(), StringTransport()
-    connection = DiscoveryConnection(IdleFactory(clock))
+    connection = DiscoveryConnection(IdleOwner(clock))
     transport.setTcpKeepAlive = transport.setTcpNoDelay = lambda on: None
     answer = b'{"no":1,"items":[]}'
     answer = HEAD % len(answer) + answer
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -235,7 +235,7 @@
         for client in self.clients:
             client.transport.abortConnection()
         if hasattr(self, "service"):
-            self.service.discovery_factory.stopped = True
+            self.service.endpoint_watch.stop()
             if self.service.clients.listener.port:
                 self.service.clients.listener.port.stopListening()
             for connection in list(self.service.engines.connections):
--- a/tests/test_attempt_lifecycle_gateway.py
+++ b/tests/test_attempt_lifecycle_gateway.py
@@ -14,8 +14,8 @@
 from lichenquay.admission.domain import EndpointState
 from lichenquay.gateway import engine_protocol, frames
 from lichenquay.gateway.discovery import Discovery
-from lichenquay.gateway.endpoint_confirmation import MIN_INTERVAL_MS
 from lichenquay.gateway.endpoint_events import EndpointListError
+from lichenquay.gateway.endpoint_watch import MIN_CONFIRMATION_INTERVAL_MS
 from lichenquay.gateway.engine_call import EngineCall
 from lichenquay.gateway.engine_connection import EngineConnection
 from lichenquay.gateway.engine_pool import EnginePool, GatewayEngine
@@ -240,10 +240,10 @@
     outcomes = []
 
     def confirm():
-        world.service.endpoint_confirmation.confirm().addCallback(outcomes.append)
+        world.service.endpoint_watch.confirm().addCallback(outcomes.append)
         expected_count = len(outcomes) + 1
         until(lambda: len(outcomes) == expected_count)
-        wait(2 * MIN_INTERVAL_MS / 1000)
+        wait(2 * MIN_CONFIRMATION_INTERVAL_MS / 1000)
         return outcomes[-1]
 
     assert confirm() and world.service.discovery.last_number == 1
@@ -274,7 +274,7 @@
     outcomes = []
     polls_before = world.service.metrics.counters["endpoint lists confirmed"]
     for _ in range(50):
-        world.service.endpoint_confirmation.confirm().addCallback(outcomes.append)
+        world.service.endpoint_watch.confirm().addCallback(outcomes.append)
     until(lambda: len(outcomes) == 50)
     assert all(outcomes)
     assert world.service.metrics.counters["endpoint lists confirmed"] - polls_before == 2
