What has arrived on the watch is read before each first byte of an attempt

Cause: after a pause the reactor runs overdue timers first and then reads descriptors in the kernel's order; the controller's turn or an engine connection that came up sends by the list as it was. Nothing looked whether news lay unread, and nothing asked for what followed an answer while that lay unread.

Evidence: new tests in tests/crossings/test_unread_announcements.py, before this commit: three in this process, in which the drain lies in the kernel (or follows an unread answer, or the watch is overdue) when a turn sends: all fail.

Change: Dispatcher reads the watch (EndpointWatch.read_pending) and asks the controller again at the last moment, inside EngineConnection.send; again, three times at most, if more than 10 ms passed between check and send.

What is left, seen in traces: a process suspended between the check and the system call sends what was right before. No process can see it; engines would have to fence it."

--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -16,6 +16,9 @@
 from lichenquay.gateway.engine_protocol import is_poll_reply
 from lichenquay.gateway.http import Status
 
+MAX_CHECK_AGE_MS = 10.0  # of the check before a first byte; this process may have stood still since
+MAX_CHECKS = 3  # then the attempt is withdrawn
+
 
 class Dispatcher:
     """Sends attempts; hands each to the relay once its first call has a reply, is broken or has timed out."""
@@ -28,15 +31,20 @@
         metrics,
         call_at: Callable[[float, Callable], None],
         authorize_dispatch: Callable[[AttemptInFlight], bool],
+        read_news: Callable[[AttemptInFlight], None],
         now_ms: Callable[[], float],
     ):
-        """Takes `call_at`, which sets a timer, and `authorize_dispatch`, asked just before the first byte."""
+        """Takes `call_at`, which sets a timer, and what is called just before the first byte.
+
+        read_news: applies what has arrived and was not read yet. authorize_dispatch: decides by it.
+        """
         self.engines = engines
         self.relay = relay
         self.tracker = tracker
         self.metrics = metrics
         self.call_at = call_at
         self.authorize_dispatch = authorize_dispatch
+        self.read_news = read_news
         self.now_ms = now_ms
 
     def dispatch(self, in_flight: AttemptInFlight, data: bytes) -> None:
@@ -64,7 +72,7 @@
             starts_attempt=True,
             address=in_flight.address,
             attempt=in_flight,
-            authorize_dispatch=lambda: self.authorize_dispatch(in_flight),
+            authorize_dispatch=lambda: self._authorize(in_flight),
             on_written=lambda: self._on_post_written(in_flight),
             on_timeout=lambda: first_outcome.callback(ReplyTimeoutError()),
         )
@@ -89,6 +97,17 @@
             in_flight.has_lost_reply = True
         yield self.relay.follow(in_flight, reply)
 
+    def _authorize(self, in_flight):
+        """Reads what has arrived and asks whether the attempt may be sent; again after a pause in between."""
+        for _ in range(MAX_CHECKS):
+            checked_ms = self.now_ms()
+            self.read_news(in_flight)
+            if not self.authorize_dispatch(in_flight):
+                return False
+            if self.now_ms() - checked_ms <= MAX_CHECK_AGE_MS:
+                return True
+        return False
+
     def _on_post_written(self, in_flight):
         now_ms = self.now_ms()
         in_flight.lifecycle.on_post_written(now_ms)
--- a/lichenquay/gateway/engine_call.py
+++ b/lichenquay/gateway/engine_call.py
@@ -65,10 +65,11 @@
     needs_new_connection: must not be sent on an idle connection.
     starts_attempt: starts work at the engine, which must be serving.
     preferred_connection: the connection of the attempt's last reply.
-    on_written: called just before the first byte is written.
+    on_written: called as soon as the first byte is written.
     on_timeout: if given, called when there is no reply in time; the call then remains open, as its reply
     still carries information on the attempt.
-    authorize_dispatch: returns whether the call may still be sent; asked just before the first byte.
+    authorize_dispatch: returns whether the call may still be sent; asked just before the first byte. It may
+    end other calls and close idle connections.
     attempt: the attempt that the call is for; a late duplicate of a reply to another attempt may arrive on a
     connection.
     """
@@ -126,13 +127,11 @@
         This must be checked just before the first byte is written: the decision to send may be outdated by
         the time a connection is established.
         """
-        if (
-            not self.withdraw_if_engine_left()
-            and self.authorize_dispatch is not None
-            and not self.authorize_dispatch()
-        ):
+        if self.is_over:
+            return False
+        if self.authorize_dispatch is not None and not self.authorize_dispatch():
             self.withdraw()
-        return not self.is_over
+        return not self.withdraw_if_engine_left()
 
     def end(self, outcome: Reply | EngineCallError) -> None:
         """Ends the call with a reply or an error; does nothing if it has ended already.
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -72,17 +72,29 @@
             return
         call = self.call
         self.call = None
-        if call.withdraw_unless_sendable():
-            self.send(call)
-        else:
+        if not self.send(call):
             self.pool.release(self)
 
     def is_clean(self) -> bool:
         """Returns whether the connection has neither unread bytes nor been closed by the engine."""
         return unread_input(self.transport) is Input.NOTHING
 
-    def send(self, call: EngineCall) -> None:
-        """Sends a call on this connection, which must carry no other call."""
+    def send(self, call: EngineCall) -> bool:
+        """Sends a call on this connection, which must carry none and not be idle; returns whether it did.
+
+        The call is withdrawn if it may no longer be sent.
+        """
+        if not call.withdraw_unless_sendable():
+            return False
+        # Nothing comes between the check and the system call: this process may be suspended at any point.
+        rest = send_now(self.transport, call.data)
+        self._record_sent(call)
+        if rest:
+            self.sent_at_once = False
+            self.transport.write(bytes(rest))
+        return True
+
+    def _record_sent(self, call):
         self.call = call
         if call.attempt is not self.attempt:
             self._attempt_number += 1
@@ -95,10 +107,6 @@
         self.idle_before_call_s = now_s - self.idle_since_s if self.idle_since_s else 0.0
         if call.on_written:
             call.on_written()
-        rest = send_now(self.transport, call.data)
-        if rest:
-            self.sent_at_once = False
-            self.transport.write(bytes(rest))
 
     def dataReceived(self, data):
         """Reads a reply; unexpected or invalid bytes close the connection."""
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from lichenquay.admission import domain
 from lichenquay.gateway.engine_call import EngineCall, EngineCallError, NotConnectedError, ReplyTimeoutError
@@ -19,6 +20,7 @@
 STALE_FRACTION_AFTER_BREAK = 0.5  # of the idle time after which a call broke; `stale_after_s` is set to it
 STALE_LIMIT_GROWTH = 1.0006  # factor by which `stale_after_s` recovers at each check; it doubles in 30 s
 KEEP_ALIVE_FRACTION = 0.5  # of the engines' keep-alive time, for which idle connections are reused
+IDLE_SINCE = attrgetter("idle_since_s")
 MAX_CONNECTION_ATTEMPTS = 3  # connections tried for a call of which no byte was written
 
 
@@ -196,9 +198,7 @@
             return True
         while (connection := self.pick_idle_connection(call)) is not None:
             if connection.is_clean():
-                if call.withdraw_unless_sendable():
-                    connection.engine.idle_connections.remove(connection)
-                    connection.send(call)
+                self._send_on_idle(connection, call)
                 return True
             connection.abort()
         budget = self.descriptor_budget + (self.urgent_reserve if call.is_urgent else 0)
@@ -207,6 +207,14 @@
         self._connect(call)
         return True
 
+    def _send_on_idle(self, connection, call):
+        """Sends a call on an idle connection, which stays idle if the call is withdrawn."""
+        idle_connections = connection.engine.idle_connections
+        idle_connections.remove(connection)  # other calls may be sent while this one is authorized
+        if not connection.send(call) and connection in self.connections:
+            idle_connections.append(connection)
+            connection.engine.idle_connections = deque(sorted(idle_connections, key=IDLE_SINCE))
+
     def _connect(self, call):
         self.open_count += 1
         self.peak_open_count = max(self.peak_open_count, self.open_count)
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -143,6 +143,7 @@
             self.metrics,
             self.adapter.call_at,
             self.adapter.authorize_dispatch,
+            lambda in_flight: self.endpoint_watch.read_pending(),
             now_ms,
         )
         self.router = Router(self.dispatcher, self.relay)
--- a/tests/crossings/test_unread_announcements.py
+++ b/tests/crossings/test_unread_announcements.py
@@ -9,10 +9,14 @@
 from itertools import count
 
 import pytest
+from gateway_world import answered
 from interleavings import ROOT, SocketClient, ask_readiness, gateway_environment, query_frame
 from loopback import until, wait
 from ports import allocate_free_port
 
+from lichenquay.gateway import frames
+from lichenquay.gateway.engine_pool import MIN_IDLE_S
+
 MAX_SEND_AFTER_DRAIN_S = 0.3  # 250 ms of the settings, and 50 ms on sockets
 ENGINES = 6
 
@@ -95,6 +99,103 @@
             gateway.end()
 
 
+PAUSE_S = 0.35  # of the process, longer than the grace
+
+
+def answer_unread(world, number):
+    """Has the discovery service answer its open poll with the events up to a number; nothing reads it yet."""
+    (connection, after), *_ = world.discovery.waiting_polls
+    world.discovery.waiting_polls = []
+    body = json.dumps({"no": number, "items": world.discovery.events[after:number]}).encode()
+    head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    connection.transport.socket.send(head + body)
+
+
+def receive_without_turn(world):
+    """Warms connections to all engines, and sends a query that is received and not dispatched yet."""
+    client = world.client()
+    for engine in world.engines:
+        while not engine.posts:
+            answered(client, client.ask())
+    wait(2 * MIN_IDLE_S)
+    adapter = world.service.adapter
+    adapter.min_loop_interval_ms = 60_000.0
+    adapter.last_turn_ms = adapter.clock_ms()
+    stream = client.ask()
+    until(lambda: adapter.events)
+    adapter.min_loop_interval_ms = 5.0
+    return client, stream
+
+
+def add_drain(world, engine):
+    """Puts a drain on the endpoint list of the discovery service, which tells nobody yet."""
+    number = len(world.discovery.events) + 1
+    event = {"no": number, "roster": {"rev": number, "all": False, "targets": [engine.row("DRAINING")]}}
+    world.discovery.events.append(event)
+    world.drained.setdefault(engine, time.monotonic())
+
+
+def test_a_drain_that_arrived_in_a_pause_is_read_before_the_first_byte(make_world):
+    """Guards against an attempt that timers send before the reactor has read the endpoint list's news."""
+    world = make_world(engines=2)
+    client, stream = receive_without_turn(world)
+    posts_before = world.posts()
+    for engine in world.engines:
+        add_drain(world, engine)
+    answer_unread(world, 3)
+    time.sleep(PAUSE_S)
+    world.service.adapter.run_turn()
+    assert answered(client, stream)[0] == frames.AnswerCode.REJECTED and world.posts() == posts_before
+
+
+def test_after_a_pause_nothing_is_sent_until_the_list_is_confirmed(make_world):
+    """Guards against a drain that followed an answer while that lay unread, when no poll was open."""
+    world = make_world(engines=2)
+    client, stream = receive_without_turn(world)
+    posts_before = len(world.engines[1].posts)
+    for engine in world.engines:
+        add_drain(world, engine)
+    answer_unread(world, 2)
+    time.sleep(PAUSE_S)
+    world.service.adapter.run_turn()
+    assert answered(client, stream)[0] == frames.AnswerCode.REJECTED
+    assert world.service.discovery.last_number == 3 and len(world.engines[1].posts) == posts_before
+
+
+def test_an_overdue_watch_holds_attempts_back_until_another_one_answers(make_world):
+    """Guards against attempts by the list of a watch that fell silent before a long pause of the process."""
+    world = make_world(engines=2)
+    client, stream = receive_without_turn(world)
+    posts_before = world.posts()
+    world.discovery.waiting_polls = []
+    wait(0.1)
+    for engine in world.engines:
+        add_drain(world, engine)
+    time.sleep(1.6)
+    world.service.adapter.run_turn()
+    assert answered(client, stream)[0] == frames.AnswerCode.REJECTED and world.posts() == posts_before
+
+
+@pytest.mark.parametrize("pause_s", [0.4, 1.6])
+def test_no_attempt_goes_to_an_engine_whose_drain_was_announced_in_a_pause(start_gateway, pause_s):
+    """Guards against queries that a resumed process reads and sends before the endpoint list's news."""
+    gateway = start_gateway()
+    world = gateway.world
+    late = []
+    for engine in world.engines[1:]:
+        gateway.load(0.2)
+        os.kill(gateway.process.pid, signal.SIGSTOP)
+        gateway.load(0.06)
+        world.discovery.add_event(engine.row("DRAINING"))
+        drained_s = time.monotonic()
+        gateway.load(pause_s)
+        os.kill(gateway.process.pid, signal.SIGCONT)
+        gateway.load(0.3)
+        late += gateway.late_after_drain(engine, drained_s)
+        world.discovery.add_event(engine.row())
+    assert not late, gateway.end()
+
+
 def test_no_attempt_goes_to_a_drained_engine_after_discovery_was_asked_anew(start_gateway):
     """Guards against a watch that stays silent although the discovery service answers what it is asked."""
     gateway = start_gateway()
