No attempt is sent while its client's cancellation or close lies unread

Cause: as with the endpoint list, the controller's turn or an engine connection that comes up after a pause of the process sends before the reactor has read what the client sent or closed meanwhile.

Change: the check before a first byte reads the client's connection as well (ClientConnection.read_pending): at most eight reads, and none where the connection holds as much as it may. A close cancels its open queries at once; the reactor closes the connection in its next turn."

--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -13,6 +13,7 @@
 
 CLOSE_TIMEOUT_S = 0.3  # time for the client to close as well; repeated while it still reads its last answers
 INVALID_REQUEST_PAUSE_S = 0.05  # nothing is read for this long after an invalid request
+MAX_READS_AT_ONCE = 8  # of 64 KB each
 MAX_INVALID_REQUESTS = 16  # a connection with more is closed
 # With more bytes of unread answers than this, the requests of a client are deferred; with more bytes of
 # deferred requests than this, its connection is no longer read.
@@ -104,6 +105,21 @@
             # A client that sends its next request at each answer would never be found idle otherwise.
             self.close_if_idle()
 
+    def read_pending(self) -> None:
+        """Handles what has arrived, before an attempt is sent for this client: it may have left meanwhile.
+
+        Nothing is read beyond what the connection may hold.
+        """
+        for _ in range(MAX_READS_AT_ONCE):
+            if not self.open_queries or self.deferred_request_bytes > MAX_UNSENT_BYTES:
+                return
+            pending = unread_input(self.transport)
+            if pending is Input.END:
+                self._cancel_open_queries()
+            if pending is not Input.BYTES:
+                return
+            self.transport.doRead()
+
     def _on_frame(self, frame):
         if not self.has_received_frame:
             self.intake.connection_admission.on_frame_received(self.record, self.intake.admission_ms())
@@ -370,8 +386,12 @@
         for timer in (self.pause_timer, self.close_timer):
             if timer is not None and timer.active():
                 timer.cancel()
+        self._cancel_open_queries()
+        self.intake.connection_closed(self)
+
+    def _cancel_open_queries(self):
+        """Cancels all open queries, and their attempts at the engines, as the client has left."""
         queries = self.open_queries
         self.open_queries = {}
-        for query in queries.values():  # their attempts are cancelled at the engines
+        for query in queries.values():
             self._cancel_query(query)
-        self.intake.connection_closed(self)
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -143,7 +143,7 @@
             self.metrics,
             self.adapter.call_at,
             self.adapter.authorize_dispatch,
-            lambda in_flight: self.endpoint_watch.read_pending(),
+            self._read_news,
             now_ms,
         )
         self.router = Router(self.dispatcher, self.relay)
@@ -152,6 +152,13 @@
             self.settings, self.reactor, self.adapter, self.metrics, self.log, now_ms, self.is_ready
         )
 
+    def _read_news(self, in_flight):
+        """Handles what has arrived and concerns an attempt: the endpoint list's news, and its client's."""
+        self.endpoint_watch.read_pending()
+        client = in_flight.query.client
+        if client is not None:
+            client.read_pending()
+
     def _apply_limits(self):
         """Divides the configured descriptors between engines and clients, and sets the limits for clients."""
         max_descriptors = self.config.max_descriptors
--- a/tests/crossings/test_unread_announcements.py
+++ b/tests/crossings/test_unread_announcements.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -10,7 +11,15 @@
 
 import pytest
 from gateway_world import answered
-from interleavings import ROOT, SocketClient, ask_readiness, gateway_environment, query_frame
+from interleavings import (
+    ROOT,
+    SocketClient,
+    ask_readiness,
+    assert_no_more_posts,
+    counter,
+    gateway_environment,
+    query_frame,
+)
 from loopback import until, wait
 from ports import allocate_free_port
 
@@ -162,6 +171,27 @@
     assert world.service.discovery.last_number == 3 and len(world.engines[1].posts) == posts_before
 
 
+@pytest.mark.parametrize("departure", ["cancel", "end", "reset"])
+def test_no_attempt_is_sent_for_a_client_that_left_in_a_pause(make_world, departure):
+    """Guards against a query that is sent while its client's cancellation or close lies unread."""
+    world = make_world(engines=2)
+    client, stream = receive_without_turn(world)
+    posts_before = world.posts()
+    if departure == "cancel":
+        client.transport.socket.send(frames.encode_frame(frames.FrameType.CANCEL, stream))
+    elif departure == "end":
+        client.transport.socket.shutdown(socket.SHUT_WR)
+    else:
+        client.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        client.transport.stopReading()
+        client.transport.socket.close()
+    time.sleep(PAUSE_S)
+    world.service.adapter.run_turn()
+    assert counter(world, "queries cancelled by their clients") == 1
+    assert_no_more_posts(world)
+    assert world.posts() == posts_before
+
+
 def test_an_overdue_watch_holds_attempts_back_until_another_one_answers(make_world):
     """Guards against attempts by the list of a watch that fell silent before a long pause of the process."""
     world = make_world(engines=2)
