An engine gets the time that is left when its attempt is sent, not when it was decided

Cause: Router encoded X-Budget at the decision. An attempt that waits for a connection (250 ms and more), for a descriptor, or for a process that stands still carried the time that was left then.

Change: the first call is encoded with the last check before its first byte; a pause between the two repeats both."

--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -47,18 +47,21 @@
         self.read_news = read_news
         self.now_ms = now_ms
 
-    def dispatch(self, in_flight: AttemptInFlight, data: bytes) -> None:
-        """Sends an attempt and sets the timer that cancels it at its deadline."""
+    def dispatch(self, in_flight: AttemptInFlight, encode: Callable[[float], bytes]) -> None:
+        """Sends an attempt and sets the timer that cancels it at its deadline.
+
+        encode: returns the bytes of its first call, as it is sent at a time in ms.
+        """
         self.tracker.count_dispatched()
         self.call_at(in_flight.deadline_ms, lambda: self._on_deadline(in_flight))
-        self._post(in_flight, data).addErrback(self.relay.on_fault, in_flight)
+        self._post(in_flight, encode).addErrback(self.relay.on_fault, in_flight)
 
     def _on_deadline(self, in_flight):
         if not in_flight.is_over:
             self.relay.cancel(in_flight)
 
     @inlineCallbacks
-    def _post(self, in_flight, data):
+    def _post(self, in_flight, encode):
         """Sends the first call; once it has a reply, is broken or times out, the relay follows the attempt.
 
         After a time-out the call remains open: the engine may not have read it yet, and a late reply shows
@@ -67,12 +70,12 @@
         first_outcome = Deferred()
         in_flight.first_call = self.engines.start_call(
             in_flight.engine,
-            data,
+            b"",
             is_poll_reply,
             starts_attempt=True,
             address=in_flight.address,
             attempt=in_flight,
-            authorize_dispatch=lambda: self._authorize(in_flight),
+            encode_if_authorized=lambda: self._encode_if_authorized(in_flight, encode),
             on_written=lambda: self._on_post_written(in_flight),
             on_timeout=lambda: first_outcome.callback(ReplyTimeoutError()),
         )
@@ -97,16 +100,20 @@
             in_flight.has_lost_reply = True
         yield self.relay.follow(in_flight, reply)
 
-    def _authorize(self, in_flight):
-        """Reads what has arrived and asks whether the attempt may be sent; again after a pause in between."""
+    def _encode_if_authorized(self, in_flight, encode):
+        """Reads what has arrived and asks whether the attempt may be sent; again after a pause in between.
+
+        Returns the bytes to send, or None.
+        """
         for _ in range(MAX_CHECKS):
             checked_ms = self.now_ms()
             self.read_news(in_flight)
             if not self.authorize_dispatch(in_flight):
-                return False
+                return None
+            data = encode(checked_ms)
             if self.now_ms() - checked_ms <= MAX_CHECK_AGE_MS:
-                return True
-        return False
+                return data
+        return None
 
     def _on_post_written(self, in_flight):
         now_ms = self.now_ms()
--- a/lichenquay/gateway/engine_call.py
+++ b/lichenquay/gateway/engine_call.py
@@ -59,7 +59,7 @@
     """One call to an engine.
 
     engine, address: the destination; the address defaults to the engine's at creation.
-    data: the bytes of the request.
+    data: the bytes of the request, unless `encode_if_authorized` is given.
     accepts: returns whether a reply answers this call.
     is_urgent: sent before other calls, and may use reserved descriptors.
     needs_new_connection: must not be sent on an idle connection.
@@ -68,8 +68,8 @@
     on_written: called as soon as the first byte is written.
     on_timeout: if given, called when there is no reply in time; the call then remains open, as its reply
     still carries information on the attempt.
-    authorize_dispatch: returns whether the call may still be sent; asked just before the first byte. It may
-    end other calls and close idle connections.
+    encode_if_authorized: returns the bytes to send, or None if the call may no longer be sent; called just
+    before the first byte. It may end other calls and close idle connections.
     attempt: the attempt that the call is for; a late duplicate of a reply to another attempt may arrive on a
     connection.
     """
@@ -83,7 +83,7 @@
     preferred_connection: object = None
     on_written: Callable[[], None] | None = None
     on_timeout: Callable[[], None] | None = None
-    authorize_dispatch: Callable[[], bool] | None = None
+    encode_if_authorized: Callable[[], bytes | None] | None = None
     address: str | None = None
     attempt: object = None
     reply: Deferred = field(default_factory=Deferred)  # of a Reply
@@ -129,8 +129,12 @@
         """
         if self.is_over:
             return False
-        if self.authorize_dispatch is not None and not self.authorize_dispatch():
-            self.withdraw()
+        if self.encode_if_authorized is not None:
+            data = self.encode_if_authorized()
+            if data is None:
+                self.withdraw()
+            else:
+                self.data = data
         return not self.withdraw_if_engine_left()
 
     def end(self, outcome: Reply | EngineCallError) -> None:
--- a/lichenquay/gateway/routing.py
+++ b/lichenquay/gateway/routing.py
@@ -15,20 +15,10 @@
 
     def start(self, attempt: domain.Attempt, timeout_ms: float) -> AttemptInFlight:
         """Sends an attempt, to be cancelled after `timeout_ms`, and returns its state."""
-        query = attempt.query
         in_flight = AttemptInFlight(attempt, attempt.sent_ms + timeout_ms)
-        data = encode_start(
-            host=in_flight.address,
-            request_id=query.request_id,
-            group=query.group.name,
-            timeout_ms=timeout_ms,
-            grant_mb=query.grant_mb,
-            priority=query.requested_priority,
-            statement=query.statement,
-            idempotency_key=query.idempotency_key,
-            ordering_key=query.ordering_key,
-        )
-        self.dispatcher.dispatch(in_flight, data)
+        grant_mb = attempt.query.grant_mb
+        priority = attempt.query.requested_priority
+        self.dispatcher.dispatch(in_flight, lambda now_ms: _encode(in_flight, grant_mb, priority, now_ms))
         return in_flight
 
     def set_priority(self, in_flight: AttemptInFlight, priority: int) -> None:
@@ -40,3 +30,19 @@
     def cancel(self, in_flight: AttemptInFlight) -> None:
         """Cancels an attempt, whose outcome is reported later."""
         self.relay.cancel(in_flight)
+
+
+def _encode(in_flight, grant_mb, priority, now_ms):
+    """Encodes the call as it is sent now: the engine gets the time that is left now."""
+    query = in_flight.query
+    return encode_start(
+        host=in_flight.address,
+        request_id=query.request_id,
+        group=query.group.name,
+        timeout_ms=in_flight.deadline_ms - now_ms,
+        grant_mb=grant_mb,
+        priority=priority,
+        statement=query.statement,
+        idempotency_key=query.idempotency_key,
+        ordering_key=query.ordering_key,
+    )
--- a/tests/crossings/test_dispatch_races.py
+++ b/tests/crossings/test_dispatch_races.py
@@ -260,3 +260,14 @@
     delayed_connections.resume()
     client.transport.write(frames.encode_frame(frames.FrameType.CANCEL, stream))
     wait_until_complete(world)
+
+
+def test_an_engine_gets_the_time_that_is_left_when_the_attempt_is_sent(make_world):
+    """Guards against an engine that works on after its client's deadline, as its connection came up late."""
+    world = make_world(engines=1)
+    delayed_connections, client, stream = ask_delayed(world, allow=2000)
+    wait(0.4)
+    delayed_connections.resume()
+    assert answered(client, stream)[0] == frames.AnswerCode.COMPLETED
+    ((headers, _),) = world.engines[0].posts
+    assert 1000 < float(headers["X-Budget"]) <= 2000 - 400
