An attempt of which the system takes no byte is not left to be written later

Cause: where the system call that sends a POST fails or takes nothing (EAGAIN, ENOBUFS), the transport kept the bytes and wrote them in a later turn, without the check that belongs before a first byte.

Evidence: a test in which the first send takes nothing: written later on the same connection before.

--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -88,6 +88,11 @@
             return False
         # Nothing comes between the check and the system call: this process may be suspended at any point.
         rest = send_now(self.transport, call.data)
+        if call.starts_attempt and len(rest) == len(call.data):
+            # Left to the transport, its first byte would be written later, without a check.
+            self.call = call
+            self.abort(ConnectionBrokenError("not writable"))
+            return True
         self._record_sent(call)
         if rest:
             self.sent_at_once = False
--- a/tests/crossings/test_dispatch_races.py
+++ b/tests/crossings/test_dispatch_races.py
@@ -8,7 +8,7 @@
 from interleavings import DelayedConnections, assert_no_more_posts, counter, wait_until_complete
 from loopback import until, wait
 
-from lichenquay.gateway import frames
+from lichenquay.gateway import engine_connection, frames
 
 
 def ask_delayed(world, group="report", **options):
@@ -262,6 +262,23 @@
     wait_until_complete(world)
 
 
+def test_an_attempt_that_the_system_does_not_take_is_not_left_to_be_written_later(make_world, monkeypatch):
+    """Guards against a first byte that goes out after the check, as the system took none at first."""
+    world = make_world(engines=1)
+    client, tried = world.client(), []
+    send_now = engine_connection.send_now
+
+    def refuse_first(transport, data):
+        if data.startswith(b"POST"):
+            tried.append(transport)
+        return memoryview(data) if len(tried) == 1 else send_now(transport, data)
+
+    monkeypatch.setattr(engine_connection, "send_now", refuse_first)
+    assert answered(client, client.ask()) == (frames.AnswerCode.COMPLETED, RESULT)
+    wait_until_complete(world)
+    assert world.posts() == 1 and len(tried) == 2 and tried[0] is not tried[1]
+
+
 def test_an_engine_gets_the_time_that_is_left_when_the_attempt_is_sent(make_world):
     """Guards against an engine that works on after its client's deadline, as its connection came up late."""
     world = make_world(engines=1)
