After a pause of the process, a request's time counts from when it may have arrived

What callers saw: not reported; found by the soak with pauses. Engines were told to work for up to 0.998 s longer than their clients waited (allowed: 0.15 s), and answers came after their time and half a second.

Cause: a request's deadline was its 'allow' from when its frame was read. What had lain in the kernel while the process stood still was taken for new.

Change: process_pauses, without I/O: a tick of 25 ms that is over 100 ms late shows a pause; what is read in the next four turns, on connections still queued then, or left unread by such a read, arrived when the pause began, at the earliest.

--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -6,8 +6,9 @@
 from twisted.internet.protocol import Protocol
 
 from lichenquay.gateway import frames
-from lichenquay.gateway.errors import GatewayError
 from lichenquay.gateway.frames import AnswerCode, FrameError, FrameReader, FrameType
+from lichenquay.gateway.process_pauses import ArrivalBound
+from lichenquay.gateway.request_errors import InvalidRequestError
 from lichenquay.gateway.sockets import Input, send_now, unacknowledged_bytes, unread_input
 from lichenquay.gateway.stream_numbers import StreamNumbers
 
@@ -25,12 +26,6 @@
 }
 
 
-class InvalidRequestError(GatewayError):
-    """A well-formed request that is not a valid query; the text is sent as its answer."""
-
-    code = AnswerCode.FAILED
-
-
 class DeferredRequest(NamedTuple):
     """A request that is kept while its client does not read its answers."""
 
@@ -54,6 +49,7 @@
         self.intake = intake
         self.record = intake.connection_admission.on_connection_opened(address, intake.admission_ms(), self)
         self.reader = FrameReader()
+        self.arrival = ArrivalBound(intake.earliest_arrival_ms, intake.now_ms)
         self.streams = StreamNumbers()
         self.open_queries = {}  # by stream
         self.deferred_requests: dict[int, DeferredRequest] = {}  # by stream
@@ -78,6 +74,8 @@
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, False)
         self.intake.connection_opened(self)
+        self.arrival.begin_read()
+        self.arrival.end_read(self._has_unread_input)
 
     def dataReceived(self, data):
         """Handles the frames that the data completes; frames may be split anywhere."""
@@ -86,6 +84,7 @@
             # cause a reset that discards the last answers.
             self._pause_reading()
             return
+        self.arrival.begin_read()
         buffered_before = self.reader.buffered_bytes()
         self.last_activity_s = self.intake.seconds()
         try:
@@ -101,10 +100,14 @@
             self._add_held_bytes(-buffered_before)
             self.reader.discard()
             self.reject_input(str(error))
+        self.arrival.end_read(self._has_unread_input)
         if self.intake.is_stopping:
             # A client that sends its next request at each answer would never be found idle otherwise.
             self.close_if_idle()
 
+    def _has_unread_input(self):
+        return unread_input(self.transport) is Input.BYTES
+
     def read_pending(self) -> None:
         """Handles what has arrived, before an attempt is sent for this client: it may have left meanwhile.
 
@@ -140,7 +143,7 @@
         if self.is_backlogged:
             self._defer_request(frame)
         else:
-            self._accept_request(frame.stream, frame.payload, self.intake.now_ms())
+            self._accept_request(frame.stream, frame.payload, self.arrival.read_ms)
 
     def _on_cancel(self, stream):
         query = self.open_queries.pop(stream, None)
@@ -213,7 +216,7 @@
         query.client = None
 
     def _defer_request(self, frame):
-        self.deferred_requests[frame.stream] = DeferredRequest(bytes(frame.payload), self.intake.now_ms())
+        self.deferred_requests[frame.stream] = DeferredRequest(bytes(frame.payload), self.arrival.read_ms)
         self._add_deferred_bytes(len(frame.payload))
         if self.deferred_request_bytes > MAX_UNSENT_BYTES:
             self.transport.pauseProducing()
--- a/lichenquay/gateway/client_listener.py
+++ b/lichenquay/gateway/client_listener.py
@@ -44,6 +44,7 @@
         self.intake = intake
         self.metrics = metrics
         self.port = None  # set while it listens
+        self.may_have_backlog = False  # connections wait in the kernel's queue
         # Closed to accept a connection, and reject it, when no other descriptor is left.
         self._spare_descriptor = None
         self._window_started_s = 0.0
@@ -67,9 +68,11 @@
                 break
         self.port.stopListening()
         self.port = None
+        self.may_have_backlog = False
 
     def _on_readable(self):
-        self._accept_some()  # its result is not returned: the reactor would stop reading
+        # Its result is not returned: the reactor would stop reading.
+        self.may_have_backlog = self._accept_some()
 
     def _accept_some(self, is_closing=False):
         """Admits or rejects queued connections. Returns whether more may be queued."""
--- a/lichenquay/gateway/request_intake.py
+++ b/lichenquay/gateway/request_intake.py
@@ -7,10 +7,11 @@
 
 from lichenquay.connection_admission import decisions, limits
 from lichenquay.gateway import frames
-from lichenquay.gateway.client_connection import ClientConnection, InvalidRequestError
+from lichenquay.gateway.client_connection import ClientConnection
 from lichenquay.gateway.client_listener import ClientListener
 from lichenquay.gateway.controller_adapter import GatewayQuery
-from lichenquay.gateway.frames import AnswerCode, ClientRequest
+from lichenquay.gateway.frames import ClientRequest
+from lichenquay.gateway.request_errors import InvalidRequestError, RequestRejectedError
 from lichenquay.gateway.statement import table_group_of
 
 MAX_OPEN_QUERIES = 32  # PROTOCOL: per connection
@@ -26,12 +27,6 @@
 MAX_QUOTED_CHARS = 40  # of a client's field, in an answer
 
 
-class RequestRejectedError(InvalidRequestError):
-    """A valid request that is rejected now but may be retried."""
-
-    code = AnswerCode.REJECTED
-
-
 def _read_number(request: ClientRequest, name: str, maximum: float) -> float:
     """Returns a field as a number from 0 to `maximum`. Errors: InvalidRequestError."""
     text = getattr(request, name)
@@ -82,6 +77,8 @@
         self.log = log
         self.now_ms = now_ms
         self.is_ready = is_ready
+        # When what is read at a time arrived; the owner sets it if it notices pauses of this process.
+        self.earliest_arrival_ms: Callable[[float], float] = lambda now_ms: now_ms
         self.connections: dict[ClientConnection, bool] = {}  # oldest first
         self.peak_connections = 0
         self.open_request_ids: dict[str, GatewayQuery] = {}
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -26,6 +26,7 @@
 from lichenquay.gateway.listed_engines import ListedEngines
 from lichenquay.gateway.log import Log
 from lichenquay.gateway.metrics import Metrics
+from lichenquay.gateway.process_pauses import ProcessPauses
 from lichenquay.gateway.request_intake import RequestIntake
 from lichenquay.gateway.result_relay import ResultRelay
 from lichenquay.gateway.routing import Router
@@ -53,7 +54,7 @@
 END_BEFORE_MS = FINAL_ANSWERS_BEFORE_MS / 2  # before SIGKILL, clients and the fleet are no longer waited for
 CLIENT_DESCRIPTOR_DIVISOR = 3  # PROTOCOL: clients hold at most a third of the descriptors
 CALL_CHECK_INTERVAL_MS = 25.0  # for overdue calls and stale connections to engines
-LOGGED_PAUSE_MS = 4 * CALL_CHECK_INTERVAL_MS  # of this process
+MIN_PAUSE_MS = 4 * CALL_CHECK_INTERVAL_MS  # of this process; the work of one turn takes less
 CLIENT_CHECK_INTERVAL_MS = 250.0  # for idle client connections and overdue frames
 DRAIN_CHECK_INTERVAL_MS = 10.0
 
@@ -78,7 +79,6 @@
         self.environment = environment
         self.config = configuration.read_config(environment)
         self.settings = configuration.read_deployment_settings(self.config.settings, self.config.seed)
-        self.next_check_ms = 0.0
         self.sigkill_expected_ms = 0.0
         self.log = Log(time.monotonic)
         self.metrics = Metrics()
@@ -148,9 +148,16 @@
         )
         self.router = Router(self.dispatcher, self.relay)
         self.adapter.router = self.router
+        self.pauses = ProcessPauses(
+            CALL_CHECK_INTERVAL_MS,
+            MIN_PAUSE_MS,
+            lambda call: self.reactor.callLater(0, call),
+            lambda: self.clients.listener.may_have_backlog,
+        )
         self.clients = RequestIntake(
             self.settings, self.reactor, self.adapter, self.metrics, self.log, now_ms, self.is_ready
         )
+        self.clients.earliest_arrival_ms = self.pauses.earliest_arrival_ms
 
     def _read_news(self, in_flight):
         """Handles what has arrived and concerns an attempt: the endpoint list's news, and its client's."""
@@ -246,9 +253,8 @@
 
     def _check_calls(self):
         check_ms = self.reactor.seconds() * 1000
-        lag_ms = max(0.0, check_ms - self.next_check_ms) if self.next_check_ms else 0.0
-        self.next_check_ms = check_ms + CALL_CHECK_INTERVAL_MS
-        if lag_ms > LOGGED_PAUSE_MS:
+        lag_ms = self.pauses.on_tick(now_ms())
+        if lag_ms > MIN_PAUSE_MS:
             self.metrics.count("process pauses")
             self.log("pause", f"process: stood still pause_ms={lag_ms:.0f} phase={self.phase}")
         self.clients.connection_admission.update_load(self._used_share(), lag_ms, check_ms)
