An error of accept that passes costs no connection

What callers saw: not reported; found by the soak with failing system calls (accept with ECONNABORTED, EPROTO, ENOMEM, EMFILE, ENFILE): requests on connections that the machine had accepted were closed without an answer.

Cause: at the end of listening, any error but 'nothing queued' ended the acceptance, and the kernel reset what was queued behind. EMFILE rejected the connection even where the shortage had passed with the next call. A connection that the reactor could not adopt was closed without a reason.

Change: errors that concern one connection are passed over. The spare descriptor takes the connection; it is rejected only if no descriptor is left for a new spare one.

--- a/lichenquay/gateway/client_listener.py
+++ b/lichenquay/gateway/client_listener.py
@@ -19,6 +19,7 @@
 MAX_CAPACITY_WAITS = 12  # in a window; likewise
 MAX_DISCARDED_BYTES = 65_536  # read from a connection that is rejected
 NO_DESCRIPTOR = "no descriptor"
+NO_DESCRIPTOR_TEXT = b"no descriptor; come back in 1000 ms"
 
 
 def reject_connection(connection_socket, text: bytes) -> None:
@@ -56,7 +57,7 @@
         """Starts listening. Errors: CannotListenError."""
         self.port = self.reactor.listenTCP(port, self.intake, backlog=LISTEN_BACKLOG, interface=host)
         self.port.doRead = self._on_readable
-        self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
+        self._open_spare_descriptor()
 
     def close(self) -> None:
         """Stops listening, after it has admitted or rejected the connections in the kernel's queue.
@@ -81,13 +82,14 @@
         accepted = 0
         for _ in range(MAX_ACCEPT_CALLS_PER_TURN):
             try:
-                connection_socket, address = self.port.socket.accept()
+                connection_socket, address = self._accept()
             except BlockingIOError:
                 return False
-            except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE):
-                    return self._reject_with_spare_descriptor()
-                return False
+            except OSError:
+                continue  # it concerns one connection, or passes; others are queued behind it
+            if self._spare_descriptor is None:
+                self._reject_for_descriptor(connection_socket)
+                continue
             decision = self.intake.connection_admission.admit_connection(
                 address[0], self.intake.admission_ms()
             )
@@ -141,21 +143,34 @@
         text = f"{decision.reason}; come back in {max(1.0, decision.retry_after_ms):.0f} ms"
         reject_connection(connection_socket, text.encode())
 
-    def _reject_with_spare_descriptor(self):
-        """Closes the spare descriptor to accept and reject one connection. Returns whether it did.
+    def _accept(self):
+        """Returns the next queued connection and its address. Errors: BlockingIOError (none), OSError.
 
-        Without it, connections would stay queued at the descriptor limit, and keep the reactor busy.
+        Where no descriptor is left, the spare one is given up for it; it is None then, unless the shortage
+        has passed. Without it, connections would stay queued and keep the reactor busy.
         """
-        self.metrics.count(f"connections refused: {NO_DESCRIPTOR}")
+        try:
+            return self.port.socket.accept()
+        except OSError as error:
+            if error.errno not in (errno.EMFILE, errno.ENFILE) or self._spare_descriptor is None:
+                raise
         os.close(self._spare_descriptor)
         try:
-            connection_socket, _ = self.port.socket.accept()
-            reject_connection(connection_socket, b"no descriptor; come back in 1000 ms")
-            return True
-        except OSError:
-            return False
+            return self.port.socket.accept()
         finally:
+            self._open_spare_descriptor()
+
+    def _open_spare_descriptor(self):
+        try:
             self._spare_descriptor = os.open(os.devnull, os.O_RDONLY)
+        except OSError:
+            self._spare_descriptor = None
+
+    def _reject_for_descriptor(self, connection_socket):
+        """Rejects a connection that took the last descriptor, and takes the spare one in its place."""
+        self.metrics.count(f"connections refused: {NO_DESCRIPTOR}")
+        reject_connection(connection_socket, NO_DESCRIPTOR_TEXT)
+        self._open_spare_descriptor()
 
     def _evict(self, decision):
         """Closes the connections that are evicted or aborted for a new one."""
@@ -173,5 +188,6 @@
             self.reactor.adoptStreamConnection(connection_socket.fileno(), family, self.intake)
         except OSError:
             self.metrics.count(f"connections refused: {NO_DESCRIPTOR}")
+            reject_connection(connection_socket, NO_DESCRIPTOR_TEXT)
         finally:
             connection_socket.close()
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -1,6 +1,7 @@
 """Tests of closing a client's connection while bytes arrive or while a slow client reads its last answer."""
 
 import contextlib
+import errno
 import socket
 
 import pytest
@@ -290,3 +291,24 @@
     assert 2 in read_answers(client)
     client.socket.close()
     wait_until_complete(world)
+
+
+def test_a_connection_that_cannot_be_accepted_does_not_cost_those_behind_it(make_world, monkeypatch):
+    """Guards against queued connections that are reset as the listener closes, after one had gone already."""
+    world = make_world(engines=1)
+    clients = [SocketClient(world.port) for _ in range(3)]
+    accept = socket.socket.accept
+    errors = [errno.ECONNABORTED, errno.EPROTO, errno.ENOMEM]
+
+    def accept_with_errors(self):
+        if errors:
+            raise OSError(errors.pop(), "injected")
+        return accept(self)
+
+    monkeypatch.setattr(socket.socket, "accept", accept_with_errors)
+    world.service.clients.listener.close()
+    for client in clients:
+        send_request(client, 1)
+    until(lambda: all(read_answers(client) for client in clients))
+    assert not errors
+    wait_until_complete(world)
