The discovery service is asked every half second while it does not answer

Cause: the new watch opens four connections at most and keeps an unanswered one for 7 s.

Change: a question every 0.5 s; at six connections the oldest overdue one makes room, so that a service that takes up to 2.5 s to answer is still heard."

--- a/lichenquay/gateway/endpoint_watch.py
+++ b/lichenquay/gateway/endpoint_watch.py
@@ -23,8 +23,8 @@
 CHECK_INTERVAL_MS = 25  # how often connections are checked for what was not read, and for silence
 MIN_CONFIRMATION_INTERVAL_MS = 50  # between two confirmations
 MAX_PARTIAL_MS = 100  # an answer that stays incomplete for longer is asked for on another connection
-ASK_AGAIN_MS = 500  # likewise a poll that is not answered; doubled for each connection without an answer
-MAX_CONNECTIONS = 4
+ASK_AGAIN_MS = 500  # likewise a poll that is not answered
+MAX_CONNECTIONS = 6
 
 
 class EndpointWatch:
@@ -221,9 +221,15 @@
     # Connections
 
     def _open(self, reason):
-        """Opens another connection, unless there are enough."""
-        if self.is_stopped or len(self.connections) + len(self._attempts) >= MAX_CONNECTIONS:
+        """Opens another connection, in place of the oldest one that is overdue if there are enough."""
+        if self.is_stopped:
             return
+        if len(self.connections) + len(self._attempts) >= MAX_CONNECTIONS:
+            now_ms = self.now_ms()
+            overdue = next((each for each in self.connections if each.is_overdue(now_ms)), None)
+            if overdue is None:
+                return
+            overdue.end("no answer")
         self._last_opened_ms = self.now_ms()
         self._opened_count += 1
         self.metrics.count(f"watch connections opened: {reason}")
@@ -284,8 +290,7 @@
         if not self.connections or self._attempts:
             return
         now_ms = self.now_ms()
-        unanswered = sum(connection.answer_count == 0 for connection in self.connections)
-        if now_ms - self._last_opened_ms < ASK_AGAIN_MS * 2 ** max(0, unanswered - 1):
+        if now_ms - self._last_opened_ms < ASK_AGAIN_MS:
             return
         partial_since_ms = self.connections[-1].partial_since_ms
         if partial_since_ms is not None and now_ms - partial_since_ms > MAX_PARTIAL_MS:
