KNOWN-RED: attempts go on while a question to the discovery service stays unanswered for over 2 s

A drain that was on the list when the service was asked counts as told by the strict reading; after 2 s of running time without an answer the last list is in force.

--- a/tests/crossings/test_unread_announcements.py
+++ b/tests/crossings/test_unread_announcements.py
@@ -206,6 +206,23 @@
     assert answered(client, stream)[0] == frames.AnswerCode.REJECTED and world.posts() == posts_before
 
 
+def test_nothing_is_sent_until_a_question_is_answered_or_all_counts_as_announced(make_world):
+    """Guards against a drain that was on the list when the service was asked, which answers after 2 s."""
+    world = make_world(engines=2)
+    client = world.client()
+    answered(client, client.ask())
+    world.discovery.is_silent = True
+    world.discovery.waiting_polls = []
+    world.service.endpoint_watch.confirm()
+    wait(0.1)
+    for engine in world.engines:
+        world.discovery.add_event(engine.row("DRAINING"))
+    posts_before = world.posts()
+    wait(2.5)
+    assert answered(client, client.ask(allow=1000))[0] == frames.AnswerCode.REJECTED
+    assert world.posts() == posts_before
+
+
 @pytest.mark.parametrize("pause_s", [0.4, 1.6])
 def test_no_attempt_goes_to_an_engine_whose_drain_was_announced_in_a_pause(start_gateway, pause_s):
     """Guards against queries that a resumed process reads and sends before the endpoint list's news."""
