--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -39,12 +39,16 @@
 
 
 class HttpConnection(Protocol):
-    """One connection to a stand-in; calls its owner's `on_request` with each complete request."""
+    """One connection to a stand-in; calls its owner's `on_request` with each complete request.
+
+    request_began_s: when the first byte of the latest request was read, in monotonic seconds.
+    """
 
     def __init__(self, owner):
         """Creates a connection to the stand-in `owner`."""
         self.owner = owner
         self.buffer = b""
+        self.request_began_s = 0.0
 
     def connectionMade(self):
         """Registers the connection; aborts it if the owner closes connections at once."""
@@ -59,6 +63,8 @@
 
     def dataReceived(self, data):
         """Passes on the requests that the data completes."""
+        if not self.buffer:
+            self.request_began_s = time.monotonic()
         self.buffer += data
         while b"\r\n\r\n" in self.buffer:
             head, _, rest = self.buffer.partition(b"\r\n\r\n")
--- a/tests/soak/planted_faults.py
+++ b/tests/soak/planted_faults.py
@@ -5,10 +5,15 @@
 from collections.abc import Callable
 
 from lichenquay.admission import retry_policy
+from lichenquay.admission.endpoint_list import EndpointStaleness
 from lichenquay.gateway.client_connection import ClientConnection
+from lichenquay.gateway.discovery_connection import DiscoveryConnection
+from lichenquay.gateway.endpoint_watch import EndpointWatch
+from lichenquay.gateway.process_pauses import ProcessPauses
 from lichenquay.gateway.service import Service
 
 PERIOD = 25  # one answer in as many is affected
+NEWS_DELAY_S = 0.1  # less than the grace: it is late only after a pause
 
 
 def answer_twice() -> None:
@@ -60,12 +65,32 @@
     ClientConnection._cancel_query = lambda self, query: None
 
 
+def leave_news_unread() -> None:
+    """Reads the endpoint list's news after what clients have sent, also after a pause of the process."""
+    data_received = DiscoveryConnection.dataReceived
+
+    def receive_later(self, data):
+        self.owner.reactor.callLater(NEWS_DELAY_S, data_received, self, data)
+
+    DiscoveryConnection.dataReceived = receive_later
+    Service._read_news = lambda self, in_flight: None
+    EndpointWatch.read_pending = lambda self: None
+    EndpointStaleness.suspends_dispatch = EndpointStaleness.is_stale
+
+
+def time_from_reading() -> None:
+    """Counts the time of requests from when they are read, also after a pause of the process."""
+    ProcessPauses.earliest_arrival_ms = lambda self, now_ms: now_ms
+
+
 PLANTED: dict[str, Callable[[], None]] = {
     "answers twice": answer_twice,
     "answers lost": lose_answers,
     "mutating queries repeated": repeat_mutating,
     "SIGTERM ignored": ignore_sigterm,
     "cancellations ignored": ignore_cancellations,
+    "news left unread": leave_news_unread,
+    "requests timed from their reading": time_from_reading,
 }
 
 
--- a/tests/soak/soak_audit.py
+++ b/tests/soak/soak_audit.py
@@ -10,6 +10,8 @@
 LATE_ANSWER_S = 0.5  # STANDING: later than this after its time, a request is lost
 AFTER_LEAVING_S = 0.1  # STANDING: an attempt that begins later than this after its client left is a break
 AFTER_DRAIN_S = 0.3  # 250 ms of the settings, and 50 ms on sockets
+MAX_BUDGET_OVER_REST_S = 0.15  # STANDING: of the deadline passed to an engine, over what its client has left
+AFTER_PAUSE_S = 0.1  # in which a process that was stopped when an answer was due gives it
 SLACK_S = 0.05  # of the harness, besides its longest turn
 MAX_MEMORY_GROWTH_MB = 32.0
 MAX_MORE_DESCRIPTORS = 2
@@ -29,6 +31,7 @@
         *answers(history, has_crowd),
         *executions(history),
         *late_attempts(history),
+        *budgets(history),
         *process(history),
     ]
     return sorted(findings)
@@ -43,7 +46,7 @@
             text = f"{name}: {len(request.answers)} answers"
             yield Finding(request.answers[1][2], "second answer", text)
         for code, body, answered_s in request.answers:
-            due_s = request.sent_s + request.allow_ms / 1000 + LATE_ANSWER_S + lag_s
+            due_s = _due_s(history, request, lag_s)
             if answered_s > due_s and request.left_s is None:
                 text = f"{name}: answered {answered_s - due_s:.3f} s too late"
                 yield Finding(answered_s, "late answer", text)
@@ -51,14 +54,29 @@
             if is_completed and body not in history.results.get(request.ref, ()):
                 text = f"{name}: rows that no engine made: {body[:60]!r}"
                 yield Finding(answered_s, "foreign rows", text)
-        is_taken = request.sent_s is not None and not request.answers and request.left_s is None
-        if not is_taken or (has_crowd and request.is_rejected_connection):
+        if request.sent_s is None or request.answers or _left_in_time(history, request, lag_s):
+            continue
+        if has_crowd and request.is_rejected_connection:
             continue
         if request.closed_s is None or request.sent_s < request.closed_s - CROSSING_S - lag_s:
             text = f"{name}: no answer; closed {_relative(request.closed_s, request.sent_s)}"
             yield Finding(request.sent_s, "no answer", text)
 
 
+def _left_in_time(history, request, lag_s):
+    """Returns whether the client left while its answer was not overdue."""
+    return request.left_s is not None and request.left_s <= _due_s(history, request, lag_s)
+
+
+def _due_s(history, request, lag_s):
+    """Returns when the answer to a request is due: a process that is stopped then answers once it goes on."""
+    due_s = request.sent_s + request.allow_ms / 1000 + LATE_ANSWER_S + lag_s
+    for from_s, to_s in history.pauses:
+        if from_s <= due_s <= to_s + AFTER_PAUSE_S:
+            due_s = to_s + AFTER_PAUSE_S + lag_s
+    return due_s
+
+
 def _relative(closed_s, sent_s):
     return "never" if closed_s is None else f"{closed_s - sent_s:.3f} s after it was sent"
 
@@ -78,20 +96,34 @@
 
 
 def late_attempts(history):
-    """No attempt begins long after its client left, or after its engine's drain was delivered."""
+    """No attempt begins long after its client left, or after its engine's drain counted as told."""
     lag_s = history.max_lag_s + SLACK_S
     left_s = {request.ref: request.left_s for request in history.requests if request.left_s is not None}
     for attempt in history.attempts:
-        late_s = attempt.arrived_s - left_s.get(attempt.ref, attempt.arrived_s)
+        late_s = attempt.began_s - left_s.get(attempt.ref, attempt.began_s)
         if late_s > AFTER_LEAVING_S + lag_s:
             text = f"{attempt.group} {attempt.ref}: begun {late_s:.3f} s after its client left"
             yield Finding(attempt.arrived_s, "client left", text)
-        drained_s = history.drained_s.get(attempt.engine, attempt.arrived_s)
-        if attempt.arrived_s - drained_s > AFTER_DRAIN_S + lag_s:
+        drained_s = history.drained_s.get(attempt.engine, attempt.began_s)
+        if attempt.began_s - drained_s > AFTER_DRAIN_S + lag_s:
             text = f"{attempt.ref}: sent to {attempt.engine} after its drain"
             yield Finding(attempt.arrived_s, "drain", text)
 
 
+def budgets(history):
+    """No engine is told to work for longer than the client waits."""
+    requests = {request.ref: request for request in history.requests}
+    for attempt in history.attempts:
+        request = requests[attempt.ref]
+        if request.sent_s is None:  # the rest of it is on its way
+            continue
+        rest_s = request.sent_s + request.allow_ms / 1000 - attempt.began_s
+        over_s = attempt.budget_ms / 1000 - rest_s
+        if over_s > MAX_BUDGET_OVER_REST_S + history.max_lag_s + SLACK_S:
+            text = f"{attempt.group} {attempt.ref}: deadline {over_s:.3f} s over what its client has left"
+            yield Finding(attempt.arrived_s, "deadline", text)
+
+
 def process(history):
     """The process ends by itself and without a fault, and gives back what it took."""
     end_s = history.events[-1][0]
--- a/tests/soak/soak_engines.py
+++ b/tests/soak/soak_engines.py
@@ -55,7 +55,15 @@
         if self.is_gone:
             return
         if verb == "POST":
-            attempt = Attempt(headers["X-Hop-Id"], headers["X-Sort"], self.uid, time.monotonic())
+            budget_ms = float(headers["X-Budget"])
+            attempt = Attempt(
+                headers["X-Hop-Id"],
+                headers["X-Sort"],
+                self.uid,
+                time.monotonic(),
+                connection.request_began_s,
+                budget_ms,
+            )
             self.world.history.attempts.append(attempt)
             self.world.history.note(f"{self.uid} POST {attempt.group} {attempt.ref}")
             call = (self._on_post, connection, attempt)
@@ -197,6 +205,11 @@
         self.is_gone = True
         for task in list(self.tasks.values()):
             self._drop(task, end)
+        for _, *arguments in self.delayed_requests:  # not read before the end, so they never ran
+            for argument in arguments:
+                if isinstance(argument, Attempt):
+                    argument.executed = False
+                    argument.finish(end)
 
     def row(self, state="SERVING"):
         """Returns the engine's record in the endpoint list."""
--- a/tests/soak/soak_history.py
+++ b/tests/soak/soak_history.py
@@ -6,16 +6,19 @@
 
 @dataclass(eq=False)
 class Attempt:
-    """One attempt at an engine, from when its POST was complete.
+    """One attempt at an engine, from when its POST was complete (`arrived_s`).
 
-    executed: it had an effect, or may have. ended_s: when its end was written, or it was cancelled, forgotten
-    or lost with its engine; None while it runs.
+    began_s: when the first byte of its POST was there (PROTOCOL: for drains, a send counts from its first).
+    budget_ms: the time that the gateway gives it. executed: it had an effect, or may have. ended_s: when its
+    end was written, or it was cancelled, forgotten or lost with its engine; None while it runs.
     """
 
     ref: str
     group: str
     engine: str
     arrived_s: float
+    began_s: float
+    budget_ms: float = 0.0
     executed: bool = True
     ended_s: float | None = None
     end: str = ""
@@ -51,13 +54,17 @@
     """All attempts and requests of a run, the log of its faults, and how the gateway ended.
 
     results: the bodies that engines produced, by request id. max_lag_s: the longest turn of the harness.
-    drained_s: when the drain of an engine was delivered to the gateway. ending_s: from SIGTERM to the exit.
+    drained_s: when the drain of an engine counts as told. pauses: (from, to) while the process was stopped.
+    lost_polls: polls of the discovery service that were never answered.
+    ending_s: from SIGTERM to the exit.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
     requests: list[Request] = field(default_factory=list)
     results: dict[str, set[bytes]] = field(default_factory=dict)
     drained_s: dict[str, float] = field(default_factory=dict)
+    pauses: list[tuple[float, float]] = field(default_factory=list)
+    lost_polls: int = 0
     events: list[tuple[float, str]] = field(default_factory=list)
     max_lag_s: float = 0.0
     started_s: float = field(default_factory=time.monotonic)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -20,16 +20,18 @@
 
 from gateway_world import SETTINGS
 from interleavings import ask_readiness, gateway_environment
-from loopback import StandInDiscovery, until, wait
+from loopback import until, wait
 from ports import allocate_free_port
 from soak_audit import audit
 from soak_clients import SoakClient
+from soak_discovery import SoakDiscovery
 from soak_engines import SoakEngine
 from soak_history import History
 from soak_report import report
 from twisted.internet import reactor
 
 PLANTED_FAULTS = Path(__file__).with_name("planted_faults.py")
+FAULTY_SYSTEM = Path(__file__).with_name("faulty_system.py")
 ENGINE_COUNT = 4
 CLIENT_COUNT = 6
 DESCRIPTORS = 200
@@ -40,30 +42,30 @@
 SIGKILL_S = 3.7  # PROTOCOL: at the earliest after SIGTERM, with deadlines of 3 s
 KEEP_ALIVE_US = 2_000_000
 LAG_CHECK_S = 0.01
-FAULTS = ("drain", "drain and reuse", "hang", "vanish", "crash", "silence", "hup", "usr1")
-
-
-class SoakDiscovery(StandInDiscovery):
-    """A discovery service that falls silent at times, and notes when it delivers a drain."""
-
-    def __init__(self, history):
-        """Starts without events."""
-        super().__init__()
-        self.history = history
-
-    def be_silent(self, seconds):
-        """Answers nothing for this long, also not what was asked before."""
-        self.is_silent = True
-        self.waiting_polls = []
-        reactor.callLater(seconds, setattr, self, "is_silent", False)
-
-    def events_after(self, after):
-        """Returns the answer to a poll, and notes the drains in it."""
-        for event in self.events[after:]:
-            for row in event["roster"]["targets"]:
-                if row["state"] != "SERVING":
-                    self.history.drained_s.setdefault(row["uid"], time.monotonic())
-        return super().events_after(after)
+FAULTS = (
+    "drain",
+    "drain and reuse",
+    "hang",
+    "vanish",
+    "crash",
+    "silence",
+    "hup",
+    "usr1",
+    "pause",
+    "slow discovery",
+    "refusing discovery",
+)
+# In each run: the process stands still, or its watch is silent, while engines drain.
+FAULTS_OF_EACH_RUN = ("pause and drain", "silent watch and drain")
+# Which of these is repeated, where a planted fault of the gateway shows only sometimes.
+REPEATED_FAULTS = {
+    "news left unread": "pause and drain",
+}
+REPEATS = 8
+REPEAT_INTERVAL_S = 1.5
+MAX_PAUSE_S = 1.2
+MAX_PAUSE_IN_START_S = 0.4
+MAX_PAUSE_AT_END_S = 0.2
 
 
 class SoakWorld:
@@ -71,6 +73,8 @@
 
     def __init__(self, seed, folder, fault=None):
         """Starts engines and discovery. fault: of planted_faults.py, or None."""
+        self.seed = seed
+        self.has_faulty_system = seed % 2 == 1
         self.rng = random.Random(f"soak/{seed}")
         self.fault = fault
         self.history = History()
@@ -108,7 +112,10 @@
 
     def start(self):
         """Starts the gateway process."""
-        arguments = [str(PLANTED_FAULTS), self.fault] if self.fault else ["-m", "lichenquay.gateway"]
+        if self.has_faulty_system:
+            arguments = [str(FAULTY_SYSTEM), str(self.seed), *([self.fault] if self.fault else [])]
+        else:
+            arguments = [str(PLANTED_FAULTS), self.fault] if self.fault else ["-m", "lichenquay.gateway"]
         error_file = os.open(self.error_path, os.O_CREAT | os.O_WRONLY)
         self.process = subprocess.Popen(
             [sys.executable, *arguments], stderr=error_file, env=gateway_environment(self.path)
@@ -142,14 +149,50 @@
             self.discovery.be_silent(self.rng.uniform(0.5, 2.5))
         elif fault in ("hup", "usr1"):
             self.send_signal(signal.SIGHUP if fault == "hup" else signal.SIGUSR1)
+        elif fault == "pause":
+            self._pause(self.rng.uniform(0.05, MAX_PAUSE_S))
+        elif fault == "slow discovery":
+            self.discovery.be_slow(self.rng.uniform(0.5, 1.5), self.rng.uniform(0.05, 0.8))
+        elif fault == "refusing discovery":
+            self.discovery.refuse(self.rng.uniform(0.1, 1.5))
         else:
             engine = self.rng.choice(self.engines)
             getattr(self, "_" + fault.replace(" ", "_"))(engine)
 
+    def _pause(self, seconds):
+        """Stops the gateway's process, and lets it go on after this time."""
+        self.send_signal(signal.SIGSTOP)
+        self.history.pauses.append((time.monotonic(), time.monotonic() + seconds))
+        reactor.callLater(seconds, self._resume)
+
+    def _resume(self):
+        if self.process.poll() is None:
+            self.send_signal(signal.SIGCONT)
+
+    def _pause_and_drain(self, engine):
+        """Stops the process; two engines drain meanwhile, one of them possibly late."""
+        seconds = self.rng.uniform(0.2, MAX_PAUSE_S)
+        self._pause(seconds)
+        other = self.rng.choice([other for other in self.engines if other is not engine])
+        reactor.callLater(self.rng.uniform(0.0, 0.1), self._drain, engine)
+        reactor.callLater(self.rng.uniform(0.0, seconds), self._drain, other)
+
+    def _silent_watch_and_drain(self, engine):
+        """Never answers the open poll; an engine fails, which may lead to a question; others drain later."""
+        self.discovery.lose_open_polls()
+        if self.rng.random() < 0.5:
+            self._crash(engine)
+        else:
+            engine.close_first_connections()
+        for other in self.rng.sample([other for other in self.engines if other is not engine], 2):
+            reactor.callLater(self.rng.uniform(0.05, 1.2), self._drain, other)
+
     def _hang(self, engine):
         engine.hang(self.rng.uniform(0.1, 1.5))
 
     def _drain(self, engine):
+        if engine not in self.engines:
+            return
         self.discovery.add_event(engine.row("DRAINING"))
         self._replace(engine)
 
@@ -210,22 +253,40 @@
         history = self.history
         self.measure_lag()
         self.start()
+        self._disturb_start()
         until(lambda: self.discovery.polls > 1, 20)
         until(lambda: ask_readiness(self.port), 10)
         history.note("ready")
         history.descriptors_before = self._descriptors()
         memory_before = self._memory_mb()
         self.start_clients()
-        for _ in range(FAULTS_PER_RUN):
-            reactor.callLater(self.rng.uniform(0.2, SERVE_S), self.inject, self.rng.choice(FAULTS))
+        serve_s = self._schedule_faults()
         if self.has_crowd:
             reactor.callLater(self.rng.uniform(0.2, SERVE_S), self.gather_crowd)
-        wait(SERVE_S + 0.2)
+        wait(serve_s + 0.2)
         if self.rng.random() < 0.5:
             self._check_quiet(memory_before)
         self._end()
         return history
 
+    def _schedule_faults(self):
+        """Schedules the faults of the run; returns for how long it serves, in seconds."""
+        for fault in (*FAULTS_OF_EACH_RUN, *self.rng.choices(FAULTS, k=FAULTS_PER_RUN)):
+            reactor.callLater(self.rng.uniform(0.2, SERVE_S), self.inject, fault)
+        repeated_fault = REPEATED_FAULTS.get(self.fault)
+        if repeated_fault is None:
+            return SERVE_S
+        for number in range(REPEATS):
+            reactor.callLater(SERVE_S + number * REPEAT_INTERVAL_S, self.inject, repeated_fault)
+        return SERVE_S + REPEATS * REPEAT_INTERVAL_S
+
+    def _disturb_start(self):
+        """Sends signals while the process starts, and stops it for a moment."""
+        for _ in range(2):
+            wait(self.rng.uniform(0.0, 0.4))
+            if self.rng.random() < 0.5:
+                self._pause(self.rng.uniform(0.05, MAX_PAUSE_IN_START_S))
+
     def _check_quiet(self, memory_before):
         self.stop_clients()
         self._disperse_crowd()
@@ -254,6 +315,8 @@
                 wait(self.rng.choice((0.0, 0.02, 0.3)))
         if self.rng.random() < 0.4:
             self.inject("hang")
+        if self.rng.random() < 0.4 and self.process.poll() is None:
+            self._pause(self.rng.uniform(0.05, MAX_PAUSE_AT_END_S))
         until(lambda: self.process.poll() is not None or time.monotonic() > term_s + SIGKILL_S, SIGKILL_S + 2)
         if self.process.poll() is None:
             self.history.was_killed = True
@@ -269,6 +332,7 @@
             self.process.kill()
             self.process.wait()
             self.history.error_output = self.error_path.read_text()
+            self.history.lost_polls = self.discovery.lost_polls
         self.stop_clients()
         self._disperse_crowd()
         self.lag_timer.cancel()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
 SEEDS = (2, 3, 5, 11, 21, 41)
 PARALLEL_RUNS = 3
 RUN_TIMEOUT_S = 90
+SYSTEM_FAULTS = ("accept E", "connect_ex E", "send E", "send short", "recv E", "recv short", "clock step")
 # What the audit has to find, by planted fault (planted_faults.py).
 EXPECTED_FINDINGS = {
     "answers twice": "2 answers",
@@ -22,6 +23,8 @@
     "mutating queries repeated": "mutating query sent again",
     "SIGTERM ignored": "did not end before SIGKILL",
     "cancellations ignored": "after its client left",
+    "news left unread": "after its drain",
+    "requests timed from their reading": "over what its client has left",
 }
 
 
@@ -55,6 +58,10 @@
     for exit_code, output in outcomes:
         assert exit_code == 0, output
         assert " 0 findings" in output, output
+    whole_output = "".join(output for _, output in outcomes)
+    for fault in SYSTEM_FAULTS:
+        assert f"struck {fault}" in whole_output, fault
+    assert " 0 lost polls" not in whole_output
 
 
 @pytest.mark.parametrize("fault", EXPECTED_FINDINGS)
