Tidy: a watch that disconnects drops its connections first; the soak sends signals in starting

EndpointWatch._disconnect switched is_stopped on and off so that nothing reconnects. A connection that is no longer the watch's reports nothing.

--- a/lichenquay/gateway/endpoint_watch.py
+++ b/lichenquay/gateway/endpoint_watch.py
@@ -197,8 +197,9 @@
 
     def on_lost(self, connection: DiscoveryConnection, reason: str) -> None:
         """Records a connection that is over, and connects again if it was the last one."""
-        if connection in self.connections:
-            self.connections.remove(connection)
+        if connection not in self.connections:
+            return  # disconnected on purpose
+        self.connections.remove(connection)
         now_ms = self.now_ms()
         age_ms = now_ms - connection.opened_ms
         self.metrics.count(f"watch connections {reason}")
@@ -277,11 +278,8 @@
             attempt.connector.disconnect()
         connections = self.connections
         self.connections = []
-        was_stopped = self.is_stopped
-        self.is_stopped = True  # no reconnection to the old address
         for connection in connections:
             connection.end("stopped")
-        self.is_stopped = was_stopped
 
     def _check(self):
         """Reads what has arrived, and asks on another connection where an answer is overdue."""
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -286,6 +286,16 @@
             wait(self.rng.uniform(0.0, 0.4))
             if self.rng.random() < 0.5:
                 self._pause(self.rng.uniform(0.05, MAX_PAUSE_IN_START_S))
+        until(self._holds_signals, 20)
+        for _ in range(2):
+            self.send_signal(self.rng.choice((signal.SIGHUP, signal.SIGUSR1)))
+            wait(self.rng.uniform(0.0, 0.1))
+
+    def _holds_signals(self):
+        """Returns whether the process has begun to hold signals back, until it can handle them."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        masks = [line.split()[1] for line in status.splitlines() if line.startswith(("SigBlk", "SigCgt"))]
+        return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
 
     def _check_quiet(self, memory_before):
         self.stop_clients()
