A discovery service that is down is logged once, not five times a second

Cause: the new watch logged each connection that did not come up, ten times a second, held to five. The log grew, and the test's reader (tests/fleet/running.py) takes a last line without its end for a whole one.

Change: the first failure is logged, then the connection that comes up, with the number of failures between; the counters count all. The reader leaves an unfinished last line for its next call: each line is read still.

Test: test_a_discovery_service_that_is_down_is_logged_once, failing before (over one line).

--- a/lichenquay/gateway/endpoint_watch.py
+++ b/lichenquay/gateway/endpoint_watch.py
@@ -56,6 +56,7 @@
         self.is_stopped = False
         self._attempts: set[_ConnectionAttempt] = set()  # connections being established
         self._opened_count = 0
+        self._failed_attempts = 0  # since a connection came up
         self._last_opened_ms = 0.0
         self._retry_timer = None
         self._check_timer = None
@@ -149,6 +150,7 @@
             self._confirmation_timer.cancel()
         if not is_current:
             self.metrics.count("endpoint lists not confirmed")
+        if not is_current and not self._failed_attempts:
             self.log("watch", f"watch: not confirmed after_ms={self.now_ms() - self._asked_ms:.0f}")
         self.reactor.callLater(MIN_CONFIRMATION_INTERVAL_MS / 1000, self._end_interval)
         for confirmed in asking:
@@ -253,6 +255,10 @@
     def on_connected(self, attempt: "_ConnectionAttempt") -> DiscoveryConnection:
         """Returns the protocol of a connection that is up; it asks at once."""
         self._attempts.discard(attempt)
+        if self._failed_attempts:
+            failed = self._failed_attempts
+            self.log("watch", f"watch: connected again connection={attempt.number} failed_attempts={failed}")
+            self._failed_attempts = 0
         connection = DiscoveryConnection(self, attempt.number)
         self.connections.append(connection)
         self.currency.on_asked(self.now_ms())
@@ -264,7 +270,9 @@
             return
         self._attempts.discard(attempt)
         self.metrics.count("watch connections not established")
-        self.log("watch", f"watch: no connection={attempt.number} reason={reason!r}")
+        if not self._failed_attempts:
+            self.log("watch", f"watch: no connection={attempt.number} reason={reason!r}")
+        self._failed_attempts += 1
         if self._asking and not self._attempts:
             self._finish_asking(False)
         if not self.connections and not self._attempts:
--- a/tests/crossings/test_discovery.py
+++ b/tests/crossings/test_discovery.py
@@ -205,3 +205,15 @@
     from twisted.internet import reactor
 
     return reactor.listenTCP(port, stand_in, interface="127.0.0.1")
+
+
+def test_a_discovery_service_that_is_down_is_logged_once(make_world):
+    """Guards against a log that an outage of the discovery service fills."""
+    world = make_world(engines=1)
+    lines = []
+    world.service.endpoint_watch.log = lambda kind, text: lines.append(text)
+    world.discovery.port.stopListening()
+    for connection in list(world.discovery.connections):
+        connection.transport.abortConnection()
+    until(lambda: world.service.metrics.counters["watch connections not established"] >= 5)
+    assert len([line for line in lines if line.startswith("watch: no connection")]) == 1
--- a/tests/fleet/running.py
+++ b/tests/fleet/running.py
@@ -49,10 +49,13 @@
         return (self.path / f"{name}.log").read_text()
 
     def events(self, name, event=None):
-        """Returns the JSON lines of a process's log in order, all or those of one event."""
+        """Returns the JSON lines of a process's log in order, all or those of one event.
+
+        A last line that the process is still writing is left for the next call.
+        """
         events = []
-        for line in self.log(name).splitlines():
-            if line.startswith("{"):
+        for line in self.log(name).splitlines(keepends=True):
+            if line.startswith("{") and line.endswith("\n"):
                 line_event = json.loads(line)
                 if event in (None, line_event["event"]):
                     events.append(line_event)
