--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -1,23 +1,29 @@
 """A client's connection: handles its frames in order and writes the answers."""
 
 import traceback
-from typing import NamedTuple
 
 from twisted.internet.protocol import Protocol
 
 from lichenquay.gateway import frames
+from lichenquay.gateway.deferred_requests import DeferredRequests
+from lichenquay.gateway.frame_deadline import FrameDeadline
 from lichenquay.gateway.frames import AnswerCode, FrameError, FrameReader, FrameType
 from lichenquay.gateway.process_pauses import ArrivalBound
 from lichenquay.gateway.request_errors import InvalidRequestError
-from lichenquay.gateway.sockets import Input, send_now, unacknowledged_bytes, unread_input
+from lichenquay.gateway.sockets import (
+    Input,
+    read_available,
+    send_now,
+    unacknowledged_bytes,
+    unread_input,
+)
 from lichenquay.gateway.stream_numbers import StreamNumbers
 
 CLOSE_TIMEOUT_S = 0.3  # time for the client to close as well; repeated while it still reads its last answers
 INVALID_REQUEST_PAUSE_S = 0.05  # nothing is read for this long after an invalid request
 MAX_READS_AT_ONCE = 8  # of 64 KB each
 MAX_INVALID_REQUESTS = 16  # a connection with more is closed
-# With more bytes of unread answers than this, the requests of a client are deferred; with more bytes of
-# deferred requests than this, its connection is no longer read.
+# With more bytes of unread answers than this, the requests of a client are deferred.
 MAX_UNSENT_BYTES = 65_536
 ANSWER_COUNTERS = {
     AnswerCode.COMPLETED: "answers completed",
@@ -26,13 +32,6 @@
 }
 
 
-class DeferredRequest(NamedTuple):
-    """A request that is kept while its client does not read its answers."""
-
-    payload: bytes
-    received_ms: float
-
-
 class ClientConnection(Protocol):
     """One client's connection.
 
@@ -52,17 +51,15 @@
         self.arrival = ArrivalBound(intake.earliest_arrival_ms, intake.now_ms)
         self.streams = StreamNumbers()
         self.open_queries = {}  # by stream
-        self.deferred_requests: dict[int, DeferredRequest] = {}  # by stream
-        self.deferred_request_bytes = 0
+        self.deferred_requests = DeferredRequests(self._add_held_bytes)
         self.unsent_bytes = 0
         self.invalid_requests = 0
         self.is_open = True
         self.is_backlogged = False
         self.is_rejecting_input = False
-        self.has_received_frame = False  # a complete one
         self.has_sent_go_away = False
         self.last_activity_s = intake.seconds()
-        self.frame_started_s = self.last_activity_s
+        self.frame_deadline = FrameDeadline(self.last_activity_s)
         self.linger_until_ms = 0.0  # until then the client may still read its last answers
         self.pause_timer = None
         self.close_timer = None
@@ -92,7 +89,7 @@
                 self._on_frame(frame)
             growth = self.reader.buffered_bytes() - buffered_before
             if not buffered_before:
-                self.frame_started_s = self.last_activity_s
+                self.frame_deadline.restart(self.last_activity_s)
             if growth > 0 and not self.intake.has_memory_for(buffered_before + growth, buffered_before):
                 raise FrameError("too much that is not whole")
             self._add_held_bytes(growth)
@@ -113,21 +110,26 @@
 
         Nothing is read beyond what the connection may hold.
         """
-        for _ in range(MAX_READS_AT_ONCE):
-            if not self.open_queries or self.deferred_request_bytes > MAX_UNSENT_BYTES:
-                return
-            pending = unread_input(self.transport)
-            if pending is Input.END:
-                self._cancel_open_queries()
-            if pending is not Input.BYTES:
-                return
-            self.transport.doRead()
+        unread = read_available(
+            self.transport,
+            lambda: self.open_queries and not self.deferred_requests.are_too_large,
+            MAX_READS_AT_ONCE,
+        )
+        if unread is Input.END:
+            self._cancel_open_queries()
+
+    def may_read(self) -> bool:
+        """Returns whether the connection may take further input."""
+        return self.is_open and not self.is_rejecting_input and not self.deferred_requests.are_too_large
+
+    def is_frame_overdue(self, now_s: float) -> bool:
+        """Returns whether no complete frame was read in time."""
+        return self.frame_deadline.is_overdue(now_s, self.reader.buffered_bytes() > 0)
 
     def _on_frame(self, frame):
-        if not self.has_received_frame:
+        if not self.frame_deadline.has_received_frame:
             self.intake.connection_admission.on_frame_received(self.record, self.intake.admission_ms())
-        self.has_received_frame = True
-        self.frame_started_s = self.last_activity_s
+        self.frame_deadline.on_frame(self.last_activity_s)
         if frame.type == FrameType.QUERY:
             self._on_query(frame)
         elif frame.type == FrameType.CANCEL:
@@ -150,7 +152,7 @@
         if query is not None:
             self._cancel_query(query)
         elif stream in self.deferred_requests:
-            self._drop_deferred_request(stream)
+            self.deferred_requests.take(stream)
 
     def _pause_reading(self):
         """Stops reading for a while, so that invalid input at full speed does not delay other clients."""
@@ -160,7 +162,7 @@
 
     def _resume_reading(self):
         self.pause_timer = None
-        if self.deferred_request_bytes <= MAX_UNSENT_BYTES:
+        if not self.deferred_requests.are_too_large:
             self.transport.resumeProducing()
 
     # Requests
@@ -216,14 +218,10 @@
         query.client = None
 
     def _defer_request(self, frame):
-        self.deferred_requests[frame.stream] = DeferredRequest(bytes(frame.payload), self.arrival.read_ms)
-        self._add_deferred_bytes(len(frame.payload))
-        if self.deferred_request_bytes > MAX_UNSENT_BYTES:
+        self.deferred_requests.add(frame.stream, bytes(frame.payload), self.arrival.read_ms)
+        if self.deferred_requests.are_too_large:
             self.transport.pauseProducing()
 
-    def _drop_deferred_request(self, stream):
-        self._add_deferred_bytes(-len(self.deferred_requests.pop(stream).payload))
-
     def _accept_deferred_requests(self):
         """Accepts deferred requests in order; their time-out counts from when they were received."""
         try:
@@ -233,16 +231,12 @@
                 and self.is_open
                 and not self.is_rejecting_input
             ):
-                stream, request = next(iter(self.deferred_requests.items()))
-                self._drop_deferred_request(stream)
+                stream = next(iter(self.deferred_requests))
+                request = self.deferred_requests.take(stream)
                 self._accept_request(stream, request.payload, request.received_ms)
         except FrameError as error:
             self.reject_input(str(error))
 
-    def _add_deferred_bytes(self, size_bytes):
-        self.deferred_request_bytes += size_bytes
-        self._add_held_bytes(size_bytes)
-
     def _add_held_bytes(self, size_bytes):
         """Adds to the bytes that the gateway holds for this connection; `size_bytes` may be negative."""
         if size_bytes:
@@ -293,7 +287,7 @@
         if self.is_backlogged:
             self.is_backlogged = False
             self._accept_deferred_requests()
-            if self.pause_timer is None and self.deferred_request_bytes <= MAX_UNSENT_BYTES:
+            if self.pause_timer is None and not self.deferred_requests.are_too_large:
                 self.transport.resumeProducing()
         if self.close_timer is not None:
             self._close_output()
@@ -318,8 +312,7 @@
     def evict(self) -> None:
         """Closes the connection in favour of another one, after its queries have got their final answers."""
         self.intake.metrics.count("clients evicted")
-        if unread_input(self.transport) is Input.BYTES:
-            self.transport.doRead()  # what has arrived gets its answer, too
+        read_available(self.transport, self.may_read, MAX_READS_AT_ONCE)  # what has arrived is answered
         if self.is_idle:
             self.send_go_away()
             self.close()
@@ -338,7 +331,7 @@
         self.is_rejecting_input = True
         # Each deferred request still gets an answer.
         for stream in list(self.deferred_requests):
-            self._drop_deferred_request(stream)
+            self.deferred_requests.take(stream)
             self.write(frames.encode_answer(stream, code, reason.encode()))
         self.intake.connection_admission.on_connection_ending(self.record, self.intake.admission_ms())
         self._close_if_answered()
@@ -385,7 +378,7 @@
         self.unsent_bytes = 0
         self.reader.discard()
         for stream in list(self.deferred_requests):
-            self._drop_deferred_request(stream)
+            self.deferred_requests.take(stream)
         for timer in (self.pause_timer, self.close_timer):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/lichenquay/gateway/discovery_connection.py
+++ b/lichenquay/gateway/discovery_connection.py
@@ -8,7 +8,7 @@
 from lichenquay.gateway.discovery import Discovery
 from lichenquay.gateway.endpoint_events import encode_poll
 from lichenquay.gateway.http import ReplyError, ReplyReader, Status
-from lichenquay.gateway.sockets import Input, unread_input
+from lichenquay.gateway.sockets import Input, read_available
 
 # How long the service may hold a poll. PROTOCOL allows 5,000 ms; with less, a half-open connection is
 # detected sooner.
@@ -109,17 +109,11 @@
 
     def read_pending(self) -> None:
         """Reads what has arrived; the reactor reads it only in its next turn."""
-        for _ in range(MAX_READS_AT_ONCE):
-            if self.is_over:
-                return
-            pending = unread_input(self.transport)
-            if pending is Input.NOTHING:
-                self.empty_ms = self.owner.now_ms()
-                return
-            if pending is Input.END:
-                self.end("closed by the service")
-                return
-            self.transport.doRead()
+        unread = read_available(self.transport, lambda: not self.is_over, MAX_READS_AT_ONCE)
+        if unread is Input.NOTHING:
+            self.empty_ms = self.owner.now_ms()
+        elif unread is Input.END:
+            self.end("closed by the service")
 
     def dataReceived(self, data):
         """Reads an answer; one that is invalid changes nothing and closes the connection."""
--- a/lichenquay/gateway/request_intake.py
+++ b/lichenquay/gateway/request_intake.py
@@ -7,11 +7,12 @@
 
 from lichenquay.connection_admission import decisions, limits
 from lichenquay.gateway import frames
-from lichenquay.gateway.client_connection import ClientConnection
+from lichenquay.gateway.client_connection import MAX_READS_AT_ONCE, ClientConnection
 from lichenquay.gateway.client_listener import ClientListener
 from lichenquay.gateway.controller_adapter import GatewayQuery
 from lichenquay.gateway.frames import ClientRequest
 from lichenquay.gateway.request_errors import InvalidRequestError, RequestRejectedError
+from lichenquay.gateway.sockets import Input, read_available
 from lichenquay.gateway.statement import table_group_of
 
 MAX_OPEN_QUERIES = 32  # PROTOCOL: per connection
@@ -19,8 +20,6 @@
 # Idempotency and ordering keys are forwarded as HTTP headers: no character that could start another header.
 KEY_PATTERN = re.compile(r"[!-~]{0,256}\Z")
 IDLE_TIMEOUT_S = 4.5  # PROTOCOL: clients close idle connections after 4 s, but some never close theirs
-# For the first frame and for an incomplete one. An answer or a close is due within 3 s.
-FRAME_TIMEOUT_S = 2.0
 FREE_MEMORY_DIVISOR = 16  # one frame or statement may take at most the free memory divided by this
 MAX_DURATION_MS = 86_400_000.0  # a day; bounds work estimates, and time-outs where the group sets no maximum
 MAX_MEMORY_MB = 1_048_576.0  # a terabyte; bounds memory estimates
@@ -133,12 +132,36 @@
         for connection in list(self.connections):
             if not connection.is_open or connection.is_rejecting_input:
                 continue
-            awaits_frame = not connection.has_received_frame or connection.reader.buffered_bytes()
-            if awaits_frame and now_s - connection.frame_started_s > FRAME_TIMEOUT_S:
-                connection.reject_input("no whole frame in time")
+            if connection.is_frame_overdue(now_s):
+                self._check_overdue_frame(connection, now_s)
             elif now_s - connection.last_activity_s > IDLE_TIMEOUT_S:
                 connection.close_if_idle()
 
+    def _check_overdue_frame(self, connection, now_s):
+        """Reads what has arrived, and rejects further input if the overdue frame is still incomplete.
+
+        A connection that this side does not read is not judged, and one that the client has closed ends by
+        itself.
+        """
+        deadline = connection.frame_deadline
+        started_s = deadline.started_s
+        buffered_bytes = connection.reader.buffered_bytes()
+        unread = read_available(
+            connection.transport,
+            lambda: connection.may_read() and deadline.started_s == started_s,
+            MAX_READS_AT_ONCE,
+        )
+        more_bytes = connection.reader.buffered_bytes() - buffered_bytes
+        if deadline.started_s != started_s:
+            self.metrics.count("overdue frames found unread")
+        elif unread is Input.NOTHING and not (more_bytes and deadline.extend()):
+            self.log(
+                "client",
+                f"client: frame overdue age_ms={1000 * (now_s - started_s):.0f} "
+                f"buffered_bytes={buffered_bytes} more_bytes={more_bytes}",
+            )
+            connection.reject_input("no whole frame in time")
+
     def close_idle(self) -> None:
         """Closes all connections on which no request waits for its answer, or to be read."""
         for connection in list(self.connections):
--- a/lichenquay/gateway/sockets.py
+++ b/lichenquay/gateway/sockets.py
@@ -3,6 +3,7 @@
 import fcntl
 import struct
 import termios
+from collections.abc import Callable
 from enum import Enum
 from socket import MSG_DONTWAIT, MSG_PEEK
 
@@ -38,6 +39,23 @@
     return Input.BYTES if data else Input.END
 
 
+def read_available(transport, may_read: Callable[[], bool], max_reads: int) -> Input:
+    """Has the transport read what has arrived, while `may_read` returns true; returns what is left unread.
+
+    The reactor calls timers that are due before it reads. A timer that judges what a peer has sent calls this
+    first: bytes may have waited in the kernel since before the time-out. BYTES: reading stopped, and more may
+    be left.
+    """
+    for _ in range(max_reads):
+        if not may_read():
+            return Input.BYTES
+        unread = unread_input(transport)
+        if unread is not Input.BYTES:
+            return unread
+        transport.doRead()
+    return Input.BYTES
+
+
 def unacknowledged_bytes(transport) -> int:
     """Returns how many sent bytes the peer has not acknowledged yet; 0 if the kernel does not report it."""
     try:
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -326,7 +326,7 @@
         until(lambda: world.service.clients.connections)
         connection = next(iter(world.service.clients.connections))
         connection.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
-        connection.has_received_frame = True
+        connection.frame_deadline.has_received_frame = True
         bodies = [bytes([65 + i]) * 30_000 for i in range(4)]
         for i, body in enumerate(bodies):
             connection.write(frames.encode_answer(i + 1, frames.AnswerCode.COMPLETED, body))
