--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -130,9 +130,9 @@
             # A result is not kept: the engine repeats it to the next poll.
             if not in_flight.is_over and reply.status != Status.OK:
                 in_flight.late_reply = reply
+            in_flight.end_pauses()
         else:
             first_outcome.callback(reply)
-        in_flight.end_pauses()
 
     def _on_failure(self, in_flight, first_outcome, failure):
         """Records that the first call ended without a reply."""
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -3,6 +3,7 @@
 from collections import deque
 from math import inf
 from typing import NamedTuple
+from weakref import ref
 
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import ClientFactory, Protocol
@@ -16,9 +17,10 @@
 )
 from lichenquay.gateway.engine_protocol import MAX_PAGE_BYTES
 from lichenquay.gateway.http import Reply, ReplyError, ReplyReader, Status
-from lichenquay.gateway.sockets import Input, send_now, unread_input
+from lichenquay.gateway.sockets import Input, read_available, send_now, unread_input
 
 MAX_DUPLICATE_DELAY_S = 0.25  # of a reply that names no query: STANDING says some milliseconds
+MAX_READS_AT_ONCE = 2  # of 64 KB each; a page is shorter
 MAX_PAST_REPLIES = 32  # on one connection, of which duplicates are recognized
 
 
@@ -60,6 +62,8 @@
         self.is_overdue = False
         self.is_closed = False
         self.closed_locally = False
+        # A result or page, if that is the last reply; it must not be kept in memory.
+        self._last_result: ref[Reply] | None = None
         self._attempt_number = 0  # of the attempts here: past replies must not keep attempts in memory
         self._past_replies: deque[_PastReply] = deque(maxlen=MAX_PAST_REPLIES)
 
@@ -115,16 +119,29 @@
 
     def dataReceived(self, data):
         """Reads a reply; unexpected or invalid bytes close the connection."""
+        follows_reply = self.reader.is_empty
         try:
             reply = self.reader.feed(data)
             if self.call is None:
                 raise ReplyError("received bytes while no call was open")
         except ReplyError as error:
+            if follows_reply:
+                self._record_trailing(data)
             self.abort(UnreadableReplyError(str(error)))
             return
         if reply is not None:
             self._on_reply(reply)
 
+    def _record_trailing(self, data):
+        """Records what follows a result, unless that has been passed on already."""
+        result = self._last_result() if self._last_result is not None else None
+        if result is not None:
+            result.trailing = data
+
+    def read_available(self) -> None:
+        """Reads what has arrived: the reactor reads only after it has called the timers that are due."""
+        read_available(self.transport, lambda: self in self.pool.connections, MAX_READS_AT_ONCE)
+
     def _on_reply(self, reply):
         """Ends the call with a complete reply, unless that answers an earlier call or is a duplicate."""
         if not self.call.accepts(reply):
@@ -137,6 +154,7 @@
         self.call = None
         call.connection = None
         reply.connection = self
+        self._last_result = ref(reply) if reply.status == Status.OK else None
         if reply.status != Status.OK:
             self._past_replies.append(_PastReply(self.pool.reactor.seconds(), self._attempt_number, reply))
         # A connection on which a reply came late is not reused, as more may come late. Nor is one after an
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -200,6 +200,7 @@
             if connection.is_clean():
                 self._send_on_idle(connection, call)
                 return True
+            connection.read_available()  # it may be a part of the last reply
             connection.abort()
         budget = self.descriptor_budget + (self.urgent_reserve if call.is_urgent else 0)
         if self.open_count >= budget and not self._free_descriptor():
--- a/lichenquay/gateway/engine_protocol.py
+++ b/lichenquay/gateway/engine_protocol.py
@@ -12,6 +12,7 @@
 MAX_PAGE_BYTES = 6_000  # PROTOCOL
 # PROTOCOL: page 0 of a result is the progress of the query until the result is there, then its first page
 POLL_PAGE = 0
+SEPARATORS_PER_ROW = 2  # PROTOCOL: rows of three columns, a tab between them
 MAX_HEADER_NUMBER = 1e12  # a larger number in a header is invalid
 PROGRESS_KINDS = {
     "share": domain.ProgressKind.PROGRESS,
@@ -82,10 +83,23 @@
     """Returns whether a body consists of complete rows of three columns and fits on a page."""
     text = bytes(body)
     ends_with_row = not text or text[-1] == ord("\n")
-    has_three_columns = text.count(b"\t") == 2 * text.count(b"\n")
+    has_three_columns = text.count(b"\t") == SEPARATORS_PER_ROW * text.count(b"\n")
     return len(text) <= MAX_PAGE_BYTES and ends_with_row and has_three_columns
 
 
+def may_be_cut_short(reply: Reply) -> bool:
+    """Returns whether a page may go on in what was read after the end of its reply.
+
+    The length of a reply may be spoilt on the way, and may then end with a row. What may follow a complete
+    page, such as a duplicate of the reply, does not begin with a row of three columns.
+    """
+    if reply.status != Status.OK or not reply.has_trailing_bytes:
+        return False
+    first_line, line_end, _ = bytes(reply.trailing).partition(b"\n")
+    separators = first_line.count(b"\t")
+    return separators == SEPARATORS_PER_ROW if line_end else separators <= SEPARATORS_PER_ROW
+
+
 def is_poll_reply(reply: Reply) -> bool:
     """Returns whether this is a valid reply to the first call or to a poll."""
     if reply.status == Status.OK:
@@ -93,7 +107,7 @@
             page_count(reply)
             and "x-part-no" not in reply.headers
             and _is_valid_page(reply.body)
-            and (reply.body or not reply.has_trailing_bytes)
+            and not may_be_cut_short(reply)
         )
     return reply.status in (Status.ACCEPTED, Status.SERVER_ERROR) or is_overloaded(reply)
 
@@ -105,7 +119,9 @@
         if reply.status == Status.SERVER_ERROR:
             return True
         is_this_page = reply.status == Status.OK and reply.header_as_int("x-part-no") == page
-        return bool(is_this_page and len(reply.body) and _is_valid_page(reply.body))
+        if not is_this_page or not len(reply.body):
+            return False
+        return _is_valid_page(reply.body) and not may_be_cut_short(reply)
 
     return is_page_reply
 
--- a/lichenquay/gateway/http.py
+++ b/lichenquay/gateway/http.py
@@ -13,6 +13,7 @@
 MAX_BODY_BYTES = 8 << 20  # an endpoint list of 48,000 engines; pages of results have a smaller limit
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-9]\d\d)(?: [^\x00-\x1f\x7f]*)?\Z")
 HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*)\Z")
+HEAD_START = b"HTTP/1."
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
 
@@ -35,7 +36,7 @@
 
 class _Body(NamedTuple):
     content: bytes | memoryview
-    has_trailing_bytes: bool
+    end: int  # its position in the data
 
 
 def encode_request(verb: str, path: str, host: str, headers=(), body: bytes = b"") -> bytes:
@@ -52,11 +53,11 @@
     """A reply. Headers are stored by lower-case name; the body is a slice of the data read.
 
     keep_alive: whether the connection may be used again.
-    has_trailing_bytes: the data goes on after the end of the reply.
+    trailing: what was read after the end of the reply; its connection adds what comes before the next reply.
     connection: the connection that received the reply, which sets this attribute.
     """
 
-    __slots__ = ("body", "connection", "has_trailing_bytes", "headers", "keep_alive", "status")
+    __slots__ = ("body", "connection", "headers", "keep_alive", "status", "trailing", "__weakref__")
 
     def __init__(self, status: int, headers: dict[str, str], keep_alive: bool):
         """Creates a reply whose body has not been read yet."""
@@ -65,7 +66,12 @@
         self.keep_alive = keep_alive
         self.body = b""
         self.connection = None
-        self.has_trailing_bytes = False
+        self.trailing: bytes | memoryview = b""
+
+    @property
+    def has_trailing_bytes(self) -> bool:
+        """Whether the data goes on after the end of the reply."""
+        return len(self.trailing) > 0
 
     def header_as_int(self, name: str, minimum: int = 0) -> int | None:
         """Returns a header as an integer of at least `minimum`; None if it is missing or invalid."""
@@ -95,6 +101,11 @@
         self._body_length = None  # None: the body is chunked, or ends with the connection
         self._is_chunked = False
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing of the next reply has been read."""
+        return self._reply is None and self._buffer is None
+
     def feed(self, data: bytes) -> Reply | None:
         """Returns the reply once it is complete, else None. Errors: ReplyError."""
         if self._buffer is not None:
@@ -102,6 +113,9 @@
             data = self._buffer
             self._buffer = None
         while self._reply is None:
+            start = bytes(data[self._position : self._position + len(HEAD_START)])
+            if not HEAD_START.startswith(start):
+                raise ReplyError(f"no status: {bytes(data[self._position : self._position + 60])!r}")
             head_end = data.find(HEAD_END, self._position)
             if head_end > MAX_HEAD_BYTES or (head_end < 0 and len(data) > MAX_HEAD_BYTES):
                 raise ReplyError("a head that is too long")
@@ -116,23 +130,23 @@
         if body is None:
             self._keep(data)
             return None
-        return self._finish(body)
+        return self._finish(body.content, memoryview(data)[body.end :])
 
     def connection_closed(self) -> Reply | None:
         """Returns the reply if its body ends with the connection, else None."""
         if self._reply is None or self._is_chunked or self._body_length is not None:
             return None
         content = bytes(self._buffer[self._position :]) if self._buffer else b""
-        return self._finish(_Body(content, has_trailing_bytes=False))
+        return self._finish(content, b"")
 
     def _keep(self, data):
         self._buffer = data if isinstance(data, bytearray) else bytearray(data)
 
-    def _finish(self, body):
+    def _finish(self, body, trailing):
         reply = self._reply
-        reply.body = body.content
-        reply.has_trailing_bytes = body.has_trailing_bytes
-        reply.keep_alive = reply.keep_alive and not body.has_trailing_bytes
+        reply.body = body
+        reply.trailing = trailing
+        reply.keep_alive = reply.keep_alive and not reply.has_trailing_bytes
         self._begin()
         return reply
 
@@ -184,8 +198,8 @@
             raise ReplyError("a body that is too long")
         if self._body_length is None or available < self._body_length:
             return None
-        content = memoryview(data)[self._position : self._position + self._body_length]
-        return _Body(content, has_trailing_bytes=available > self._body_length)
+        body_end = self._position + self._body_length
+        return _Body(memoryview(data)[self._position : body_end], body_end)
 
     def _chunked_body(self, data):
         chunks = []
@@ -214,7 +228,7 @@
         trailers_end = self._skip_trailers(data, position)
         if trailers_end is None:
             return None
-        return _Body(b"".join(chunks), has_trailing_bytes=len(data) > trailers_end)
+        return _Body(b"".join(chunks), trailers_end)
 
     def _chunk_size(self, line):
         try:
@@ -223,10 +237,14 @@
             raise ReplyError("a chunk without a size") from None
 
     def _skip_trailers(self, data, position):
+        """Returns the end of the trailers; None if it has not been read. Errors: ReplyError."""
         while (line_end := data.find(LINE_END, position)) != position:
             if line_end < 0:
                 if len(data) - position > MAX_HEAD_BYTES:
                     raise ReplyError("trailers that are too long")
                 return None
+            # After the size of a chunk was lost, its content would pass for trailers.
+            if not HEADER.match(str(data[position:line_end], "latin-1")):
+                raise ReplyError("a trailer that is no header")
             position = line_end + len(LINE_END)
         return position + len(LINE_END)
--- a/lichenquay/gateway/result_relay.py
+++ b/lichenquay/gateway/result_relay.py
@@ -19,6 +19,7 @@
 
 MAX_RESULT_BYTES = 48_000  # PROTOCOL
 MAX_UNREADABLE_REPLIES = 6  # to one poll or page; then the fault is the engine's, and the attempt fails
+MAX_SEGMENT_DELAY_MS = 5.0  # between the parts of one reply, if the network splits it
 RETRY_DELAY_MS = 50.0  # backoff between retries of a call, doubled up to ...
 MAX_RETRY_DELAY_MS = 400.0  # ... this, so that polls are well within the 2 s after which an engine forgets
 DEADLINE_TOLERANCE_MS = 1.0  # a cancellation this close to the deadline counts as a time-out
@@ -110,25 +111,49 @@
     @inlineCallbacks
     def _gather(self, in_flight, reply):
         """Fetches and returns all pages of the result; None if the attempt has ended otherwise."""
-        page_count = engine_protocol.page_count(reply)
-        pages = []
+        pages = []  # replies
         size_bytes = 0
+        cut_count = 0
         while True:
-            if reply.status == Status.SERVER_ERROR:  # the query failed, or the engine lost its pages
+            if reply.status != Status.OK:  # the query failed, or the engine lost its pages
                 self.tracker.end(in_flight, domain.Outcome.FAILED, reply)
                 return None
+            if not pages:
+                page_count = engine_protocol.page_count(reply)
+            pages.append(reply)
             size_bytes += len(reply.body)
             if size_bytes > MAX_RESULT_BYTES:
                 self.metrics.count("results too long")
                 yield self._cancel(in_flight, domain.Outcome.FAILED)
                 return None
-            pages.append(reply.body)
             if len(pages) == page_count:
-                return pages
+                pages = yield self._complete_pages(in_flight, pages)
+                if in_flight.is_ending:
+                    return None
+                if len(pages) == page_count:
+                    return [page.body for page in pages]
+                size_bytes = sum(len(page.body) for page in pages)
+                cut_count += 1
+                if cut_count == MAX_UNREADABLE_REPLIES:
+                    yield self._cancel(in_flight, domain.Outcome.FAILED)
+                    return None
             reply = yield self._fetch(in_flight, len(pages))
             if reply is None:
                 return None
 
+    @inlineCallbacks
+    def _complete_pages(self, in_flight, pages):
+        """Waits for what may follow the pages; returns those before the first one that may be cut short."""
+        left_ms = in_flight.deadline_ms - self.now_ms() - DEADLINE_TOLERANCE_MS
+        yield self._wait(in_flight, min(MAX_SEGMENT_DELAY_MS, left_ms))
+        for connection in {page.connection for page in pages}:
+            connection.read_available()
+        for number, page in enumerate(pages):
+            if engine_protocol.may_be_cut_short(page):
+                self.metrics.count("results followed by further rows")
+                return pages[:number]
+        return pages
+
     @inlineCallbacks
     def _fetch(self, in_flight, page):
         """Polls, or fetches a page, with retries while the engine may still know the query.
@@ -172,6 +197,7 @@
                 in_flight.has_lost_reply = True
                 if isinstance(error, UnreadableReplyError):
                     self.metrics.count("replies unreadable")
+                    self.log("reply", f"reply: unreadable engine={in_flight.engine.id} reason={str(error)!r}")
                     unreadable_count += 1
                     if unreadable_count >= MAX_UNREADABLE_REPLIES:
                         yield self._cancel(in_flight, domain.Outcome.FAILED)
@@ -336,9 +362,12 @@
 
         Without it, an engine that accepts connections and closes them at once would keep the gateway busy.
         """
+        return self._wait(in_flight, min(RETRY_DELAY_MS * 2**pause_count, MAX_RETRY_DELAY_MS))
+
+    def _wait(self, in_flight, delay_ms):
+        """Returns a Deferred that fires after a delay, or as soon as the attempt's state changes."""
         pause = Deferred()
         in_flight.pauses.add(pause)
-        delay_ms = min(RETRY_DELAY_MS * 2**pause_count, MAX_RETRY_DELAY_MS)
         timer = self.engines.call_later(delay_ms, lambda: in_flight.end_pause(pause))
 
         def stop_timer(_):
