A reply that has arrived and is not read yet is not overdue

What callers saw: nothing by itself. After a pause of the process of over 0.3 s, each open call to an engine counted as timed out though its reply had arrived: first calls were polled on further connections, pages and DELETEs were asked again, in the moment in which the gateway has most to catch up with.

--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -133,6 +133,10 @@
             self._on_reply(reply)
 
     def _record_trailing(self, data):
+    def is_reply_due(self, now_s: float) -> bool:
+        """Returns whether the reply to the open call was due, and has not been found overdue yet."""
+        return self.call is not None and self.reply_due_s < now_s and not self.is_overdue
+
         """Records what follows a result, unless that has been passed on already."""
         result = self._last_result() if self._last_result is not None else None
         if result is not None:
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -120,14 +120,11 @@
         """Times out overdue calls and closes stale connections."""
         now_s = self.reactor.seconds()
         self.stale_after_s = min(self.max_idle_s, self.stale_after_s * STALE_LIMIT_GROWTH)
-        overdue = [
-            connection
-            for connection in self.connections
-            if connection.call is not None and connection.reply_due_s < now_s and not connection.is_overdue
-        ]
-        for connection in overdue:
-            if connection.call is None or connection not in self.connections:
-                continue  # ended as a consequence of a time-out handled before
+        for connection in [each for each in self.connections if each.is_reply_due(now_s)]:
+            connection.read_available()
+            # It may have its reply by now, or have ended with a time-out handled before.
+            if connection not in self.connections or not connection.is_reply_due(now_s):
+                continue
             if connection.call.on_timeout:
                 connection.is_overdue = True
                 connection.call.on_timeout()
