A connection that came up during a pause is not closed by its time-out

What callers saw: attempts that ended as 'not connected', and so one submission less, though the engine had accepted the connection in time.

Cause: the reactor's own time-out of connectTCP is one of its timers, and these come before it notices that connections are up. The same for the discovery service's.

Change: TimedClientFactory takes the reactor's time-out away and ends the connection one turn after it, if that turn has not found it up. Both factories derive from it.

Test: test_a_connection_that_came_up_during_a_pause_is_used fails before; another one shows that a connection that never comes up still ends in time, with its descriptor.

--- a/lichenquay/gateway/endpoint_watch.py
+++ b/lichenquay/gateway/endpoint_watch.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.protocol import ClientFactory
 
 from lichenquay.gateway.clock import now_ms as unix_now_ms
 from lichenquay.gateway.discovery import Discovery
@@ -18,6 +17,7 @@
     DiscoveryConnection,
 )
 from lichenquay.gateway.endpoint_currency import EndpointCurrency
+from lichenquay.gateway.timed_client_factory import TimedClientFactory
 
 RETRY_DELAY_MS = 100  # before another connection, if the last one failed or was up only as long
 CHECK_INTERVAL_MS = 25  # how often connections are checked for what was not read, and for silence
@@ -305,23 +305,24 @@
             self._open("no answer")
 
 
-class _ConnectionAttempt(ClientFactory):
+class _ConnectionAttempt(TimedClientFactory):
     """Makes one connection for a watch."""
 
-    noisy = False
-
     def __init__(self, watch: EndpointWatch, number: int):
         """Creates the factory of connection `number`; the watch sets `connector`."""
         self.watch = watch
         self.number = number
         self.connector = None
 
+        super().__init__(watch.reactor)
     def buildProtocol(self, address):
         """Returns the protocol of the connection, or None if it is not wanted any more."""
         if self not in self.watch._attempts:
             return None
         return self.watch.on_connected(self)
 
+        self.stop_timer()
     def clientConnectionFailed(self, connector, reason):
         """Reports that the service cannot be reached."""
         self.watch.on_connect_failed(self, reason.getErrorMessage())
+        self.stop_timer()
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -6,7 +6,7 @@
 from weakref import ref
 
 from twisted.internet.error import ConnectionRefusedError, TimeoutError
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import Protocol
 
 from lichenquay.gateway.engine_call import (
     ConnectionBrokenError,
@@ -18,6 +18,7 @@
 from lichenquay.gateway.engine_protocol import MAX_PAGE_BYTES
 from lichenquay.gateway.http import Reply, ReplyError, ReplyReader, Status
 from lichenquay.gateway.sockets import Input, read_available, send_now, unread_input
+from lichenquay.gateway.timed_client_factory import TimedClientFactory
 
 MAX_DUPLICATE_DELAY_S = 0.25  # of a reply that names no query: STANDING says some milliseconds
 MAX_READS_AT_ONCE = 2  # of 64 KB each; a page is shorter
@@ -132,11 +133,11 @@
         if reply is not None:
             self._on_reply(reply)
 
-    def _record_trailing(self, data):
     def is_reply_due(self, now_s: float) -> bool:
         """Returns whether the reply to the open call was due, and has not been found overdue yet."""
         return self.call is not None and self.reply_due_s < now_s and not self.is_overdue
 
+    def _record_trailing(self, data):
         """Records what follows a result, unless that has been passed on already."""
         result = self._last_result() if self._last_result is not None else None
         if result is not None:
@@ -229,18 +230,18 @@
         self.abort(ConnectionBrokenError(reason.getErrorMessage()))
 
 
-class ConnectionFactory(ClientFactory):
+class ConnectionFactory(TimedClientFactory):
     """Makes one connection, for one call."""
 
-    noisy = False
-
     def __init__(self, pool, call: EngineCall):
         """Creates the factory of a connection of `pool`, for `call`."""
+        super().__init__(pool.reactor)
         self.pool = pool
         self.call = call
 
     def buildProtocol(self, address):
         """Returns the protocol of the connection, which is up."""
+        self.stop_timer()
         return EngineConnection(self.pool, self.call)
 
     def clientConnectionFailed(self, connector, reason):
@@ -248,6 +249,7 @@
 
         A reset before this side saw the connection established is no evidence about the engine.
         """
+        self.stop_timer()
         self.pool.open_count -= 1
         is_refused = reason.check(ConnectionRefusedError) is not None
         if is_refused or reason.check(TimeoutError):
--- a/tests/crossings/test_overdue_replies.py
+++ b/tests/crossings/test_overdue_replies.py
@@ -1,5 +1,6 @@
 """Tests of time-outs of engines and of discovery that fire before what has arrived was read or noticed."""
 
+import socket
 import time
 
 import pytest
@@ -53,3 +54,41 @@
     assert REPLY_TIMEOUT_MS / 1000 < time.monotonic() - began_s < 2 * REPLY_TIMEOUT_MS / 1000
     assert counter(world, "first calls timed out") == 1
     wait_until_complete(world)
+
+
+def test_a_connection_that_came_up_during_a_pause_is_used(make_world):
+    """Guards against attempts that fail as not connected: the time-out fires before the reactor notices."""
+    world = make_world(engines=1)
+    client, pool = world.client(), world.service.engines
+    connect, paused = pool.reactor.connectTCP, []
+
+    def connect_and_pause(*arguments, **options):
+        connector = connect(*arguments, **options)
+        if not paused:
+            paused.append(connector)
+            time.sleep(PAUSE_S)  # the kernel goes on
+        return connector
+
+    pool.reactor.connectTCP = connect_and_pause
+    assert answered(client, client.ask("manifest", allow=4000)) == (frames.AnswerCode.COMPLETED, RESULT)
+    assert paused and world.posts() == 1 and not counter(world, "attempts not connected")
+    wait_until_complete(world)
+
+
+def test_a_connection_that_does_not_come_up_ends_in_time(make_world):
+    """Guards against a time-out that is lost: what does not answer must not hold a descriptor."""
+    world = make_world(engines=1)
+    pool, outcomes = world.service.engines, []
+    with socket.socket() as listener, socket.socket() as only_client:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        only_client.connect(listener.getsockname())  # the kernel drops further ones
+        host, port = listener.getsockname()
+        engine = next(iter(world.service.engines_by_id.values()))
+        call = pool.start_call(engine, b"", lambda reply: True, address=f"{host}:{port}")
+        call.reply.addBoth(outcomes.append)
+        began_s = time.monotonic()
+        until(lambda: outcomes)
+    timeout_s = pool.connect_timeout_ms / 1000
+    assert timeout_s <= time.monotonic() - began_s < timeout_s + 0.2 and pool.open_count == 0
+    assert not outcomes[0].value.is_refused
