An answer of the discovery service that is not read yet confirms the list

What callers saw: nothing by itself. After a pause, a confirmation of the endpoint list ended as 'not confirmed' though its answer had arrived, and evidence that an attempt is over was dropped; after one of over 5 s, the watch was closed with the news that it had brought.

Test: two in tests/crossings/test_overdue_replies.py fail before.

--- a/lichenquay/gateway/discovery_connection.py
+++ b/lichenquay/gateway/discovery_connection.py
@@ -86,7 +86,7 @@
         self.polled_ms = self.owner.now_ms()
         self.empty_ms = self.polled_ms
         self.is_polling = True
-        self.timer = self.owner.reactor.callLater(MAX_ANNOUNCEMENT_DELAY_MS / 1000, self.end, "no answer")
+        self.timer = self.owner.reactor.callLater(MAX_ANNOUNCEMENT_DELAY_MS / 1000, self._end_unanswered)
         self.transport.write(encode_poll(self.owner.host, self.asked_after, self.poll_wait_ms))
 
     @property
@@ -160,6 +160,13 @@
         self.transport.abortConnection()
         self.owner.on_lost(self, reason)
 
+    def _end_unanswered(self):
+        """Closes the connection unless the answer to its poll has arrived."""
+        polled_ms = self.polled_ms
+        self.read_pending()
+        if self.is_polling and self.polled_ms == polled_ms:
+            self.end("no answer")
+
     def stop_timer(self) -> None:
         """Cancels the timer of the connection, if one is pending."""
         if self.timer is not None and self.timer.active():
--- a/lichenquay/gateway/endpoint_watch.py
+++ b/lichenquay/gateway/endpoint_watch.py
@@ -136,10 +136,14 @@
         self._asked_ms = self.now_ms()
         self.metrics.count("endpoint lists confirmed")
         self._confirmation_timer = self.reactor.callLater(
-            self.connect_timeout_ms / 1000, self._finish_asking, False
+            self.connect_timeout_ms / 1000, self._on_confirmation_due
         )
         self._open("confirmation")
 
+    def _on_confirmation_due(self):
+        self.read_pending()  # the answer may have arrived
+        self._finish_asking(False)
+
     def _finish_asking(self, is_current):
         """Reports the outcome of a confirmation to all that asked for it."""
         asking = self._asking
@@ -310,19 +314,19 @@
 
     def __init__(self, watch: EndpointWatch, number: int):
         """Creates the factory of connection `number`; the watch sets `connector`."""
+        super().__init__(watch.reactor)
         self.watch = watch
         self.number = number
         self.connector = None
 
-        super().__init__(watch.reactor)
     def buildProtocol(self, address):
         """Returns the protocol of the connection, or None if it is not wanted any more."""
+        self.stop_timer()
         if self not in self.watch._attempts:
             return None
         return self.watch.on_connected(self)
 
-        self.stop_timer()
     def clientConnectionFailed(self, connector, reason):
         """Reports that the service cannot be reached."""
-        self.watch.on_connect_failed(self, reason.getErrorMessage())
         self.stop_timer()
+        self.watch.on_connect_failed(self, reason.getErrorMessage())
--- a/tests/crossings/test_overdue_replies.py
+++ b/tests/crossings/test_overdue_replies.py
@@ -92,3 +92,37 @@
     timeout_s = pool.connect_timeout_ms / 1000
     assert timeout_s <= time.monotonic() - began_s < timeout_s + 0.2 and pool.open_count == 0
     assert not outcomes[0].value.is_refused
+
+
+def test_an_answer_of_discovery_that_has_arrived_but_is_unread_confirms_the_list(make_world):
+    """Guards against evidence that is dropped after a pause, as the endpoint list counts as unconfirmed."""
+    world = make_world(engines=1)
+    watch, outcomes = world.service.endpoint_watch, []
+    watch.confirm().addCallback(outcomes.append)
+    until(lambda: any(connection.is_polling for connection in watch.connections[1:]) or outcomes)
+    asking = watch.connections[-1]
+    asking.transport.pauseProducing()
+    watch._check_timer.cancel()  # stands for a process that stood still until the time-out below
+    wait(0.05)
+    assert not outcomes
+    watch._on_confirmation_due()
+    assert outcomes == [True]
+    asking.transport.resumeProducing()
+    watch._check()
+
+
+def test_a_poll_of_discovery_whose_answer_is_unread_is_answered(make_world):
+    """Guards against a watch that is closed after a long pause, with the news that it has brought."""
+    world = make_world(engines=1)
+    watch = world.service.endpoint_watch
+    connection = watch.connections[-1]
+    connection.transport.pauseProducing()
+    watch._check_timer.cancel()  # stands for a process that stood still until the time-out below
+    world.announce(world.engines[0], "DRAINING")
+    wait(0.05)
+    timer, answers = connection.timer, connection.answer_count
+    timer.reset(0)
+    until(lambda: not timer.active())
+    assert connection.answer_count == answers + 1 and not connection.is_over
+    connection.transport.resumeProducing()
+    watch._check()
