A reset is not the end of a result

Cause: EngineConnection.connectionLost took any end of the connection for the end of the body. A process that dies resets its connections (PROTOCOL).

Change: only a clean end of the connection ends a body; after a reset the call counts as broken and the engine is asked again. The same class as: what came was taken for whole.

Test: three of six forms of test_a_result_that_ends_with_its_connection_is_whole_only_without_a_reset fail before.

--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 from weakref import ref
 
-from twisted.internet.error import ConnectionRefusedError, TimeoutError
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import Protocol
 
 from lichenquay.gateway.engine_call import (
@@ -219,9 +219,13 @@
             self.pool.on_connection_failed(call, error or ConnectionBrokenError("closed by the gateway"))
 
     def connectionLost(self, reason):
-        """Ends the call: with the reply, if its body ends with the connection, else as broken."""
+        """Ends the call: with the reply, if its body ends with the connection, else as broken.
+
+        A reset ends no body: an engine whose process dies resets its connections.
+        """
         self.is_closed = True
-        reply = self.reader.connection_closed() if self.call else None
+        is_end_of_body = self.call is not None and reason.check(ConnectionDone) is not None
+        reply = self.reader.connection_closed() if is_end_of_body else None
         if reply is not None:
             self._on_reply(reply)
             return
--- a/tests/crossings/test_cut_replies.py
+++ b/tests/crossings/test_cut_replies.py
@@ -119,6 +119,32 @@
     wait_until_complete(world)
 
 
+@pytest.mark.parametrize("rows_sent", [1, 2, 3])
+@pytest.mark.parametrize("end", ["reset", "end"])
+def test_a_result_that_ends_with_its_connection_is_whole_only_without_a_reset(make_world, end, rows_sent):
+    """Guards against rows lost with the engine's process: PROTOCOL says that it resets its connections."""
+    world = make_world(engines=1)
+    engine, sent = world.engines[0], []
+
+    def start(connection, request_id, behaviour):
+        world.in_flight.discard(request_id)
+        is_first = not sent
+        sent.append(request_id)
+        rows = ROWS[:rows_sent] if is_first and end == "reset" else ROWS
+        connection.transport.write(
+            b"HTTP/1.1 200 X\r\nX-Parts: 1\r\nConnection: close\r\n\r\n" + b"".join(rows)
+        )
+        close = connection.transport.abortConnection if is_first and end == "reset" else None
+        reactor.callLater(0.03, close or connection.transport.loseConnection)
+
+    engine.start = start
+    client = world.client()
+    code, body = answered(client, client.ask("manifest", allow=4000))
+    assert (code, body) == (frames.AnswerCode.COMPLETED, b"".join(ROWS))
+    assert len(sent) == (2 if end == "reset" else 1) and world.posts() == 1
+    wait_until_complete(world)
+
+
 def test_a_duplicate_after_a_result_costs_no_further_call(make_world):
     """Guards against needless polls: a line without columns after a page is none of its rows."""
     world = make_world(engines=1)
