No connection is closed between two parts of a request at a shutdown

What callers saw: a request that arrives in parts while the gateway drains got no answer: its connection was closed between two parts. PROTOCOL counts it as taken once its last byte is written.

Cause: the drain closes idle connections every 10 ms and after each read, and a connection of which a part of a frame had been read, with nothing unread in that instant, counted as idle.

Change: close_if_idle leaves it open; the frame's deadline and the end before SIGKILL bound the wait. A client with half a frame may delay the exit by some 2 s.

Test: test_a_request_that_arrives_in_parts_as_the_gateway_ends_is_answered, both forms fail before.

--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -304,8 +304,10 @@
         return not self.open_queries and not self.deferred_requests
 
     def close_if_idle(self) -> None:
-        """Closes the connection if no request waits for its answer, or to be read."""
-        if self.is_open and self.is_idle and unread_input(self.transport) is not Input.BYTES:
+        """Closes the connection if no request waits for its answer, or to be read, or has come in part."""
+        if not self.is_open or not self.is_idle or self.reader.buffered_bytes():
+            return
+        if unread_input(self.transport) is not Input.BYTES:
             self.send_go_away()
             self.close()
 
--- a/lichenquay/gateway/request_intake.py
+++ b/lichenquay/gateway/request_intake.py
@@ -163,7 +163,7 @@
             connection.reject_input("no whole frame in time")
 
     def close_idle(self) -> None:
-        """Closes all connections on which no request waits for its answer, or to be read."""
+        """Closes all connections on which no request waits for its answer or to be read, or came in part."""
         for connection in list(self.connections):
             connection.close_if_idle()
 
--- a/tests/crossings/test_overdue_frames.py
+++ b/tests/crossings/test_overdue_frames.py
@@ -142,3 +142,26 @@
     assert sockets.read_available(transport, lambda: True, 8) is sockets.Input.END
     reads[:] = [b"c"] * 9
     assert sockets.read_available(transport, lambda: True, 8) is sockets.Input.BYTES and len(reads) == 1
+
+
+@pytest.mark.parametrize("parts", [2, 5])
+def test_a_request_that_arrives_in_parts_as_the_gateway_ends_is_answered(make_world, parts):
+    """Guards against a connection that counts as idle, and is closed, between two parts of a request."""
+    world = make_world(engines=1)
+    client, connection = connect(world)
+    client.socket.sendall(query_frame(1))
+    until(lambda: 1 in answers(client))
+    world.service.clients.is_stopping = True  # as in the drain, which closes idle connections
+    frame = query_frame(2, statement=LARGE_STATEMENT)
+    size = len(frame) // parts + 1
+    for start in range(0, len(frame), size):
+        part = frame[start : start + size]
+        while part:
+            part = send(client, part)
+            wait(0.01)
+        world.service.clients.close_idle()
+    until(lambda: 2 in answers(client) or client.ended)
+    code, reason = answers(client)[2]
+    assert code == frames.AnswerCode.REJECTED and reason == b"this front ends"
+    until(lambda: client.read() and client.ended)  # it is idle now
+    wait_until_complete(world)
