--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -3,7 +3,7 @@
 from collections import deque
 from math import inf
 from typing import NamedTuple
-from weakref import ref
+from weakref import ReferenceType
 
 from twisted.internet.error import ConnectionDone, ConnectionRefusedError, TimeoutError
 from twisted.internet.protocol import Protocol
@@ -64,7 +64,7 @@
         self.is_closed = False
         self.closed_locally = False
         # A result or page, if that is the last reply; it must not be kept in memory.
-        self._last_result: ref[Reply] | None = None
+        self._last_result: ReferenceType[Reply] | None = None
         self._attempt_number = 0  # of the attempts here: past replies must not keep attempts in memory
         self._past_replies: deque[_PastReply] = deque(maxlen=MAX_PAST_REPLIES)
 
@@ -159,7 +159,7 @@
         self.call = None
         call.connection = None
         reply.connection = self
-        self._last_result = ref(reply) if reply.status == Status.OK else None
+        self._last_result = ReferenceType(reply) if reply.status == Status.OK else None
         if reply.status != Status.OK:
             self._past_replies.append(_PastReply(self.pool.reactor.seconds(), self._attempt_number, reply))
         # A connection on which a reply came late is not reused, as more may come late. Nor is one after an
