--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -110,7 +110,7 @@
 
         Nothing is read beyond what the connection may hold.
         """
-        unread = read_available(
+        unread = read_available(  # also where input is rejected: a client that leaves must be noticed
             self.transport,
             lambda: self.open_queries and not self.deferred_requests.are_too_large,
             MAX_READS_AT_ONCE,
--- a/tests/crossings/interleavings.py
+++ b/tests/crossings/interleavings.py
@@ -78,6 +78,21 @@
         self.socket.close()
 
 
+def read_answers(client):
+    """Returns the answers read so far, as (code, body) by stream."""
+    return {
+        stream: (payload[0], bytes(payload[2:]))
+        for kind, stream, payload in frames.FrameReader().feed(client.read())
+        if kind == frames.FrameType.ANSWER
+    }
+
+
+def wait_for_connection(world):
+    """Waits for the only client; returns the gateway's side of its connection."""
+    until(lambda: len(world.service.clients.connections) == 1)
+    return next(iter(world.service.clients.connections))
+
+
 def query_frame(stream, group="status", allow=2000, ref=None, statement=b"select 1"):
     """Returns an encoded query frame; `allow` is in ms, and `ref` defaults to the stream number."""
     fields = [
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -6,7 +6,15 @@
 
 import pytest
 from gateway_world import RESULT, answered
-from interleavings import SocketClient, assert_no_more_posts, counter, query_frame, wait_until_complete
+from interleavings import (
+    SocketClient,
+    assert_no_more_posts,
+    counter,
+    query_frame,
+    read_answers,
+    wait_for_connection,
+    wait_until_complete,
+)
 from loopback import until, wait
 
 from lichenquay.gateway import client_connection, frames, request_intake
@@ -19,21 +27,6 @@
     client.socket.sendall(query_frame(stream, group, allow, statement=statement))
 
 
-def read_answers(client):
-    """Returns the answers read so far, as (code, body) by stream."""
-    return {
-        stream: (payload[0], bytes(payload[2:]))
-        for kind, stream, payload in frames.FrameReader().feed(client.read())
-        if kind == frames.FrameType.ANSWER
-    }
-
-
-def wait_for_connection(world):
-    """Waits for the only client; returns the gateway's side of its connection."""
-    until(lambda: len(world.service.clients.connections) == 1)
-    return next(iter(world.service.clients.connections))
-
-
 def connect_slow_reader(world, stream=1, **request_options):
     """Connects a client that does not read an answer larger than the kernel's buffers.
 
--- a/tests/crossings/test_overdue_frames.py
+++ b/tests/crossings/test_overdue_frames.py
@@ -4,7 +4,14 @@
 
 import pytest
 from gateway_world import RESULT
-from interleavings import SocketClient, counter, query_frame, wait_until_complete
+from interleavings import (
+    SocketClient,
+    counter,
+    query_frame,
+    read_answers,
+    wait_for_connection,
+    wait_until_complete,
+)
 from loopback import until, wait
 
 from lichenquay.gateway import frames, sockets
@@ -17,8 +24,7 @@
 def connect(world):
     """Connects a client; returns it and the gateway's side of its connection."""
     client = SocketClient(world.port)
-    until(lambda: len(world.service.clients.connections) == 1)
-    return client, next(iter(world.service.clients.connections))
+    return client, wait_for_connection(world)
 
 
 def send(client, data):
@@ -29,15 +35,6 @@
         return data
 
 
-def answers(client):
-    """Returns the answers read so far, as (code, body) by stream."""
-    return {
-        stream: (payload[0], bytes(payload[2:]))
-        for kind, stream, payload in frames.FrameReader().feed(client.read())
-        if kind == frames.FrameType.ANSWER
-    }
-
-
 def let_time_pass(connection, seconds=FRAME_TIMEOUT_S + 0.4):
     """Makes the connection's frame older, as a pause of this process would."""
     connection.frame_deadline.started_s -= seconds
@@ -73,10 +70,10 @@
     def is_answered():
         nonlocal rest
         rest = send(client, rest) if rest else rest
-        return 9 in answers(client) or client.ended
+        return 9 in read_answers(client) or client.ended
 
     until(is_answered)
-    assert answers(client).get(9) == (frames.AnswerCode.COMPLETED, RESULT)
+    assert read_answers(client).get(9) == (frames.AnswerCode.COMPLETED, RESULT)
     client.socket.close()
     wait_until_complete(world)
 
@@ -100,8 +97,8 @@
         assert not connection.is_rejecting_input
     connection.transport.resumeProducing()
     client.socket.sendall(rest)
-    until(lambda: 1 in answers(client) or client.ended)
-    assert answers(client).get(1) == (frames.AnswerCode.COMPLETED, RESULT)
+    until(lambda: 1 in read_answers(client) or client.ended)
+    assert read_answers(client).get(1) == (frames.AnswerCode.COMPLETED, RESULT)
     client.socket.close()
     wait_until_complete(world)
 
@@ -123,7 +120,7 @@
         assert connection.is_rejecting_input == (check == MAX_FURTHER_CHECKS or not first)
     connection.transport.resumeProducing()
     until(lambda: client.read() and client.ended)
-    assert answers(client)[0] == (frames.AnswerCode.FAILED, b"no whole frame in time")
+    assert read_answers(client)[0] == (frames.AnswerCode.FAILED, b"no whole frame in time")
 
 
 def test_reading_what_is_available_stops_at_the_end_and_where_it_may_not_go_on():
@@ -150,7 +147,7 @@
     world = make_world(engines=1)
     client, connection = connect(world)
     client.socket.sendall(query_frame(1))
-    until(lambda: 1 in answers(client))
+    until(lambda: 1 in read_answers(client))
     world.service.clients.is_stopping = True  # as in the drain, which closes idle connections
     frame = query_frame(2, statement=LARGE_STATEMENT)
     size = len(frame) // parts + 1
@@ -160,8 +157,8 @@
             part = send(client, part)
             wait(0.01)
         world.service.clients.close_idle()
-    until(lambda: 2 in answers(client) or client.ended)
-    code, reason = answers(client)[2]
+    until(lambda: 2 in read_answers(client) or client.ended)
+    code, reason = read_answers(client)[2]
     assert code == frames.AnswerCode.REJECTED and reason == b"this front ends"
     until(lambda: client.read() and client.ended)  # it is idle now
     wait_until_complete(world)
