--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,7 @@
-"""Bad clients take hundreds of requests back at once, again and again, while usual clients ask."""
+"""A connection to an engine comes up 1.4 s late, while it carries the call that starts a query."""
 
 import asyncio
-import subprocess
-import sys
+import socket
 import time
 from pathlib import Path
 
@@ -11,65 +10,104 @@
 FOLDER = Path(__file__).resolve().parent
 
 CLASSES = [
-    {"name": "status", "effect": "safe", "aim_us": 500000, "deadline_us": 2500000, "worth": 1},
-    {"name": "manifest", "effect": "unsafe", "aim_us": 3000000, "deadline_us": 25000000, "worth": 30},
+    {"name": "lookup", "effect": "safe", "aim_us": 500000, "deadline_us": 2500000, "worth": 1},
+    {"name": "report", "effect": "safe", "aim_us": 2000000, "deadline_us": 20000000, "worth": 10},
 ]
-MEMORY_MB = 64  # service/LATER.md: 32 to 192 MB
-CONNECTIONS = 16
-PAUSE_S = 0.15
-SECONDS = 24
+ROUNDS = 6
+LATE_S = 1.4  # STANDING: up to 1.5 s, for a third of the connections
+WORK_S = {"lookup": 0.2, "report": 1.2}
 
 
-def _plan(run):
-    return (0.05, 200) if run.fields["x-sort"] == "status" else (5.0, 200)
+class Engine(world.Engine):
+    """An engine that accepts connections itself, and is late with it until `late_until_s`."""
+
+    def __init__(self, record, plan):
+        """Starts without connections."""
+        super().__init__(record, plan)
+        self.late_until_s = 0.0
+        self.connections = 0
+        self.late_connections = 0
+        self.listener = None
+
+    async def open(self):
+        """Listens on a free port."""
+        self.listener = socket.create_server((world.HOST, 0), backlog=512)
+        self.listener.setblocking(False)
+        self.port = self.listener.getsockname()[1]
+        self.tasks.add(asyncio.ensure_future(self._accept()))
+
+    async def _accept(self):
+        was_late = False
+        while True:
+            if time.time() < self.late_until_s and 3 * (self.late_connections + 1) <= self.connections:
+                was_late = True
+                await asyncio.sleep(0.005)
+                continue
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                was_late = False
+                await asyncio.sleep(0.001)
+                continue
+            self.connections += 1
+            if was_late:
+                self.late_connections += 1
+                self.record(f"engine {self.uid}: connection {self.connections} has come up late")
+            reader, writer = await asyncio.open_connection(sock=sock)
+            self.tasks.add(asyncio.ensure_future(self._serve(reader, writer)))
+
+
+async def _round(record, gateway, engines, number, has_trouble):
+    """Sends lookups, then a report while all connections to engines are in use; returns the report."""
+    client = await world.Client(record, f"c{number}").open(gateway.port)
+    for count in (18, 30):
+        lookups = [client.ask("lookup", 2000, effort="200.0") for _ in range(count)]
+        await asyncio.sleep(0.1)
+        if count == 30:
+            for engine in engines:
+                engine.late_until_s = time.time() + LATE_S if has_trouble else 0.0
+            report = client.ask("report", 16000, effort="1200.0")
+        await asyncio.gather(*(request.done.wait() for request in lookups))
+        await asyncio.sleep(0.05)
+    await report.done.wait()
+    await asyncio.sleep(3)  # idle connections to engines are closed meanwhile
+    client.close()
+    return report
 
 
 async def case(record, has_trouble):
     """Returns the broken rules."""
     bulletin = world.Bulletin(record)
     await bulletin.open()
-    engines = [world.Engine(record, _plan) for _ in range(3)]
+    engines = [Engine(record, lambda run: (WORK_S[run.fields["x-sort"]], 200)) for _ in range(3)]
     for engine in engines:
         await engine.open()
     bulletin.tell([engine.target() for engine in engines], whole=True)
-    gateway = world.Gateway(record, world.settings(CLASSES), bulletin, memory_mb=MEMORY_MB, sockets=384)
-    requests = []
-    flood = None
+    settings = world.settings(CLASSES)
+    settings["limits"].update(most_tries=4, keepalive_us=4000000)
+    settings["family_info"].update(progress_pace_us=0, ranks_heeded=False, says_cost=False)
+    gateway = world.Gateway(record, settings, bulletin)
     try:
         gateway.start()
         await gateway.until_ready()
-        platform = asyncio.ensure_future(gateway.hold_to_limit())
-        clients = [await world.Client(record, f"c{number}").open(gateway.port) for number in range(4)]
-        began_s = noted_s = time.time()
-        while time.time() < began_s + SECONDS + 3 and gateway.process.poll() is None:
-            if has_trouble and flood is None and time.time() > began_s + 2:
-                record(f"bad clients: {CONNECTIONS} connections, 32 requests each, again and again")
-                arguments = [str(value) for value in (gateway.port, CONNECTIONS, PAUSE_S, SECONDS)]
-                flood = subprocess.Popen([sys.executable, str(FOLDER / "bad_clients.py"), *arguments])
-            if time.time() > noted_s + 2:
-                noted_s = time.time()
-                record(f"gateway: has held {gateway.memory_mb():.0f} MB")
-            for client in clients:
-                if not client.is_closed:
-                    requests.append(client.ask("status", 2000))
-            await asyncio.sleep(0.25)
-        await asyncio.sleep(3)
-        now_s = time.time()
-        code = gateway.process.poll()
-        platform.cancel()
+        for number in range(ROUNDS):
+            await _round(record, gateway, engines, number, has_trouble)
     finally:
-        if flood is not None:
-            flood.kill()
-            flood.wait()
+        for engine in engines:
+            record(f"engine {engine.uid}: {engine.late_connections} of {engine.connections} connections late")
         gateway.stop()
-    lost = [request for request in requests if request.is_lost(now_s)]
+    runs = {}
+    for engine in engines:
+        for run in engine.history:
+            runs.setdefault(run.ref, []).append((run.began_s, run.ended_s, engine.uid, run.status))
     broken = []
-    if gateway.killed_mb:
-        broken.append(f"crash: killed for memory, {gateway.killed_mb:.0f} MB of {MEMORY_MB}")
-    elif code is not None:
-        broken.append(f"crash: exit code {code}")
-    if broken:
-        record(f"{len(lost)} of {len(requests)} requests of usual clients were never answered")
+    for ref, attempts in runs.items():
+        attempts.sort()
+        for earlier, later in zip(attempts, attempts[1:], strict=False):
+            both_s = min(earlier[1], later[1]) - later[0]
+            if both_s > 0.05:
+                where = f"{earlier[2]} ({earlier[3]}) and {later[2]} ({later[3]})"
+                broken.append(f"rule 2: {ref} was out twice for {both_s * 1000:.0f} ms, at {where}")
     return broken
 
 
