--- a/review/7/bad_clients.py
+++ b/review/7/bad_clients.py
@@ -1,40 +1,32 @@
-"""Bad clients: many requests at once, with statements as long as a frame may be."""
+"""Bad clients: hundreds of requests at once, all of them taken back at once a moment later, and again."""
 
-import select
+import contextlib
 import socket
 import sys
 import time
 
 import world_2 as world
 
-STATEMENT = b"select " + b"(" * 261_000
+OPEN_REQUESTS = 32  # PROTOCOL: on a connection
 
 
-def main(port, connections, requests):
-    """Sends the requests on all connections at full speed, and reads what comes."""
-    waiting = {}
-    for _ in range(connections):
-        sock = socket.create_connection((world.HOST, port))
-        sock.setblocking(False)
-        frames = [world.encode_request(n + 1, "report", 15000, statement=STATEMENT) for n in range(requests)]
-        waiting[sock] = memoryview(b"".join(frames))
-    until_s = time.time() + 60
-    while waiting and time.time() < until_s:
-        senders = [sock for sock, data in waiting.items() if data]
-        readable, writable, _ = select.select(list(waiting), senders, [], 1)
-        for sock in readable:
-            try:
-                if not sock.recv(65536):
-                    del waiting[sock]
-            except OSError:
-                waiting.pop(sock, None)
-        for sock in writable:
-            if sock in waiting:
-                try:
-                    waiting[sock] = waiting[sock][sock.send(waiting[sock]) :]
-                except OSError:
-                    waiting.pop(sock, None)
+def main(port, connections, pause_s, seconds):
+    """Sends requests on all connections, takes all of them back after a pause, and reads what comes."""
+    socks = [socket.create_connection((world.HOST, port)) for _ in range(connections)]
+    until_s = time.time() + seconds
+    first = 1
+    while time.time() < until_s:
+        streams = range(first, first + OPEN_REQUESTS)
+        for sock in socks:
+            sock.sendall(b"".join(world.encode_request(stream, "manifest", 25000) for stream in streams))
+        time.sleep(pause_s)
+        for sock in socks:
+            sock.sendall(b"".join(world.encode_frame(8, stream) for stream in streams))
+            with contextlib.suppress(BlockingIOError):
+                sock.recv(1 << 20, socket.MSG_DONTWAIT)
+        first += OPEN_REQUESTS
 
 
 if __name__ == "__main__":
-    main(*map(int, sys.argv[1:4]))
+    with contextlib.suppress(ConnectionError):  # the gateway has ended
+        main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), float(sys.argv[4]))
