--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,8 +14,8 @@
     {"name": "manifest", "effect": "unsafe", "aim_us": 3000000, "deadline_us": 8000000, "worth": 30},
     {"name": "report", "effect": "safe", "aim_us": 3000000, "deadline_us": 15000000, "worth": 20},
 ]
-MEMORY_MB = 64  # service/LATER.md: 32 to 192 MB
-CONNECTIONS = 20
+MEMORY_MB = 80  # service/LATER.md: 32 to 192 MB
+CONNECTIONS = 30
 STATEMENT = b"insert into sales_17.orders values ('" + b"x" * 100_000 + b"')"
 
 
@@ -31,7 +31,7 @@
     for engine in engines:
         await engine.open()
     bulletin.tell([engine.target() for engine in engines], whole=True)
-    gateway = world.Gateway(record, world.settings(CLASSES), bulletin, memory_mb=MEMORY_MB, sockets=384)
+    gateway = world.Gateway(record, world.settings(CLASSES), bulletin, memory_mb=MEMORY_MB, sockets=544)
     requests = []
     flood = None
     opened = 0
