Count what queries make the gateway hold in one account, and send without copies

Cause, from peaks of the process's own memory (23 MB without clients) beside the account: 76 MB of statements counted, over 192 MB held. (a) Only the statement counted; the encoded call, its unsent rest and the transport's buffer were copies. Without the copies: 134 to 138 MB. (b) Not the allocator: the same with MALLOC_MMAP_THRESHOLD_. (c) A call is in a reference cycle with its attempt, and kept its statement until a full garbage collection, after the account had given it free. A call that lets go of it when it is over: 90 MB. (d) Objects, small deferred requests, skipped stream numbers, partial replies and pages were in no account.

Change: MemoryAccount counts them all, before they are made. A query counts whole until its end has reached the controller and its last attempt is over (QueryMemory). An engine's connection sends the statement from where it lies, as a pull producer. Pages are reserved before they are fetched; a result without room is polled again. Requests leave a quarter of the account to results, or queries could not end. The least account is 6 MB instead of 4, so that PROTOCOL's largest frame has room in it. A connection remembers of a past reply only what tells which calls it answers. SIGUSR1 reports what is held for queries, and its peak.

--- a/lichenquay/gateway/attempt_in_flight.py
+++ b/lichenquay/gateway/attempt_in_flight.py
@@ -7,6 +7,7 @@
 from lichenquay.admission import domain
 from lichenquay.gateway import engine_protocol
 from lichenquay.gateway.attempt_lifecycle import AttemptLifecycle
+from lichenquay.gateway.memory_account import MemoryAccount
 
 
 class AttemptInFlight:
@@ -20,6 +21,7 @@
     late_reply: the reply to the first call, if it arrived after polling had begun.
     has_lost_reply: a reply to a call was lost, possibly with a progress event.
     pauses: waits between two calls for the attempt.
+    result_bytes: what is reserved for the pages of its result.
     """
 
     __slots__ = (
@@ -39,6 +41,7 @@
         "priority",
         "query",
         "request_id",
+        "result_bytes",
         "sent_priority",
     )
 
@@ -61,6 +64,7 @@
         self.sent_priority = attempt.query.requested_priority
         self.is_sending_priority = False
         self.pauses: set[Deferred] = set()
+        self.result_bytes = 0
 
     @property
     def is_ending(self) -> bool:
@@ -89,14 +93,16 @@
 class AttemptTracker:
     """Counts attempts in flight and reports exactly one outcome for each of them to the controller."""
 
-    def __init__(self, metrics, on_ended: Callable):
+    def __init__(self, metrics, on_ended: Callable, memory: MemoryAccount):
         """Takes `on_ended(in_flight, outcome, cost, load_report, result)`, called once per attempt."""
         self.metrics = metrics
+        self.memory = memory
         self.on_ended = on_ended
         self.in_flight_count = 0
 
-    def count_dispatched(self) -> None:
-        """Counts an attempt that is being sent."""
+    def count_dispatched(self, in_flight: AttemptInFlight) -> None:
+        """Counts an attempt that is being sent; its query is held until it has ended."""
+        in_flight.query.memory.hold()
         self.in_flight_count += 1
         self.metrics.count("attempts sent")
 
@@ -112,6 +118,10 @@
         in_flight.connection = None
         in_flight.late_reply = None
         in_flight.abandon_first_call()
+        in_flight.query.memory.release()
+        # The pages are given away at once: what the kernel does not take of the answer counts for its client.
+        self.memory.add(-in_flight.result_bytes)
+        in_flight.result_bytes = 0
         self.in_flight_count -= 1
         self.metrics.count(f"attempts {outcome}")
         is_completed = outcome == domain.Outcome.COMPLETED
--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -5,11 +5,13 @@
 from twisted.internet.protocol import Protocol
 
 from lichenquay.gateway import frames
+from lichenquay.gateway.client_memory import ClientMemory
 from lichenquay.gateway.deferred_requests import DeferredRequests
 from lichenquay.gateway.frame_deadline import FrameDeadline
 from lichenquay.gateway.frames import AnswerCode, FrameError, FrameReader, FrameType
+from lichenquay.gateway.memory_account import DEFERRED_REQUEST_BYTES
 from lichenquay.gateway.process_pauses import ArrivalBound
-from lichenquay.gateway.request_errors import InvalidRequestError
+from lichenquay.gateway.request_errors import InvalidRequestError, RequestRejectedError
 from lichenquay.gateway.sockets import (
     Input,
     read_available,
@@ -51,7 +53,8 @@
         self.arrival = ArrivalBound(intake.earliest_arrival_ms, intake.now_ms)
         self.streams = StreamNumbers()
         self.open_queries = {}  # by stream
-        self.deferred_requests = DeferredRequests(self._add_held_bytes)
+        self.memory = ClientMemory(intake.memory, intake.connection_admission, self.record)
+        self.deferred_requests = DeferredRequests(self.memory.add)
         self.unsent_bytes = 0
         self.invalid_requests = 0
         self.is_open = True
@@ -83,18 +86,18 @@
             return
         self.arrival.begin_read()
         buffered_before = self.reader.buffered_bytes()
+        self.memory.add(-buffered_before)  # a frame that the data completes is over within this turn
         self.last_activity_s = self.intake.seconds()
         try:
             for frame in self.reader.feed(data):
                 self._on_frame(frame)
-            growth = self.reader.buffered_bytes() - buffered_before
+            buffered = self.reader.buffered_bytes()
             if not buffered_before:
                 self.frame_deadline.restart(self.last_activity_s)
-            if growth > 0 and not self.intake.has_memory_for(buffered_before + growth, buffered_before):
+            if buffered > buffered_before and not self.intake.memory.has_room_for_request(buffered):
                 raise FrameError("too much that is not whole")
-            self._add_held_bytes(growth)
+            self.memory.add(buffered)
         except FrameError as error:
-            self._add_held_bytes(-buffered_before)
             self.reader.discard()
             self.reject_input(str(error))
         self.arrival.end_read(self._has_unread_input)
@@ -141,7 +144,9 @@
             raise FrameError(f"a frame of type {frame.type}")
 
     def _on_query(self, frame):
+        bytes_before = self.streams.held_bytes
         self.streams.claim(frame.stream)
+        self.memory.add(self.streams.held_bytes - bytes_before)
         if self.is_backlogged:
             self._defer_request(frame)
         else:
@@ -184,7 +189,7 @@
         self.open_queries[stream] = query
         self.intake.open_request_ids[query.request_id] = query
         self.intake.connection_admission.on_query_admitted(self.record, self.intake.admission_ms())
-        self._add_held_bytes(len(query.statement))
+        self.memory.on_query_opened(query.memory)
         self.intake.adapter.query_received(query)
 
     def _answer_invalid(self, stream, error):
@@ -210,14 +215,18 @@
         self.intake.adapter.client_gone(query)
 
     def _release_query(self, query):
-        """Frees what a finished query holds: timers refer to the query until its deadline."""
-        self._add_held_bytes(-len(query.statement))
+        """Frees what a finished query holds for its client."""
+        self.memory.on_query_closed(query.memory)
         self.intake.connection_admission.on_query_finished(self.record, self.intake.admission_ms())
         self.intake.open_request_ids.pop(query.request_id, None)
         query.statement = b""
         query.client = None
 
     def _defer_request(self, frame):
+        size_bytes = len(frame.payload) + DEFERRED_REQUEST_BYTES
+        if not self.intake.memory.has_room_for_request(size_bytes):
+            self._answer_invalid(frame.stream, RequestRejectedError("no room for it"))
+            return
         self.deferred_requests.add(frame.stream, bytes(frame.payload), self.arrival.read_ms)
         if self.deferred_requests.are_too_large:
             self.transport.pauseProducing()
@@ -237,12 +246,6 @@
         except FrameError as error:
             self.reject_input(str(error))
 
-    def _add_held_bytes(self, size_bytes):
-        """Adds to the bytes that the gateway holds for this connection; `size_bytes` may be negative."""
-        if size_bytes:
-            self.intake.held_bytes += size_bytes
-            self.intake.connection_admission.on_held_bytes_changed(self.record, size_bytes)
-
     # Answers
 
     def send_answer(self, query, code: AnswerCode, body: list[bytes]) -> None:
@@ -270,8 +273,8 @@
         if not rest:
             return
         self.unsent_bytes += len(rest)
-        self._add_held_bytes(len(rest))
-        if self.intake.held_bytes > self.intake.max_held_bytes:
+        self.memory.add(len(rest))
+        if self.intake.memory.is_exceeded:
             self.intake.metrics.count("clients not reading")
             self.intake.log("client", "client: does not read its answers; connection closed")
             self.transport.abortConnection()
@@ -282,7 +285,7 @@
 
     def resumeProducing(self):
         """Accepts deferred requests again, as the transport has sent all that was written."""
-        self._add_held_bytes(-self.unsent_bytes)
+        self.memory.add(-self.unsent_bytes)
         self.unsent_bytes = 0
         if self.is_backlogged:
             self.is_backlogged = False
@@ -376,11 +379,11 @@
     def connectionLost(self, reason):
         """Releases all that was held for the client and cancels its open queries."""
         self.is_open = False
-        self._add_held_bytes(-self.unsent_bytes - self.reader.buffered_bytes())
         self.unsent_bytes = 0
         self.reader.discard()
         for stream in list(self.deferred_requests):
             self.deferred_requests.take(stream)
+        self.memory.release()
         for timer in (self.pause_timer, self.close_timer):
             if timer is not None and timer.active():
                 timer.cancel()
--- a/lichenquay/gateway/configuration.py
+++ b/lichenquay/gateway/configuration.py
@@ -19,7 +19,7 @@
 # Path of the feature settings; unset on the platform.
 FEATURE_SETTINGS_VARIABLE = "LICHENQUAY_SETTINGS"
 PROCESS_MB = 32.0  # memory of the process without clients (docs/evaluation.md)
-MIN_CLIENT_MB = 4.0  # lower bound of the memory for clients
+MIN_CLIENT_MB = 6.0  # lower bound of the memory for clients; the largest request has room in it
 CLIENT_MEMORY_SHARE = 0.5  # of the configured memory, less that of the process
 
 
--- a/lichenquay/gateway/controller_adapter.py
+++ b/lichenquay/gateway/controller_adapter.py
@@ -7,11 +7,12 @@
 import heapq
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from lichenquay.admission import domain
 from lichenquay.gateway.frames import AnswerCode
+from lichenquay.gateway.memory_account import MemoryAccount, QueryMemory
 
 FAILED_TIMER_RETRY_MS = 250.0  # until a timer whose call raised an exception fires again
 TURN_TOLERANCE_MS = 0.01  # a scheduled turn is not moved forward by less
@@ -32,6 +33,7 @@
     requested_priority: int | None = None
     is_known_to_controller: bool = False  # it was passed to the controller
     attempt_in_flight: object = None  # the latest attempt
+    memory: QueryMemory = field(default_factory=lambda: QueryMemory(MemoryAccount(), 0))
 
 
 class QueuedEvent(NamedTuple):
@@ -166,6 +168,7 @@
         self.controller.admit(query)
 
     def _cancel(self, query):
+        query.memory.release()
         if query.is_known_to_controller:
             self.controller.on_client_gone(query)
 
@@ -285,6 +288,7 @@
         # Timers refer to a query long after its end: it must not keep the connection and the attempt alive.
         query.client = None
         query.attempt_in_flight = None
+        query.memory.release()
 
     def call_at(self, at_ms, call):
         """See GatewayPort."""
--- a/lichenquay/gateway/deferred_requests.py
+++ b/lichenquay/gateway/deferred_requests.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from lichenquay.gateway.memory_account import DEFERRED_REQUEST_BYTES
+
 MAX_DEFERRED_BYTES = 65_536  # with more than this, the connection is no longer read
 
 
@@ -14,7 +16,7 @@
 
 
 class DeferredRequests:
-    """The deferred requests of a connection by stream, oldest first. size_bytes: of all payloads."""
+    """The deferred requests of a connection by stream, oldest first. size_bytes: of all of them."""
 
     def __init__(self, on_size_changed: Callable[[int], None]):
         """Starts empty. `on_size_changed` is called with each difference in bytes."""
@@ -42,12 +44,12 @@
     def add(self, stream: int, payload: bytes, received_ms: float) -> None:
         """Adds a request."""
         self._requests[stream] = DeferredRequest(payload, received_ms)
-        self._add_size(len(payload))
+        self._add_size(len(payload) + DEFERRED_REQUEST_BYTES)
 
     def take(self, stream: int) -> DeferredRequest:
         """Removes and returns a request."""
         request = self._requests.pop(stream)
-        self._add_size(-len(request.payload))
+        self._add_size(-len(request.payload) - DEFERRED_REQUEST_BYTES)
         return request
 
     def _add_size(self, difference):
--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -47,21 +47,21 @@
         self.read_news = read_news
         self.now_ms = now_ms
 
-    def dispatch(self, in_flight: AttemptInFlight, encode: Callable[[float], bytes]) -> None:
+    def dispatch(self, in_flight: AttemptInFlight, encode_head: Callable[[float], bytes]) -> None:
         """Sends an attempt and sets the timer that cancels it at its deadline.
 
-        encode: returns the bytes of its first call, as it is sent at a time in ms.
+        encode_head: returns the head of its first call, as it is sent at a time in ms.
         """
-        self.tracker.count_dispatched()
+        self.tracker.count_dispatched(in_flight)
         self.call_at(in_flight.deadline_ms, lambda: self._on_deadline(in_flight))
-        self._post(in_flight, encode).addErrback(self.relay.on_fault, in_flight)
+        self._post(in_flight, encode_head).addErrback(self.relay.on_fault, in_flight)
 
     def _on_deadline(self, in_flight):
         if not in_flight.is_over:
             self.relay.cancel(in_flight)
 
     @inlineCallbacks
-    def _post(self, in_flight, encode):
+    def _post(self, in_flight, encode_head):
         """Sends the first call; once it has a reply, is broken or times out, the relay follows the attempt.
 
         After a time-out the call remains open: the engine may not have read it yet, and a late reply shows
@@ -75,7 +75,8 @@
             starts_attempt=True,
             address=in_flight.address,
             attempt=in_flight,
-            encode_if_authorized=lambda: self._encode_if_authorized(in_flight, encode),
+            encode_if_authorized=lambda: self._encode_if_authorized(in_flight, encode_head),
+            body=in_flight.query.statement,
             on_written=lambda: self._on_post_written(in_flight),
             on_timeout=lambda: first_outcome.callback(ReplyTimeoutError()),
         )
@@ -100,17 +101,17 @@
             in_flight.has_lost_reply = True
         yield self.relay.follow(in_flight, reply)
 
-    def _encode_if_authorized(self, in_flight, encode):
+    def _encode_if_authorized(self, in_flight, encode_head):
         """Reads what has arrived and asks whether the attempt may be sent; again after a pause in between.
 
-        Returns the bytes to send, or None.
+        Returns the head to send, or None.
         """
         for _ in range(MAX_CHECKS):
             checked_ms = self.now_ms()
             self.read_news(in_flight)
             if not self.authorize_dispatch(in_flight):
                 return None
-            data = encode(checked_ms)
+            data = encode_head(checked_ms)
             if self.now_ms() - checked_ms <= MAX_CHECK_AGE_MS:
                 return data
         return None
--- a/lichenquay/gateway/engine_call.py
+++ b/lichenquay/gateway/engine_call.py
@@ -48,6 +48,12 @@
     label = "unreadable"
 
 
+class ReplyNotKeptError(EngineCallError):
+    """A part of the reply arrived, and there was no memory to keep it until its rest comes."""
+
+    label = "not kept"
+
+
 class ReplyTimeoutError(EngineCallError):
     """No reply arrived in time on an established connection."""
 
@@ -59,7 +65,8 @@
     """One call to an engine.
 
     engine, address: the destination; the address defaults to the engine's at creation.
-    data: the bytes of the request, unless `encode_if_authorized` is given.
+    data: the bytes of the request or, with `body`, its head, unless `encode_if_authorized` is given.
+    body: the body of the request, if it is sent apart: it is never copied as a whole.
     accepts: returns whether a reply answers this call.
     is_urgent: sent before other calls, and may use reserved descriptors.
     needs_new_connection: must not be sent on an idle connection.
@@ -68,7 +75,7 @@
     on_written: called as soon as the first byte is written.
     on_timeout: if given, called when there is no reply in time; the call then remains open, as its reply
     still carries information on the attempt.
-    encode_if_authorized: returns the bytes to send, or None if the call may no longer be sent; called just
+    encode_if_authorized: returns the `data` to send, or None if the call may no longer be sent; called just
     before the first byte. It may end other calls and close idle connections.
     attempt: the attempt that the call is for; a late duplicate of a reply to another attempt may arrive on a
     connection.
@@ -86,6 +93,7 @@
     encode_if_authorized: Callable[[], bytes | None] | None = None
     address: str | None = None
     attempt: object = None
+    body: bytes = b""
     reply: Deferred = field(default_factory=Deferred)  # of a Reply
     connection: object = None  # the connection that carries the call
     last_connection: object = None  # the same, kept after the connection is released
@@ -105,7 +113,7 @@
 
     def abandon(self) -> None:
         """Ends the call without an outcome and closes its connection, as its reply is no longer needed."""
-        self.is_over = True
+        self._finish()
         if self.connection is not None:
             self.connection.abort()
 
@@ -145,8 +153,13 @@
         """
         if self.is_over:
             return
-        self.is_over = True
+        self._finish()
         if isinstance(outcome, Exception):
             self.reply.errback(outcome)
         else:
             self.reply.callback(outcome)
+
+    def _finish(self):
+        """Marks the call as over, and lets its body go: reference cycles may keep the call for a while."""
+        self.is_over = True
+        self.body = b""
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -13,9 +13,10 @@
     EngineCall,
     EngineCallError,
     NotConnectedError,
+    ReplyNotKeptError,
     UnreadableReplyError,
 )
-from lichenquay.gateway.engine_protocol import MAX_PAGE_BYTES
+from lichenquay.gateway.engine_protocol import MAX_PAGE_BYTES, acceptance_of
 from lichenquay.gateway.http import Reply, ReplyError, ReplyReader, Status
 from lichenquay.gateway.sockets import Input, read_available, send_now, unread_input
 from lichenquay.gateway.timed_client_factory import TimedClientFactory
@@ -23,12 +24,14 @@
 MAX_DUPLICATE_DELAY_S = 0.25  # of a reply that names no query: STANDING says some milliseconds
 MAX_READS_AT_ONCE = 2  # of 64 KB each; a page is shorter
 MAX_PAST_REPLIES = 32  # on one connection, of which duplicates are recognized
+MAX_JOINED_BYTES = 65_536  # of a call's body, sent together with its head
 
 
 class _PastReply(NamedTuple):
     """A reply on this connection, when it came, and the number on it of the attempt that it was for.
 
-    reply: one that names no query, else None. digest: of a result or page, else None.
+    reply: what tells which calls it could answer, of one that names no query, else None. digest: of a result
+    or page, else None.
     """
 
     received_s: float
@@ -67,6 +70,8 @@
         self._last_result: ReferenceType[Reply] | None = None
         self._attempt_number = 0  # of the attempts here: past replies must not keep attempts in memory
         self._past_replies: deque[_PastReply] = deque(maxlen=MAX_PAST_REPLIES)
+        self._unsent: list[memoryview] = []  # parts of the call that the kernel did not take yet
+        self._kept_bytes = 0  # of an incomplete reply, as counted in the account
 
     def connectionMade(self):
         """Sends the first call, if it may still be sent; else releases the connection to the pool."""
@@ -92,18 +97,45 @@
         if not call.withdraw_unless_sendable():
             return False
         # Nothing comes between the check and the system call: this process may be suspended at any point.
-        rest = send_now(self.transport, call.data)
-        if call.starts_attempt and len(rest) == len(call.data):
-            # Left to the transport, its first byte would be written later, without a check.
+        body = memoryview(call.body)
+        joined = call.data + body[:MAX_JOINED_BYTES] if body else call.data
+        sent_bytes = len(joined) - len(send_now(self.transport, joined))
+        if call.starts_attempt and not sent_bytes:
+            # Left for later, its first byte would be written without a check.
             self.call = call
             self.abort(ConnectionBrokenError("not writable"))
             return True
         self._record_sent(call)
-        if rest:
+        sent_of_body = max(0, sent_bytes - len(call.data))
+        parts = (memoryview(call.data)[sent_bytes:], body[sent_of_body:])
+        self._unsent = [part for part in parts if part]
+        self._send_unsent()
+        if self._unsent:
             self.sent_at_once = False
-            self.transport.write(bytes(rest))
+            self.transport.registerProducer(self, False)
         return True
 
+    def _send_unsent(self):
+        """Sends what the kernel takes, without a copy: the transport's buffer would be another one."""
+        while self._unsent:
+            rest = send_now(self.transport, self._unsent[0])
+            if rest:
+                self._unsent[0] = rest
+                return
+            del self._unsent[0]
+
+    def resumeProducing(self):
+        """Sends more of the call, as the kernel takes more."""
+        self._send_unsent()
+        if self._unsent:
+            self.transport.startWriting()
+        else:
+            self.transport.unregisterProducer()
+
+    def stopProducing(self):
+        """Drops the rest of the call, as the connection has ended."""
+        self._unsent = []
+
     def _record_sent(self, call):
         self.call = call
         if call.attempt is not self.attempt:
@@ -130,9 +162,21 @@
                 self._record_trailing(data)
             self.abort(UnreadableReplyError(str(error)))
             return
-        if reply is not None:
+        if not self._keep_part():
+            self.abort(ReplyNotKeptError("no memory for a part of it"))
+        elif reply is not None:
             self._on_reply(reply)
 
+    def _keep_part(self) -> bool:
+        """Counts what is kept of an incomplete reply; returns whether there is memory for it."""
+        growth = self.reader.buffered_bytes() - self._kept_bytes
+        if growth > 0 and not self.pool.memory.reserve(growth):
+            return False
+        if growth < 0:
+            self.pool.memory.add(growth)
+        self._kept_bytes += growth
+        return True
+
     def is_reply_due(self, now_s: float) -> bool:
         """Returns whether the reply to the open call was due, and has not been found overdue yet."""
         return self.call is not None and self.reply_due_s < now_s and not self.is_overdue
@@ -161,7 +205,7 @@
         reply.connection = self
         self._last_result = ReferenceType(reply) if reply.status == Status.OK else None
         if reply.status != Status.OK:
-            self._past_replies.append(_PastReply(self.pool.reactor.seconds(), self._attempt_number, reply))
+            self._remember(acceptance_of(reply), None)
         # A connection on which a reply came late is not reused, as more may come late. Nor is one after an
         # overload or error reply, which names no query: a duplicate would be taken for the reply to the next
         # POST, and would say 'never ran' of an attempt that runs.
@@ -203,15 +247,26 @@
         is_duplicate = any(
             past.digest == digest and past.attempt_number != number for past in self._past_replies
         )
-        self._past_replies.append(_PastReply(self.pool.reactor.seconds(), number, None, digest))
+        self._remember(None, digest)
         return is_duplicate
 
+    def _remember(self, reply, digest):
+        """Remembers a reply, in place of one that could only be duplicated by now if it were the last."""
+        now_s = self.pool.reactor.seconds()
+        past = self._past_replies
+        if past and past[-1].digest is None and past[-1].received_s < now_s - MAX_DUPLICATE_DELAY_S:
+            past.pop()
+        past.append(_PastReply(now_s, self._attempt_number, reply, digest))
+
     def abort(self, error: EngineCallError | None = None) -> None:
         """Closes the connection at once; its call ends with `error`."""
         # `connectionLost`, which calls this again, must not change who closed the connection.
         self.closed_locally = self.closed_locally or not self.is_closed
         call = self.call
         self.call = None
+        self._unsent = []
+        self.pool.memory.add(-self._kept_bytes)
+        self._kept_bytes = 0
         self.pool.on_connection_closed(self)
         self.transport.abortConnection()
         if call is not None:
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -12,6 +12,7 @@
 from lichenquay.admission import domain
 from lichenquay.gateway.engine_call import EngineCall, EngineCallError, NotConnectedError, ReplyTimeoutError
 from lichenquay.gateway.engine_connection import ConnectionFactory, EngineConnection
+from lichenquay.gateway.memory_account import MemoryAccount
 from lichenquay.gateway.serving_addresses import ServingAddresses
 
 # A connection is not reused for another query sooner, as a duplicate of its last reply may still arrive.
@@ -49,8 +50,14 @@
         connect_timeout_ms: float,
         reply_timeout_ms: float,
         keep_alive_ms: float,
+        memory: MemoryAccount | None = None,
     ):
-        """Creates an empty pool. `keep_alive_ms`: how long engines keep an idle connection open."""
+        """Creates an empty pool.
+
+        keep_alive_ms: how long engines keep an idle connection open. memory: the account of what is kept of
+        incomplete replies; without it, that is not limited.
+        """
+        self.memory = memory or MemoryAccount()
         self.reactor = reactor
         self.descriptor_budget = 0
         self.urgent_reserve = urgent_reserve
--- a/lichenquay/gateway/engine_protocol.py
+++ b/lichenquay/gateway/engine_protocol.py
@@ -7,12 +7,13 @@
 from typing import NamedTuple
 
 from lichenquay.admission import domain
-from lichenquay.gateway.http import Reply, Status, encode_request
+from lichenquay.gateway.http import Reply, Status, encode_request, encode_request_head
 
 MAX_PAGE_BYTES = 6_000  # PROTOCOL
 # PROTOCOL: page 0 of a result is the progress of the query until the result is there, then its first page
 POLL_PAGE = 0
 SEPARATORS_PER_ROW = 2  # PROTOCOL: rows of three columns, a tab between them
+NO_EFFECT_HEADER = "x-no-effect"
 MAX_HEADER_NUMBER = 1e12  # a larger number in a header is invalid
 PROGRESS_KINDS = {
     "share": domain.ProgressKind.PROGRESS,
@@ -40,18 +41,21 @@
 RESPONSIVE = ProgressEvent(domain.ProgressKind.RESPONSIVE, 0.0)
 
 
-def encode_start(
+def encode_start_head(
     host: str,
     request_id: str,
     group: str,
     timeout_ms: float,
     grant_mb: float,
     priority: int | None,
-    statement: bytes,
+    statement_bytes: int,
     idempotency_key: str = "",
     ordering_key: str = "",
 ) -> bytes:
-    """Encodes the call that starts an attempt. With `grant_mb` 0 or `priority` None, the engine chooses."""
+    """Encodes the head of the call that starts an attempt; its body is the statement.
+
+    With `grant_mb` 0 or `priority` None, the engine chooses.
+    """
     headers = [("X-Hop-Id", request_id), ("X-Sort", group), ("X-Budget", max(1, int(timeout_ms)))]
     if idempotency_key:  # by which engines recognize a repeated attempt
         headers.append(("X-Replay-Key", idempotency_key))
@@ -61,7 +65,7 @@
         headers.append(("X-Mem-Limit", f"{grant_mb:.1f}"))
     if priority is not None:
         headers.append(("X-Nice", priority))
-    return encode_request("POST", "/o", host, headers, statement)
+    return encode_request_head("POST", "/o", host, headers, statement_bytes)
 
 
 def encode_page(host: str, request_id: str, page: int) -> bytes:
@@ -134,7 +138,13 @@
 def is_overloaded(reply: Reply) -> bool:
     """Returns whether the engine shed the attempt and guarantees that it never ran."""
     is_busy = reply.status in (Status.SERVICE_UNAVAILABLE, Status.GATEWAY_TIMEOUT)
-    return is_busy and reply.headers.get("x-no-effect") == "1"
+    return is_busy and reply.headers.get(NO_EFFECT_HEADER) == "1"
+
+
+def acceptance_of(reply: Reply) -> Reply:
+    """Returns what tells which calls a reply other than a result could answer, without what else it holds."""
+    headers = {name: value for name, value in reply.headers.items() if name == NO_EFFECT_HEADER}
+    return Reply(reply.status, headers, reply.keep_alive)
 
 
 def page_count(reply: Reply) -> int | None:
--- a/lichenquay/gateway/http.py
+++ b/lichenquay/gateway/http.py
@@ -41,12 +41,17 @@
 
 def encode_request(verb: str, path: str, host: str, headers=(), body: bytes = b"") -> bytes:
     """Encodes a request; `headers` are (name, value) pairs."""
+    return encode_request_head(verb, path, host, headers, len(body)) + body
+
+
+def encode_request_head(verb: str, path: str, host: str, headers, body_bytes: int) -> bytes:
+    """Encodes the head of a request whose body is sent apart."""
     lines = [f"{verb} {path} HTTP/1.1\r\nHost: {host}\r\n"]
     lines += [f"{name}: {value}\r\n" for name, value in headers]
-    if body or verb in ("POST", "PUT"):
-        lines.append(f"Content-Length: {len(body)}\r\n")
+    if body_bytes or verb in ("POST", "PUT"):
+        lines.append(f"Content-Length: {body_bytes}\r\n")
     lines.append("\r\n")
-    return "".join(lines).encode("latin-1") + body
+    return "".join(lines).encode("latin-1")
 
 
 class Reply:
@@ -101,6 +106,10 @@
         self._body_length = None  # None: the body is chunked, or ends with the connection
         self._is_chunked = False
 
+    def buffered_bytes(self) -> int:
+        """Returns how many bytes of an incomplete reply are kept."""
+        return len(self._buffer or b"")
+
     @property
     def is_empty(self) -> bool:
         """Whether nothing of the next reply has been read."""
--- a/lichenquay/gateway/request_intake.py
+++ b/lichenquay/gateway/request_intake.py
@@ -11,6 +11,7 @@
 from lichenquay.gateway.client_listener import ClientListener
 from lichenquay.gateway.controller_adapter import GatewayQuery
 from lichenquay.gateway.frames import ClientRequest
+from lichenquay.gateway.memory_account import QUERY_BYTES, MemoryAccount, QueryMemory
 from lichenquay.gateway.request_errors import InvalidRequestError, RequestRejectedError
 from lichenquay.gateway.sockets import Input, read_available
 from lichenquay.gateway.statement import table_group_of
@@ -20,7 +21,6 @@
 # Idempotency and ordering keys are forwarded as HTTP headers: no character that could start another header.
 KEY_PATTERN = re.compile(r"[!-~]{0,256}\Z")
 IDLE_TIMEOUT_S = 4.5  # PROTOCOL: clients close idle connections after 4 s, but some never close theirs
-FREE_MEMORY_DIVISOR = 16  # one frame or statement may take at most the free memory divided by this
 MAX_DURATION_MS = 86_400_000.0  # a day; bounds work estimates, and time-outs where the group sets no maximum
 MAX_MEMORY_MB = 1_048_576.0  # a terabyte; bounds memory estimates
 MAX_QUOTED_CHARS = 40  # of a client's field, in an answer
@@ -46,9 +46,8 @@
 class RequestIntake(Factory):
     """The factory and registry of all client connections.
 
-    Connection admission bounds the connections to `max_connections`. What the gateway holds for clients
-    (statements of open queries, incomplete frames, deferred requests, unread answers) is bounded to
-    `max_held_bytes` in total.
+    Connection admission bounds the connections to `max_connections`. memory: the account of what the gateway
+    holds for queries; it bounds what is accepted.
     """
 
     noisy = False
@@ -62,8 +61,9 @@
         log,
         now_ms: Callable[[], float],
         is_ready: Callable[[], bool],
+        memory: MemoryAccount,
     ):
-        """Creates an intake that accepts nothing until `set_limits` is called.
+        """Creates an intake that accepts no connection until `set_limits` is called.
 
         adapter: receives the queries. is_ready: returns whether readiness checks succeed.
         """
@@ -76,14 +76,13 @@
         self.log = log
         self.now_ms = now_ms
         self.is_ready = is_ready
+        self.memory = memory
         # When what is read at a time arrived; the owner sets it if it notices pauses of this process.
         self.earliest_arrival_ms: Callable[[float], float] = lambda now_ms: now_ms
         self.connections: dict[ClientConnection, bool] = {}  # oldest first
         self.peak_connections = 0
         self.open_request_ids: dict[str, GatewayQuery] = {}
         self.max_connections = 0
-        self.max_held_bytes = 0
-        self.held_bytes = 0
         self.is_stopping = False  # new queries are rejected, as the gateway is about to exit
         self.connection_admission = decisions.ConnectionAdmission(
             limits.ConnectionRules(0, 0), self.admission_ms()
@@ -97,7 +96,7 @@
     def set_limits(self, max_held_bytes: int, rules: limits.ConnectionRules) -> None:
         """Sets the limits; connections and queries that exceed them stay open."""
         self.max_connections = rules.max_connections
-        self.max_held_bytes = max_held_bytes
+        self.memory.max_bytes = max_held_bytes
         self.connection_admission.set_rules(rules)
 
     # Connections
@@ -167,14 +166,6 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    def has_memory_for(self, size_bytes: int, held_before: int = 0) -> bool:
-        """Returns whether a frame or statement may take `size_bytes`.
-
-        `held_before` bytes of these are held already. The bound is a fraction of the free memory, so that a
-        few large requests cannot exhaust it for many small ones.
-        """
-        return size_bytes <= (self.max_held_bytes - self.held_bytes + held_before) / FREE_MEMORY_DIVISOR
-
     # Queries
 
     def make_query(
@@ -186,12 +177,10 @@
         if len(connection.open_queries) >= MAX_OPEN_QUERIES:
             raise RequestRejectedError(f"more than {MAX_OPEN_QUERIES} open requests")
         self._check_fields(request)
-        self._admit_query(connection, len(request.statement))
         group = self.groups[request.group]
-        statement = bytes(request.statement)  # copied, as it outlives the buffer
         max_timeout_ms = group.max_timeout_ms or MAX_DURATION_MS
         timeout_ms = min(max_timeout_ms, _read_number(request, "timeout_ms", 2 * max_timeout_ms))
-        return GatewayQuery(
+        query = GatewayQuery(
             id=0,
             group=group,
             arrived_ms=received_ms,
@@ -200,14 +189,19 @@
             ordering_key=request.ordering_key or "",
             estimated_work_ms=_read_number(request, "estimated_work_ms", MAX_DURATION_MS),
             estimated_memory_mb=_read_number(request, "estimated_memory_mb", MAX_MEMORY_MB),
-            table_group=table_group_of(str(statement, "utf-8", "replace")),
             has_idempotency_key=bool(request.idempotency_key),
             client=connection,
             stream=stream,
             request_id=request.request_id,
             idempotency_key=request.idempotency_key or "",
-            statement=statement,
         )
+        size_bytes = QUERY_BYTES + len(request.statement)
+        self._admit_query(connection, size_bytes)
+        query.memory = QueryMemory(self.memory, size_bytes)
+        query.statement = bytes(request.statement)  # copied, as it outlives the buffer
+        query.table_group = table_group_of(str(query.statement, "utf-8", "replace"))
+        query.memory.grow(len(query.table_group or ""))
+        return query
 
     def _check_fields(self, request):
         """Checks the fields of a request. Errors: InvalidRequestError, for the first faulty one."""
@@ -233,12 +227,12 @@
         if request.request_id in self.open_request_ids:
             raise InvalidRequestError("ref: it is open already")
 
-    def _admit_query(self, connection, statement_bytes):
+    def _admit_query(self, connection, size_bytes):
         """Has a query admitted, for which another client's may be evicted. Errors: RequestRejectedError."""
-        if not self.has_memory_for(statement_bytes):
+        if not self.memory.has_room_for_request(size_bytes):
             raise RequestRejectedError("no room for its statement")
         admission_ms = self.admission_ms()
-        decision = self.connection_admission.admit_query(connection.record, statement_bytes, admission_ms)
+        decision = self.connection_admission.admit_query(connection.record, size_bytes, admission_ms)
         if not decision.is_admitted:
             raise RequestRejectedError(
                 f"{decision.reason}; come back in {max(1.0, decision.retry_after_ms):.0f} ms"
--- a/lichenquay/gateway/result_relay.py
+++ b/lichenquay/gateway/result_relay.py
@@ -10,12 +10,14 @@
 from lichenquay.gateway.engine_call import (
     ConnectionBrokenError,
     NotConnectedError,
+    ReplyNotKeptError,
     ReplyTimeoutError,
     UnreadableReplyError,
 )
 from lichenquay.gateway.engine_evidence import TimedReply
 from lichenquay.gateway.engine_protocol import POLL_PAGE
 from lichenquay.gateway.http import Reply, Status
+from lichenquay.gateway.memory_account import MemoryAccount, result_bytes
 
 MAX_RESULT_BYTES = 48_000  # PROTOCOL
 MAX_UNREADABLE_REPLIES = 6  # to one poll or page; then the fault is the engine's, and the attempt fails
@@ -24,7 +26,7 @@
 MAX_RETRY_DELAY_MS = 400.0  # ... this, so that polls are well within the 2 s after which an engine forgets
 DEADLINE_TOLERANCE_MS = 1.0  # a cancellation this close to the deadline counts as a time-out
 
-CONNECTION_ERRORS = (ConnectionBrokenError, ReplyTimeoutError, UnreadableReplyError)
+CONNECTION_ERRORS = (ConnectionBrokenError, ReplyNotKeptError, ReplyTimeoutError, UnreadableReplyError)
 
 
 class ResultRelay:
@@ -39,10 +41,11 @@
         on_progress: Callable,
         now_ms: Callable[[], float],
         log,
+        memory: MemoryAccount,
     ):
         """Takes the callback `on_progress(attempt, kind, amount)`, called with what engines report.
 
-        evidence: tells whose replies are (`EngineEvidence`).
+        evidence: tells whose replies are (`EngineEvidence`). memory: the account of the pages of results.
         """
         self.engines = engines
         self.evidence = evidence
@@ -51,6 +54,7 @@
         self.on_progress = on_progress
         self.now_ms = now_ms
         self.log = log
+        self.memory = memory
 
     # Interface to other stages
 
@@ -58,12 +62,17 @@
     def follow(self, in_flight: AttemptInFlight, reply: Reply | None):
         """Follows an attempt from the reply to its first call, or None if that was lost, to its end."""
         self.update_priority(in_flight)  # it may have changed while the first call was open
-        while reply is None or reply.status == Status.ACCEPTED:
-            if reply and not in_flight.cancel_outcome:
-                self._report_progress(in_flight, reply)
-            reply = yield self._fetch(in_flight, POLL_PAGE)
-            if reply is None:
-                return
+        while True:
+            while reply is None or reply.status == Status.ACCEPTED:
+                if reply and not in_flight.cancel_outcome:
+                    self._report_progress(in_flight, reply)
+                reply = yield self._fetch(in_flight, POLL_PAGE)
+                if reply is None:
+                    return
+            if reply.status != Status.OK or self._reserve_result(in_flight, reply):
+                break
+            reply = None  # the engine repeats it
+            yield self._wait(in_flight, MAX_RETRY_DELAY_MS)
         if in_flight.is_ending:
             return
         if engine_protocol.is_overloaded(reply):
@@ -108,6 +117,16 @@
             self.on_progress(in_flight.attempt, progress.kind, progress.amount)
         in_flight.has_lost_reply = False
 
+    def _reserve_result(self, in_flight, first_page):
+        """Reserves the memory for a result before its pages are fetched; returns whether there is enough."""
+        page_count = engine_protocol.page_count(first_page)
+        size_bytes = result_bytes(page_count, engine_protocol.MAX_PAGE_BYTES, MAX_RESULT_BYTES)
+        if not self.memory.reserve(size_bytes):
+            self.metrics.count("results that waited for memory")
+            return False
+        in_flight.result_bytes = size_bytes
+        return True
+
     @inlineCallbacks
     def _gather(self, in_flight, reply):
         """Fetches and returns all pages of the result; None if the attempt has ended otherwise."""
--- a/lichenquay/gateway/routing.py
+++ b/lichenquay/gateway/routing.py
@@ -2,7 +2,7 @@
 
 from lichenquay.admission import domain
 from lichenquay.gateway.attempt_in_flight import AttemptInFlight
-from lichenquay.gateway.engine_protocol import encode_start
+from lichenquay.gateway.engine_protocol import encode_start_head
 
 
 class Router:
@@ -18,7 +18,11 @@
         in_flight = AttemptInFlight(attempt, attempt.sent_ms + timeout_ms)
         grant_mb = attempt.query.grant_mb
         priority = attempt.query.requested_priority
-        self.dispatcher.dispatch(in_flight, lambda now_ms: _encode(in_flight, grant_mb, priority, now_ms))
+        statement_bytes = len(attempt.query.statement)
+        self.dispatcher.dispatch(
+            in_flight,
+            lambda now_ms: _encode_head(in_flight, grant_mb, priority, statement_bytes, now_ms),
+        )
         return in_flight
 
     def set_priority(self, in_flight: AttemptInFlight, priority: int) -> None:
@@ -32,17 +36,17 @@
         self.relay.cancel(in_flight)
 
 
-def _encode(in_flight, grant_mb, priority, now_ms):
-    """Encodes the call as it is sent now: the engine gets the time that is left now."""
+def _encode_head(in_flight, grant_mb, priority, statement_bytes, now_ms):
+    """Encodes the head of the call as it is sent now: the engine gets the time that is left now."""
     query = in_flight.query
-    return encode_start(
+    return encode_start_head(
         host=in_flight.address,
         request_id=query.request_id,
         group=query.group.name,
         timeout_ms=in_flight.deadline_ms - now_ms,
         grant_mb=grant_mb,
         priority=priority,
-        statement=query.statement,
+        statement_bytes=statement_bytes,
         idempotency_key=query.idempotency_key,
         ordering_key=query.ordering_key,
     )
--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -25,6 +25,7 @@
 from lichenquay.gateway.engine_pool import EnginePool, GatewayEngine
 from lichenquay.gateway.listed_engines import ListedEngines
 from lichenquay.gateway.log import Log
+from lichenquay.gateway.memory_account import MemoryAccount
 from lichenquay.gateway.metrics import Metrics
 from lichenquay.gateway.process_pauses import ProcessPauses
 from lichenquay.gateway.request_intake import RequestIntake
@@ -107,18 +108,20 @@
 
     def _create_stages(self):
         """Creates the stages that a query passes through; each refers to the next."""
+        self.memory = MemoryAccount(0)
         self.engines = EnginePool(
             self.reactor,
             urgent_reserve=URGENT_DESCRIPTORS,
             connect_timeout_ms=self.settings.capabilities.connect_timeout_ms or DEFAULT_CONNECT_TIMEOUT_MS,
             reply_timeout_ms=REPLY_TIMEOUT_MS,
             keep_alive_ms=self.settings.engine_keepalive_ms or DEFAULT_KEEP_ALIVE_MS,
+            memory=self.memory,
         )
         self.adapter = ControllerAdapter(
             self.settings, self.reactor, self.engines, now_ms, self.metrics, self.log
         )
         self.listed_engines = ListedEngines(self.settings, self.engines, self.adapter, now_ms, self.log)
-        self.attempts = AttemptTracker(self.metrics, self.adapter.attempt_ended)
+        self.attempts = AttemptTracker(self.metrics, self.adapter.attempt_ended, self.memory)
         currency = EndpointCurrency(
             self.adapter.controller.staleness.max_unconfirmed_ms,
             min(MAX_UNCONFIRMED_MS, MAX_ANNOUNCEMENT_DELAY_MS),
@@ -135,6 +138,7 @@
             self.adapter.progress_reported,
             now_ms,
             self.log,
+            self.memory,
         )
         self.dispatcher = Dispatcher(
             self.engines,
@@ -155,7 +159,14 @@
             lambda: self.clients.listener.may_have_backlog,
         )
         self.clients = RequestIntake(
-            self.settings, self.reactor, self.adapter, self.metrics, self.log, now_ms, self.is_ready
+            self.settings,
+            self.reactor,
+            self.adapter,
+            self.metrics,
+            self.log,
+            now_ms,
+            self.is_ready,
+            self.memory,
         )
         self.clients.earliest_arrival_ms = self.pauses.earliest_arrival_ms
 
@@ -233,7 +244,7 @@
             "service",
             f"serving on {self.config.listen_address}, {len(self.engines_by_id)} engines known; "
             f"{self.engines.descriptor_budget} descriptors for engines, "
-            f"{self.clients.max_connections} for clients, {self.clients.max_held_bytes >> 20} MB for them",
+            f"{self.clients.max_connections} for clients, {self.memory.max_bytes >> 20} MB for them",
         )
 
     # Operation
@@ -265,7 +276,7 @@
         """Returns the used share of the descriptors or of the clients' memory, whichever is larger."""
         clients = self.clients
         descriptors = self.engines.open_count + len(clients.connections) + OTHER_DESCRIPTORS
-        memory_share = clients.held_bytes / max(1, clients.max_held_bytes)
+        memory_share = self.memory.held_bytes / max(1, self.memory.max_bytes)
         return max(descriptors / self.config.max_descriptors, memory_share)
 
     def reload(self) -> None:
--- a/lichenquay/gateway/service_report.py
+++ b/lichenquay/gateway/service_report.py
@@ -23,6 +23,8 @@
         f"descriptors: {len(os.listdir('/proc/self/fd'))}",
         f"cpu seconds: {time.process_time():.2f}",
         f"memory MB at most: {_peak_memory_mb()}",
+        f"bytes held for queries: {service.memory.held_bytes}",
+        f"bytes held for queries at most: {service.memory.peak_bytes}",
         f"state: {service.phase}",
         f"connection admission: {clients.connection_admission.state}",
         *_account_lines(clients.connection_admission),
--- a/tests/crossings/interleavings.py
+++ b/tests/crossings/interleavings.py
@@ -136,7 +136,7 @@
     wait(0.05)
     assert not service.metrics.counters["faults"] and not service.clients.open_request_ids
     assert all(not connection.unsent_bytes for connection in service.clients.connections)
-    assert service.clients.held_bytes == 0
+    assert service.memory.held_bytes == 0
 
 
 def assert_no_more_posts(world, seconds=0.25):
--- a/tests/crossings/test_closing.py
+++ b/tests/crossings/test_closing.py
@@ -107,7 +107,7 @@
     until(lambda: client.read() and client.ended)
     assert client.ended == "end" and read_answers(client)[1] == (frames.AnswerCode.COMPLETED, LARGE_BODY)
     until(lambda: not world.service.clients.connections)
-    assert world.service.clients.held_bytes == 0
+    assert world.service.memory.held_bytes == 0
 
 
 def test_a_client_that_never_reads_is_disconnected_at_its_deadline(make_world):
@@ -117,7 +117,7 @@
     connection.close()
     until(lambda: not world.service.clients.connections, 0.9 + 2 * client_connection.CLOSE_TIMEOUT_S)
     client.socket.close()
-    assert world.service.clients.held_bytes == 0
+    assert world.service.memory.held_bytes == 0
 
 
 def test_a_slow_reader_receives_its_answer_after_an_invalid_frame(make_world):
@@ -180,7 +180,7 @@
     assert connection.is_backlogged
     client.socket.close()
     until(lambda: not world.service.clients.connections, 1)
-    assert world.service.clients.held_bytes == 0
+    assert world.service.memory.held_bytes == 0
 
 
 @pytest.mark.parametrize("requests_before", [0, 2])
@@ -212,7 +212,7 @@
     )  # once the client reads, deferred requests are accepted
     client.socket.close()
     wait_until_complete(world)
-    until(lambda: world.service.clients.held_bytes == 0)
+    until(lambda: world.service.memory.held_bytes == 0)
 
 
 def test_a_partial_frame_on_a_closing_connection_holds_no_memory(make_world):
@@ -221,13 +221,13 @@
     client = SocketClient(world.port)
     connection = wait_for_connection(world)
     client.socket.sendall((200).to_bytes(4, "little") + b"\2\1\0")
-    until(lambda: world.service.clients.held_bytes)
+    until(lambda: world.service.memory.held_bytes)
     connection.close()
     client.socket.sendall(b"\0" * 50)
     until(lambda: client.read() or client.ended)
     client.socket.close()
     until(lambda: not world.service.clients.connections)
-    assert world.service.clients.held_bytes == 0 and counter(world, "queries received") == 0
+    assert world.service.memory.held_bytes == 0 and counter(world, "queries received") == 0
 
 
 def test_rejections_for_lack_of_capacity_close_no_connection(make_world, monkeypatch):
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -12,6 +12,7 @@
 from lichenquay.connection_admission import decisions, limits
 from lichenquay.gateway import frames
 from lichenquay.gateway.client_connection import ClientConnection
+from lichenquay.gateway.memory_account import QUERY_BYTES, MemoryAccount
 from lichenquay.gateway.request_errors import InvalidRequestError
 
 
@@ -149,10 +150,8 @@
         now_ms=lambda: 0.0,
         earliest_arrival_ms=lambda now_ms: now_ms,
         seconds=lambda: clock.now,
-        held_bytes=0,
-        max_held_bytes=1 << 20,
+        memory=MemoryAccount(1 << 20),
         is_stopping=False,
-        has_memory_for=lambda *size: True,
         open_request_ids={},
         reactor=SimpleNamespace(callLater=lambda delay_s, call: timers.append(call) or timers),
         metrics=SimpleNamespace(count=lambda name: None),
@@ -247,12 +246,10 @@
         now_ms=lambda: 0.0,
         earliest_arrival_ms=lambda now_ms: now_ms,
         seconds=lambda: 0.0,
-        held_bytes=0,
-        max_held_bytes=32 << 20,
+        memory=MemoryAccount(32 << 20),
         is_stopping=False,
         metrics=SimpleNamespace(count=lambda name: None),
         log=lambda kind, text: None,
-        has_memory_for=lambda *size: True,
     )
     connection, actions = ClientConnection(intake, "127.0.0.1"), []
     kernel = SimpleNamespace(remaining_sends=1)
@@ -279,6 +276,7 @@
     assert written_bytes <= 32 << 20 and kernel.remaining_sends == 0
     for stream in (1, 2):  # requests are deferred; beyond a bound the connection is not read
         assert actions[-1] == "abort"
+        intake.memory.max_bytes = 64 << 20
         connection.dataReceived(frames.encode_frame(frames.FrameType.QUERY, stream, b"x" * 40_000))
     assert actions[-1] == "pause" and list(connection.deferred_requests) == [1, 2]
     connection.dataReceived(
@@ -286,14 +284,14 @@
     )
     assert not connection.deferred_requests
     connection.resumeProducing()
-    assert intake.held_bytes == 0 and actions[-1] == "resume"
+    assert intake.memory.held_bytes == 0 and actions[-1] == "resume"
 
 
 def test_what_is_held_for_clients_is_bounded(make_world):
     """Long statements or incomplete frames must not exhaust the memory; short requests are accepted."""
     world = make_world(engines=1)
-    client, intake, long_statement = world.client(), world.service.clients, STATEMENT + b" " * 200_000
-    intake.max_held_bytes = 3_400_000  # allows one long statement or frame at a time
+    client, memory, long_statement = world.client(), world.service.memory, STATEMENT + b" " * 200_000
+    memory.max_bytes = 4_800_000  # three quarters allow one long statement or frame at a time
     world.engines[0].behaviours = ["hold"]
     first = client.ask("report", ref=f"{0:016x}", statement=long_statement)
     until(lambda: world.posts() == 1)
@@ -302,18 +300,18 @@
         answered(client, second)[0] == frames.AnswerCode.REJECTED
         and answered(client, third)[0] == frames.AnswerCode.COMPLETED
     )
-    assert intake.held_bytes == len(long_statement)
+    assert memory.held_bytes == QUERY_BYTES + len(long_statement) + len("17")
     world.engines[0].running[f"{0:016x}"] = "ok"
-    assert answered(client, first)[0] == frames.AnswerCode.COMPLETED and intake.held_bytes == 0
+    assert answered(client, first)[0] == frames.AnswerCode.COMPLETED and memory.held_bytes == 0
     senders = [world.client() for _ in range(3)]  # of incomplete frames
     for sender in senders:
         sender.transport.write((262_144).to_bytes(4, "little") + b"\2\1\0\0\0" + b"x" * 205_000)
     until(lambda: any(sender.is_closed for sender in senders))
     assert answered(client, client.ask())[0] == frames.AnswerCode.COMPLETED  # a short request is accepted
-    assert sum(sender.is_closed for sender in senders) < 3 and 0 < intake.held_bytes <= intake.max_held_bytes
+    assert sum(sender.is_closed for sender in senders) < 3 and 0 < memory.held_bytes <= memory.max_bytes
     for sender in senders:
         sender.transport.abortConnection()
-    until(lambda: intake.held_bytes == 0)
+    until(lambda: memory.held_bytes == 0)
     assert answered(client, client.ask())[0] == frames.AnswerCode.COMPLETED
 
 
--- a/tests/test_gateway_program.py
+++ b/tests/test_gateway_program.py
@@ -76,7 +76,7 @@
     before = (
         world.service.config.discovery_address,
         world.service.clients.max_connections,
-        world.service.clients.max_held_bytes,
+        world.service.memory.max_bytes,
     )
     for invalid_config in (
         "{",
@@ -90,7 +90,7 @@
         assert (
             world.service.config.discovery_address,
             world.service.clients.max_connections,
-            world.service.clients.max_held_bytes,
+            world.service.memory.max_bytes,
         ) == before
     world.path.write_text(json.dumps(new_config))
     world.engines[0].behaviours = world.engines[1].behaviours = ["hold"]
@@ -99,7 +99,7 @@
     world.service.reload()
     assert (
         world.service.clients.max_connections,
-        world.service.clients.max_held_bytes,
+        world.service.memory.max_bytes,
         world.service.engines.descriptor_budget,
     ) == (62, 16 << 20, 52)
     until(lambda: other.connections and not old.connections, 0.5)
