Let an ended query go: cancel its timers, and keep it by no call or connection

Cause, by weak references and gc.get_referrers after each kind of end: the timers of a query's deadline, of each wait and of its attempt's deadline stayed until they were due, up to 25 s, and the query with them. So did calls that wait for a descriptor, the factory of each engine connection (by its first call), and each connection (by the attempt of its last call).

Change: call_at returns a ScheduledCall. Query.end, now the one place that sets is_done, cancels the query's; the end of an attempt cancels its own. A call that is over lets go of what it refers to and leaves the queue; a connection knows an attempt by a key. This works however a query ends, as all ends pass through these two places.

The fakes of the controller's port return the scheduled call.

--- a/lichenquay/admission/controller.py
+++ b/lichenquay/admission/controller.py
@@ -282,7 +282,7 @@
         self.subset.record_query(now_ms)
         self.engine_load.record_query(query)
         self.constrained_groups.record_query(query)
-        self.port.call_at(query.deadline_ms, lambda: self.give_final_answer(query))
+        query.timers.append(self.port.call_at(query.deadline_ms, lambda: self.give_final_answer(query)))
         self.key_ordering.submit(query)
         self.health_checks.on_query_admitted(now_ms)
         self.ticker.schedule(now_ms)
--- a/lichenquay/admission/domain.py
+++ b/lichenquay/admission/domain.py
@@ -10,6 +10,8 @@
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
+from lichenquay.admission.scheduled_call import ScheduledCall
+
 
 class Effect(StrEnum):
     """What a query does to data, which determines whether it may be retried."""
@@ -168,6 +170,14 @@
     counts_over_quota: bool = False
     priority: Priority | None = None  # priority of its latest attempt; None: never set
     is_first_for_key: bool = False  # all earlier queries of its ordering key have ended
+    timers: list[ScheduledCall] = field(default_factory=list)  # its deadline, and the ends of its waits
+
+    def end(self) -> None:
+        """Marks the query as done, and cancels what was scheduled for it, which would keep it."""
+        self.is_done = True
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
 
     @property
     def effect(self):
--- a/lichenquay/admission/ports.py
+++ b/lichenquay/admission/ports.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from lichenquay.admission.domain import Attempt, Engine, ExecutionCost, ProgressKind, Query
+from lichenquay.admission.scheduled_call import ScheduledCall
 
 
 class GatewayPort(Protocol):
@@ -31,8 +32,8 @@
     def fail(self, query: Query) -> None:
         """Answers that the query failed."""
 
-    def call_at(self, at_ms: float, call: Callable[[], None]) -> None:
-        """Schedules one call at the given time or later."""
+    def call_at(self, at_ms: float, call: Callable[[], None]) -> ScheduledCall:
+        """Schedules one call at the given time or later; the caller may cancel it."""
 
     def send_health_check(self, engine: Engine) -> None:
         """Sends a health check; its result is reported by `AdmissionPort.on_health_check`."""
--- a/lichenquay/admission/query_dispatcher.py
+++ b/lichenquay/admission/query_dispatcher.py
@@ -50,7 +50,7 @@
             return
         self.waiting.add(query)
         waits_until_ms = now_ms + (query.deadline_ms - query.arrived_ms) / WAITING_TIME_DIVISOR
-        self.port.call_at(waits_until_ms, lambda: self._end_wait(query))
+        query.timers.append(self.port.call_at(waits_until_ms, lambda: self._end_wait(query)))
 
     def _end_wait(self, query: Query) -> None:
         if self.waiting.contains(query):
--- a/lichenquay/admission/table_affinity.py
+++ b/lichenquay/admission/table_affinity.py
@@ -13,6 +13,7 @@
 
 ENGINES_PER_ROLE = 2  # number of preferred engines for readers, and for bulk loads
 MAX_TABLE_GROUPS = 4096  # limit on table groups whose preferred engines are cached
+MAX_CACHED_LENGTH = 32  # of a table group, in characters; clients may name longer ones
 # Weights are multiplied by the number of engines over this divisor. Whatever their number, the preferred
 # engines then get about a third of the draws.
 PREFERRED_SHARE_DIVISOR = 5
@@ -45,14 +46,16 @@
 
     def preferred_engines(self, table_group: str) -> PreferredEngines:
         """Returns the first engines of the group's ranking for readers, and the last for bulk loads."""
-        if table_group not in self.preferred:
+        preferred = self.preferred.get(table_group)
+        if preferred is not None:
+            return preferred
+        ranked = sorted(self.registry.states.values(), key=affinity_key(table_group))
+        preferred = PreferredEngines(ranked[:ENGINES_PER_ROLE], ranked[-ENGINES_PER_ROLE:])
+        if len(table_group) <= MAX_CACHED_LENGTH:
             if len(self.preferred) >= MAX_TABLE_GROUPS:
                 self.preferred.clear()
-            ranked = sorted(self.registry.states.values(), key=affinity_key(table_group))
-            self.preferred[table_group] = PreferredEngines(
-                ranked[:ENGINES_PER_ROLE], ranked[-ENGINES_PER_ROLE:]
-            )
-        return self.preferred[table_group]
+            self.preferred[table_group] = preferred
+        return preferred
 
     def raise_weights(
         self, table_group: str, is_bulk_load: bool, states: list[EngineState], weights: list[float]
--- a/lichenquay/gateway/attempt_in_flight.py
+++ b/lichenquay/gateway/attempt_in_flight.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from lichenquay.admission import domain
+from lichenquay.admission.scheduled_call import ScheduledCall
 from lichenquay.gateway import engine_protocol
 from lichenquay.gateway.attempt_lifecycle import AttemptLifecycle
 from lichenquay.gateway.memory_account import MemoryAccount
@@ -21,15 +22,19 @@
     late_reply: the reply to the first call, if it arrived after polling had begun.
     has_lost_reply: a reply to a call was lost, possibly with a progress event.
     pauses: waits between two calls for the attempt.
+    deadline_timer: cancels the attempt at its deadline.
+    call_key: what its calls are told from others' by; connections remember it beyond the attempt's end.
     result_bytes: what is reserved for the pages of its result.
     """
 
     __slots__ = (
         "address",
         "attempt",
+        "call_key",
         "cancel_outcome",
         "connection",
         "deadline_ms",
+        "deadline_timer",
         "engine",
         "first_call",
         "has_lost_reply",
@@ -65,6 +70,8 @@
         self.is_sending_priority = False
         self.pauses: set[Deferred] = set()
         self.result_bytes = 0
+        self.deadline_timer: ScheduledCall | None = None
+        self.call_key = object()
 
     @property
     def is_ending(self) -> bool:
@@ -118,6 +125,9 @@
         in_flight.connection = None
         in_flight.late_reply = None
         in_flight.abandon_first_call()
+        if in_flight.deadline_timer is not None:
+            in_flight.deadline_timer.cancel()
+            in_flight.deadline_timer = None
         in_flight.query.memory.release()
         # The pages are given away at once: what the kernel does not take of the answer counts for its client.
         self.memory.add(-in_flight.result_bytes)
--- a/lichenquay/gateway/controller_adapter.py
+++ b/lichenquay/gateway/controller_adapter.py
@@ -4,15 +4,16 @@
 instructions (`GatewayPort`) are carried out at once.
 """
 
-import heapq
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from lichenquay.admission import domain
+from lichenquay.admission.scheduled_call import ScheduledCall
 from lichenquay.gateway.frames import AnswerCode
 from lichenquay.gateway.memory_account import MemoryAccount, QueryMemory
+from lichenquay.gateway.timer_queue import TimerQueue
 
 FAILED_TIMER_RETRY_MS = 250.0  # until a timer whose call raised an exception fires again
 TURN_TOLERANCE_MS = 0.01  # a scheduled turn is not moved forward by less
@@ -43,14 +44,6 @@
     arguments: tuple
 
 
-class Timer(NamedTuple):
-    """A call that is due at a time; `number` keeps calls with the same time in order."""
-
-    due_ms: float
-    number: int
-    call: Callable[[], None]
-
-
 class ControllerAdapter:
     """Implements `GatewayPort` and queues the controller's events.
 
@@ -72,8 +65,7 @@
         self.open_queries: set[GatewayQuery] = set()
         self.last_query_id = 0
         self.events: list[QueuedEvent] = []
-        self.timers: list[Timer] = []  # a heap
-        self.last_timer_number = 0
+        self.timers = TimerQueue()
         self.next_turn = None  # the reactor's timer ...
         self.next_turn_ms = 0.0  # ... and when it is due
         self.now_ms = now_ms()
@@ -93,7 +85,7 @@
         """Ends a query whose client has cancelled it or closed the connection."""
         if query.is_done:
             return
-        query.is_done = True
+        query.end()
         self.open_queries.discard(query)
         if self.quota is not None:
             self.quota.settle_not_completed(query)
@@ -194,15 +186,15 @@
         self.events = []
         for event in events:
             self._call_guarded(event.call, event.arguments)
-        due_calls = []  # calls that these schedule are left for a later turn
-        while self.timers and self.timers[0].due_ms <= now_ms:
-            due_calls.append(heapq.heappop(self.timers).call)
-        for call in due_calls:
-            self._call_guarded(call, ())
+        for scheduled in self.timers.pop_due(now_ms):  # calls that these schedule are left for a later turn
+            call = scheduled.take()
+            if call is not None:
+                self._call_guarded(call, ())
+        next_due_ms = self.timers.next_due_ms()
         if self.events:
             self.schedule_turn(now_ms + self.min_loop_interval_ms)
-        elif self.timers:
-            self.schedule_turn(max(self.timers[0].due_ms, now_ms + self.min_loop_interval_ms))
+        elif next_due_ms is not None:
+            self.schedule_turn(max(next_due_ms, now_ms + self.min_loop_interval_ms))
 
     def schedule_turn(self, at_ms: float) -> None:
         """Schedules a turn at `at_ms`, unless an earlier one is scheduled."""
@@ -280,21 +272,19 @@
         """Sends the final answer of a query, unless it has been answered or cancelled."""
         if query.is_done:
             return
-        query.is_done = True
+        query.end()
         self.open_queries.discard(query)
         if self.quota is not None and code != AnswerCode.COMPLETED:
             self.quota.settle_not_completed(query)
         query.client.send_answer(query, code, body)
-        # Timers refer to a query long after its end: it must not keep the connection and the attempt alive.
         query.client = None
         query.attempt_in_flight = None
         query.memory.release()
 
-    def call_at(self, at_ms, call):
+    def call_at(self, at_ms: float, call: Callable[[], None]) -> ScheduledCall:
         """See GatewayPort."""
-        self.last_timer_number += 1
-        heapq.heappush(self.timers, Timer(at_ms, self.last_timer_number, call))
         self.schedule_turn(max(at_ms, self.now_ms + self.min_loop_interval_ms))
+        return self.timers.schedule(at_ms, call)
 
     def send_health_check(self, engine):
         """See GatewayPort. Does nothing: PROTOCOL has no health check."""
--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -53,13 +53,9 @@
         encode_head: returns the head of its first call, as it is sent at a time in ms.
         """
         self.tracker.count_dispatched(in_flight)
-        self.call_at(in_flight.deadline_ms, lambda: self._on_deadline(in_flight))
+        in_flight.deadline_timer = self.call_at(in_flight.deadline_ms, lambda: self.relay.cancel(in_flight))
         self._post(in_flight, encode_head).addErrback(self.relay.on_fault, in_flight)
 
-    def _on_deadline(self, in_flight):
-        if not in_flight.is_over:
-            self.relay.cancel(in_flight)
-
     @inlineCallbacks
     def _post(self, in_flight, encode_head):
         """Sends the first call; once it has a reply, is broken or times out, the relay follows the attempt.
@@ -74,7 +70,7 @@
             is_poll_reply,
             starts_attempt=True,
             address=in_flight.address,
-            attempt=in_flight,
+            attempt=in_flight.call_key,
             encode_if_authorized=lambda: self._encode_if_authorized(in_flight, encode_head),
             body=in_flight.query.statement,
             on_written=lambda: self._on_post_written(in_flight),
--- a/lichenquay/gateway/engine_call.py
+++ b/lichenquay/gateway/engine_call.py
@@ -77,8 +77,8 @@
     still carries information on the attempt.
     encode_if_authorized: returns the `data` to send, or None if the call may no longer be sent; called just
     before the first byte. It may end other calls and close idle connections.
-    attempt: the attempt that the call is for; a late duplicate of a reply to another attempt may arrive on a
-    connection.
+    attempt: identifies the attempt that the call is for; a late duplicate of a reply to another attempt may
+    arrive on a connection.
     """
 
     engine: domain.Engine
@@ -94,6 +94,7 @@
     address: str | None = None
     attempt: object = None
     body: bytes = b""
+    on_over: Callable[["EngineCall"], None] | None = None  # set while the call waits for a descriptor
     reply: Deferred = field(default_factory=Deferred)  # of a Reply
     connection: object = None  # the connection that carries the call
     last_connection: object = None  # the same, kept after the connection is released
@@ -160,6 +161,12 @@
             self.reply.callback(outcome)
 
     def _finish(self):
-        """Marks the call as over, and lets its body go: reference cycles may keep the call for a while."""
+        """Marks the call as over, and lets go of what it refers to, as reference cycles may keep it."""
         self.is_over = True
         self.body = b""
+        self.encode_if_authorized = None
+        self.on_written = None
+        self.on_timeout = None
+        if self.on_over is not None:
+            self.on_over(self)
+            self.on_over = None
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -301,7 +301,9 @@
     def buildProtocol(self, address):
         """Returns the protocol of the connection, which is up."""
         self.stop_timer()
-        return EngineConnection(self.pool, self.call)
+        call = self.call
+        self.call = None  # the reactor keeps the factory as long as the connection
+        return EngineConnection(self.pool, call)
 
     def clientConnectionFailed(self, connector, reason):
         """Ends the call if the connection was refused or timed out; else the pool may try another connection.
--- a/lichenquay/gateway/engine_pool.py
+++ b/lichenquay/gateway/engine_pool.py
@@ -4,7 +4,7 @@
 may have later.
 """
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from operator import attrgetter
@@ -65,7 +65,7 @@
         self.reply_timeout_ms = reply_timeout_ms
         self.max_idle_s = keep_alive_ms * KEEP_ALIVE_FRACTION / 1000
         self.stale_after_s = self.max_idle_s  # connections idle for longer may be closing and are not reused
-        self.waiting_calls: deque[EngineCall] = deque()
+        self.waiting_calls: OrderedDict[EngineCall, None] = OrderedDict()  # the next one first
         self.connections: set[EngineConnection] = set()
         self.addresses = ServingAddresses()
         self.open_count = 0  # connections established or being established
@@ -118,9 +118,10 @@
     def send_waiting(self) -> None:
         """Sends the calls that wait for a descriptor, in order, as far as the budget allows."""
         while self.waiting_calls:
-            call = self.waiting_calls.popleft()
+            call, _ = self.waiting_calls.popitem(last=False)
+            call.on_over = None
             if not self._try_to_send(call):
-                self.waiting_calls.appendleft(call)
+                self._queue(call, is_next=True)
                 return
 
     def check_connections(self) -> None:
@@ -189,12 +190,18 @@
 
     def _submit(self, call):
         """Sends a call or queues it, at the head of the queue if it is urgent."""
-        if self._try_to_send(call):
-            return
-        if call.is_urgent:
-            self.waiting_calls.appendleft(call)
-        else:
-            self.waiting_calls.append(call)
+        if not self._try_to_send(call):
+            self._queue(call, is_next=call.is_urgent)
+
+    def _queue(self, call, is_next):
+        """Lets a call wait, before or after all others, until it is sent or over."""
+        self.waiting_calls[call] = None
+        call.on_over = self._remove_waiting
+        if is_next:
+            self.waiting_calls.move_to_end(call, last=False)
+
+    def _remove_waiting(self, call):
+        self.waiting_calls.pop(call, None)
 
     def _try_to_send(self, call):
         """Sends a call on an idle or a new connection; returns False if it has to wait for a descriptor."""
--- a/lichenquay/gateway/result_relay.py
+++ b/lichenquay/gateway/result_relay.py
@@ -327,7 +327,7 @@
                 data,
                 engine_protocol.is_acknowledgement,
                 address=in_flight.address,
-                attempt=in_flight,
+                attempt=in_flight.call_key,
             )
             try:
                 yield call.reply
@@ -366,7 +366,7 @@
             preferred_connection=in_flight.connection,
             on_written=on_written,
             address=in_flight.address,
-            attempt=in_flight,
+            attempt=in_flight.call_key,
         )
         try:
             reply = yield call.reply
--- a/lichenquay/simulator_adapter/simulated_gateway.py
+++ b/lichenquay/simulator_adapter/simulated_gateway.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 
 from lichenquay.admission.domain import Attempt, Engine, Query
+from lichenquay.admission.scheduled_call import ScheduledCall
 from lichenquay.deployment_settings import DeploymentSettings, SettingsError, SettingsSection
 from lichenquay.settings_section import MICROSECONDS_PER_MS
 from lichenquay.simulator_adapter.codec import (
@@ -33,7 +34,7 @@
         self.output: list[str] = []  # lines to send to the simulator
         self.queries: dict[int, Query] = {}
         self.engines: dict[str, Engine] = {}
-        self.timers: dict[str, Callable[[], None]] = {}
+        self.timers: dict[str, ScheduledCall] = {}
         self.last_timer_number = 0
 
     # Messages of the simulator
@@ -99,13 +100,13 @@
         """
         attempt = self._attempt_of(line, must_exist=True)
         if attempt is not None:
-            attempt.query.is_done = True
+            attempt.query.end()
 
     def on_abandoned(self, line: WireLine) -> None:
         """Handles a client that has gone."""
         query = self.queries.get(line.integer("req"))
         if query is not None and not query.is_done:
-            query.is_done = True
+            query.end()
             self.controller.on_client_gone(query)
             self._forget_if_over(query)
 
@@ -200,22 +201,24 @@
 
     def reject(self, query: Query, retry_after_ms: float) -> None:
         """See `GatewayPort`."""
-        query.is_done = True
+        query.end()
         self.output.append(f"reject\treq={query.id}\tpause_us={microseconds(retry_after_ms)}")
         self._forget_if_over(query)
 
     def fail(self, query: Query) -> None:
         """See `GatewayPort`."""
-        query.is_done = True
+        query.end()
         self.output.append(f"finish_error\treq={query.id}")
         self._forget_if_over(query)
 
-    def call_at(self, at_ms: float, call: Callable[[], None]) -> None:
+    def call_at(self, at_ms: float, call: Callable[[], None]) -> ScheduledCall:
         """See `GatewayPort`; the time is rounded up, because a timer must not fire early."""
         self.last_timer_number += 1
-        self.timers[str(self.last_timer_number)] = call
+        scheduled = ScheduledCall(call)
+        self.timers[str(self.last_timer_number)] = scheduled
         when_us = math.ceil(at_ms * MICROSECONDS_PER_MS)
         self.output.append(f"after\tcookie={self.last_timer_number}\twhen_us={when_us}")
+        return scheduled
 
     def send_health_check(self, engine: Engine) -> None:
         """See `GatewayPort`."""
--- a/lichenquay/testbed/scale/lightweight_controller.py
+++ b/lichenquay/testbed/scale/lightweight_controller.py
@@ -84,7 +84,7 @@
     def answer(self, q, code, body):
         """Counts the answer by its code, once for each query."""
         if not q.is_done:
-            q.is_done = True
+            q.end()
             self.open_queries.discard(q)
             self.metrics.count(ANSWERS[code])
 
--- a/lichenquay/testbed/scale/probes/virtual_gateway.py
+++ b/lichenquay/testbed/scale/probes/virtual_gateway.py
@@ -7,6 +7,7 @@
 
 from lichenquay.admission import domain
 from lichenquay.admission.controller import Controller
+from lichenquay.admission.scheduled_call import ScheduledCall
 from lichenquay.testbed.scale.sample import Stopwatch
 
 # As planned; a gateway's share of an engine depends on it.
@@ -100,7 +101,8 @@
     def _finish(self, attempt: domain.Attempt) -> None:
         if attempt.outcome is not None or attempt.query.is_done:
             return
-        attempt.outcome, attempt.query.is_done = domain.Outcome.COMPLETED, True
+        attempt.outcome = domain.Outcome.COMPLETED
+        attempt.query.end()
         self.finished += 1
         with self.query_stopwatch.running():
             self.controller.on_attempt_ended(attempt, self.now_ms - attempt.sent_ms, None, REPORTED_LOAD)
@@ -115,10 +117,12 @@
         self.at(self.now_ms + elapsed_ms, lambda: self._finish(attempt))
         return attempt
 
-    def call_at(self, at_ms: float, call: Callable[[], None]) -> None:
+    def call_at(self, at_ms: float, call: Callable[[], None]) -> ScheduledCall:
         """Schedules a timer of the controller; its ticks are measured apart."""
         stopwatch = self.tick_stopwatch if call == self.controller.tick else self.query_stopwatch
-        self.at(max(at_ms, self.now_ms + STEP_MS), lambda: self._run_timed(stopwatch, call))
+        scheduled = ScheduledCall(call)
+        self.at(max(at_ms, self.now_ms + STEP_MS), lambda: self._run_timed(stopwatch, scheduled))
+        return scheduled
 
     @staticmethod
     def _run_timed(stopwatch: Stopwatch, call: Callable[[], None]) -> None:
@@ -127,7 +131,7 @@
 
     def fail(self, q: domain.Query) -> None:
         """Ends the query without an answer of an engine."""
-        q.is_done = True
+        q.end()
         self.rejected += 1
 
     def reject(self, q: domain.Query, pause_ms: float) -> None:
--- a/tests/admission_fakes.py
+++ b/tests/admission_fakes.py
@@ -20,6 +20,7 @@
     ResourceGroup,
     SafetyLimits,
 )
+from lichenquay.admission.scheduled_call import ScheduledCall
 
 ZONE = "a"  # the gateway's zone
 MIN_LOOP_INTERVAL_MS = 5.0
@@ -247,7 +248,7 @@
         assert self.now_ms <= query.deadline_ms + self.limits.answer_slack_ms, (
             "rule 1: final answer after the deadline"
         )
-        query.is_done = True
+        query.end()
         self.answers[query.id] = answer
 
     def set_grant(self, query, memory_mb, priority):
@@ -263,7 +264,10 @@
     def call_at(self, at_ms, call):
         """Schedules the call, in the next event loop iteration at the earliest."""
         self.timer_count += 1
-        heapq.heappush(self.timers, (max(at_ms, self.now_ms + MIN_LOOP_INTERVAL_MS), self.timer_count, call))
+        scheduled = ScheduledCall(call)
+        due_ms = max(at_ms, self.now_ms + MIN_LOOP_INTERVAL_MS)
+        heapq.heappush(self.timers, (due_ms, self.timer_count, scheduled))
+        return scheduled
 
     def send_health_check(self, engine_):
         """Records the check for the tests, which answer it."""
--- a/tests/test_admission_rules.py
+++ b/tests/test_admission_rules.py
@@ -29,6 +29,7 @@
 from lichenquay.admission.priorities import priority_of
 from lichenquay.admission.process_pause import Ticker
 from lichenquay.admission.retry_policy import RetryPolicy
+from lichenquay.admission.scheduled_call import ScheduledCall
 from lichenquay.admission.sliding_window import SlidingWindow
 from lichenquay.admission.slow_start import SlowStart
 from lichenquay.admission.tenant_quota import TenantQuota
@@ -75,7 +76,9 @@
 
     def call_at(self, at_ms, call):
         """Records the timer for the test."""
-        self.timers.append((at_ms, call))
+        scheduled = ScheduledCall(call)
+        self.timers.append((at_ms, scheduled))
+        return scheduled
 
 
 def test_placement_requires_an_allowed_zone_and_kind():
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -25,6 +25,7 @@
     ResourceGroup,
     SafetyLimits,
 )
+from lichenquay.admission.scheduled_call import ScheduledCall
 from lichenquay.admission.sliding_window import SlidingWindow
 
 CORES = 8.0
@@ -120,7 +121,7 @@
     def _answer(self, query):
         assert not query.is_done and query in self.open_queries, "two final answers"
         assert self.now_ms <= query.deadline_ms + ANSWER_SLACK_MS, "an answer after its deadline"
-        query.is_done = True
+        query.end()
         self.open_queries.discard(query)
 
     def reject(self, query, retry_after_ms):
@@ -133,7 +134,9 @@
 
     def call_at(self, at_ms, call):
         """Schedules the call after at least one loop iteration, unless this gateway has gone by then."""
-        self.fleet.call_at(max(at_ms, self.now_ms + 5.0), lambda: self.is_gone or call())
+        scheduled = ScheduledCall(call)
+        self.fleet.call_at(max(at_ms, self.now_ms + 5.0), lambda: self.is_gone or scheduled())
+        return scheduled
 
     def set_grant(self, query, memory_mb, priority):
         """Does nothing; the engines use no grants."""
