Take no attempt for over before its connection must have come up at the engine

Cause: UNKNOWN_LONG_AFTER_POST counted two replies 'unknown' from 500 ms after the POST, by the longest delay that had been seen. Judged likewise: UNKNOWN_AFTER_DISCONNECT took a reset before the connection was up for the end of what was written on it, and FORGOTTEN counted from when a call was written, not from when it may have come. The end counted as failed, which lets the next query of a key go without a rest.

An attempt whose end was not reported is reset.

--- a/lichenquay/gateway/dispatch.py
+++ b/lichenquay/gateway/dispatch.py
@@ -73,7 +73,7 @@
             attempt=in_flight.call_key,
             encode_if_authorized=lambda: self._encode_if_authorized(in_flight, encode_head),
             body=in_flight.query.statement,
-            on_written=lambda: self._on_post_written(in_flight),
+            on_written=lambda is_new_connection: self._on_post_written(in_flight, is_new_connection),
             on_timeout=lambda: first_outcome.callback(ReplyTimeoutError()),
         )
         in_flight.first_call.reply.addCallbacks(
@@ -112,9 +112,9 @@
                 return data
         return None
 
-    def _on_post_written(self, in_flight):
+    def _on_post_written(self, in_flight, is_new_connection):
         now_ms = self.now_ms()
-        in_flight.lifecycle.on_post_written(now_ms)
+        in_flight.lifecycle.on_post_written(now_ms, is_new_connection)
         in_flight.engine.last_attempt_ms = now_ms
 
     def _on_reply(self, in_flight, first_outcome, reply):
--- a/lichenquay/gateway/engine_call.py
+++ b/lichenquay/gateway/engine_call.py
@@ -72,7 +72,7 @@
     needs_new_connection: must not be sent on an idle connection.
     starts_attempt: starts work at the engine, which must be serving.
     preferred_connection: the connection of the attempt's last reply.
-    on_written: called as soon as the first byte is written.
+    on_written: called as soon as the first byte is written, with whether the connection is a new one.
     on_timeout: if given, called when there is no reply in time; the call then remains open, as its reply
     still carries information on the attempt.
     encode_if_authorized: returns the `data` to send, or None if the call may no longer be sent; called just
@@ -88,7 +88,7 @@
     needs_new_connection: bool = False
     starts_attempt: bool = False
     preferred_connection: object = None
-    on_written: Callable[[], None] | None = None
+    on_written: Callable[[bool], None] | None = None
     on_timeout: Callable[[], None] | None = None
     encode_if_authorized: Callable[[], bytes | None] | None = None
     address: str | None = None
--- a/lichenquay/gateway/engine_connection.py
+++ b/lichenquay/gateway/engine_connection.py
@@ -47,6 +47,7 @@
     attempt: the attempt of the last call.
     sent_at_once: the kernel accepted each call completely at once.
     is_overdue: the call has timed out, but its reply may still arrive.
+    has_replied: it has brought a reply, and so is certainly up at the engine.
     closed_locally: the gateway closed the connection, which therefore cannot show the end of the engine's
     process.
     """
@@ -66,6 +67,7 @@
         self.is_overdue = False
         self.is_closed = False
         self.closed_locally = False
+        self.has_replied = False
         # A result or page, if that is the last reply; it must not be kept in memory.
         self._last_result: ReferenceType[Reply] | None = None
         self._attempt_number = 0  # of the attempts here: past replies must not keep attempts in memory
@@ -148,7 +150,7 @@
         self.reply_due_s = now_s + self.pool.reply_timeout_ms / 1000
         self.idle_before_call_s = now_s - self.idle_since_s if self.idle_since_s else 0.0
         if call.on_written:
-            call.on_written()
+            call.on_written(not self.has_replied)
 
     def dataReceived(self, data):
         """Reads a reply; unexpected or invalid bytes close the connection."""
@@ -201,6 +203,7 @@
             return
         call = self.call
         self.call = None
+        self.has_replied = True
         call.connection = None
         reply.connection = self
         self._last_result = ReferenceType(reply) if reply.status == Status.OK else None
--- a/lichenquay/gateway/result_relay.py
+++ b/lichenquay/gateway/result_relay.py
@@ -135,7 +135,10 @@
         cut_count = 0
         while True:
             if reply.status != Status.OK:  # the query failed, or the engine lost its pages
-                self.tracker.end(in_flight, domain.Outcome.FAILED, reply)
+                proof = in_flight.lifecycle.proof
+                is_reset = proof is not None and not proof.is_end_reported
+                outcome = domain.Outcome.CONNECTION_RESET if is_reset else domain.Outcome.FAILED
+                self.tracker.end(in_flight, outcome, reply)
                 return None
             if not pages:
                 page_count = engine_protocol.page_count(reply)
@@ -351,11 +354,11 @@
         """
         written_ms = 0.0
 
-        def on_written():
+        def on_written(is_new_connection):
             nonlocal written_ms
             written_ms = self.now_ms()
             if is_poll:
-                in_flight.lifecycle.on_poll_written(written_ms)
+                in_flight.lifecycle.on_poll_written(written_ms, is_new_connection)
 
         call = self.engines.start_call(
             in_flight.engine,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -184,6 +184,10 @@
             read_after_s = 0.02
         elif "copy" in behaviour:
             read_after_s = 0.25
+        if "late" in behaviour:  # the connection comes up late
+            read_after_s = 1.45
+        elif "never" in behaviour:
+            read_after_s = 60.0
         reactor.callLater(read_after_s, self._read, connection, request_id)
         if "cut" in behaviour:  # the connection is closed at once
             connection.transport.abortConnection()
