Refuse a request without room on its stream, also when it comes in parts

Cause: dataReceived raised FrameError, which ends a connection, where what had arrived of a frame was over a 16th of the free memory. The same frame in one read was refused on its stream. Its input is valid: the length, type and stream are right. The same elsewhere: write() ended the connection that wrote when the account was full, whoever had filled it.

Change: FrameReader asks before it keeps a part. Without room it keeps the type and the stream, counts the rest, and hands the frame over without a payload once its last byte has come. A request is refused on its stream, a cancellation cancels, a readiness check is answered. When the account is full, the connection with most unread answers ends. This works for any size, split and number of requests, as the decision no longer depends on how a frame was read.

--- a/lichenquay/gateway/client_connection.py
+++ b/lichenquay/gateway/client_connection.py
@@ -10,6 +10,7 @@
 from lichenquay.gateway.frame_deadline import FrameDeadline
 from lichenquay.gateway.frames import AnswerCode, FrameError, FrameReader, FrameType
 from lichenquay.gateway.memory_account import DEFERRED_REQUEST_BYTES
+from lichenquay.gateway.metrics import ANSWER_COUNTERS
 from lichenquay.gateway.process_pauses import ArrivalBound
 from lichenquay.gateway.request_errors import InvalidRequestError, RequestRejectedError
 from lichenquay.gateway.sockets import (
@@ -27,11 +28,6 @@
 MAX_INVALID_REQUESTS = 16  # a connection with more is closed
 # With more bytes of unread answers than this, the requests of a client are deferred.
 MAX_UNSENT_BYTES = 65_536
-ANSWER_COUNTERS = {
-    AnswerCode.COMPLETED: "answers completed",
-    AnswerCode.REJECTED: "answers rejected",
-    AnswerCode.FAILED: "answers failed",
-}
 
 
 class ClientConnection(Protocol):
@@ -49,7 +45,7 @@
         """Registers the connection of the client at `address` with connection admission."""
         self.intake = intake
         self.record = intake.connection_admission.on_connection_opened(address, intake.admission_ms(), self)
-        self.reader = FrameReader()
+        self.reader = FrameReader(intake.memory.has_room_for_request)
         self.arrival = ArrivalBound(intake.earliest_arrival_ms, intake.now_ms)
         self.streams = StreamNumbers()
         self.open_queries = {}  # by stream
@@ -85,18 +81,15 @@
             self._pause_reading()
             return
         self.arrival.begin_read()
-        buffered_before = self.reader.buffered_bytes()
-        self.memory.add(-buffered_before)  # a frame that the data completes is over within this turn
+        is_new_frame = not self.reader.received_bytes()
+        self.memory.add(-self.reader.buffered_bytes())  # a frame that the data completes ends with this turn
         self.last_activity_s = self.intake.seconds()
         try:
             for frame in self.reader.feed(data):
                 self._on_frame(frame)
-            buffered = self.reader.buffered_bytes()
-            if not buffered_before:
+            if is_new_frame:
                 self.frame_deadline.restart(self.last_activity_s)
-            if buffered > buffered_before and not self.intake.memory.has_room_for_request(buffered):
-                raise FrameError("too much that is not whole")
-            self.memory.add(buffered)
+            self.memory.add(self.reader.buffered_bytes())
         except FrameError as error:
             self.reader.discard()
             self.reject_input(str(error))
@@ -127,7 +120,7 @@
 
     def is_frame_overdue(self, now_s: float) -> bool:
         """Returns whether no complete frame was read in time."""
-        return self.frame_deadline.is_overdue(now_s, self.reader.buffered_bytes() > 0)
+        return self.frame_deadline.is_overdue(now_s, self.reader.received_bytes() > 0)
 
     def _on_frame(self, frame):
         if not self.frame_deadline.has_received_frame:
@@ -138,7 +131,8 @@
         elif frame.type == FrameType.CANCEL:
             self._on_cancel(frame.stream)
         elif frame.type == FrameType.READINESS_CHECK:
-            frames.read_fields(frame.payload)  # raises FrameError where the fields overrun the payload
+            if frame.payload is not None:
+                frames.read_fields(frame.payload)  # raises FrameError where the fields overrun the payload
             self.write(frames.encode_readiness(frame.stream, self.intake.is_ready()))
         else:
             raise FrameError(f"a frame of type {frame.type}")
@@ -147,7 +141,9 @@
         bytes_before = self.streams.held_bytes
         self.streams.claim(frame.stream)
         self.memory.add(self.streams.held_bytes - bytes_before)
-        if self.is_backlogged:
+        if frame.payload is None or (self.is_backlogged and not self._may_defer(frame.payload)):
+            self._answer_invalid(frame.stream, RequestRejectedError("no room for it"))
+        elif self.is_backlogged:
             self._defer_request(frame)
         else:
             self._accept_request(frame.stream, frame.payload, self.arrival.read_ms)
@@ -222,11 +218,10 @@
         query.statement = b""
         query.client = None
 
+    def _may_defer(self, payload):
+        return self.intake.memory.has_room_for_request(len(payload) + DEFERRED_REQUEST_BYTES)
+
     def _defer_request(self, frame):
-        size_bytes = len(frame.payload) + DEFERRED_REQUEST_BYTES
-        if not self.intake.memory.has_room_for_request(size_bytes):
-            self._answer_invalid(frame.stream, RequestRejectedError("no room for it"))
-            return
         self.deferred_requests.add(frame.stream, bytes(frame.payload), self.arrival.read_ms)
         if self.deferred_requests.are_too_large:
             self.transport.pauseProducing()
@@ -266,7 +261,7 @@
             self.write(frames.encode_frame(FrameType.GO_AWAY, 0))
 
     def write(self, data: bytes) -> None:
-        """Writes a frame; aborts the connection if the bytes held for clients exceed the limit."""
+        """Writes a frame; has a connection aborted if what is held for queries exceeds the limit."""
         if not self.is_open:
             return
         rest = data if self.unsent_bytes else send_now(self.transport, data)
@@ -275,14 +270,20 @@
         self.unsent_bytes += len(rest)
         self.memory.add(len(rest))
         if self.intake.memory.is_exceeded:
-            self.intake.metrics.count("clients not reading")
-            self.intake.log("client", "client: does not read its answers; connection closed")
-            self.transport.abortConnection()
-            return
+            self.intake.abort_slowest_reader()
+            if not self.is_open:
+                return
         # The transport accepts only `bytes`; a memoryview would raise and truncate the answer.
         self.transport.write(bytes(rest))
         self.is_backlogged = self.is_backlogged or self.unsent_bytes > MAX_UNSENT_BYTES
 
+    def abort(self) -> None:
+        """Ends the connection at once, as its client does not read its answers."""
+        self.is_open = False
+        self.memory.add(-self.unsent_bytes)
+        self.unsent_bytes = 0
+        self.transport.abortConnection()
+
     def resumeProducing(self):
         """Accepts deferred requests again, as the transport has sent all that was written."""
         self.memory.add(-self.unsent_bytes)
@@ -308,7 +309,7 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection if no request waits for its answer, or to be read, or has come in part."""
-        if not self.is_open or not self.is_idle or self.reader.buffered_bytes():
+        if not self.is_open or not self.is_idle or self.reader.received_bytes():
             return
         if unread_input(self.transport) is not Input.BYTES:
             self.send_go_away()
--- a/lichenquay/gateway/frames.py
+++ b/lichenquay/gateway/frames.py
@@ -5,7 +5,7 @@
 """
 
 import struct
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -61,11 +61,11 @@
 
 
 class Frame(NamedTuple):
-    """A complete frame; `payload` is valid until the next read."""
+    """A frame that has arrived completely; `payload` is valid until the next read."""
 
     type: int  # not necessarily a `FrameType`
     stream: int
-    payload: memoryview
+    payload: memoryview | None  # None: there was no room to keep it
 
 
 class ClientRequest(NamedTuple):
@@ -84,33 +84,58 @@
 
 
 class FrameReader:
-    """Reassembles frames from the data of a connection, which may be split anywhere."""
+    """Reassembles frames from the data of a connection, which may be split anywhere.
 
-    __slots__ = ("_buffer", "_needed_bytes")
+    Of an incomplete frame for which there is no room, only the type and the stream are kept.
+    """
 
-    def __init__(self):
-        """Starts at a frame boundary."""
+    __slots__ = ("_buffer", "_may_keep", "_needed_bytes", "_skipped", "_skipped_bytes")
+
+    def __init__(self, may_keep: Callable[[int], bool] = lambda size_bytes: True):
+        """Starts at a frame boundary.
+
+        may_keep: returns whether so many bytes of an incomplete frame may be kept.
+        """
+        self._may_keep = may_keep
         self._buffer = None  # the start of an incomplete frame
         self._needed_bytes = LENGTH.size  # length of the buffer from which decoding can go on
+        self._skipped: Frame | None = None  # an incomplete frame of which nothing more is kept ...
+        self._skipped_bytes = 0  # ... and how much of it has arrived
 
     def buffered_bytes(self) -> int:
         """Returns how many bytes of an incomplete frame are kept."""
         return len(self._buffer or b"")
 
+    def received_bytes(self) -> int:
+        """Returns how many bytes of an incomplete frame have arrived."""
+        return self.buffered_bytes() + self._skipped_bytes
+
     def discard(self) -> None:
         """Drops the incomplete frame, if any."""
         self._buffer = None
+        self._skipped = None
+        self._skipped_bytes = 0
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Yields the frames that `data` completes. Errors: FrameError."""
-        if self._buffer is not None:
+        position = 0
+        if self._skipped is not None:
+            position = min(len(data), self._needed_bytes - self._skipped_bytes)
+            self._skipped_bytes += position
+            if self._skipped_bytes < self._needed_bytes:
+                return
+            frame = self._skipped
+            self.discard()
+            yield frame
+        elif self._buffer is not None:
+            if self._skip_unless_kept(self._buffer, len(self._buffer) + len(data)):
+                return
             self._buffer += data
             if len(self._buffer) < self._needed_bytes:
                 return
             data = self._buffer
             self._buffer = None
         view = memoryview(data)
-        position = 0
         end = len(data)
         while True:
             if end - position < LENGTH.size:
@@ -125,9 +150,20 @@
             _, frame_type, stream = HEADER.unpack_from(view, position)
             yield Frame(frame_type, stream, view[position + HEADER.size : position + self._needed_bytes])
             position += self._needed_bytes
-        if position < end:
+        if position < end and not self._skip_unless_kept(view[position:], end - position):
             self._buffer = bytearray(view[position:])
 
+    def _skip_unless_kept(self, start, received_bytes):
+        """Skips the rest of an incomplete frame for which there is no room; returns whether it does."""
+        is_complete = received_bytes >= self._needed_bytes
+        if is_complete or len(start) < HEADER.size or self._may_keep(received_bytes):
+            return False
+        _, frame_type, stream = HEADER.unpack_from(start)
+        self.discard()
+        self._skipped = Frame(frame_type, stream, None)
+        self._skipped_bytes = received_bytes
+        return True
+
 
 def read_fields(payload: memoryview) -> tuple[list[tuple[str, str]], memoryview]:
     """Returns the fields, as (name, value) texts, and the rest of the payload. Errors: FrameError."""
--- a/lichenquay/gateway/metrics.py
+++ b/lichenquay/gateway/metrics.py
@@ -2,6 +2,14 @@
 
 from collections import Counter
 
+from lichenquay.gateway.frames import AnswerCode
+
+ANSWER_COUNTERS = {
+    AnswerCode.COMPLETED: "answers completed",
+    AnswerCode.REJECTED: "answers rejected",
+    AnswerCode.FAILED: "answers failed",
+}
+
 
 class Metrics:
     """Counters by name, since the start of the process."""
--- a/lichenquay/gateway/request_intake.py
+++ b/lichenquay/gateway/request_intake.py
@@ -144,20 +144,20 @@
         """
         deadline = connection.frame_deadline
         started_s = deadline.started_s
-        buffered_bytes = connection.reader.buffered_bytes()
+        received_bytes = connection.reader.received_bytes()
         unread = read_available(
             connection.transport,
             lambda: connection.may_read() and deadline.started_s == started_s,
             MAX_READS_AT_ONCE,
         )
-        more_bytes = connection.reader.buffered_bytes() - buffered_bytes
+        more_bytes = connection.reader.received_bytes() - received_bytes
         if deadline.started_s != started_s:
             self.metrics.count("overdue frames found unread")
         elif unread is Input.NOTHING and not (more_bytes and deadline.extend()):
             self.log(
                 "client",
                 f"client: frame overdue age_ms={1000 * (now_s - started_s):.0f} "
-                f"buffered_bytes={buffered_bytes} more_bytes={more_bytes}",
+                f"received_bytes={received_bytes} more_bytes={more_bytes}",
             )
             connection.reject_input("no whole frame in time")
 
@@ -166,6 +166,13 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def abort_slowest_reader(self) -> None:
+        """Ends the connection with most unread answers, as what is held exceeds the limit."""
+        slowest = max(self.connections, key=lambda connection: connection.unsent_bytes)
+        self.metrics.count("clients not reading")
+        self.log("client", "client: does not read its answers; connection closed")
+        slowest.abort()
+
     # Queries
 
     def make_query(
