Count the time until SIGKILL from when SIGTERM may have arrived

Cause: the log has `process: stood still pause_ms=821 phase=leaving`. leave() counted from when the signal was handled, after the pause.

Change: it counts from earliest_arrival_ms, as requests do.

Tests: the new one fails before (the time was 0.3 s late after a pause of 0.3 s).

--- a/lichenquay/gateway/service.py
+++ b/lichenquay/gateway/service.py
@@ -338,7 +338,8 @@
             return
         self.phase = ServicePhase.LEAVING
         longest_ms = max(group.max_timeout_ms or MAX_DEADLINE_MS for group in self.settings.groups.values())
-        self.sigkill_expected_ms = now_ms() + min(MAX_DEADLINE_MS, longest_ms) + SIGKILL_AFTER_DEADLINE_MS
+        signalled_ms = self.pauses.earliest_arrival_ms(now_ms())
+        self.sigkill_expected_ms = signalled_ms + min(MAX_DEADLINE_MS, longest_ms) + SIGKILL_AFTER_DEADLINE_MS
         self.clients.send_go_away()
         self.engines.call_later(ACCEPT_AFTER_SIGTERM_MS, self._stop_listening)
         final_answers_ms = self.sigkill_expected_ms - FINAL_ANSWERS_BEFORE_MS
--- a/tests/test_gateway_program.py
+++ b/tests/test_gateway_program.py
@@ -13,6 +13,7 @@
 from twisted.internet import reactor
 
 from lichenquay.gateway import frames
+from lichenquay.gateway.clock import now_ms
 from lichenquay.gateway.service import Service, ServicePhase
 
 
@@ -192,3 +193,16 @@
     assert (
         "queries received: 20" in report and "answers completed: 20" in report and "Traceback" not in report
     )
+
+
+def test_sigkill_is_expected_from_when_sigterm_may_have_arrived(make_world):
+    """Guards against a shutdown that goes on when SIGKILL comes, after a pause that hid SIGTERM."""
+    world = make_world(engines=1)
+    service = world.service
+    service.phase = ServicePhase.SERVING
+    service.pauses.on_tick(now_ms())
+    paused_ms = now_ms()
+    time.sleep(0.3)
+    service.leave()
+    longest_ms = 3000.0 + 700.0
+    assert paused_ms - 50.0 <= service.sigkill_expected_ms - longest_ms <= paused_ms + 50.0
