--- a/lichenquay/gateway/engine_protocol.py
+++ b/lichenquay/gateway/engine_protocol.py
@@ -68,6 +68,21 @@
     return encode_request_head("POST", "/o", host, headers, statement_bytes)
 
 
+def encode_start(
+    host: str,
+    request_id: str,
+    group: str,
+    timeout_ms: float,
+    grant_mb: float,
+    priority: int | None,
+    statement: bytes,
+    *keys: str,
+) -> bytes:
+    """Encodes the whole call that starts an attempt; `keys` are those of `encode_start_head`."""
+    head = encode_start_head(host, request_id, group, timeout_ms, grant_mb, priority, len(statement), *keys)
+    return head + statement
+
+
 def encode_page(host: str, request_id: str, page: int) -> bytes:
     """Encodes the call for a page of a result; `POLL_PAGE` polls the progress."""
     return encode_request("GET", f"/o/{request_id}/{page}", host)
--- a/tests/test_golden_gateway.py
+++ b/tests/test_golden_gateway.py
@@ -46,19 +46,13 @@
     assert {name: data.hex() for name, data in written.items()} == MESSAGES["answers"]
 
 
-def encode_start(*arguments):
-    """Returns the call that starts an attempt as it is sent: its head, and its statement."""
-    *before, statement = arguments[:7]
-    return engine_protocol.encode_start_head(*before, len(statement), *arguments[7:]) + statement
-
-
 @pytest.mark.parametrize(
     "case", MESSAGES["calls"], ids=lambda case: f"{case['call']}-{case['arguments'][2:3]}"
 )
 def test_calls_to_engines_are_the_same_bytes(case):
     """The first call of each resource group, polls, pages, priorities and cancellation."""
     calls = {
-        "start": encode_start,
+        "start": engine_protocol.encode_start,
         "page": engine_protocol.encode_page,
         "priority": engine_protocol.encode_priority,
         "give_up": engine_protocol.encode_cancel,
