Skip a frame without room at once when its header comes in parts

Found on reading again: where a client split a frame within its header (4 to 8 bytes first), the reader had no type and stream yet in what it kept, and kept the whole next read, up to 64 KB a connection, without asking for room. It looks at the header across both reads now.

--- a/lichenquay/gateway/frames.py
+++ b/lichenquay/gateway/frames.py
@@ -128,7 +128,8 @@
             self.discard()
             yield frame
         elif self._buffer is not None:
-            if self._skip_unless_kept(self._buffer, len(self._buffer) + len(data)):
+            start = self._buffer[: HEADER.size] + data[: HEADER.size]
+            if self._skip_unless_kept(start, len(self._buffer) + len(data)):
                 return
             self._buffer += data
             if len(self._buffer) < self._needed_bytes:
--- a/tests/test_gateway_no_room.py
+++ b/tests/test_gateway_no_room.py
@@ -128,3 +128,14 @@
             size in (None, {1: 3, 2: 300, 3: 0, 4: 500, 5: 500, 6: 1}[stream]) for stream, size in found
         )
         assert step > 150 or [size for _, size in found] == [3, None, 0, None, None, 1]
+
+
+@pytest.mark.parametrize("first_bytes", range(4, 9))
+def test_a_frame_whose_header_comes_in_parts_is_skipped_at_once(first_bytes):
+    """Guards against one read that is kept without room, on each connection that splits its headers."""
+    data = frames.encode_frame(2, 7, b"x" * 90_000)
+    reader = FrameReader(lambda size_bytes: size_bytes < 200)
+    for part in (data[:first_bytes], data[first_bytes:60_000]):
+        assert not list(reader.feed(part))
+    assert reader.buffered_bytes() == 0 and reader.received_bytes() == 60_000
+    assert list(reader.feed(data[60_000:])) == [(2, 7, None)]
